--- /dev/null
+++ b/azurepass/core/core.cc
@@ -0,0 +1,141 @@
+// Names and identifiers of the core types.
+
+#include "azurepass/core/core.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace azurepass {
+namespace {
+
+// Parses all of `text` as a decimal number.
+template <class Number>
+std::optional<Number> ParseNumber(std::string_view text) {
+  Number number = 0;
+  const char* end = text.data() + text.size();
+  auto [stop, error] = std::from_chars(text.data(), end, number);
+  if (error != std::errc() || stop != end) return std::nullopt;
+  return number;
+}
+
+}  // namespace
+
+std::string ToString(const TaskId& id) {
+  return id.job.value() + "/" + std::to_string(id.index);
+}
+
+std::string ToString(const AttemptId& id) {
+  return ToString(id.task) + "#" + std::to_string(id.attempt);
+}
+
+std::optional<AttemptId> ParseAttemptId(std::string_view text) {
+  const size_t slash = text.rfind('/');
+  const size_t mark = text.rfind('#');
+  if (slash == std::string_view::npos || mark == std::string_view::npos ||
+      slash == 0 || mark < slash) {
+    return std::nullopt;
+  }
+  auto index = ParseNumber<int32_t>(text.substr(slash + 1, mark - slash - 1));
+  auto attempt = ParseNumber<int32_t>(text.substr(mark + 1));
+  if (!index || !attempt) return std::nullopt;
+  return AttemptId{{JobId(std::string(text.substr(0, slash))), *index},
+                   *attempt};
+}
+
+JobId MakeJobId(const PartitionId& partition, int64_t number) {
+  return JobId(partition.value() + "." + std::to_string(number));
+}
+
+std::optional<PartitionId> PartitionOf(const JobId& job) {
+  const size_t dot = job.value().rfind('.');
+  if (dot == std::string::npos || dot == 0) return std::nullopt;
+  const std::string_view number = std::string_view(job.value()).substr(dot + 1);
+  if (!ParseNumber<int64_t>(number)) return std::nullopt;
+  return PartitionId(job.value().substr(0, dot));
+}
+
+bool IsFinal(TaskState state) {
+  switch (state) {
+    case TaskState::kQueued:
+    case TaskState::kStarting:
+    case TaskState::kRunning:
+    case TaskState::kStopping:
+      return false;
+    case TaskState::kSucceeded:
+    case TaskState::kFailed:
+    case TaskState::kCancelled:
+    case TaskState::kExpired:
+    case TaskState::kUnknown:
+      return true;
+  }
+  return true;
+}
+
+std::string_view TaskStateName(TaskState state) {
+  switch (state) {
+    case TaskState::kQueued:
+      return "queued";
+    case TaskState::kStarting:
+      return "starting";
+    case TaskState::kRunning:
+      return "running";
+    case TaskState::kStopping:
+      return "stopping";
+    case TaskState::kSucceeded:
+      return "succeeded";
+    case TaskState::kFailed:
+      return "failed";
+    case TaskState::kCancelled:
+      return "cancelled";
+    case TaskState::kExpired:
+      return "expired";
+    case TaskState::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+bool IsFinal(const JobView& job) {
+  return std::all_of(job.tasks.begin(), job.tasks.end(),
+                     [](const TaskView& task) { return IsFinal(task.state); });
+}
+
+std::string_view RefusalCodeName(RefusalCode code) {
+  switch (code) {
+    case RefusalCode::kInvalidRequest:
+      return "invalid_request";
+    case RefusalCode::kTooLarge:
+      return "too_large";
+    case RefusalCode::kUnauthenticated:
+      return "unauthenticated";
+    case RefusalCode::kForbidden:
+      return "forbidden";
+    case RefusalCode::kNotFound:
+      return "not_found";
+    case RefusalCode::kNeverFits:
+      return "never_fits";
+    case RefusalCode::kRequestConflict:
+      return "request_conflict";
+    case RefusalCode::kVersionConflict:
+      return "version_conflict";
+    case RefusalCode::kQueueFull:
+      return "queue_full";
+    case RefusalCode::kNotOwner:
+      return "not_owner";
+    case RefusalCode::kStaleConfiguration:
+      return "stale_configuration";
+    case RefusalCode::kStoreUnavailable:
+      return "store_unavailable";
+    case RefusalCode::kDeadlineExceeded:
+      return "deadline_exceeded";
+    case RefusalCode::kShuttingDown:
+      return "shutting_down";
+    case RefusalCode::kUnavailable:
+      return "unavailable";
+    case RefusalCode::kInternal:
+      return "internal";
+  }
+  return "internal";
+}
+
+}  // namespace azurepass
--- /dev/null
+++ b/azurepass/core/core.h
@@ -0,0 +1,379 @@
+// The vocabulary of azurepass: identifiers, resources, jobs, contracts and
+// refusals. Every other package speaks in these types. Nothing here does I/O,
+// reads a clock or knows an encoding.
+//
+// Times. A deadline or an age inside one process is a MonotonicTime; it never
+// leaves the process. What crosses a process boundary is a Duration ("so much
+// is left") or a WallTime that is only shown to people.
+
+#ifndef AZUREPASS_CORE_CORE_H_
+#define AZUREPASS_CORE_CORE_H_
+
+#include <array>
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace azurepass {
+
+// ---------------------------------------------------------------------------
+// Time
+
+using MonotonicTime = std::chrono::steady_clock::time_point;
+using WallTime = std::chrono::system_clock::time_point;
+using Duration = std::chrono::milliseconds;
+
+// ---------------------------------------------------------------------------
+// Visitors
+
+// Builds one visitor out of several lambdas, for std::visit.
+template <class... Lambdas>
+struct Visitor : Lambdas... {
+  using Lambdas::operator()...;
+};
+template <class... Lambdas>
+Visitor(Lambdas...) -> Visitor<Lambdas...>;
+
+// ---------------------------------------------------------------------------
+// Identifiers
+
+// A string that names one kind of thing, so that a team is never passed where
+// a VM is meant.
+template <class Tag>
+class Id {
+ public:
+  Id() = default;
+  explicit Id(std::string value) : value_(std::move(value)) {}
+
+  const std::string& value() const { return value_; }
+  bool empty() const { return value_.empty(); }
+
+  auto operator<=>(const Id&) const = default;
+
+  template <class H>
+  friend H AbslHashValue(H h, const Id& id) {
+    return H::combine(std::move(h), id.value_);
+  }
+
+ private:
+  std::string value_;
+};
+
+using TeamId = Id<struct TeamTag>;            // The customer of one contract.
+using KeyId = Id<struct KeyTag>;              // Public name of a key.
+using QueueId = Id<struct QueueTag>;          // Where a team submits to.
+using ServiceId = Id<struct ServiceTag>;      // A named group of workers.
+using PartitionId = Id<struct PartitionTag>;  // Racks that have one owner.
+using ZoneId = Id<struct ZoneTag>;            // An availability zone.
+using RackId = Id<struct RackTag>;
+using VmId = Id<struct VmTag>;            // A worker's VM.
+using MemberId = Id<struct MemberTag>;    // One process of ours.
+using RequestId = Id<struct RequestTag>;  // A caller's idempotency token.
+using JobId = Id<struct JobTag>;          // "PARTITION.NUMBER".
+
+// Task `index` of a job; index runs from 0 to the job's task count - 1.
+struct TaskId {
+  JobId job;
+  int32_t index = 0;
+
+  auto operator<=>(const TaskId&) const = default;
+  template <class H>
+  friend H AbslHashValue(H h, const TaskId& id) {
+    return H::combine(std::move(h), id.job, id.index);
+  }
+};
+
+// One start of a task; the first attempt is 1.
+struct AttemptId {
+  TaskId task;
+  int32_t attempt = 0;
+
+  auto operator<=>(const AttemptId&) const = default;
+  template <class H>
+  friend H AbslHashValue(H h, const AttemptId& id) {
+    return H::combine(std::move(h), id.task, id.attempt);
+  }
+};
+
+// Returns "JOB/INDEX" and "JOB/INDEX#ATTEMPT".
+std::string ToString(const TaskId& id);
+std::string ToString(const AttemptId& id);
+
+// Parses what ToString(AttemptId) wrote; empty when the text has another form.
+std::optional<AttemptId> ParseAttemptId(std::string_view text);
+
+// Makes the id of the job with this number in a partition, and finds the
+// partition of a job again (empty when the id has another form).
+JobId MakeJobId(const PartitionId& partition, int64_t number);
+std::optional<PartitionId> PartitionOf(const JobId& job);
+
+// Counts the owners of a partition. A worker refuses orders of an epoch lower
+// than the highest it has seen.
+struct Epoch {
+  int64_t value = 0;
+  auto operator<=>(const Epoch&) const = default;
+};
+
+// The store's counter of accepted changes; it only grows.
+struct Revision {
+  int64_t value = 0;
+  auto operator<=>(const Revision&) const = default;
+};
+
+// ---------------------------------------------------------------------------
+// Resources
+
+enum class Dimension : int {
+  kSlots = 0,
+  kConnections,
+  kMillicores,    // Thousandths of a processor.
+  kMemoryMib,     // 2^20 bytes.
+  kAccelerators,  // Whole devices.
+};
+inline constexpr int kDimensions = 5;
+
+// Returns "slots", "connections", "millicores", "memory_mib" or
+// "accelerators": also the field's name in every encoding.
+std::string_view DimensionName(Dimension dimension);
+
+// An amount in every dimension. Amounts may be negative in the middle of a sum;
+// a size or a capacity never is.
+class Resources {
+ public:
+  constexpr Resources() = default;
+  constexpr Resources(int64_t slots, int64_t connections, int64_t millicores,
+                      int64_t memory_mib, int64_t accelerators)
+      : amounts_{slots, connections, millicores, memory_mib, accelerators} {}
+
+  // The same amount in every dimension.
+  static constexpr Resources Uniform(int64_t amount) {
+    return Resources(amount, amount, amount, amount, amount);
+  }
+
+  constexpr int64_t operator[](Dimension d) const {
+    return amounts_[static_cast<int>(d)];
+  }
+  constexpr int64_t& operator[](Dimension d) {
+    return amounts_[static_cast<int>(d)];
+  }
+
+  Resources& operator+=(const Resources& other);
+  Resources& operator-=(const Resources& other);
+  friend Resources operator+(Resources a, const Resources& b) { return a += b; }
+  friend Resources operator-(Resources a, const Resources& b) { return a -= b; }
+  friend Resources operator*(Resources a, int64_t times);
+  constexpr bool operator==(const Resources&) const = default;
+
+  // True when each dimension is at most that of `room`.
+  bool FitsIn(const Resources& room) const;
+
+  // The first dimension in which this does not fit in `room`.
+  std::optional<Dimension> FirstExcess(const Resources& room) const;
+
+  // True when no dimension is below zero.
+  bool IsNonNegative() const;
+
+  // The largest fraction, over all dimensions with a capacity above zero, that
+  // this takes of `capacity`: the dominant share of Ghodsi et al., "Dominant
+  // Resource Fairness" (NSDI 2011).
+  double DominantShare(const Resources& capacity) const;
+
+  // Per-dimension minimum and maximum.
+  static Resources Min(const Resources& a, const Resources& b);
+  static Resources Max(const Resources& a, const Resources& b);
+
+ private:
+  std::array<int64_t, kDimensions> amounts_{};
+};
+
+inline constexpr Dimension kAllDimensions[kDimensions] = {
+    Dimension::kSlots, Dimension::kConnections, Dimension::kMillicores,
+    Dimension::kMemoryMib, Dimension::kAccelerators};
+
+// No bound in any dimension; small enough that a few may be added up.
+inline constexpr int64_t kUnlimitedAmount = int64_t{1} << 60;
+inline constexpr Resources kUnlimited = Resources::Uniform(kUnlimitedAmount);
+
+// ---------------------------------------------------------------------------
+// Jobs
+
+// Tasks run until stopped and are spread over zones and racks.
+struct ServicePolicy {
+  bool operator==(const ServicePolicy&) const = default;
+};
+// Tasks run to completion, each by itself, packed tightly.
+struct BatchPolicy {
+  bool operator==(const BatchPolicy&) const = default;
+};
+// All tasks start together or none does.
+struct GangPolicy {
+  bool operator==(const GangPolicy&) const = default;
+};
+using Policy = std::variant<ServicePolicy, BatchPolicy, GangPolicy>;
+
+enum class Priority { kNormal, kUrgent };
+
+// What a caller asks for. Invariants once accepted: 1 <= tasks <=
+// kMaxTasksPerJob; task.slots >= 1; every amount >= 0.
+struct JobSpec {
+  QueueId queue;
+  Policy policy = BatchPolicy{};
+  Priority priority = Priority::kNormal;
+  int32_t tasks = 1;
+  Resources task;                    // The size of each task.
+  Duration declared_run_time{0};     // A hint; 0 when unknown.
+  bool repeatable = true;            // False: a task is started at most once.
+  std::optional<Duration> deadline;  // From acceptance; then it is not started.
+
+  bool operator==(const JobSpec&) const = default;
+};
+
+inline constexpr int32_t kMaxTasksPerJob = 10'000;
+inline constexpr int32_t kMaxAttempts = 5;  // Starts of one repeatable task.
+
+enum class TaskState {
+  kQueued,     // Waits for a worker.
+  kStarting,   // Ordered on a worker, not yet confirmed.
+  kRunning,    // Confirmed by the worker.
+  kStopping,   // Asked to stop (cancel, preemption), not yet confirmed.
+  kSucceeded,  // Final.
+  kFailed,     // Final: ran and failed for good.
+  kCancelled,  // Final.
+  kExpired,    // Final: not started before its deadline.
+  kUnknown,    // Final: started once, outcome lost, not repeatable.
+};
+bool IsFinal(TaskState state);
+std::string_view TaskStateName(TaskState state);
+
+struct TaskView {
+  TaskState state = TaskState::kQueued;
+  VmId vm;  // Of the latest attempt; empty before the first.
+  int32_t attempts = 0;
+  std::string reason;  // Why it waits or how it ended.
+  Duration waited{0};  // From acceptance to the latest start, or until now.
+};
+
+// What a caller sees of its job. `version` grows with every change, so that a
+// held GET can wait for the next one.
+struct JobView {
+  JobId id;
+  TeamId team;
+  JobSpec spec;
+  int64_t version = 0;
+  std::vector<TaskView> tasks;  // By index.
+};
+
+// A job is final when each of its tasks is.
+bool IsFinal(const JobView& job);
+
+// ---------------------------------------------------------------------------
+// Contracts and configuration
+
+struct QueueSpec {
+  QueueId name;
+  ServiceId service;
+  bool operator==(const QueueSpec&) const = default;
+};
+
+// One customer's contract. `version` is the store's version of the value: 0
+// before the first write.
+struct Contract {
+  TeamId team;
+  int64_t share = 1;  // Weight against the other teams when the cell is full.
+  Resources upper_limit = kUnlimited;  // Of all that runs, fleet-wide.
+  std::vector<ZoneId> zones;           // Where it may run; never empty.
+  std::vector<QueueSpec> queues;
+  int64_t version = 0;
+  bool operator==(const Contract&) const = default;
+};
+
+// A key as the store keeps it: never the key itself.
+struct KeyRecord {
+  KeyId id;
+  TeamId team;
+  std::string sha256;  // Of the secret, in lower-case hexadecimal.
+  bool withdrawn = false;
+  int64_t version = 0;
+  bool operator==(const KeyRecord&) const = default;
+};
+
+struct ZoneRecord {
+  ZoneId zone;
+  bool in_service = true;
+  int64_t version = 0;
+  bool operator==(const ZoneRecord&) const = default;
+};
+
+// All that operators decide, as of one revision.
+struct Configuration {
+  Revision revision;
+  std::map<TeamId, Contract> contracts;
+  std::map<KeyId, KeyRecord> keys;
+  std::map<ZoneId, ZoneRecord> zones;  // A zone without a record is in service.
+  bool operator==(const Configuration&) const = default;
+};
+
+// ---------------------------------------------------------------------------
+// Workers
+
+// A worker as the settings and the VM list describe it.
+struct WorkerSpec {
+  VmId vm;
+  ZoneId zone;
+  RackId rack;
+  ServiceId service;
+  std::string address;  // "IP:PORT" of its HTTP interface.
+  Resources capacity;
+  bool operator==(const WorkerSpec&) const = default;
+};
+
+// What the VM list says of a VM; absent means gone.
+enum class VmState { kLive, kLeaving };
+
+// ---------------------------------------------------------------------------
+// Refusals
+
+enum class RefusalCode {
+  kInvalidRequest,      // Malformed or out of range.
+  kTooLarge,            // Body, header or nesting over the bound.
+  kUnauthenticated,     // No key, an unknown one or a withdrawn one.
+  kForbidden,           // The key is of another team.
+  kNotFound,            // No such job, queue, contract, key or zone.
+  kNeverFits,           // No worker could ever run it; the sentence says why.
+  kRequestConflict,     // The request id was used with another body.
+  kVersionConflict,     // Somebody wrote first; the answer holds what is there.
+  kQueueFull,           // The team's queue is at its bound.
+  kNotOwner,            // This process does not own the partition.
+  kStaleConfiguration,  // Cannot know that its configuration is in force.
+  kStoreUnavailable,    // Must be kept, and the store cannot keep it now.
+  kDeadlineExceeded,    // The caller's time ran out.
+  kShuttingDown,        // Ask another process.
+  kUnavailable,         // No owner reachable within the budget.
+  kInternal,
+};
+// Returns the stable spelling of the interface, such as "queue_full".
+std::string_view RefusalCodeName(RefusalCode code);
+
+// Whether the refused request may have had its effect.
+enum class Effect {
+  kNotRun,   // Certainly none: nothing was recorded and nothing was sent.
+  kUnknown,  // It may have had one; ask again with the same request id.
+};
+
+struct Refusal {
+  RefusalCode code = RefusalCode::kInternal;
+  Effect effect = Effect::kNotRun;
+  std::string message;                  // One sentence for a person.
+  std::optional<Duration> retry_after;  // When asking again may help.
+};
+
+}  // namespace azurepass
+
+#endif  // AZUREPASS_CORE_CORE_H_
