--- a/azurepass/core/core.h
+++ b/azurepass/core/core.h
@@ -337,6 +337,47 @@
 // What the VM list says of a VM; absent means gone.
 enum class VmState { kLive, kLeaving };
 
+// Orders to a worker. Each is idempotent by its attempt id.
+struct StartTask {
+  AttemptId attempt;
+  TeamId team;
+  Resources size;
+  Duration run_time{0};  // What a stand-in's task takes; 0: until stopped.
+  bool from_checkpoint = false;
+};
+enum class StopKind { kStop, kCheckpoint };
+struct StopTask {
+  AttemptId attempt;
+  StopKind kind = StopKind::kStop;
+};
+// Limits a task to a fraction of its processors, in thousandths.
+struct ThrottleTask {
+  AttemptId attempt;
+  int64_t permille = 1'000;
+};
+using Order = std::variant<StartTask, StopTask, ThrottleTask>;
+
+enum class WorkerEventKind {
+  kStarted,
+  kSucceeded,
+  kFailed,        // Ended with an error of its own, or could not be started.
+  kStopped,       // Stopped as ordered, or because the lease lapsed.
+  kCheckpointed,  // Stopped as ordered, its progress kept by the platform.
+};
+// What a worker reports of an attempt. `number` grows by one with each event of
+// a worker; the worker keeps an event until it is acknowledged.
+struct WorkerEvent {
+  int64_t number = 0;
+  AttemptId attempt;
+  WorkerEventKind kind = WorkerEventKind::kStarted;
+  std::string detail;
+};
+// Measured use of one attempt; lags behind the truth.
+struct Usage {
+  AttemptId attempt;
+  Resources used;
+};
+
 // ---------------------------------------------------------------------------
 // Refusals
 
--- /dev/null
+++ b/azurepass/endpoint/endpoint.h
@@ -0,0 +1,110 @@
+// The workers (endpoints): what a partition's owner orders from them and what
+// they report.
+//
+// One exchange does it all: POST /v1/exchange carries the owner's epoch, the
+// lease, orders, and the number of the last event received; the answer carries
+// the events since. Orders are idempotent by attempt id, events are kept by the
+// worker until acknowledged, so an exchange whose answer was lost is simply
+// repeated. A worker refuses an epoch lower than the highest it has seen. A
+// worker whose lease lapses stops all it runs under it.
+//
+// An exchange holds its answer until there is an event or `hold` has passed;
+// orders go out at once in an exchange of their own beside the held one.
+//
+// Usage: construct a Client on a task::Loop. Open starts a session with a
+// worker; from then on the client renews the lease by itself and sends an
+// Update for whatever happens, until Close.
+
+#ifndef AZUREPASS_ENDPOINT_ENDPOINT_H_
+#define AZUREPASS_ENDPOINT_ENDPOINT_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "azurepass/core/core.h"
+#include "azurepass/task/task.h"
+
+namespace azurepass::endpoint {
+
+// --- Updates, all of one session
+
+// The worker accepted the epoch; `running` is all it runs, whoever ordered it.
+struct SessionOpened {
+  VmId vm;
+  Epoch epoch;
+  std::vector<AttemptId> running;
+};
+struct Events {
+  VmId vm;
+  Epoch epoch;
+  std::vector<WorkerEvent> events;
+  std::vector<Usage> usage;
+};
+// A higher epoch is at work there: this owner was deposed.
+struct Fenced {
+  VmId vm;
+  Epoch epoch;
+  Epoch theirs;
+};
+// No answer. `lease_until` is the moment by which whatever ran there under our
+// lease has certainly stopped (margin included).
+struct Unreachable {
+  VmId vm;
+  Epoch epoch;
+  MonotonicTime lease_until;
+};
+// Answers again after Unreachable, same epoch. `running` as in SessionOpened.
+struct Reachable {
+  VmId vm;
+  Epoch epoch;
+  std::vector<AttemptId> running;
+};
+using Update =
+    std::variant<SessionOpened, Events, Fenced, Unreachable, Reachable>;
+
+// --- Requests to the client
+
+struct Open {
+  WorkerSpec worker;
+  Epoch epoch;
+  task::Address<Update> listener;
+};
+struct Send {
+  VmId vm;
+  std::vector<Order> orders;  // Repeated until the worker has taken them.
+};
+struct Close {
+  VmId vm;
+};
+using Request = std::variant<Open, Send, Close>;
+
+struct Options {
+  Duration lease{15'000};        // A worker keeps running this long unrenewed.
+  Duration lease_margin{1'000};  // Added before a lapsed lease is trusted.
+  Duration hold{4'000};          // How long a worker holds an empty answer.
+  Duration request_timeout{2'000};  // Beyond the hold.
+  Duration retry_delay{250};        // After a failure, doubled up to...
+  Duration retry_delay_max{2'000};
+};
+
+class Client {
+ public:
+  Client(task::Loop& loop, Options options);
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  task::Address<Request> address() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace azurepass::endpoint
+
+#endif  // AZUREPASS_ENDPOINT_ENDPOINT_H_
--- /dev/null
+++ b/azurepass/entry/entry.h
@@ -0,0 +1,151 @@
+// Streams between our own processes on the entry VMs: HTTP/2 (nghttp2) over
+// TCP, one connection for each pair, one stream for each request, so that
+// answers may come late and in any order and still meet their request.
+//
+// Usage: a process that serves constructs a Server with the address to listen
+// on and a listener for Incoming messages, and answers each one through its
+// Responder. A process that asks constructs a Client and sends it Calls; every
+// Call is answered exactly once, by the peer or by a Failure.
+
+#ifndef AZUREPASS_ENTRY_ENTRY_H_
+#define AZUREPASS_ENTRY_ENTRY_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "azurepass/core/core.h"
+#include "azurepass/partition/partition.h"
+#include "azurepass/placement/placement.h"
+#include "azurepass/task/task.h"
+
+namespace azurepass::entry {
+
+// --- Requests
+
+struct GetStatus {};
+
+// What a member says of itself and of those it heard from.
+struct MemberNews {
+  MemberId member;
+  std::string address;            // "IP:PORT" of its entry server.
+  int64_t incarnation = 0;        // Grows with every start of the process.
+  int64_t heartbeat = 0;          // Grows while it lives.
+  Revision revision;              // Configuration in force there.
+  Duration store_contact_age{0};  // Since the store last confirmed it.
+  std::vector<PartitionId> owned;
+};
+// Periodic exchange with a few peers.
+struct Gossip {
+  std::vector<MemberNews> news;
+};
+// Asks for what changed after a revision, when the store cannot be reached.
+struct PullConfiguration {
+  Revision after;
+};
+using Request =
+    std::variant<partition::SubmitJob, partition::GetJob, partition::CancelJob,
+                 partition::ExplainJob, GetStatus, Gossip, PullConfiguration>;
+
+// --- Responses
+
+struct Status {
+  MemberId member;
+  Revision revision;
+  std::vector<partition::Status> partitions;
+};
+// The whole of the configuration when the peer's history does not reach back.
+struct ConfigurationPulled {
+  Configuration configuration;
+  Duration store_contact_age{0};
+};
+using Response = std::variant<JobView, placement::Explanation, Status, Gossip,
+                              ConfigurationPulled, Refusal>;
+
+// --- Server
+
+// Answers one request. Copyable; the first answer counts.
+class Responder {
+ public:
+  Responder() = default;
+  explicit Responder(task::Address<Response> to) : to_(std::move(to)) {}
+  void Answer(Response response) const { to_.Send(std::move(response)); }
+
+ private:
+  task::Address<Response> to_;
+};
+
+struct Incoming {
+  Request request;
+  Duration time_left{0};  // The caller's deadline as it travelled.
+  Responder responder;
+};
+
+struct ServerOptions {
+  std::string address;  // "IP:PORT"; port 0 lets the kernel choose.
+  int64_t max_body_bytes = 4 << 20;
+  uint32_t max_streams = 4'096;  // At once on a connection.
+};
+
+class Server {
+ public:
+  Server(task::Loop& loop, ServerOptions options,
+         task::Address<Incoming> listener);
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  // "IP:PORT" with the port the kernel chose; empty when listening failed.
+  std::string listening_on() const;
+  // Refuses new streams and lets the open ones finish.
+  void Drain();
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+// --- Client
+
+enum class FailureCode {
+  kNotSent,   // Certainly not seen by the peer.
+  kNoAnswer,  // Sent; the connection or the time ended first.
+};
+struct Failure {
+  FailureCode code = FailureCode::kNotSent;
+  std::string message;
+};
+using CallResult = std::variant<Response, Failure>;
+
+struct Call {
+  std::string peer;  // "IP:PORT".
+  Request request;
+  Duration timeout{0};
+  task::Address<CallResult> reply_to;
+};
+
+struct ClientOptions {
+  Duration connect_timeout{1'000};
+  int64_t max_streams = 4'096;  // In flight to one peer; beyond: kNotSent.
+};
+
+class Client {
+ public:
+  Client(task::Loop& loop, ClientOptions options);
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  task::Address<Call> address() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace azurepass::entry
+
+#endif  // AZUREPASS_ENTRY_ENTRY_H_
--- /dev/null
+++ b/azurepass/partition/partition.h
@@ -0,0 +1,349 @@
+// A partition is a group of whole racks of one service. Exactly one scheduler
+// owns it at a time, and any scheduler can take it over: all that lasts is a
+// journal in the platform's store. This package is the owner's state machine.
+// It does no I/O: events come in with the time, actions come out, and whoever
+// drives it (a task of the scheduler, or a fuzz test with a fake store) carries
+// them out and reports back.
+//
+// Usage:
+//
+//   partition::Owner owner(options, partition, member, workers);
+//   for (Action& a : owner.Handle(event, now)) Perform(std::move(a));
+//
+// The argument for safety, in short:
+//   * Journal entries are created under consecutive numbers, each if absent.
+//     A new owner's first act is to append an entry; a former owner's next
+//     append then fails, whatever it believes about its lease. The lease only
+//     decides when somebody tries.
+//   * A batch whose write was not answered is read back: if the entry found
+//     carries our epoch and nonce, it is ours. Until then nothing that depends
+//     on it is answered.
+//   * Workers refuse epochs lower than the highest they have seen, so that a
+//     former owner starts nothing after its successor opened its sessions. The
+//     successor starts nothing until each worker has answered, or is known to
+//     be gone, or its lease has lapsed on the successor's own clock.
+//   * A task that may not be repeated is started only after the record of that
+//     start was appended, and never again.
+
+#ifndef AZUREPASS_PARTITION_PARTITION_H_
+#define AZUREPASS_PARTITION_PARTITION_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "azurepass/core/core.h"
+#include "azurepass/placement/placement.h"
+
+namespace azurepass::partition {
+
+// ---------------------------------------------------------------------------
+// Requests about jobs, as front ends send them, and their answers
+
+// Submits a job. The partition is chosen by the sender from team and request
+// id, so that a retry meets the same one.
+struct SubmitJob {
+  PartitionId partition;
+  TeamId team;
+  RequestId request;
+  JobSpec spec;
+  Revision revision;  // The sender's configuration.
+};
+// Answered when the job's version is above `known`, the job is final, or `wait`
+// has passed.
+struct GetJob {
+  TeamId team;
+  JobId job;
+  int64_t known = 0;
+  Duration wait{0};
+};
+struct CancelJob {
+  TeamId team;
+  JobId job;
+};
+struct ExplainJob {
+  TeamId team;
+  JobId job;
+};
+using JobRequest = std::variant<SubmitJob, GetJob, CancelJob, ExplainJob>;
+using JobResponse = std::variant<JobView, placement::Explanation, Refusal>;
+
+// Names a request to the owner for as long as it is unanswered.
+struct RequestToken {
+  int64_t value = 0;
+  auto operator<=>(const RequestToken&) const = default;
+};
+
+// ---------------------------------------------------------------------------
+// The journal
+
+// The upper limit's part that a partition may use, per team.
+using Allowances = std::map<TeamId, Resources>;
+
+struct JobSubmitted {
+  JobId job;
+  TeamId team;
+  RequestId request;
+  JobSpec spec;
+};
+struct TaskStarted {
+  AttemptId attempt;
+  VmId vm;
+};
+// The attempt is over and the task waits again.
+struct TaskRequeued {
+  AttemptId attempt;
+  placement::AttemptOutcome outcome = placement::AttemptOutcome::kStopped;
+  bool from_checkpoint = false;
+};
+// A task's final state.
+struct TaskEnded {
+  TaskId task;
+  TaskState state = TaskState::kSucceeded;
+  std::string reason;
+};
+struct JobCancelled {
+  JobId job;
+};
+// The job is forgotten: long final.
+struct JobForgotten {
+  JobId job;
+};
+using Record = std::variant<JobSubmitted, TaskStarted, TaskRequeued, TaskEnded,
+                            JobCancelled, JobForgotten>;
+
+// One value of the journal. The pair (epoch, nonce) names its writer.
+struct Batch {
+  int64_t number = 0;  // 1, 2, 3, ...
+  Epoch epoch;
+  uint64_t nonce = 0;
+  std::vector<Record> records;
+};
+
+// What a job looks like in a snapshot.
+struct TaskSnapshot {
+  TaskState state = TaskState::kQueued;
+  VmId vm;
+  int32_t attempts = 0;
+  bool from_checkpoint = false;
+  std::string reason;
+};
+struct JobSnapshot {
+  JobSubmitted submitted;
+  bool cancelled = false;
+  std::vector<TaskSnapshot> tasks;
+};
+// The journal's content up to and including batch `through`.
+struct Snapshot {
+  int64_t through = 0;
+  int64_t next_job_number = 1;
+  std::vector<JobSnapshot> jobs;
+};
+
+// ---------------------------------------------------------------------------
+// Events: what happened
+
+// We hold the claim, as its `epoch`-th owner. Starts recovery.
+struct ClaimWon {
+  Epoch epoch;
+};
+// We should give the partition back: finish answers, append, release.
+struct ReleaseWanted {};
+// The claim's lease is certainly gone or somebody else holds it.
+struct ClaimLost {};
+
+// Answer to LoadJournal: the newest snapshot, if any, and all later batches.
+struct JournalLoaded {
+  std::optional<Snapshot> snapshot;
+  std::vector<Batch> batches;
+};
+struct LoadFailed {};
+
+// Answers to AppendBatch and ReadBack, for batch `number`.
+struct Appended {
+  int64_t number = 0;
+};
+// Something is there already, or was read back.
+struct AppendFound {
+  int64_t number = 0;
+  std::optional<Batch> there;  // Empty: read back, and nothing is there.
+};
+// The write may or may not have happened.
+struct AppendUnknown {
+  int64_t number = 0;
+};
+// The write certainly did not happen, or the reading back failed.
+struct AppendUnavailable {
+  int64_t number = 0;
+};
+struct SnapshotWritten {
+  int64_t through = 0;
+  bool ok = false;
+};
+
+// The configuration in force, and whether starts may rely on it.
+struct ConfigurationChanged {
+  std::shared_ptr<const Configuration> configuration;
+};
+struct FreshnessChanged {
+  bool may_start = false;
+};
+// What the escrow grants to this partition now.
+struct AllowancesChanged {
+  Allowances allowances;
+};
+
+struct VmListChanged {
+  std::map<VmId, VmState> vms;
+};
+struct WorkerSessionOpened {
+  VmId vm;
+  Epoch epoch;
+  std::vector<AttemptId> running;
+};
+struct WorkerReported {
+  VmId vm;
+  Epoch epoch;
+  std::vector<WorkerEvent> events;
+  std::vector<Usage> usage;
+};
+struct WorkerFenced {
+  VmId vm;
+  Epoch theirs;
+};
+struct WorkerUnreachable {
+  VmId vm;
+  Epoch epoch;
+  MonotonicTime lease_until;  // By then all it ran for us has stopped.
+};
+
+struct RequestReceived {
+  RequestToken token;
+  JobRequest request;
+  MonotonicTime deadline;  // Answer by then.
+};
+
+// Time has passed; see Wake.
+struct Tick {};
+
+using Event =
+    std::variant<ClaimWon, ReleaseWanted, ClaimLost, JournalLoaded, LoadFailed,
+                 Appended, AppendFound, AppendUnknown, AppendUnavailable,
+                 SnapshotWritten, ConfigurationChanged, FreshnessChanged,
+                 AllowancesChanged, VmListChanged, WorkerSessionOpened,
+                 WorkerReported, WorkerFenced, WorkerUnreachable,
+                 RequestReceived, Tick>;
+
+// ---------------------------------------------------------------------------
+// Actions: what is to be done
+
+struct LoadJournal {};
+struct AppendBatch {
+  Batch batch;
+};
+struct ReadBack {
+  int64_t number = 0;
+};
+// Write this snapshot, then remove batches up to `through`.
+struct WriteSnapshot {
+  Snapshot snapshot;
+};
+struct OpenSession {
+  WorkerSpec worker;
+  Epoch epoch;
+};
+struct CloseSession {
+  VmId vm;
+};
+struct SendOrders {
+  VmId vm;
+  std::vector<Order> orders;
+};
+struct Answer {
+  RequestToken token;
+  JobResponse response;
+};
+// What the team could use beyond, or does not need of, its allowance here.
+struct AllowanceDemand {
+  TeamId team;
+  Resources committed;
+  Resources wanted;  // Committed plus what waits and would fit.
+};
+struct ReportDemand {
+  std::vector<AllowanceDemand> demands;
+};
+// All is appended and answered: the claim may be given back.
+struct Released {};
+// Somebody else owns the partition. Everything in memory is void.
+struct Deposed {
+  std::string reason;
+};
+// Send a Tick at that time at the latest; replaces the one before.
+struct Wake {
+  MonotonicTime at;
+};
+// One line for the decision log.
+struct LogDecision {
+  std::string kind;  // "start", "preempt", "requeue", "quarantine", ...
+  TaskId task;
+  int32_t attempt = 0;
+  VmId vm;
+  Revision revision;
+  std::string reason;
+};
+
+using Action = std::variant<LoadJournal, AppendBatch, ReadBack, WriteSnapshot,
+                            OpenSession, CloseSession, SendOrders, Answer,
+                            ReportDemand, Released, Deposed, Wake, LogDecision>;
+
+// ---------------------------------------------------------------------------
+// The owner
+
+struct Options {
+  Duration append_spacing{0};     // Between two appends; from the write budget.
+  int64_t snapshot_every = 200;   // Batches between two snapshots.
+  int64_t batch_records = 2'000;  // At most so many records in a batch.
+  int64_t queue_bound = 50'000;   // Waiting tasks per team.
+  Duration worker_lease{15'000};  // Unrenewed, a worker stops what it runs.
+  Duration worker_lease_margin{1'000};
+  Duration kept_after_end{600'000};  // A final job is remembered so long.
+  placement::Options placement;
+};
+
+struct Status {
+  PartitionId partition;
+  Epoch epoch;
+  placement::CellStatus cell;
+  std::vector<std::pair<TeamId, Resources>> committed;
+};
+
+class Owner {
+ public:
+  // `workers` are the partition's, from the settings. `nonce` is random and
+  // unlike that of any other process.
+  Owner(Options options, PartitionId partition, std::vector<WorkerSpec> workers,
+        uint64_t nonce);
+  ~Owner();
+  Owner(Owner&&) noexcept;
+  Owner& operator=(Owner&&) noexcept;
+
+  // Takes in one event; returns what is to be done, in order.
+  std::vector<Action> Handle(Event event, MonotonicTime now);
+
+  // True from the end of recovery until Released or Deposed.
+  bool owns() const;
+  Status status() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace azurepass::partition
+
+#endif  // AZUREPASS_PARTITION_PARTITION_H_
--- /dev/null
+++ b/azurepass/placement/placement.h
@@ -0,0 +1,203 @@
+// Placement decides which queued task starts on which worker, and which
+// running task has to make room. It is the heart of azurepass and nothing but
+// a decision: no I/O, no clock, no encoding. Time and random bits come in as
+// arguments, so that a recorded decision can be computed again.
+//
+// Usage:
+//
+//   placement::Cell cell(options);
+//   cell.AddWorker(worker);                      // From settings and VM list.
+//   cell.SetTeam(team, {share, zones, allowance});
+//   cell.AddJob(job, team, spec, now);           // Its tasks wait.
+//   for (const Decision& d : cell.Decide(now, budget)) { ... }
+//   cell.OnStarted / OnEnded(...);               // As workers report.
+//
+// Guarantees, whatever the order of calls:
+//   * The sum of committed task sizes on a worker never exceeds its capacity.
+//   * The sum of a team's committed sizes never exceeds its allowance by a
+//     start; a lowered allowance is answered by Preempt decisions.
+//   * No task is started in a zone that is out, that the contract does not
+//     allow, or on a worker that is closed or leaving.
+//   * A gang's tasks are started by one call of Decide, all or none.
+//   * Decide looks at no more than its budget of candidates.
+
+#ifndef AZUREPASS_PLACEMENT_PLACEMENT_H_
+#define AZUREPASS_PLACEMENT_PLACEMENT_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "azurepass/core/core.h"
+
+namespace azurepass::placement {
+
+// What bounds and tunes the decisions.
+struct Options {
+  uint64_t seed = 1;  // Of tie-breaking.
+};
+
+// What a contract means to this cell.
+struct TeamTerms {
+  int64_t share = 1;          // Weight when the cell is full; at least 1.
+  std::vector<ZoneId> zones;  // Allowed availability zones.
+  Resources allowance;        // Most that may be committed here at once.
+  bool operator==(const TeamTerms&) const = default;
+};
+
+// Whether a worker may be given new tasks.
+enum class WorkerAdmission {
+  kOpen,     // Yes.
+  kClosed,   // Not now: unreachable, session not open, zone out.
+  kLeaving,  // Never again: the VM is about to go.
+};
+
+// How an attempt ended, as far as placement cares.
+enum class AttemptOutcome {
+  kSucceeded,
+  kFailed,   // The task's own failure, or the worker's: both count.
+  kStopped,  // We asked for it (cancel, preemption): tells nothing.
+  kLost,     // The worker went away.
+};
+
+// Why a task waits, for explain and for the caller.
+enum class WaitReason {
+  kNone,            // It does not wait.
+  kNoRoom,          // No open worker has room now.
+  kAllowance,       // The team is at its upper limit (or allowance) here.
+  kZonesOut,        // All workers it may use are out of service.
+  kGangIncomplete,  // Some of its tasks would fit, not all.
+  kBehindOthers,    // Other teams or jobs come first.
+  kRetryBackoff,    // Failed recently; waits before the next attempt.
+  kRetryBudget,     // The cell's budget of retries is spent for now.
+};
+std::string_view WaitReasonName(WaitReason reason);
+
+// Start this attempt's task there. `score` is the winning one (higher is
+// better); `considered` counts the candidates looked at.
+struct Start {
+  TaskId task;
+  VmId vm;
+  double score = 0;
+  int64_t considered = 0;
+};
+// Take a running task off its worker: by checkpoint when `checkpoint` is set,
+// else by a plain stop. It is queued again by the call itself.
+struct Preempt {
+  TaskId task;
+  VmId vm;
+  bool checkpoint = true;
+  std::string reason;  // "allowance_lowered", "room_for_urgent", ...
+};
+using Decision = std::variant<Start, Preempt>;
+
+// Upper bounds on the work of one call of Decide.
+struct DecideBudget {
+  int64_t starts = 256;         // Decisions returned.
+  int64_t candidates = 65'536;  // Workers looked at.
+};
+
+// Why one group of workers (a zone's) did or did not take a job's next task.
+struct GroupExplanation {
+  ZoneId zone;
+  int64_t workers = 0;
+  int64_t closed = 0;  // Closed or leaving.
+  int64_t quarantined = 0;
+  int64_t without_room = 0;
+  int64_t with_room = 0;
+  std::optional<Dimension> tightest;  // Where most of those without room fail.
+  std::optional<double> best_score;
+  std::string
+      verdict;  // "chosen", "lower_score", "zone_out", "not_allowed",...
+};
+
+// A decision with the input it was taken on. Replay recomputes it.
+struct Explanation {
+  JobId job;
+  Revision revision;  // Of the configuration in force.
+  WaitReason waiting = WaitReason::kNone;
+  std::string sentence;  // For a person.
+  std::vector<GroupExplanation> groups;
+  std::string policy;           // "service", "batch" or "gang".
+  std::optional<Start> latest;  // The job's most recent start.
+};
+
+// Counts for metrics and status.
+struct CellStatus {
+  int64_t workers = 0;
+  int64_t open_workers = 0;
+  int64_t quarantined_workers = 0;
+  int64_t queued_tasks = 0;
+  int64_t committed_tasks = 0;
+  Resources capacity;   // Of open workers.
+  Resources committed;  // On all workers.
+};
+
+// One partition's workers, queues and commitments.
+class Cell {
+ public:
+  explicit Cell(Options options);
+  ~Cell();
+  Cell(Cell&&) noexcept;
+  Cell& operator=(Cell&&) noexcept;
+
+  // --- The fleet. Adding a known VM again replaces its capacity.
+  void AddWorker(const WorkerSpec& worker, WorkerAdmission admission);
+  void SetAdmission(const VmId& vm, WorkerAdmission admission);
+  // Forgets the worker; its commitments must have been released before.
+  void RemoveWorker(const VmId& vm);
+  void SetZoneInService(const ZoneId& zone, bool in_service);
+
+  // --- Teams.
+  void SetTeam(const TeamId& team, const TeamTerms& terms);
+  void RemoveTeam(const TeamId& team);
+
+  // The first dimension in which a task (or a whole gang) could not run even
+  // on an empty fleet within the team's zones; empty when it could.
+  std::optional<std::string> NeverFits(const TeamId& team,
+                                       const JobSpec& spec) const;
+
+  // --- Demand. A job's tasks wait from `accepted` on.
+  void AddJob(const JobId& job, const TeamId& team, const JobSpec& spec,
+              MonotonicTime accepted);
+  // Drops a task that waits, or marks a committed one as not to be queued
+  // again when it ends.
+  void CancelTask(const TaskId& task);
+  // Forgets a job none of whose tasks waits or is committed.
+  void RemoveJob(const JobId& job);
+
+  // --- Commitments.
+  // Takes the decision elsewhere (recovery): the task holds its size on `vm`.
+  // Returns false, and changes nothing, when it would not fit.
+  bool Commit(const TaskId& task, const VmId& vm);
+  // The attempt ended: its size is free again. With `requeue` the task waits
+  // again (after a backoff when it failed).
+  void Release(const TaskId& task, AttemptOutcome outcome, bool requeue,
+               MonotonicTime now);
+
+  // --- Decisions, committed as they are taken.
+  std::vector<Decision> Decide(MonotonicTime now, const DecideBudget& budget);
+
+  // The next moment at which Decide could have something to do without any
+  // further call (a backoff or quarantine ends); empty when there is none.
+  std::optional<MonotonicTime> NextWake() const;
+
+  // --- Answers.
+  Explanation Explain(const JobId& job, Revision revision,
+                      MonotonicTime now) const;
+  WaitReason WaitReasonOf(const TaskId& task) const;
+  CellStatus Status() const;
+  Resources CommittedOf(const TeamId& team) const;
+  Resources CommittedOn(const VmId& vm) const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace azurepass::placement
+
+#endif  // AZUREPASS_PLACEMENT_PLACEMENT_H_
--- /dev/null
+++ b/azurepass/store/store.h
@@ -0,0 +1,179 @@
+// The platform's configuration store, as the rest of azurepass sees it: a task
+// that owns the HTTP session and answers messages.
+//
+// The store keeps string values under string keys. Each write raises a global
+// revision; a value's version is the revision that wrote it. A write may be
+// conditional on the version found (0: the key must be absent). A key may hang
+// on a lease and disappears with it. A watch is one held request that answers
+// with what changed below a prefix after a revision.
+//
+// An answer can get lost after the write took effect. The client does not
+// guess: it reports kOutcomeUnknown, and whoever asked settles the matter by
+// reading back.
+//
+// Usage: construct a Client on a task::Loop with its options, send it Requests
+// through Client::address(). Every request is answered exactly once, to the
+// `reply_to` it carries. All waiting is bounded by Options::request_timeout.
+
+#ifndef AZUREPASS_STORE_STORE_H_
+#define AZUREPASS_STORE_STORE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "azurepass/core/core.h"
+#include "azurepass/task/task.h"
+
+namespace azurepass::store {
+
+// The version of a value; kAbsent stands for "no such key".
+using Version = int64_t;
+inline constexpr Version kAbsent = 0;
+
+struct Entry {
+  std::string key;
+  std::string value;
+  Version version = kAbsent;
+};
+
+enum class ErrorCode {
+  kUnavailable,     // Certainly without effect: refused, or budget spent.
+  kOutcomeUnknown,  // A write that may or may not have happened.
+  kLeaseLost,       // The lease does not exist any more.
+  kCompacted,       // The watch's revision is too old: read everything again.
+  kRejected,        // The store called the request malformed.
+};
+
+struct Error {
+  ErrorCode code = ErrorCode::kUnavailable;
+  std::string message;
+};
+
+// --- Answers
+
+struct Value {
+  std::optional<Entry> entry;  // Empty when the key is absent.
+  Revision revision;
+};
+struct Listing {
+  std::vector<Entry> entries;  // By key.
+  Revision revision;
+};
+struct Written {
+  Version version = kAbsent;
+};
+// The condition did not hold; `current` is what is there now.
+struct Conflict {
+  std::optional<Entry> current;
+};
+struct LeaseGranted {
+  std::string lease;
+};
+struct LeaseRenewed {};
+struct Change {
+  std::string key;
+  std::optional<Entry> entry;  // Empty when the key was removed.
+};
+// Everything that changed up to `revision`; possibly nothing.
+struct Changes {
+  std::vector<Change> changes;
+  Revision revision;
+};
+
+using GetReply = std::variant<Value, Error>;
+using ListReply = std::variant<Listing, Error>;
+using WriteReply = std::variant<Written, Conflict, Error>;
+using GrantReply = std::variant<LeaseGranted, Error>;
+using RenewReply = std::variant<LeaseRenewed, Error>;
+using WatchReply = std::variant<Changes, Error>;
+
+// --- Requests
+
+struct Get {
+  std::string key;
+  task::Address<GetReply> reply_to;
+};
+// All keys that start with `prefix`, from `from` on, at most `limit` of them.
+struct List {
+  std::string prefix;
+  std::string from;
+  int64_t limit = 1'000;
+  task::Address<ListReply> reply_to;
+};
+// Writes if the key's version is `expected` (always, when that is empty).
+struct Put {
+  std::string key;
+  std::string value;
+  std::optional<Version> expected;
+  std::string lease;  // Empty: the value stays.
+  task::Address<WriteReply> reply_to;
+};
+struct Delete {
+  std::string key;
+  std::optional<Version> expected;
+  task::Address<WriteReply> reply_to;
+};
+struct GrantLease {
+  Duration ttl{0};
+  task::Address<GrantReply> reply_to;
+};
+struct RenewLease {
+  std::string lease;
+  task::Address<RenewReply> reply_to;
+};
+struct RevokeLease {
+  std::string lease;
+};
+// Answers as soon as something below `prefix` has a revision above `after`, or
+// with an empty Changes once `wait` has passed.
+struct Watch {
+  std::string prefix;
+  Revision after;
+  Duration wait{0};
+  task::Address<WatchReply> reply_to;
+};
+using Request = std::variant<Get, List, Put, Delete, GrantLease, RenewLease,
+                             RevokeLease, Watch>;
+
+// Calls a second that this process may make, by kind, and how long one may
+// take. A call over the budget waits its turn in a queue of `queue_bound`;
+// beyond that it is answered kUnavailable.
+struct Options {
+  std::string address;  // "IP:PORT".
+  Duration request_timeout{2'000};
+  double writes_per_second = 100;
+  double reads_per_second = 100;
+  int64_t queue_bound = 1'000;
+};
+
+// What the client did, for metrics.
+struct Counters {
+  int64_t writes = 0;
+  int64_t reads = 0;
+  int64_t watches = 0;
+  int64_t errors = 0;
+  int64_t queued = 0;
+};
+
+// The task that owns the connection to the store.
+class Client {
+ public:
+  Client(task::Loop& loop, Options options);
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  task::Address<Request> address() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace azurepass::store
+
+#endif  // AZUREPASS_STORE_STORE_H_
