Settings of a cell and of a process, checked as a whole

Cause: both daemons and the command line need the same checked settings. Change: JSON with comments; worker groups so that a fleet is a few lines; combinations that can't work (a hold over half the lease, a watch longer than the age allowed) are refused with the field's path. Ruled out: one file for everything, since the cell's part has to be equal on every entry VM and the process's part never is.

--- /dev/null
+++ b/azurepass/settings/settings_test.cc
@@ -0,0 +1,90 @@
+// Good settings load; each kind of bad ones is one problem with its path.
+
+#include "azurepass/settings/settings.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace azurepass::settings {
+namespace {
+
+constexpr char kGoodCell[] = R"({
+  // The platform.
+  "store_address": "127.0.0.1:7001",
+  "vm_list_address": "127.0.0.1:7002",
+  "partitions": [{
+    "id": "intake-0", "service": "intake",
+    "worker_groups": [{
+      "prefix": "in-a", "zone": "plovdiv-a", "count": 3,
+      "workers_per_rack": 2, "ip": "127.0.0.1", "first_port": 9000,
+      "capacity": {"slots": 8, "millicores": 32000}
+    }]
+  }]
+})";
+
+std::string Replaced(std::string text, const std::string& from,
+                     const std::string& to) {
+  text.replace(text.find(from), from.size(), to);
+  return text;
+}
+
+TEST_CASE("a worker group is expanded into racks and ports") {
+  auto loaded = ParseCell(kGoodCell, "cell.json");
+  REQUIRE(std::holds_alternative<CellSettings>(loaded));
+  const auto& cell = std::get<CellSettings>(loaded);
+  const auto& workers = cell.partitions.at(0).workers;
+  REQUIRE(workers.size() == 3);
+  CHECK(workers[2].vm == VmId("in-a-2"));
+  CHECK(workers[1].rack == RackId("in-a-rack-0"));
+  CHECK(workers[2].rack == RackId("in-a-rack-1"));
+  CHECK(workers[2].address == "127.0.0.1:9002");
+  CHECK(cell.Zones() == std::vector<ZoneId>{ZoneId("plovdiv-a")});
+  CHECK(cell.PartitionsOf(ServiceId("intake")).size() == 1);
+  CHECK(cell.PartitionsOf(ServiceId("vision")).empty());
+}
+
+TEST_CASE("a bad cell is one problem with the field's path") {
+  struct Case {
+    std::string from;
+    std::string to;
+    std::string path;
+  };
+  const Case cases[] = {
+      {"\"store_address\"", "\"stor_address\"", "store_address"},
+      {"\"count\": 3", "\"count\": \"3\"",
+       "partitions[0].worker_groups[0].count"},
+      {"\"count\": 3", "\"count\": 0", "partitions[0].worker_groups[0].count"},
+      {"\"first_port\": 9000", "\"first_port\": 65535",
+       "partitions[0].worker_groups[0].first_port"},
+      {"\"partitions\"", "\"timing\": {\"worker_hold_ms\": 9000}, "
+                         "\"partitions\"",
+       "timing.worker_hold_ms"},
+      {"\"partitions\"", "\"budgets\": {\"writes\": 1}, \"partitions\"",
+       "budgets.writes"},
+      {"\"worker_groups\"", "\"groups\"", "partitions[0].groups"},
+  };
+  for (const Case& bad : cases) {
+    CAPTURE(bad.to);
+    auto loaded = ParseCell(Replaced(kGoodCell, bad.from, bad.to), "cell.json");
+    const auto* problem = std::get_if<Problem>(&loaded);
+    REQUIRE(problem != nullptr);
+    CHECK(problem->path == bad.path);
+    CHECK(problem->ToString().starts_with("cell.json: " + bad.path + ": "));
+  }
+}
+
+TEST_CASE("a file that can't be opened is a problem without a path") {
+  auto loaded = LoadCell("/nonexistent/cell.json");
+  CHECK(std::get<Problem>(loaded).path.empty());
+}
+
+TEST_CASE("an operators' address needs the hash of their key") {
+  const std::string text = R"({"member": "f1", "zone": "plovdiv-a",
+    "entry_address": "127.0.0.1:0", "operator_address": "127.0.0.1:0"})";
+  CHECK(std::get<Problem>(ParseProcess(text, "p")).path ==
+        "operator_key_sha256");
+}
+
+}  // namespace
+}  // namespace azurepass::settings
