--- /dev/null
+++ b/azurepass/placement/cell.cc
@@ -0,0 +1,346 @@
+// The cell's public face: turns names into indexes, applies what the caller
+// reports to the state, and hands decisions to the decider.
+
+#include <algorithm>
+#include <utility>
+
+#include "azurepass/placement/internal/cell_state.h"
+#include "azurepass/placement/internal/decider.h"
+#include "azurepass/placement/internal/explain.h"
+#include "azurepass/placement/internal/hash.h"
+#include "azurepass/placement/internal/overuse.h"
+#include "azurepass/placement/placement.h"
+
+namespace azurepass::placement {
+
+using internal::Index;
+using internal::Job;
+using internal::kNone;
+using internal::Task;
+using internal::TaskPhase;
+using internal::TaskRef;
+using internal::Team;
+
+namespace {
+
+// Before the n-th retry a task waits kFirstBackoff * 2^(n-1), at most
+// kLongestBackoff, less a random part of up to half.
+constexpr Duration kFirstBackoff{1'000};
+constexpr Duration kLongestBackoff{60'000};
+constexpr int kMaxDoublings = 6;
+constexpr uint8_t kMaxCounted = 250;  // Counters stop here.
+
+Duration BackoffOf(int retries, uint64_t random) {
+  const int doublings = std::clamp(retries - 1, 0, kMaxDoublings);
+  const Duration full =
+      std::min(kLongestBackoff, kFirstBackoff * (1 << doublings));
+  const double part = 0.5 + 0.5 * internal::UnitInterval(random);
+  return Duration(
+      static_cast<int64_t>(static_cast<double>(full.count()) * part));
+}
+
+}  // namespace
+
+std::string_view WaitReasonName(WaitReason reason) {
+  switch (reason) {
+    case WaitReason::kNone:
+      return "none";
+    case WaitReason::kNoRoom:
+      return "no_room";
+    case WaitReason::kAllowance:
+      return "allowance";
+    case WaitReason::kZonesOut:
+      return "zones_out";
+    case WaitReason::kGangIncomplete:
+      return "gang_incomplete";
+    case WaitReason::kBehindOthers:
+      return "behind_others";
+    case WaitReason::kRetryBackoff:
+      return "retry_backoff";
+    case WaitReason::kRetryBudget:
+      return "retry_budget";
+  }
+  return "unknown";
+}
+
+class Cell::Impl {
+ public:
+  explicit Impl(const Options& options) : state_(options) {}
+
+  internal::CellState& state() { return state_; }
+  const internal::CellState& state() const { return state_; }
+
+  void SetTeam(const TeamId& id, const TeamTerms& terms);
+  bool Commit(const TaskId& id, const VmId& vm);
+  void Release(const TaskId& id, AttemptOutcome outcome, bool requeue,
+               MonotonicTime now);
+  std::vector<Decision> Decide(MonotonicTime now, const DecideBudget& budget);
+  std::optional<MonotonicTime> NextWake() const;
+
+ private:
+  void RecordOutcome(TaskRef ref, AttemptOutcome outcome, MonotonicTime now);
+  void Requeue(TaskRef ref, AttemptOutcome outcome, MonotonicTime now);
+  void SeeTime(MonotonicTime now) { state_.now = std::max(state_.now, now); }
+
+  internal::CellState state_;
+  int64_t pass_ = 0;
+  bool has_more_ = false;  // The latest Decide ended early.
+};
+
+void Cell::Impl::SetTeam(const TeamId& id, const TeamTerms& terms) {
+  Team& team = state_.teams[state_.teams.Intern(id)];
+  team.terms = terms;
+  team.zones.clear();
+  for (const ZoneId& zone : terms.zones) {
+    const Index index = state_.fleet.InternZone(zone);
+    if (std::count(team.zones.begin(), team.zones.end(), index) == 0) {
+      team.zones.push_back(index);
+    }
+  }
+  team.check_allowance = true;
+  state_.Unblock(team);
+}
+
+bool Cell::Impl::Commit(const TaskId& id, const VmId& vm) {
+  TaskRef ref;
+  const Task* task = state_.FindTask(id, &ref);
+  const Index worker = state_.fleet.Find(vm);
+  if (task == nullptr || worker == kNone) return false;
+  const bool waits =
+      task->phase == TaskPhase::kWaiting || task->phase == TaskPhase::kDelayed;
+  const internal::Worker& w = state_.fleet.worker(worker);
+  const Job& job = state_.jobs[ref.job];
+  if (!waits || !w.known || !job.spec.task.FitsIn(w.free)) return false;
+  state_.Commit(ref, worker, std::max(state_.now, job.accepted));
+  state_.teams[job.team].check_allowance = true;
+  return true;
+}
+
+// What the attempt's end says about its worker, its job and its run time.
+void Cell::Impl::RecordOutcome(TaskRef ref, AttemptOutcome outcome,
+                               MonotonicTime now) {
+  const bool failed = outcome == AttemptOutcome::kFailed;
+  if (!failed && outcome != AttemptOutcome::kSucceeded) return;
+  Job& job = state_.jobs[ref.job];
+  const Task& task = job.tasks[ref.task];
+  if (!failed) {
+    state_.run_times.Learn(
+        job.team, job.spec,
+        std::chrono::duration_cast<Duration>(now - task.since));
+  }
+  if (job.only_worker == kNone) job.only_worker = task.worker;
+  const bool elsewhere = job.many_workers || job.only_worker != task.worker;
+  internal::Evidence evidence{
+      .failed = failed, .job = ref.job, .peer_rate = std::nullopt};
+  if (elsewhere && job.successes + job.failures > 0) {
+    evidence.peer_rate = static_cast<double>(job.failures) /
+                         static_cast<double>(job.failures + job.successes);
+  }
+  job.many_workers = elsewhere;
+  ++(failed ? job.failures : job.successes);
+  state_.fleet.RecordOutcome(task.worker, evidence, now);
+}
+
+void Cell::Impl::Requeue(TaskRef ref, AttemptOutcome outcome,
+                         MonotonicTime now) {
+  Job& job = state_.jobs[ref.job];
+  Task& task = job.tasks[ref.task];
+  if (outcome == AttemptOutcome::kFailed && task.failures < kMaxCounted) {
+    ++task.failures;
+  }
+  if (outcome == AttemptOutcome::kLost && task.losses < kMaxCounted) {
+    ++task.losses;
+  }
+  // The first loss tells nothing about the task; later ones might.
+  const int retries = task.failures + std::max(0, task.losses - 1);
+  const bool delayed = (outcome == AttemptOutcome::kFailed ||
+                        outcome == AttemptOutcome::kLost) &&
+                       retries > 0;
+  if (!delayed) {
+    state_.Wait(ref);
+    return;
+  }
+  task.no_token = false;
+  const uint64_t random = internal::MixBits(state_.options.seed) ^
+                          static_cast<uint64_t>(job.number) << 24 ^
+                          static_cast<uint64_t>(ref.task) << 8 ^
+                          static_cast<uint64_t>(retries);
+  state_.Delay(ref, now + BackoffOf(retries, random));
+}
+
+void Cell::Impl::Release(const TaskId& id, AttemptOutcome outcome, bool requeue,
+                         MonotonicTime now) {
+  SeeTime(now);
+  TaskRef ref;
+  const Task* task = state_.FindTask(id, &ref);
+  if (task == nullptr) return;
+  if (task->phase != TaskPhase::kCommitted &&
+      task->phase != TaskPhase::kPreempting) {
+    return;
+  }
+  const bool again = requeue && !task->cancelled;
+  RecordOutcome(ref, outcome, now);
+  state_.Uncommit(ref);
+  if (again) Requeue(ref, outcome, now);
+}
+
+std::vector<Decision> Cell::Impl::Decide(MonotonicTime now,
+                                         const DecideBudget& budget) {
+  SeeTime(now);
+  state_.fleet.Advance(state_.now, state_.options.zone_ramp);
+  state_.EndDelays(state_.now);
+  internal::Decider decider(state_, budget, pass_);
+  std::vector<Decision> decisions = decider.Run();
+  has_more_ = decider.has_more();
+  return decisions;
+}
+
+std::optional<MonotonicTime> Cell::Impl::NextWake() const {
+  if (has_more_) return state_.now;
+  std::optional<MonotonicTime> next;
+  const auto add = [&next](std::optional<MonotonicTime> at) {
+    if (at) next = next ? std::min(*next, *at) : *at;
+  };
+  add(state_.NextDelay());
+  add(state_.fleet.NextChange());
+  for (const internal::Reservation& held : state_.reservations.all()) {
+    add(held.due + internal::Reservations::kReplanAfter);
+  }
+  if (!state_.checkpoints.empty()) {
+    add(state_.checkpoints.front().since + state_.options.checkpoint_grace);
+  }
+  return next;
+}
+
+// ---------------------------------------------------------------------------
+// Cell
+
+Cell::Cell(Options options) : impl_(std::make_unique<Impl>(options)) {}
+Cell::~Cell() = default;
+Cell::Cell(Cell&&) noexcept = default;
+Cell& Cell::operator=(Cell&&) noexcept = default;
+
+void Cell::AddWorker(const WorkerSpec& worker, WorkerAdmission admission) {
+  impl_->state().fleet.Add(worker, admission);
+}
+
+void Cell::SetAdmission(const VmId& vm, WorkerAdmission admission) {
+  internal::Fleet& fleet = impl_->state().fleet;
+  const Index worker = fleet.Find(vm);
+  if (worker != kNone) fleet.SetAdmission(worker, admission);
+}
+
+void Cell::RemoveWorker(const VmId& vm) {
+  internal::Fleet& fleet = impl_->state().fleet;
+  const Index worker = fleet.Find(vm);
+  if (worker != kNone) fleet.Remove(worker);
+}
+
+void Cell::SetZoneInService(const ZoneId& zone, bool in_service) {
+  internal::Fleet& fleet = impl_->state().fleet;
+  fleet.SetZoneInService(fleet.InternZone(zone), in_service);
+}
+
+void Cell::SetTeam(const TeamId& team, const TeamTerms& terms) {
+  impl_->SetTeam(team, terms);
+}
+
+void Cell::RemoveTeam(const TeamId& team) {
+  impl_->SetTeam(team, {.share = 1, .zones = {}, .allowance = Resources()});
+}
+
+std::optional<std::string> Cell::NeverFits(const TeamId& team,
+                                           const JobSpec& spec) const {
+  return internal::FindNeverFits(impl_->state(), team, spec);
+}
+
+void Cell::AddJob(const JobId& job, const TeamId& team, const JobSpec& spec,
+                  MonotonicTime accepted) {
+  internal::CellState& state = impl_->state();
+  if (state.FindJob(job) != kNone) return;
+  state.AddJob(job, state.teams.Intern(team), spec, accepted);
+}
+
+void Cell::CancelTask(const TaskId& task) {
+  TaskRef ref;
+  if (impl_->state().FindTask(task, &ref) != nullptr) {
+    impl_->state().Cancel(ref);
+  }
+}
+
+void Cell::RemoveJob(const JobId& job) {
+  const Index index = impl_->state().FindJob(job);
+  if (index != kNone) impl_->state().RemoveJob(index);
+}
+
+bool Cell::Commit(const TaskId& task, const VmId& vm) {
+  return impl_->Commit(task, vm);
+}
+
+void Cell::Release(const TaskId& task, AttemptOutcome outcome, bool requeue,
+                   MonotonicTime now) {
+  impl_->Release(task, outcome, requeue, now);
+}
+
+std::vector<Decision> Cell::Decide(MonotonicTime now,
+                                   const DecideBudget& budget) {
+  return impl_->Decide(now, budget);
+}
+
+std::vector<OveruseAction> Cell::OnUsage(
+    const std::vector<UsageSample>& samples, MonotonicTime now) {
+  return internal::AnswerOveruse(impl_->state(), samples, now);
+}
+
+std::optional<MonotonicTime> Cell::NextWake() const {
+  return impl_->NextWake();
+}
+
+Explanation Cell::Explain(const JobId& job, Revision revision,
+                          MonotonicTime now) const {
+  return internal::ExplainJob(impl_->state(), job, revision, now);
+}
+
+WaitReason Cell::WaitReasonOf(const TaskId& id) const {
+  const internal::CellState& state = impl_->state();
+  const Index job = state.FindJob(id.job);
+  if (job == kNone || id.index < 0 ||
+      id.index >= static_cast<int32_t>(state.jobs[job].tasks.size())) {
+    return WaitReason::kNone;
+  }
+  return internal::ReasonOf(state, state.jobs[job],
+                            state.jobs[job].tasks[id.index]);
+}
+
+CellStatus Cell::Status() const {
+  const internal::CellState& state = impl_->state();
+  CellStatus status;
+  status.workers = state.fleet.known_workers();
+  for (const internal::Worker& worker : state.fleet.workers()) {
+    const bool open =
+        state.fleet.IsOpen(worker) && state.fleet.zone(worker.zone).in_service;
+    status.open_workers += open ? 1 : 0;
+  }
+  status.quarantined_workers = state.fleet.quarantined();
+  status.queued_tasks = state.queued;
+  status.committed_tasks = state.committed;
+  status.capacity = state.fleet.open_capacity();
+  status.committed = state.fleet.committed();
+  return status;
+}
+
+Resources Cell::CommittedOf(const TeamId& team) const {
+  const internal::CellState& state = impl_->state();
+  const Index index = state.teams.Find(team);
+  return index == kNone ? Resources() : state.teams[index].committed;
+}
+
+Resources Cell::CommittedOn(const VmId& vm) const {
+  const internal::CellState& state = impl_->state();
+  const Index index = state.fleet.Find(vm);
+  if (index == kNone) return Resources();
+  const internal::Worker& worker = state.fleet.worker(index);
+  return worker.capacity - worker.free;
+}
+
+}  // namespace azurepass::placement
--- /dev/null
+++ b/azurepass/placement/internal/cell_state.cc
@@ -0,0 +1,287 @@
+// Transitions of tasks and upkeep of the queues.
+
+#include "azurepass/placement/internal/cell_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace azurepass::placement::internal {
+
+// ---------------------------------------------------------------------------
+// Jobs
+
+Index CellState::FindJob(const JobId& id) const {
+  auto it = job_ids_.find(id);
+  return it == job_ids_.end() ? kNone : it->second;
+}
+
+Task* CellState::FindTask(const TaskId& id, TaskRef* ref) {
+  const Index job = FindJob(id.job);
+  if (job == kNone || id.index < 0 ||
+      id.index >= static_cast<int32_t>(jobs[job].tasks.size())) {
+    return nullptr;
+  }
+  *ref = {.job = job, .task = id.index};
+  return &jobs[job].tasks[id.index];
+}
+
+Index CellState::AddJob(const JobId& id, Index team, const JobSpec& spec,
+                        MonotonicTime accepted) {
+  Index index = kNone;
+  if (free_jobs_.empty()) {
+    index = static_cast<Index>(jobs.size());
+    jobs.emplace_back();
+  } else {
+    index = free_jobs_.back();
+    free_jobs_.pop_back();
+  }
+  Job& job = jobs[index];
+  job.id = id;
+  job.team = team;
+  job.spec = spec;
+  job.number = ++last_number_;
+  job.accepted = accepted;
+  job.tasks.resize(spec.tasks);
+  job.waiting = spec.tasks;
+  teams[team].waiting += spec.tasks;
+  queued += spec.tasks;
+  job_ids_.emplace(id, index);
+  UpdateQueue(index);
+  return index;
+}
+
+void CellState::RemoveJob(Index index) {
+  Job& job = jobs[index];
+  if (job.waiting + job.delayed + job.committed > 0) return;
+  DropReservation(index);
+  Dequeue(index);
+  job_ids_.erase(job.id);
+  job = Job{};
+  free_jobs_.push_back(index);
+}
+
+// ---------------------------------------------------------------------------
+// Transitions
+
+int32_t CellState::NextWaiting(Job& job) const {
+  const auto waits = [&](int32_t task) {
+    return job.tasks[task].phase == TaskPhase::kWaiting;
+  };
+  while (!job.again.empty() && !waits(job.again.back())) job.again.pop_back();
+  if (!job.again.empty()) return job.again.back();
+  while (!waits(job.next_fresh)) ++job.next_fresh;
+  return job.next_fresh;
+}
+
+void CellState::CountSpread(Job& job, Index worker, int32_t tasks) {
+  if (!job.is_service()) return;
+  const Worker& w = fleet.worker(worker);
+  for (auto [counts, key] :
+       {std::pair(&job.in_zone, w.zone), std::pair(&job.in_rack, w.rack)}) {
+    auto it = counts->try_emplace(key, 0).first;
+    it->second += tasks;
+    if (it->second <= 0) counts->erase(it);
+  }
+}
+
+void CellState::Commit(TaskRef ref, Index worker_index, MonotonicTime at) {
+  Job& job = jobs[ref.job];
+  Task& task = job.tasks[ref.task];
+  Team& team = teams[job.team];
+  Worker& worker = fleet.worker(worker_index);
+  task.phase = TaskPhase::kCommitted;
+  task.since = at;
+  task.worker = worker_index;
+  task.overuses = 0;
+  task.on_worker = static_cast<int32_t>(worker.tasks.size());
+  worker.tasks.push_back(ref);
+  task.on_team = static_cast<int32_t>(team.running.size());
+  team.running.push_back(ref);
+  team.committed += job.spec.task;
+  --team.waiting;
+  --job.waiting;
+  ++job.committed;
+  --queued;
+  ++committed;
+  CountSpread(job, worker_index, 1);
+  fleet.Take(worker_index, job.spec.task);
+  UpdateQueue(ref.job);
+}
+
+void CellState::Uncommit(TaskRef ref) {
+  Job& job = jobs[ref.job];
+  Task& task = job.tasks[ref.task];
+  Team& team = teams[job.team];
+  std::vector<TaskRef>& on_worker = fleet.worker(task.worker).tasks;
+  on_worker[task.on_worker] = on_worker.back();
+  const TaskRef moved = on_worker[task.on_worker];
+  jobs[moved.job].tasks[moved.task].on_worker = task.on_worker;
+  on_worker.pop_back();
+  team.running[task.on_team] = team.running.back();
+  const TaskRef last = team.running[task.on_team];
+  jobs[last.job].tasks[last.task].on_team = task.on_team;
+  team.running.pop_back();
+  if (task.phase == TaskPhase::kPreempting) {
+    team.preempting -= job.spec.task;
+    --job.preempting;
+  }
+  team.committed -= job.spec.task;
+  --job.committed;
+  --committed;
+  CountSpread(job, task.worker, -1);
+  fleet.GiveBack(task.worker, job.spec.task);
+  task.phase = TaskPhase::kDone;
+  task.worker = kNone;
+  UpdateQueue(ref.job);
+}
+
+void CellState::Wait(TaskRef ref) {
+  Job& job = jobs[ref.job];
+  job.tasks[ref.task].phase = TaskPhase::kWaiting;
+  job.again.push_back(ref.task);
+  ++job.waiting;
+  ++teams[job.team].waiting;
+  ++queued;
+  UpdateQueue(ref.job);
+}
+
+void CellState::Delay(TaskRef ref, MonotonicTime until) {
+  Job& job = jobs[ref.job];
+  Task& task = job.tasks[ref.task];
+  task.phase = TaskPhase::kDelayed;
+  task.since = until;
+  ++job.delayed;
+  ++teams[job.team].waiting;
+  ++queued;
+  delays_.push({.at = until, .ref = ref, .job_number = job.number});
+  UpdateQueue(ref.job);
+}
+
+void CellState::Cancel(TaskRef ref) {
+  Job& job = jobs[ref.job];
+  Task& task = job.tasks[ref.task];
+  task.cancelled = true;
+  const bool waits = task.phase == TaskPhase::kWaiting;
+  if (!waits && task.phase != TaskPhase::kDelayed) return;
+  task.phase = TaskPhase::kDone;
+  --(waits ? job.waiting : job.delayed);
+  --teams[job.team].waiting;
+  --queued;
+  if (job.waiting + job.delayed == 0) DropReservation(ref.job);
+  // A smaller gang may fit where the larger one did not.
+  if (job.lane != kNone) lanes[job.lane].checked = GrowthLog::kNever;
+  UpdateQueue(ref.job);
+}
+
+void CellState::StartPreempting(TaskRef ref, MonotonicTime at) {
+  Job& job = jobs[ref.job];
+  Task& task = job.tasks[ref.task];
+  task.phase = TaskPhase::kPreempting;
+  task.since = at;
+  ++job.preempting;
+  teams[job.team].preempting += job.spec.task;
+  checkpoints.push_back({.since = at, .ref = ref, .job_number = job.number});
+  UpdateQueue(ref.job);
+}
+
+void CellState::EndDelays(MonotonicTime at) {
+  while (!delays_.empty() && delays_.top().at <= at) {
+    const internal::Delay due = delays_.top();
+    delays_.pop();
+    Job& job = jobs[due.ref.job];
+    if (job.number != due.job_number) continue;
+    Task& task = job.tasks[due.ref.task];
+    if (task.phase != TaskPhase::kDelayed || task.since != due.at) continue;
+    --job.delayed;
+    --teams[job.team].waiting;
+    --queued;
+    task.no_token = !retry_budget.Take(at);
+    if (task.no_token) {
+      Delay(due.ref, at + retry_budget.UntilNext());
+    } else {
+      Wait(due.ref);
+    }
+  }
+}
+
+std::optional<MonotonicTime> CellState::NextDelay() const {
+  if (delays_.empty()) return std::nullopt;
+  return delays_.top().at;
+}
+
+// ---------------------------------------------------------------------------
+// Queues
+
+Index CellState::LaneFor(const Job& job) {
+  const LaneKey key{.priority = job.spec.priority,
+                    .size = job.spec.task,
+                    .policy = job.spec.policy.index(),
+                    .gang = job.is_gang() ? job.number : 0,
+                    .repeatable = job.spec.repeatable};
+  auto [it, added] = teams[job.team].lanes.try_emplace(key, kNone);
+  if (!added) return it->second;
+  if (free_lanes_.empty()) {
+    it->second = static_cast<Index>(lanes.size());
+    lanes.emplace_back();
+  } else {
+    it->second = free_lanes_.back();
+    free_lanes_.pop_back();
+  }
+  Lane& lane = lanes[it->second];
+  lane = Lane{};
+  lane.team = job.team;
+  lane.key = key;
+  return it->second;
+}
+
+void CellState::Resort(Index index, std::optional<int64_t> first_before) {
+  Lane& lane = lanes[index];
+  Team& team = teams[lane.team];
+  auto& order = team.order[static_cast<int>(lane.key.priority)];
+  if (!lane.jobs.empty() && first_before == lane.jobs.begin()->first) return;
+  if (first_before) order.erase({*first_before, index});
+  if (!lane.jobs.empty()) {
+    order.emplace(lane.jobs.begin()->first, index);
+    return;
+  }
+  team.lanes.erase(lane.key);
+  free_lanes_.push_back(index);
+}
+
+void CellState::Enqueue(Index index) {
+  Job& job = jobs[index];
+  const Index lane_index = LaneFor(job);
+  Lane& lane = lanes[lane_index];
+  std::optional<int64_t> first;
+  if (!lane.jobs.empty()) first = lane.jobs.begin()->first;
+  lane.jobs.emplace(job.number, index);
+  job.lane = lane_index;
+  Resort(lane_index, first);
+}
+
+void CellState::Dequeue(Index index) {
+  Job& job = jobs[index];
+  if (job.lane == kNone) return;
+  const Index lane_index = std::exchange(job.lane, kNone);
+  Lane& lane = lanes[lane_index];
+  const int64_t first = lane.jobs.begin()->first;
+  lane.jobs.erase({job.number, index});
+  Resort(lane_index, first);
+}
+
+void CellState::UpdateQueue(Index index) {
+  const Job& job = jobs[index];
+  const bool startable = job.is_startable();
+  if (job.lane != kNone && !startable) Dequeue(index);
+  if (startable && job.lane == kNone) Enqueue(index);
+}
+
+void CellState::Unblock(Team& team) {
+  for (auto& [key, lane] : team.lanes) lanes[lane].checked = GrowthLog::kNever;
+}
+
+void CellState::DropReservation(Index job) {
+  reservations.Drop(fleet, jobs[job], job);
+}
+
+}  // namespace azurepass::placement::internal
--- /dev/null
+++ b/azurepass/placement/internal/decider.cc
@@ -0,0 +1,296 @@
+// Turns of teams, attempts of lanes, and starts.
+
+#include "azurepass/placement/internal/decider.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace azurepass::placement::internal {
+namespace {
+
+// Urgent tasks for which room is made in one call.
+constexpr int kRoomsPerCall = 32;
+
+bool HoldsUp(WaitReason reason) {
+  return reason == WaitReason::kNoRoom || reason == WaitReason::kGangIncomplete;
+}
+
+}  // namespace
+
+std::vector<Decision> Decider::Run() {
+  preemption_.EnforceAllowances(decisions_, budget_.starts);
+  preemption_.EscalateCheckpoints(decisions_);
+  ReviewReservations();
+  RunPriority(Priority::kUrgent);
+  if (!has_more_) MakeRoomForUrgent();
+  if (!has_more_) RunPriority(Priority::kNormal);
+  PlanReservations();
+  return std::move(decisions_);
+}
+
+// ---------------------------------------------------------------------------
+// Turns
+
+double Decider::TurnKey(const Team& team, Priority priority) const {
+  return std::visit(
+      Visitor{
+          [&](const FairOrder&) {
+            return team.committed.DominantShare(state_.fleet.open_capacity()) /
+                   Teams::WeightOf(team);
+          },
+          [&](const SubmissionOrder&) {
+            const auto& order = team.order[static_cast<int>(priority)];
+            return order.empty() ? 0.0
+                                 : static_cast<double>(order.begin()->first);
+          }},
+      state_.options.order);
+}
+
+void Decider::RunPriority(Priority priority) {
+  ++pass_;
+  std::vector<std::pair<double, Index>> turns;
+  for (Index t = 0; t < state_.teams.size(); ++t) {
+    const Team& team = state_.teams[t];
+    if (team.order[static_cast<int>(priority)].empty()) continue;
+    turns.emplace_back(TurnKey(team, priority), t);
+  }
+  const auto later = std::greater<>();
+  std::make_heap(turns.begin(), turns.end(), later);
+  while (!turns.empty()) {
+    std::pop_heap(turns.begin(), turns.end(), later);
+    const Index index = turns.back().second;
+    turns.pop_back();
+    const Turn turn = TakeTurn(index, priority);
+    if (turn == Turn::kOutOfBudget) {
+      has_more_ = true;
+      return;
+    }
+    const Team& team = state_.teams[index];
+    const bool waits = !team.order[static_cast<int>(priority)].empty();
+    if (turn == Turn::kStarted && waits) {
+      turns.emplace_back(TurnKey(team, priority), index);
+      std::push_heap(turns.begin(), turns.end(), later);
+    }
+  }
+}
+
+Decider::Turn Decider::TakeTurn(Index team, Priority priority) {
+  if (static_cast<int64_t>(decisions_.size()) >= budget_.starts) {
+    return Turn::kOutOfBudget;
+  }
+  const auto& order = state_.teams[team].order[static_cast<int>(priority)];
+  for (const auto& [number, lane] : order) {
+    if (state_.lanes[lane].stuck_pass == pass_) continue;
+    const Turn turn = TryLane(lane);  // Invalidates the loop when it started.
+    if (turn != Turn::kStuck) return turn;
+  }
+  return Turn::kStuck;
+}
+
+// ---------------------------------------------------------------------------
+// Attempts
+
+bool Decider::MayHaveRoom(const Lane& lane) const {
+  const GrowthLog& growth = state_.fleet.growth();
+  if (!growth.Covers(lane.checked)) return true;
+  const std::vector<Index>& zones = state_.teams[lane.team].zones;
+  return growth.AnySince(lane.checked, [&](Index w) {
+    const Worker& worker = state_.fleet.worker(w);
+    return lane.key.size.FitsIn(worker.free) && state_.fleet.IsOpen(worker) &&
+           std::find(zones.begin(), zones.end(), worker.zone) != zones.end();
+  });
+}
+
+Decider::Turn Decider::TryLane(Index index) {
+  Lane& lane = state_.lanes[index];
+  // Jobs past their deadline are the caller's to cancel; they are not started.
+  for (const auto& [number, job] : lane.jobs) {
+    if (state_.jobs[job].is_expired(state_.now)) continue;
+    if (MayHaveRoom(lane)) return TryJob(index, job);
+    lane.checked = state_.fleet.growth().end();
+    return Block(index, job, lane.reason);
+  }
+  lane.stuck_pass = pass_;
+  return Turn::kStuck;
+}
+
+Decider::Turn Decider::Block(Index lane_index, Index job_index,
+                             WaitReason reason) {
+  Lane& lane = state_.lanes[lane_index];
+  Job& job = state_.jobs[job_index];
+  lane.reason = reason;
+  lane.stuck_pass = pass_;
+  job.reason = reason;
+  if (!HoldsUp(reason)) return Turn::kStuck;
+  if (!job.blocked_since) job.blocked_since = state_.now;
+  stuck_.push_back({.lane = lane_index, .starts = decisions_.size()});
+  return Turn::kStuck;
+}
+
+WaitReason Decider::ReasonFor(const Team& team, const Found& found) const {
+  const bool any_open =
+      std::any_of(team.zones.begin(), team.zones.end(), [&](Index zone) {
+        const Zone& z = state_.fleet.zone(zone);
+        return z.in_service && z.capacity[Dimension::kSlots] > 0;
+      });
+  if (!any_open) return WaitReason::kZonesOut;
+  if (found.missing > 0 && found.considered > 0) {
+    return WaitReason::kGangIncomplete;
+  }
+  return WaitReason::kNoRoom;
+}
+
+Decider::Turn Decider::TryJob(Index lane_index, Index job_index) {
+  Job& job = state_.jobs[job_index];
+  const Team& team = state_.teams[job.team];
+  const int32_t tasks = job.is_gang() ? job.waiting : 1;
+  if (static_cast<int64_t>(decisions_.size()) + tasks > budget_.starts &&
+      !decisions_.empty()) {
+    return Turn::kOutOfBudget;
+  }
+  if (!(team.committed + job.spec.task * tasks).FitsIn(team.terms.allowance)) {
+    return Block(lane_index, job_index, WaitReason::kAllowance);
+  }
+  const GrowthLog::Position end = state_.fleet.growth().end();
+  const Found found = search_.Find(job, job_index, team, state_.now, steps_);
+  if (!found.places.empty()) {
+    StartAll(job_index, found);
+    return Turn::kStarted;
+  }
+  if (found.out_of_budget) return Turn::kOutOfBudget;
+  if (!found.held_back) state_.lanes[lane_index].checked = end;
+  return Block(lane_index, job_index, ReasonFor(team, found));
+}
+
+// ---------------------------------------------------------------------------
+// Starts
+
+int64_t Decider::Record(const Job& job, const Found& found, Index chosen) {
+  const Team& team = state_.teams[job.team];
+  RecordedDecision& record = state_.log.Next();
+  record.team_committed = team.committed;
+  record.team_allowance = team.terms.allowance;
+  const auto add = [&](Index w) {
+    const Worker& worker = state_.fleet.worker(w);
+    const auto zone = job.in_zone.find(worker.zone);
+    const auto rack = job.in_rack.find(worker.rack);
+    record.candidates.push_back(
+        {.worker = w,
+         .free = worker.free,
+         .zone_tasks = zone == job.in_zone.end() ? 0 : zone->second,
+         .rack_tasks = rack == job.in_rack.end() ? 0 : rack->second});
+  };
+  add(chosen);
+  for (Index w : found.weighed) {
+    if (record.candidates.size() >= DecisionLog::kMaxCandidates) break;
+    if (w != chosen) add(w);
+  }
+  return record.number;
+}
+
+void Decider::Start(Index job_index, const Place& place, const Found& found) {
+  Job& job = state_.jobs[job_index];
+  const int32_t t = state_.NextWaiting(job);
+  const Task& task = job.tasks[t];
+  if (task.failures == 0 && task.losses == 0) {
+    state_.retry_budget.OnFirstStart();
+  }
+  const Worker& worker = state_.fleet.worker(place.worker);
+  const double score = search_.ScoreOf(job, place.worker);
+  job.latest = LatestStart{.task = t,
+                           .worker = place.worker,
+                           .score = score,
+                           .considered = found.considered,
+                           .recorded = Record(job, found, place.worker)};
+  decisions_.emplace_back(placement::Start{.task = {job.id, t},
+                                           .vm = worker.vm,
+                                           .score = score,
+                                           .considered = found.considered});
+  state_.fleet.TakeRampToken(worker.zone);
+  state_.reservations.OnStarted(state_.fleet, job, job_index, place.worker);
+  state_.Commit({.job = job_index, .task = t}, place.worker, state_.now);
+}
+
+void Decider::StartAll(Index job_index, const Found& found) {
+  Job& job = state_.jobs[job_index];
+  job.blocked_since.reset();
+  job.reason = WaitReason::kBehindOthers;
+  if (job.lane != kNone) state_.lanes[job.lane].passed_over = false;
+  for (const Place& place : found.places) {
+    for (int32_t i = 0; i < place.tasks; ++i) Start(job_index, place, found);
+  }
+}
+
+// ---------------------------------------------------------------------------
+// Making room
+
+void Decider::MakeRoomForUrgent() {
+  int rooms = 0;
+  for (const Stuck& stuck : stuck_) {
+    const Lane& lane = state_.lanes[stuck.lane];
+    if (lane.key.priority != Priority::kUrgent) continue;
+    for (const auto& [number, index] : lane.jobs) {
+      const Job& job = state_.jobs[index];
+      const Reservation* held = state_.reservations.Find(index);
+      auto wanted = static_cast<int64_t>(job.waiting);
+      if (held != nullptr) wanted -= static_cast<int64_t>(held->workers.size());
+      for (; wanted > 0; --wanted) {
+        if (++rooms > kRoomsPerCall) return;
+        if (!preemption_.MakeRoom(index, decisions_)) return;
+      }
+    }
+  }
+}
+
+// Drops reservations that can no longer be kept or are long overdue.
+void Decider::ReviewReservations() {
+  std::vector<Index> void_ones;
+  for (const Reservation& held : state_.reservations.all()) {
+    const bool usable =
+        std::all_of(held.workers.begin(), held.workers.end(), [&](Index w) {
+          const Worker& worker = state_.fleet.worker(w);
+          return state_.fleet.IsOpen(worker) &&
+                 state_.fleet.zone(worker.zone).in_service;
+        });
+    if (!usable || state_.now >= held.due + Reservations::kReplanAfter) {
+      void_ones.push_back(held.job);
+    }
+  }
+  for (Index job : void_ones) state_.DropReservation(job);
+}
+
+bool Decider::Plan(Index job_index) {
+  Job& job = state_.jobs[job_index];
+  const ReservationPlanner planner(state_.fleet, state_.jobs, state_.run_times);
+  const int32_t tasks = job.is_gang() ? job.waiting : 1;
+  const std::vector<PlannedPlace> places =
+      planner.Plan(state_.teams[job.team], job, tasks, state_.now);
+  if (static_cast<int32_t>(places.size()) < tasks) {
+    job.blocked_since = state_.now;  // Tries again after as long.
+    return false;
+  }
+  state_.reservations.Add(state_.fleet, job, job_index, places);
+  return true;
+}
+
+void Decider::PlanReservations() {
+  bool planned = false;
+  for (const Stuck& stuck : stuck_) {
+    Lane& lane = state_.lanes[stuck.lane];
+    if (lane.jobs.empty() || lane.stuck_pass == 0) continue;
+    if (decisions_.size() > stuck.starts) lane.passed_over = true;
+    const Index index = lane.jobs.begin()->second;
+    const Job& job = state_.jobs[index];
+    if (planned || !lane.passed_over || job.reserved || !job.blocked_since) {
+      continue;
+    }
+    if (state_.now - *job.blocked_since < state_.options.reservation_after) {
+      continue;
+    }
+    if (state_.reservations.all().size() >= Reservations::kMaxPlanned) return;
+    planned = true;  // One plan a call.
+    Plan(index);
+  }
+}
+
+}  // namespace azurepass::placement::internal
--- /dev/null
+++ b/azurepass/placement/internal/decider.h
@@ -0,0 +1,79 @@
+// One call of Cell::Decide.
+//
+// Order of work: what must leave (lowered allowances, slow checkpoints), then
+// urgent tasks, then room for those urgent tasks that found none, then normal
+// tasks. Within a priority the teams take turns by the team order; a team whose
+// turn it is starts the first of its jobs that can start, so that a blocked job
+// holds nobody up. A job that others keep passing over for reservation_after
+// gets a reservation, which is what keeps it from starving.
+//
+// A lane is skipped without a search while the growth log shows no worker that
+// gained room for it; see growth_log.h.
+
+#ifndef AZUREPASS_PLACEMENT_INTERNAL_DECIDER_H_
+#define AZUREPASS_PLACEMENT_INTERNAL_DECIDER_H_
+
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+#include "azurepass/placement/internal/cell_state.h"
+#include "azurepass/placement/internal/preemption.h"
+#include "azurepass/placement/internal/search.h"
+
+namespace azurepass::placement::internal {
+
+class Decider {
+ public:
+  Decider(CellState& state, const DecideBudget& budget, int64_t& pass)
+      : state_(state),
+        budget_(budget),
+        steps_(budget.candidates),
+        pass_(pass),
+        search_(state.fleet, state.reservations, state.run_times),
+        preemption_(state) {}
+
+  std::vector<Decision> Run();
+
+  // True when the budget ended the call before the work was done.
+  bool has_more() const { return has_more_; }
+
+ private:
+  enum class Turn { kStarted, kStuck, kOutOfBudget };
+
+  // A lane that could not start its first job, after `starts` decisions.
+  struct Stuck {
+    Index lane = kNone;
+    size_t starts = 0;
+  };
+
+  void RunPriority(Priority priority);
+  double TurnKey(const Team& team, Priority priority) const;
+  Turn TakeTurn(Index team, Priority priority);
+  Turn TryLane(Index lane);
+  Turn TryJob(Index lane, Index job);
+  bool MayHaveRoom(const Lane& lane) const;
+  Turn Block(Index lane, Index job, WaitReason reason);
+  WaitReason ReasonFor(const Team& team, const Found& found) const;
+  void StartAll(Index job, const Found& found);
+  void Start(Index job, const Place& place, const Found& found);
+  int64_t Record(const Job& job, const Found& found, Index chosen);
+  void MakeRoomForUrgent();
+  void ReviewReservations();
+  void PlanReservations();
+  bool Plan(Index job);
+
+  CellState& state_;
+  DecideBudget budget_;
+  int64_t steps_;  // Left of the candidates.
+  int64_t& pass_;  // Counts passes over all calls.
+  Search search_;
+  Preemption preemption_;
+  std::vector<Decision> decisions_;
+  std::vector<Stuck> stuck_;
+  bool has_more_ = false;
+};
+
+}  // namespace azurepass::placement::internal
+
+#endif  // AZUREPASS_PLACEMENT_INTERNAL_DECIDER_H_
--- /dev/null
+++ b/azurepass/placement/internal/decision_log.h
@@ -0,0 +1,58 @@
+// Keeps the inputs of the most recent starts, so that a doubted decision can be
+// computed again. A ring of fixed size: memory does not grow with the cell.
+
+#ifndef AZUREPASS_PLACEMENT_INTERNAL_DECISION_LOG_H_
+#define AZUREPASS_PLACEMENT_INTERNAL_DECISION_LOG_H_
+
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+#include "azurepass/placement/internal/interner.h"
+#include "azurepass/placement/placement.h"
+
+namespace azurepass::placement::internal {
+
+// DecisionInput with indexes for names; see there.
+struct RecordedCandidate {
+  Index worker = kNone;
+  Resources free;
+  int32_t zone_tasks = 0;
+  int32_t rack_tasks = 0;
+};
+struct RecordedDecision {
+  int64_t number = 0;
+  Resources team_committed;
+  Resources team_allowance;
+  std::vector<RecordedCandidate> candidates;
+};
+
+class DecisionLog {
+ public:
+  static constexpr size_t kKept = 1'024;       // Decisions.
+  static constexpr size_t kMaxCandidates = 8;  // Of one decision.
+
+  // Returns the entry to fill in; its number is set, its candidates are empty.
+  RecordedDecision& Next() {
+    if (ring_.empty()) ring_.resize(kKept);
+    RecordedDecision& entry = ring_[++last_ % kKept];
+    entry.number = last_;
+    entry.candidates.clear();
+    return entry;
+  }
+
+  // Returns nullptr when it is no longer kept.
+  const RecordedDecision* Find(int64_t number) const {
+    if (number <= 0 || ring_.empty()) return nullptr;
+    const RecordedDecision& entry = ring_[number % kKept];
+    return entry.number == number ? &entry : nullptr;
+  }
+
+ private:
+  std::vector<RecordedDecision> ring_;
+  int64_t last_ = 0;
+};
+
+}  // namespace azurepass::placement::internal
+
+#endif  // AZUREPASS_PLACEMENT_INTERNAL_DECISION_LOG_H_
--- /dev/null
+++ b/azurepass/placement/internal/growth_log.h
@@ -0,0 +1,55 @@
+// Which workers gained room, in order. A search that found no room anywhere
+// stays true until a worker that gained room since can take the task, so that
+// a blocked job is checked against those few workers and not the whole fleet.
+
+#ifndef AZUREPASS_PLACEMENT_INTERNAL_GROWTH_LOG_H_
+#define AZUREPASS_PLACEMENT_INTERNAL_GROWTH_LOG_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "azurepass/placement/internal/interner.h"
+
+namespace azurepass::placement::internal {
+
+class GrowthLog {
+ public:
+  // A position in the log; kNever lies before all of it.
+  using Position = int64_t;
+  static constexpr Position kNever = -1;
+
+  void Add(Index worker) {
+    if (entries_.size() >= kMaxEntries) {
+      base_ += static_cast<Position>(entries_.size());
+      entries_.clear();
+    }
+    entries_.push_back(worker);
+  }
+
+  Position end() const {
+    return base_ + static_cast<Position>(entries_.size());
+  }
+
+  // False when entries after `since` are no longer kept.
+  bool Covers(Position since) const { return since >= base_; }
+
+  // True when `matches(worker)` holds for an entry from `since` on.
+  // Requires Covers(since).
+  template <class Predicate>
+  bool AnySince(Position since, Predicate matches) const {
+    for (size_t i = since - base_; i < entries_.size(); ++i) {
+      if (matches(entries_[i])) return true;
+    }
+    return false;
+  }
+
+ private:
+  static constexpr size_t kMaxEntries = 1'024;
+
+  Position base_ = 0;  // Position of entries_[0].
+  std::vector<Index> entries_;
+};
+
+}  // namespace azurepass::placement::internal
+
+#endif  // AZUREPASS_PLACEMENT_INTERNAL_GROWTH_LOG_H_
--- /dev/null
+++ b/azurepass/placement/internal/job.h
@@ -0,0 +1,103 @@
+// Jobs and tasks as the cell keeps them. A task takes 40 bytes here, and 8
+// more in each of the lists of its worker and its team while it is committed.
+
+#ifndef AZUREPASS_PLACEMENT_INTERNAL_JOB_H_
+#define AZUREPASS_PLACEMENT_INTERNAL_JOB_H_
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "azurepass/placement/internal/interner.h"
+#include "azurepass/placement/placement.h"
+
+namespace azurepass::placement::internal {
+
+// Task `task` of the job in slot `job`.
+struct TaskRef {
+  Index job = kNone;
+  int32_t task = 0;
+  bool operator==(const TaskRef&) const = default;
+};
+
+enum class TaskPhase : uint8_t {
+  kWaiting,
+  kDelayed,     // Waits for a backoff or a retry token.
+  kCommitted,   // Holds its size on a worker.
+  kPreempting,  // Committed, and told to leave.
+  kDone,        // Ended or cancelled.
+};
+
+// Invariant: worker, on_worker and on_team are valid exactly in kCommitted and
+// kPreempting.
+struct Task {
+  TaskPhase phase = TaskPhase::kWaiting;
+  bool cancelled = false;      // Not to be queued again.
+  bool no_token = false;       // Delayed for want of a retry token.
+  bool checkpointing = false;  // Preempted by checkpoint so far.
+  uint8_t failures = 0;
+  uint8_t losses = 0;
+  uint8_t overuses = 0;  // Usage reports in a row above the declared size.
+  Index worker = kNone;
+  int32_t on_worker = 0;  // Position in the worker's list.
+  int32_t on_team = 0;    // Position in the team's list.
+  MonotonicTime since;    // Start; end of the delay; order to leave.
+};
+
+struct LatestStart {
+  int32_t task = 0;
+  Index worker = kNone;
+  double score = 0;
+  int64_t considered = 0;
+  int64_t recorded = 0;  // Number of its input in the decision log.
+};
+
+// Invariants: waiting, delayed, committed and preempting count the tasks in
+// these phases; tasks before next_fresh were started or cancelled once.
+struct Job {
+  JobId id;
+  Index team = kNone;
+  JobSpec spec;
+  int64_t number = 0;  // Grows with each job accepted; never used twice.
+  MonotonicTime accepted;
+  std::vector<Task> tasks;
+  int32_t next_fresh = 0;
+  std::vector<int32_t> again;  // Tasks that wait after having been started.
+  int32_t waiting = 0;
+  int32_t delayed = 0;
+  int32_t committed = 0;
+  int32_t preempting = 0;
+  Index lane = kNone;  // Where it queues while it is startable.
+  std::optional<MonotonicTime> blocked_since;
+  WaitReason reason = WaitReason::kBehindOthers;
+  bool reserved = false;  // Has a reservation.
+  // Where a service's tasks are.
+  absl::flat_hash_map<Index, int32_t> in_zone;
+  absl::flat_hash_map<Index, int32_t> in_rack;
+  // Outcomes, for the comparison of workers.
+  int32_t successes = 0;
+  int32_t failures = 0;
+  Index only_worker = kNone;  // Where all outcomes were.
+  bool many_workers = false;
+  std::optional<LatestStart> latest;
+
+  bool is_service() const {
+    return std::holds_alternative<ServicePolicy>(spec.policy);
+  }
+  bool is_gang() const {
+    return std::holds_alternative<GangPolicy>(spec.policy);
+  }
+  bool is_urgent() const { return spec.priority == Priority::kUrgent; }
+  bool is_expired(MonotonicTime now) const {
+    return spec.deadline.has_value() && now >= accepted + *spec.deadline;
+  }
+  // A gang starts only when none of its tasks is on its way back.
+  bool is_startable() const {
+    return waiting > 0 && (!is_gang() || (delayed == 0 && preempting == 0));
+  }
+};
+
+}  // namespace azurepass::placement::internal
+
+#endif  // AZUREPASS_PLACEMENT_INTERNAL_JOB_H_
--- /dev/null
+++ b/azurepass/placement/internal/preemption.cc
@@ -0,0 +1,212 @@
+// The choice of tasks that have to leave.
+
+#include "azurepass/placement/internal/preemption.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace azurepass::placement::internal {
+namespace {
+
+// Running tasks of a team looked at to make room for one urgent task.
+constexpr size_t kVictimsLookedAt = 64;
+
+constexpr char kAllowanceLowered[] = "allowance_lowered";
+constexpr char kRoomForUrgent[] = "room_for_urgent";
+constexpr char kCheckpointTooSlow[] = "checkpoint_too_slow";
+
+}  // namespace
+
+void Preemption::PreemptTask(TaskRef ref, const char* reason,
+                             std::vector<Decision>& decisions) {
+  Job& job = state_.jobs[ref.job];
+  Task& task = job.tasks[ref.task];
+  decisions.emplace_back(Preempt{.task = {job.id, ref.task},
+                                 .vm = state_.fleet.worker(task.worker).vm,
+                                 .checkpoint = true,
+                                 .reason = reason});
+  task.checkpointing = true;
+  state_.StartPreempting(ref, state_.now);
+}
+
+void Preemption::PreemptWhole(TaskRef ref, const char* reason,
+                              std::vector<Decision>& decisions) {
+  const Job& job = state_.jobs[ref.job];
+  if (!job.is_gang()) {
+    PreemptTask(ref, reason, decisions);
+    return;
+  }
+  for (int32_t t = 0; t < static_cast<int32_t>(job.tasks.size()); ++t) {
+    if (job.tasks[t].phase == TaskPhase::kCommitted) {
+      PreemptTask({.job = ref.job, .task = t}, reason, decisions);
+    }
+  }
+}
+
+// ---------------------------------------------------------------------------
+// Lowered allowances
+
+void Preemption::EnforceAllowances(std::vector<Decision>& decisions,
+                                   int64_t starts) {
+  for (Index team = 0; team < state_.teams.size(); ++team) {
+    if (!state_.teams[team].check_allowance) continue;
+    EnforceAllowance(team, decisions, starts);
+  }
+}
+
+void Preemption::EnforceAllowance(Index index, std::vector<Decision>& decisions,
+                                  int64_t starts) {
+  Team& team = state_.teams[index];
+  const auto is_over = [&] {
+    return !(team.committed - team.preempting).FitsIn(team.terms.allowance);
+  };
+  // True when the task takes some of what there is too much of.
+  const auto helps = [&](const Job& job) {
+    for (Dimension d : kAllDimensions) {
+      const int64_t kept = team.committed[d] - team.preempting[d];
+      if (kept > team.terms.allowance[d] && job.spec.task[d] > 0) return true;
+    }
+    return false;
+  };
+  // Tasks that may be repeated go first; of these the latest to start.
+  for (const bool repeatable : {true, false}) {
+    for (size_t i = team.running.size(); i-- > 0;) {
+      if (!is_over()) break;
+      if (static_cast<int64_t>(decisions.size()) >= starts) return;
+      const TaskRef ref = team.running[i];
+      const Job& job = state_.jobs[ref.job];
+      if (job.tasks[ref.task].phase != TaskPhase::kCommitted) continue;
+      if (job.spec.repeatable != repeatable || !helps(job)) continue;
+      PreemptWhole(ref, kAllowanceLowered, decisions);
+    }
+  }
+  team.check_allowance = false;
+}
+
+void Preemption::EscalateCheckpoints(std::vector<Decision>& decisions) {
+  std::deque<PendingCheckpoint>& pending = state_.checkpoints;
+  const MonotonicTime before = state_.now - state_.options.checkpoint_grace;
+  while (!pending.empty() && pending.front().since <= before) {
+    const PendingCheckpoint late = pending.front();
+    pending.pop_front();
+    Job& job = state_.jobs[late.ref.job];
+    if (job.number != late.job_number) continue;
+    Task& task = job.tasks[late.ref.task];
+    const bool same = task.phase == TaskPhase::kPreempting &&
+                      task.checkpointing && task.since == late.since;
+    if (!same) continue;
+    task.checkpointing = false;
+    decisions.emplace_back(Preempt{.task = {job.id, late.ref.task},
+                                   .vm = state_.fleet.worker(task.worker).vm,
+                                   .checkpoint = false,
+                                   .reason = kCheckpointTooSlow});
+  }
+}
+
+// ---------------------------------------------------------------------------
+// Room for urgent work
+
+std::vector<Index> Preemption::TeamsAboveShare(Index but) const {
+  std::vector<std::pair<double, Index>> above;
+  double weights = 0;
+  for (Index t = 0; t < state_.teams.size(); ++t) {
+    const Team& team = state_.teams[t];
+    if (team.active()) weights += Teams::WeightOf(team);
+  }
+  const Resources& capacity = state_.fleet.open_capacity();
+  for (Index t = 0; t < state_.teams.size(); ++t) {
+    const Team& team = state_.teams[t];
+    if (t == but || team.running.empty()) continue;
+    const double held =
+        (team.committed - team.preempting).DominantShare(capacity);
+    const double excess = held - Teams::WeightOf(team) / weights;
+    if (excess > 0) above.emplace_back(-excess, t);
+  }
+  std::sort(above.begin(), above.end());
+  std::vector<Index> teams;
+  teams.reserve(above.size());
+  for (const auto& [excess, team] : above) teams.push_back(team);
+  return teams;
+}
+
+bool Preemption::IsVictim(TaskRef ref) const {
+  const Job& job = state_.jobs[ref.job];
+  return std::holds_alternative<BatchPolicy>(job.spec.policy) &&
+         !job.is_urgent() && job.spec.repeatable &&
+         job.tasks[ref.task].phase == TaskPhase::kCommitted;
+}
+
+// The fewest of the team's youngest tasks on the worker that make room.
+std::optional<Preemption::Eviction> Preemption::EvictionOn(
+    Index index, Index victim_team, const Job& job) const {
+  const Worker& worker = state_.fleet.worker(index);
+  const auto since = [&](TaskRef ref) {
+    return state_.jobs[ref.job].tasks[ref.task].since;
+  };
+  std::vector<TaskRef> victims;
+  for (const TaskRef& ref : worker.tasks) {
+    if (state_.jobs[ref.job].team == victim_team && IsVictim(ref)) {
+      victims.push_back(ref);
+    }
+  }
+  std::stable_sort(victims.begin(), victims.end(),
+                   [&](TaskRef a, TaskRef b) { return since(a) > since(b); });
+  Resources room = worker.free;
+  Eviction eviction{.worker = index, .victims = {}};
+  for (const TaskRef& ref : victims) {
+    if (job.spec.task.FitsIn(room)) break;
+    room += state_.jobs[ref.job].spec.task;
+    eviction.victims.push_back(ref);
+  }
+  if (!job.spec.task.FitsIn(room)) return std::nullopt;
+  return eviction;
+}
+
+std::optional<Preemption::Eviction> Preemption::FindEviction(Index victim_team,
+                                                             const Job& job) {
+  const std::vector<TaskRef>& running = state_.teams[victim_team].running;
+  const std::vector<Index>& zones = state_.teams[job.team].zones;
+  const size_t looked_at = std::min(running.size(), kVictimsLookedAt);
+  std::optional<Eviction> best;
+  for (size_t i = 0; i < looked_at; ++i) {
+    const TaskRef ref = running[running.size() - 1 - i];
+    if (!IsVictim(ref)) continue;
+    const Index index = state_.jobs[ref.job].tasks[ref.task].worker;
+    const Worker& worker = state_.fleet.worker(index);
+    if (!state_.fleet.IsOpen(worker) || worker.reserved_by != kNone) continue;
+    if (worker.health.state != HealthState::kInService) continue;
+    if (!state_.fleet.zone(worker.zone).in_service) continue;
+    if (std::find(zones.begin(), zones.end(), worker.zone) == zones.end()) {
+      continue;
+    }
+    std::optional<Eviction> eviction = EvictionOn(index, victim_team, job);
+    if (!eviction) continue;
+    if (!best || eviction->victims.size() < best->victims.size()) {
+      best = std::move(eviction);
+    }
+    if (best->victims.size() <= 1) break;
+  }
+  return best;
+}
+
+bool Preemption::MakeRoom(Index job_index, std::vector<Decision>& decisions) {
+  Job& job = state_.jobs[job_index];
+  const size_t held = state_.reservations.all().size();
+  if (job.is_gang() || (!job.reserved && held >= Reservations::kMaxForUrgent)) {
+    return false;
+  }
+  for (Index team : TeamsAboveShare(job.team)) {
+    const std::optional<Eviction> eviction = FindEviction(team, job);
+    if (!eviction) continue;
+    const MonotonicTime due = state_.now + state_.options.checkpoint_grace;
+    state_.reservations.Add(state_.fleet, job, job_index,
+                            {{.at = due, .worker = eviction->worker}});
+    for (const TaskRef& ref : eviction->victims) {
+      PreemptTask(ref, kRoomForUrgent, decisions);
+    }
+    return true;
+  }
+  return false;
+}
+
+}  // namespace azurepass::placement::internal
--- /dev/null
+++ b/azurepass/placement/internal/reservations.cc
@@ -0,0 +1,146 @@
+// Planning and keeping of reservations.
+
+#include "azurepass/placement/internal/reservations.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace azurepass::placement::internal {
+namespace {
+
+// Workers looked at by one plan: this many, and more for large gangs.
+constexpr int32_t kPlanWorkers = 256;
+constexpr int32_t kPlanWorkersPerTask = 4;
+
+// Of a task of which neither a declared nor a learned run time is known.
+constexpr Duration kUnknownRunTime{600'000};
+
+}  // namespace
+
+int32_t TimesFits(const Resources& size, const Resources& room, int32_t most) {
+  int64_t times = most;
+  for (Dimension d : kAllDimensions) {
+    if (size[d] > 0) times = std::min(times, room[d] / size[d]);
+    if (size[d] <= 0 && room[d] < 0) times = 0;
+  }
+  return static_cast<int32_t>(std::max<int64_t>(0, times));
+}
+
+const Reservation* Reservations::Find(Index job) const {
+  for (const Reservation& reservation : all_) {
+    if (reservation.job == job) return &reservation;
+  }
+  return nullptr;
+}
+
+void Reservations::Add(Fleet& fleet, Job& job, Index job_index,
+                       const std::vector<PlannedPlace>& places) {
+  if (places.empty()) return;
+  if (!job.reserved) {
+    job.reserved = true;
+    all_.push_back({.job = job_index, .due = places[0].at, .workers = {}});
+  }
+  auto it = std::find_if(
+      all_.begin(), all_.end(),
+      [&](const Reservation& held) { return held.job == job_index; });
+  for (const PlannedPlace& place : places) {
+    fleet.Reserve(place.worker, job_index, job.spec.task);
+    it->due = std::max(it->due, place.at);
+    it->workers.push_back(place.worker);
+  }
+}
+
+void Reservations::Forget(Job& job, Index job_index) {
+  job.reserved = false;
+  std::erase_if(all_, [&](const Reservation& reservation) {
+    return reservation.job == job_index;
+  });
+}
+
+void Reservations::OnStarted(Fleet& fleet, Job& job, Index job_index,
+                             Index worker) {
+  if (!job.reserved) return;
+  auto it = std::find_if(
+      all_.begin(), all_.end(),
+      [&](const Reservation& held) { return held.job == job_index; });
+  auto place = std::find(it->workers.begin(), it->workers.end(), worker);
+  if (place == it->workers.end()) --place;
+  fleet.Unreserve(*place, job.spec.task);
+  it->workers.erase(place);
+  if (it->workers.empty()) Forget(job, job_index);
+}
+
+void Reservations::Drop(Fleet& fleet, Job& job, Index job_index) {
+  const Reservation* held = Find(job_index);
+  if (held == nullptr) return;
+  for (Index worker : held->workers) fleet.Unreserve(worker, job.spec.task);
+  Forget(job, job_index);
+}
+
+MonotonicTime ReservationPlanner::ExpectedEnd(const Job& job, const Task& task,
+                                              MonotonicTime now) const {
+  const Duration run_time =
+      run_times_.Estimate(job.team, job.spec).value_or(kUnknownRunTime);
+  const MonotonicTime end = task.since + run_time;
+  if (end > now) return end;
+  return now + (now - task.since);  // It outlived the estimate: double it.
+}
+
+void ReservationPlanner::AddPlaces(Index index, const Resources& size,
+                                   int32_t tasks, MonotonicTime now,
+                                   std::vector<PlannedPlace>& places) const {
+  const Worker& worker = fleet_.worker(index);
+  std::vector<std::pair<MonotonicTime, Resources>> ends;
+  for (const TaskRef& ref : worker.tasks) {
+    const Job& job = jobs_[ref.job];
+    if (job.is_service()) continue;
+    ends.emplace_back(ExpectedEnd(job, job.tasks[ref.task], now),
+                      job.spec.task);
+  }
+  std::sort(ends.begin(), ends.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  Resources room = worker.free;
+  int32_t found = 0;
+  const auto add_up_to = [&](MonotonicTime at) {
+    const int32_t fits = TimesFits(size, room, tasks);
+    for (; found < fits; ++found) {
+      places.push_back({.at = at, .worker = index});
+    }
+  };
+  add_up_to(now);
+  for (const auto& [end, freed] : ends) {
+    room += freed;
+    add_up_to(end);
+  }
+}
+
+std::vector<PlannedPlace> ReservationPlanner::Plan(const Team& team,
+                                                   const Job& job,
+                                                   int32_t tasks,
+                                                   MonotonicTime now) const {
+  std::vector<PlannedPlace> places;
+  const auto workers = static_cast<int64_t>(fleet_.workers().size());
+  const int64_t budget = std::min<int64_t>(
+      workers, std::max(kPlanWorkers, kPlanWorkersPerTask * tasks));
+  // Spread the plans over the fleet when it is larger than the budget.
+  const int64_t first = workers > budget ? (job.number * budget) % workers : 0;
+  for (int64_t i = 0; i < budget; ++i) {
+    const auto index = static_cast<Index>((first + i) % workers);
+    const Worker& worker = fleet_.worker(index);
+    if (!fleet_.IsOpen(worker) || worker.reserved_by != kNone) continue;
+    if (worker.health.state != HealthState::kInService) continue;
+    if (!fleet_.zone(worker.zone).in_service) continue;
+    if (std::find(team.zones.begin(), team.zones.end(), worker.zone) ==
+        team.zones.end()) {
+      continue;
+    }
+    AddPlaces(index, job.spec.task, tasks, now, places);
+  }
+  std::stable_sort(
+      places.begin(), places.end(),
+      [](const PlannedPlace& a, const PlannedPlace& b) { return a.at < b.at; });
+  if (static_cast<int32_t>(places.size()) > tasks) places.resize(tasks);
+  return places;
+}
+
+}  // namespace azurepass::placement::internal
--- /dev/null
+++ b/azurepass/placement/internal/retry_budget.h
@@ -0,0 +1,56 @@
+// Bounds the retries of the whole cell to a fraction of its first starts, so
+// that a job which fails wherever it runs cannot fill the fleet with its own
+// repetitions. A bucket of tokens: each first start adds kTokensPerStart, time
+// adds a trickle so that a cell with little traffic still retries, and each
+// retry takes one.
+
+#ifndef AZUREPASS_PLACEMENT_INTERNAL_RETRY_BUDGET_H_
+#define AZUREPASS_PLACEMENT_INTERNAL_RETRY_BUDGET_H_
+
+#include <algorithm>
+#include <optional>
+
+#include "azurepass/core/core.h"
+
+namespace azurepass::placement::internal {
+
+class RetryBudget {
+ public:
+  void OnFirstStart() { Add(kTokensPerStart); }
+
+  // Takes one token; false when there is none at `now`.
+  bool Take(MonotonicTime now) {
+    Refill(now);
+    if (tokens_ < 1) return false;
+    tokens_ -= 1;
+    return true;
+  }
+
+  // How long until the trickle alone has made the next token.
+  Duration UntilNext() const {
+    const double seconds = std::max(0.0, 1 - tokens_) / kTokensPerSecond;
+    return Duration(static_cast<int64_t>(seconds * 1'000) + 1);
+  }
+
+ private:
+  static constexpr double kTokensPerStart = 0.1;
+  static constexpr double kTokensPerSecond = 2;
+  static constexpr double kMaxTokens = 100;
+
+  void Add(double tokens) { tokens_ = std::min(kMaxTokens, tokens_ + tokens); }
+
+  void Refill(MonotonicTime now) {
+    if (refilled_.has_value() && now > *refilled_) {
+      Add(std::chrono::duration<double>(now - *refilled_).count() *
+          kTokensPerSecond);
+    }
+    refilled_ = refilled_.has_value() ? std::max(*refilled_, now) : now;
+  }
+
+  double tokens_ = kMaxTokens;  // 0 <= tokens_ <= kMaxTokens.
+  std::optional<MonotonicTime> refilled_;
+};
+
+}  // namespace azurepass::placement::internal
+
+#endif  // AZUREPASS_PLACEMENT_INTERNAL_RETRY_BUDGET_H_
--- /dev/null
+++ b/azurepass/placement/internal/search.cc
@@ -0,0 +1,212 @@
+// The three policies.
+
+#include "azurepass/placement/internal/search.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "azurepass/placement/internal/score.h"
+
+namespace azurepass::placement::internal {
+namespace {
+
+int32_t CountIn(const absl::flat_hash_map<Index, int32_t>& counts, Index key) {
+  auto it = counts.find(key);
+  return it == counts.end() ? 0 : it->second;
+}
+
+}  // namespace
+
+struct Search::Query {
+  const Job& job;
+  Index job_index;
+  const Team& team;
+  MonotonicTime now;
+  int64_t& steps;
+  Found found;
+
+  const Resources& size() const { return job.spec.task; }
+};
+
+bool Search::MayBackfill(const Worker& worker, const Job& job,
+                         MonotonicTime now) const {
+  const Reservation* reservation = reservations_.Find(worker.reserved_by);
+  if (reservation == nullptr || now >= reservation->due) return false;
+  const auto run_time = run_times_.Estimate(job.team, job.spec);
+  return run_time.has_value() && now + *run_time <= reservation->due;
+}
+
+Resources Search::RoomFor(const Worker& worker, const Job& job, Index job_index,
+                          MonotonicTime now) const {
+  if (worker.health.state == HealthState::kProbing) {
+    const bool may_probe = job.spec.repeatable && !job.is_urgent() &&
+                           !job.is_gang() && worker.tasks.empty();
+    if (!may_probe) return Resources();
+  }
+  const bool reserved =
+      worker.reserved_by != kNone && worker.reserved_by != job_index;
+  if (!reserved || MayBackfill(worker, job, now)) return worker.free;
+  return worker.free - worker.reserved;
+}
+
+double Search::ScoreOf(const Job& job, Index index) const {
+  const Worker& worker = fleet_.worker(index);
+  return SpreadScore(job.spec.policy, CountIn(job.in_zone, worker.zone),
+                     CountIn(job.in_rack, worker.rack)) +
+         PackingScore(fleet_.packing(), worker.free - job.spec.task,
+                      fleet_.scale(), index);
+}
+
+void Search::FindBatch(Query& query) const {
+  Place best;
+  double best_key = std::numeric_limits<double>::infinity();
+  for (Index zone : query.team.zones) {
+    if (!fleet_.MayStartInZone(zone)) {
+      query.found.held_back |= fleet_.zone(zone).in_service;
+      continue;
+    }
+    const auto weigh = [&](Index w) {
+      ++query.found.considered;
+      const Resources room =
+          RoomFor(fleet_.worker(w), query.job, query.job_index, query.now);
+      if (!query.size().FitsIn(room)) {
+        query.found.held_back = true;
+        return true;
+      }
+      query.found.weighed.push_back(w);
+      const double key = fleet_.KeyOf(w);
+      if (std::pair(key, w) < std::pair(best_key, best.worker)) {
+        best_key = key;
+        best.worker = w;
+      }
+      return false;
+    };
+    fleet_.fit().Walk(zone, query.size(), query.steps, weigh);
+  }
+  if (best.worker != kNone) query.found.places.push_back(best);
+}
+
+// Returns the best worker of the zone, and how many tasks of the job its rack
+// has.
+Place Search::BestInZoneForService(Query& query, Index zone,
+                                   int32_t* rack_tasks) const {
+  Place best;
+  int weighed = 0;
+  const auto weigh = [&](Index w) {
+    ++query.found.considered;
+    const Worker& worker = fleet_.worker(w);
+    const Resources room =
+        RoomFor(worker, query.job, query.job_index, query.now);
+    if (!query.size().FitsIn(room)) {
+      query.found.held_back = true;
+      return true;
+    }
+    const int32_t here = CountIn(query.job.in_rack, worker.rack);
+    // Keys ascend, so that the first of several with equal racks is best.
+    if (best.worker == kNone || here < *rack_tasks) {
+      best.worker = w;
+      *rack_tasks = here;
+      query.found.weighed.push_back(w);
+    }
+    return here > 0 && ++weighed < kSpreadCandidates;
+  };
+  fleet_.fit().Walk(zone, query.size(), query.steps, weigh);
+  return best;
+}
+
+void Search::FindService(Query& query) const {
+  std::vector<std::pair<int32_t, Index>> zones;
+  for (Index zone : query.team.zones) {
+    if (fleet_.MayStartInZone(zone)) {
+      zones.emplace_back(CountIn(query.job.in_zone, zone), zone);
+    } else {
+      query.found.held_back |= fleet_.zone(zone).in_service;
+    }
+  }
+  std::sort(zones.begin(), zones.end());
+  Place best;
+  int32_t best_count = 0;
+  std::pair<int32_t, double> best_rank;
+  for (const auto& [count, zone] : zones) {
+    if (best.worker != kNone && count > best_count) break;
+    int32_t rack_tasks = 0;
+    const Place place = BestInZoneForService(query, zone, &rack_tasks);
+    if (place.worker == kNone) continue;
+    const std::pair rank(rack_tasks, fleet_.KeyOf(place.worker));
+    if (best.worker != kNone && best_rank <= rank) continue;
+    best = place;
+    best_count = count;
+    best_rank = rank;
+  }
+  if (best.worker != kNone) query.found.places.push_back(best);
+}
+
+// Collects places for up to `wanted` tasks; returns how many.
+int32_t Search::CollectInZone(Query& query, Index zone, int32_t wanted,
+                              std::vector<Place>& places) const {
+  int32_t collected = 0;
+  if (!fleet_.MayStartInZone(zone)) {
+    query.found.held_back |= fleet_.zone(zone).in_service;
+    return 0;
+  }
+  const auto collect = [&](Index w) {
+    ++query.found.considered;
+    const Worker& worker = fleet_.worker(w);
+    const Resources room =
+        RoomFor(worker, query.job, query.job_index, query.now);
+    const int32_t fits = TimesFits(query.size(), room, wanted - collected);
+    if (fits == 0) {
+      query.found.held_back = true;
+      return true;
+    }
+    places.push_back({.worker = w, .tasks = fits});
+    collected += fits;
+    return collected < wanted;
+  };
+  fleet_.fit().Walk(zone, query.size(), query.steps, collect);
+  return collected;
+}
+
+void Search::FindGang(Query& query) const {
+  const int32_t tasks = query.job.waiting;
+  std::vector<Place> across;
+  int32_t total = 0;
+  for (Index zone : query.team.zones) {
+    std::vector<Place> within;
+    const int32_t collected = CollectInZone(query, zone, tasks, within);
+    if (collected == tasks) {
+      query.found.places = std::move(within);
+      return;
+    }
+    for (Place place : within) {
+      if (total == tasks) break;
+      place.tasks = std::min(place.tasks, tasks - total);
+      total += place.tasks;
+      across.push_back(place);
+    }
+  }
+  query.found.missing = tasks - total;
+  if (query.found.missing == 0) query.found.places = std::move(across);
+}
+
+Found Search::Find(const Job& job, Index job_index, const Team& team,
+                   MonotonicTime now, int64_t& steps) const {
+  Query query{.job = job,
+              .job_index = job_index,
+              .team = team,
+              .now = now,
+              .steps = steps,
+              .found = {}};
+  std::visit(Visitor{[&](const ServicePolicy&) { FindService(query); },
+                     [&](const BatchPolicy&) { FindBatch(query); },
+                     [&](const GangPolicy&) { FindGang(query); }},
+             job.spec.policy);
+  query.found.out_of_budget = steps < 0;
+  for (Place& place : query.found.places) {
+    place.score = ScoreOf(job, place.worker);
+  }
+  return std::move(query.found);
+}
+
+}  // namespace azurepass::placement::internal
--- /dev/null
+++ b/azurepass/placement/internal/teams.h
@@ -0,0 +1,101 @@
+// What each team may have, what it has, and how far that is from its share.
+
+#ifndef AZUREPASS_PLACEMENT_INTERNAL_TEAMS_H_
+#define AZUREPASS_PLACEMENT_INTERNAL_TEAMS_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "azurepass/placement/internal/job.h"
+
+namespace azurepass::placement::internal {
+
+inline constexpr int kPriorities = 2;
+
+// Jobs of one team that a search treats alike, so that one search speaks for
+// all of them. Invariant: `jobs` is not empty.
+struct LaneKey {
+  Priority priority = Priority::kNormal;
+  Resources size;
+  size_t policy = 0;  // Alternative of the Policy variant.
+  int64_t gang = 0;   // The job's number; 0 unless a gang, which is alone.
+  bool repeatable = true;
+  bool operator==(const LaneKey&) const = default;
+  template <class H>
+  friend H AbslHashValue(H h, const LaneKey& key) {
+    for (Dimension d : kAllDimensions)
+      h = H::combine(std::move(h), key.size[d]);
+    return H::combine(std::move(h), key.priority, key.policy, key.gang,
+                      key.repeatable);
+  }
+};
+
+struct Lane {
+  Index team = kNone;
+  LaneKey key;
+  // Waiting jobs by number: the order in which they were accepted.
+  std::set<std::pair<int64_t, Index>> jobs;
+  // No worker had room when the growth log ended here.
+  int64_t checked = -1;
+  int64_t stuck_pass = 0;    // The pass in which it last could not start.
+  bool passed_over = false;  // Others started while it was blocked.
+  WaitReason reason = WaitReason::kBehindOthers;
+};
+
+// Invariant: committed is the sum of the sizes of `running`, preempting that
+// of those told to leave.
+struct Team {
+  TeamId id;
+  TeamTerms terms;
+  std::vector<Index> zones;
+  Resources committed;
+  Resources preempting;
+  std::vector<TaskRef> running;
+  int64_t waiting = 0;           // Tasks that wait or are delayed.
+  bool check_allowance = false;  // Lowered, not yet answered.
+  // Lanes by the number of their first job.
+  std::set<std::pair<int64_t, Index>> order[kPriorities];
+  absl::flat_hash_map<LaneKey, Index> lanes;
+
+  bool active() const { return waiting > 0 || !running.empty(); }
+};
+
+// Teams are never forgotten: a removed one has no zones and no allowance.
+class Teams {
+ public:
+  Index Intern(const TeamId& id) {
+    const Index index = ids_.Intern(id);
+    if (index == static_cast<Index>(teams_.size())) {
+      teams_.emplace_back().id = id;
+    }
+    return index;
+  }
+  Index Find(const TeamId& id) const { return ids_.Find(id); }
+  Team& operator[](Index index) { return teams_[index]; }
+  const Team& operator[](Index index) const { return teams_[index]; }
+  Index size() const { return static_cast<Index>(teams_.size()); }
+
+  // The weight of the team against 1 for the sum of all active teams.
+  double FairShare(Index index) const {
+    double weights = 0;
+    for (const Team& team : teams_) {
+      if (team.active()) weights += WeightOf(team);
+    }
+    return weights > 0 ? WeightOf(teams_[index]) / weights : 1;
+  }
+  static double WeightOf(const Team& team) {
+    return static_cast<double>(std::max<int64_t>(1, team.terms.share));
+  }
+
+ private:
+  Interner<TeamId> ids_;
+  std::vector<Team> teams_;
+};
+
+}  // namespace azurepass::placement::internal
+
+#endif  // AZUREPASS_PLACEMENT_INTERNAL_TEAMS_H_
--- a/azurepass/placement/placement.h
+++ b/azurepass/placement/placement.h
@@ -35,9 +35,63 @@
 
 namespace azurepass::placement {
 
+// Which worker with room a batch task or a gang takes.
+// The one left with the least free room, summed over the dimensions, each
+// divided by the largest worker's capacity: linear best fit.
+struct BestFit {
+  bool operator==(const BestFit&) const = default;
+};
+// The first in the order in which workers were added.
+struct FirstFit {
+  bool operator==(const FirstFit&) const = default;
+};
+using Packing = std::variant<BestFit, FirstFit>;
+
+// Which team's turn it is.
+// The one with the lowest dominant share for its weight: weighted
+// dominant-resource fairness (Ghodsi et al., NSDI 2011).
+struct FairOrder {
+  bool operator==(const FairOrder&) const = default;
+};
+// The one whose first waiting job was accepted first.
+struct SubmissionOrder {
+  bool operator==(const SubmissionOrder&) const = default;
+};
+using TeamOrder = std::variant<FairOrder, SubmissionOrder>;
+
+// When a worker that fails what it starts is given no more work.
+// Its failures of late are compared to what the same jobs failed elsewhere.
+struct WindowedQuarantine {
+  Duration half_life{60'000};     // After it an outcome counts half.
+  double least_failures = 3;      // Fewer prove nothing.
+  double least_excess = 0.5;      // Failure rate above that of its peers.
+  Duration first_period{15'000};  // Doubles each time probes fail.
+  Duration longest_period{300'000};
+  int32_t probe_successes = 2;  // Probes that bring it back into service.
+  bool operator==(const WindowedQuarantine&) const = default;
+};
+// The first failure takes it out for good. For comparison only.
+struct HairTriggerQuarantine {
+  bool operator==(const HairTriggerQuarantine&) const = default;
+};
+struct NoQuarantine {
+  bool operator==(const NoQuarantine&) const = default;
+};
+using Quarantine =
+    std::variant<WindowedQuarantine, HairTriggerQuarantine, NoQuarantine>;
+
 // What bounds and tunes the decisions.
 struct Options {
-  uint64_t seed = 1;  // Of tie-breaking.
+  uint64_t seed = 1;  // Of the spread of retry times.
+  Packing packing = BestFit{};
+  TeamOrder order = FairOrder{};
+  Quarantine quarantine = WindowedQuarantine{};
+  // A zone that came back may be filled in this time, not faster; 0: at once.
+  Duration zone_ramp{10'000};
+  // A job blocked for so long gets a reservation.
+  Duration reservation_after{2'000};
+  // After it a checkpoint that did not end is followed by a plain stop.
+  Duration checkpoint_grace{10'000};
 };
 
 // What a contract means to this cell.
@@ -85,7 +139,8 @@
   int64_t considered = 0;
 };
 // Take a running task off its worker: by checkpoint when `checkpoint` is set,
-// else by a plain stop. It is queued again by the call itself.
+// else by a plain stop. It keeps its room until Release(task, kStopped, true,
+// now), which queues it again.
 struct Preempt {
   TaskId task;
   VmId vm;
@@ -114,6 +169,37 @@
       verdict;  // "chosen", "lower_score", "zone_out", "not_allowed",...
 };
 
+// A worker with room, as a decision saw it.
+struct CandidateInput {
+  VmId vm;
+  ZoneId zone;
+  Resources free;          // Before the start.
+  int64_t zone_tasks = 0;  // Of the job, in this zone (services only).
+  int64_t rack_tasks = 0;  // Of the job, in this rack (services only).
+  int64_t order = 0;       // In which workers were added (first fit).
+};
+
+// All that the choice of a worker for one task depended on.
+struct DecisionInput {
+  Policy policy;
+  Packing packing;
+  Resources size;            // Of the task.
+  Resources scale;           // Largest worker's capacity, per dimension.
+  Resources team_committed;  // Before the start.
+  Resources team_allowance;
+  std::vector<CandidateInput> candidates;
+  Start outcome;
+};
+
+// Whether a decision, computed again by the plain rule, comes out the same.
+struct ReplayResult {
+  bool agrees = false;
+  VmId vm;                 // What the rule chooses; empty when nothing fits.
+  double score = 0;        // Of `vm`.
+  std::string difference;  // Empty when it agrees; else one sentence.
+};
+ReplayResult Replay(const DecisionInput& input);
+
 // A decision with the input it was taken on. Replay recomputes it.
 struct Explanation {
   JobId job;
@@ -123,7 +209,22 @@
   std::vector<GroupExplanation> groups;
   std::string policy;           // "service", "batch" or "gang".
   std::optional<Start> latest;  // The job's most recent start.
+  // Of `latest`; kept for the cell's most recent starts only.
+  std::optional<DecisionInput> input;
+};
+
+// What a task was measured to use, and what is to be done about it.
+struct UsageSample {
+  TaskId task;
+  Resources used;
+};
+// Limit the task's processors to this many thousandths of what it used.
+struct Throttle {
+  TaskId task;
+  VmId vm;
+  int64_t permille = 1'000;
 };
+using OveruseAction = std::variant<Throttle, Preempt>;
 
 // Counts for metrics and status.
 struct CellStatus {
@@ -181,6 +282,12 @@
   // --- Decisions, committed as they are taken.
   std::vector<Decision> Decide(MonotonicTime now, const DecideBudget& budget);
 
+  // Takes in measured use, which may lag. Commitments do not change; a task
+  // that keeps using more than it declared is throttled (processors), or
+  // checkpointed and at last stopped (memory).
+  std::vector<OveruseAction> OnUsage(const std::vector<UsageSample>& samples,
+                                     MonotonicTime now);
+
   // The next moment at which Decide could have something to do without any
   // further call (a backoff or quarantine ends); empty when there is none.
   std::optional<MonotonicTime> NextWake() const;
