--- /dev/null
+++ b/azurepass/partition/internal/group_commit.cc
@@ -0,0 +1,189 @@
+// The journal's write in flight and the batch behind it.
+
+#include "azurepass/partition/internal/group_commit.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace azurepass::partition::internal {
+namespace {
+
+constexpr Duration kFirstRetryDelay{100};
+constexpr Duration kLongestRetryDelay{2'000};
+constexpr int kMaxDoublings = 6;
+
+// One step of a linear congruential generator (Knuth, MMIX).
+uint64_t NextBits(uint64_t bits) {
+  return bits * 6364136223846793005ULL + 1442695040888963407ULL;
+}
+
+}  // namespace
+
+GroupCommit::GroupCommit(const Options& options, uint64_t retry_seed)
+    : spacing_(options.append_spacing),
+      batch_records_(options.batch_records),
+      trust_empty_(options.testing.trust_empty_read_back),
+      retry_bits_(retry_seed) {}
+
+void GroupCommit::Begin(Epoch epoch, uint64_t nonce, int64_t next_number) {
+  waiting_.clear();
+  state_ = Quiet{};
+  batch_.reset();
+  sequences_.clear();
+  frozen_ = false;
+  epoch_ = epoch;
+  nonce_ = nonce;
+  next_number_ = next_number;
+  write_empty_ = true;
+  failures_ = 0;
+}
+
+void GroupCommit::SkipFirst() { write_empty_ = false; }
+
+Sequence GroupCommit::Add(Record record) {
+  const Sequence sequence{++last_sequence_};
+  waiting_.push_back({sequence, std::move(record)});
+  return sequence;
+}
+
+bool GroupCommit::IsWaiting(Sequence sequence) const {
+  return std::binary_search(
+      waiting_.begin(), waiting_.end(), SequencedRecord{sequence, {}},
+      [](const auto& a, const auto& b) { return a.sequence < b.sequence; });
+}
+
+bool GroupCommit::Withdraw(Sequence sequence) {
+  auto found = std::lower_bound(
+      waiting_.begin(), waiting_.end(), sequence,
+      [](const auto& entry, Sequence s) { return entry.sequence < s; });
+  if (found == waiting_.end() || found->sequence != sequence) return false;
+  waiting_.erase(found);
+  return true;
+}
+
+std::optional<Action> GroupCommit::Next(MonotonicTime now) {
+  if (const auto* paused = std::get_if<Paused>(&state_)) {
+    if (now < paused->until) return std::nullopt;
+    if (!paused->write) {
+      state_ = Reading{};
+      return ReadBack{epoch_, batch_->number};
+    }
+  } else if (!std::holds_alternative<Quiet>(state_) || now < earliest_ ||
+             (waiting_.empty() && !write_empty_)) {
+    return std::nullopt;
+  }
+  if (!batch_) FillBatch();
+  state_ = Writing{};
+  earliest_ = now + spacing_;
+  return AppendBatch{*batch_};
+}
+
+std::optional<MonotonicTime> GroupCommit::NextWake() const {
+  if (const auto* paused = std::get_if<Paused>(&state_)) return paused->until;
+  const bool wants_write = !waiting_.empty() || write_empty_;
+  if (std::holds_alternative<Quiet>(state_) && wants_write) return earliest_;
+  return std::nullopt;
+}
+
+AppendOutcome GroupCommit::OnAppended(const Appended& answer) {
+  if (!InFlight(answer.epoch, answer.number)) return Unsettled{};
+  return TakeCommitted();
+}
+
+AppendOutcome GroupCommit::OnFound(const AppendFound& answer,
+                                   MonotonicTime now) {
+  if (!InFlight(answer.epoch, answer.number)) return Unsettled{};
+  if (!answer.there && trust_empty_) {
+    DissolveBatch();
+    frozen_ = false;
+    state_ = Quiet{};
+    return Unsettled{};
+  }
+  if (!answer.there) {
+    // Read back empty: the write may still be under way, so write the same.
+    state_ = Paused{now, /*write=*/true};
+    return Unsettled{};
+  }
+  if (answer.there->epoch == epoch_ && answer.there->nonce == nonce_ &&
+      answer.there->number == batch_->number) {
+    return TakeCommitted();
+  }
+  return Superseded{*answer.there};
+}
+
+void GroupCommit::OnUnknown(const AppendUnknown& answer, MonotonicTime now) {
+  if (!InFlight(answer.epoch, answer.number)) return;
+  frozen_ = true;
+  state_ = Paused{now + NextDelay(), /*write=*/false};
+}
+
+void GroupCommit::OnUnavailable(const AppendUnavailable& answer,
+                                MonotonicTime now) {
+  if (!InFlight(answer.epoch, answer.number)) return;
+  const MonotonicTime until = now + NextDelay();
+  if (frozen_) {
+    state_ = Paused{until, /*write=*/false};
+    return;
+  }
+  DissolveBatch();
+  state_ = Quiet{};
+  earliest_ = std::max(earliest_, until);
+}
+
+bool GroupCommit::idle() const {
+  return waiting_.empty() && !batch_ && !write_empty_;
+}
+
+int64_t GroupCommit::unsettled() const {
+  return std::ssize(waiting_) + std::ssize(sequences_);
+}
+
+bool GroupCommit::InFlight(Epoch epoch, int64_t number) const {
+  const bool asked = std::holds_alternative<Writing>(state_) ||
+                     std::holds_alternative<Reading>(state_);
+  return asked && epoch == epoch_ && batch_->number == number;
+}
+
+void GroupCommit::FillBatch() {
+  batch_ = Batch{next_number_, epoch_, nonce_, {}};
+  while (!waiting_.empty() && std::ssize(batch_->records) < batch_records_) {
+    sequences_.push_back(waiting_.front().sequence);
+    batch_->records.push_back(std::move(waiting_.front().record));
+    waiting_.pop_front();
+  }
+  write_empty_ = false;
+}
+
+void GroupCommit::DissolveBatch() {
+  write_empty_ = batch_->records.empty();
+  for (size_t i = sequences_.size(); i-- > 0;) {
+    waiting_.push_front({sequences_[i], std::move(batch_->records[i])});
+  }
+  sequences_.clear();
+  batch_.reset();
+}
+
+Committed GroupCommit::TakeCommitted() {
+  Committed committed{*std::move(batch_), std::move(sequences_)};
+  batch_.reset();
+  sequences_.clear();
+  frozen_ = false;
+  failures_ = 0;
+  next_number_ = committed.batch.number + 1;
+  state_ = Quiet{};
+  return committed;
+}
+
+// Doubles with each failure; a random half of it is left out, so that owners
+// do not return to the store at the same moment.
+Duration GroupCommit::NextDelay() {
+  const int doublings = std::min(failures_++, kMaxDoublings);
+  const Duration full =
+      std::min(kLongestRetryDelay, kFirstRetryDelay * (1 << doublings));
+  retry_bits_ = NextBits(retry_bits_);
+  const int64_t half = full.count() / 2;
+  return Duration(half + static_cast<int64_t>((retry_bits_ >> 33) %
+                                              static_cast<uint64_t>(half + 1)));
+}
+
+}  // namespace azurepass::partition::internal
--- /dev/null
+++ b/azurepass/partition/internal/owner_impl.h
@@ -0,0 +1,241 @@
+// The owner's parts together. One Impl serves one ownership: a new claim makes
+// a new one, so nothing of a former ownership is left behind.
+//
+// The implementation is spread by subject:
+//   owner.cc            phases, timers, the public class
+//   owner_journal.cc    appends and what follows once they are settled
+//   owner_recovery.cc   sessions, reconciliation with what workers list
+//   owner_requests.cc   requests of callers and their answers
+//   owner_tasks.cc      starts, ends and stops of attempts
+
+#ifndef AZUREPASS_PARTITION_INTERNAL_OWNER_IMPL_H_
+#define AZUREPASS_PARTITION_INTERNAL_OWNER_IMPL_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "azurepass/core/core.h"
+#include "azurepass/partition/internal/group_commit.h"
+#include "azurepass/partition/internal/job_book.h"
+#include "azurepass/partition/internal/ledger.h"
+#include "azurepass/partition/internal/request_table.h"
+#include "azurepass/partition/internal/worker_book.h"
+#include "azurepass/partition/partition.h"
+#include "azurepass/placement/placement.h"
+
+namespace azurepass::partition::internal {
+
+// --- Phases, in their order
+
+struct Idle {};  // No claim, or none any more.
+struct Loading {
+  std::optional<MonotonicTime> retry;  // After a failure.
+};
+struct Fencing {};  // Our first append is not settled.
+struct Opening {};  // Waits until each worker's session is settled.
+struct Owning {};
+struct Releasing {};  // Starts and accepts nothing; appends what is left.
+using Phase = std::variant<Idle, Loading, Fencing, Opening, Owning, Releasing>;
+
+// What the surroundings told, kept from one ownership to the next.
+struct Surroundings {
+  std::shared_ptr<const Configuration> configuration =
+      std::make_shared<Configuration>();
+  bool may_start = false;
+  Allowances allowances;
+  std::optional<std::map<VmId, VmState>> vms;
+};
+
+}  // namespace azurepass::partition::internal
+
+namespace azurepass::partition {
+
+class Owner::Impl {
+ public:
+  Impl(const Options& options, PartitionId partition,
+       std::vector<WorkerSpec> workers, uint64_t nonce, Epoch epoch,
+       internal::Surroundings surroundings);
+
+  std::vector<Action> Handle(Event event, MonotonicTime now);
+
+  bool owns() const;
+  Status status() const;
+  const internal::Surroundings& surroundings() const { return surroundings_; }
+  const std::vector<WorkerSpec>& worker_specs() const { return specs_; }
+  const Options& options() const { return options_; }
+  const PartitionId& partition() const { return partition_; }
+  uint64_t nonce() const { return nonce_; }
+  bool idle() const { return In<internal::Idle>(); }
+
+ private:
+  template <class P>
+  bool In() const {
+    return std::holds_alternative<P>(phase_);
+  }
+  // The ledgers and the cell are loaded.
+  bool loaded() const {
+    return In<internal::Opening>() || In<internal::Owning>() ||
+           In<internal::Releasing>();
+  }
+
+  // --- owner.cc
+  void On(ClaimWon event);
+  void On(ReleaseWanted event);
+  void On(ClaimLost event);
+  void On(ConfigurationChanged event);
+  void On(FreshnessChanged event);
+  void On(AllowancesChanged event);
+  void On(Tick event);
+  // All that follows from the event and from the time.
+  void Advance();
+  void AdvanceTimers();
+  void FinishRelease();
+  void LoseOwnership(const std::string& reason, Effect in_flight);
+  void FlushOrders();
+  void ReportDemands();
+  void ScheduleWake();
+  std::optional<MonotonicTime> NextWake() const;
+  void ApplyConfiguration();
+  void SetTeamTerms(const TeamId& team);
+  bool ZoneInService(const ZoneId& zone) const;
+  void Emit(Action action) { actions_.push_back(std::move(action)); }
+  WallTime ToWall(MonotonicTime at) const;
+
+  // --- owner_journal.cc
+  void On(JournalLoaded event);
+  void On(LoadFailed event);
+  void On(Appended event);
+  void On(const AppendFound& event);
+  void On(AppendUnknown event);
+  void On(AppendUnavailable event);
+  void On(SnapshotWritten event);
+  void Settle(internal::AppendOutcome outcome);
+  void OnCommitted(internal::Committed committed);
+  void OnSuperseded(const Batch& there);
+  void OnRecordCommitted(internal::Sequence sequence, const Record& record);
+  void WriteNext();
+  void MaybeSnapshot();
+  // Decides a record: it counts at once and is appended soon.
+  internal::Sequence Decide(Record record);
+
+  // --- owner_recovery.cc
+  void On(VmListChanged event);
+  void On(WorkerSessionOpened event);
+  void On(WorkerReported event);
+  void On(const WorkerFenced& event);
+  void On(const WorkerUnreachable& event);
+  void BeginOpening();
+  void AddRecoveredJob(const JobId& id, const internal::LedgerJob& job);
+  void FinishOpening();
+  void AdoptListed(const VmId& vm, const std::vector<AttemptId>& running);
+  void ReconcileWorker(internal::Worker& worker,
+                       const std::vector<AttemptId>& running);
+  void Adopt(const AttemptId& attempt, const VmId& vm);
+  void StopOrphan(internal::Worker& worker, const AttemptId& attempt);
+  void LapseWorkers();
+  void LoseMissing();
+  void ReopenWorker(internal::Worker& worker);
+  void LoseAttemptsOn(internal::Worker& worker, const std::string& reason);
+  void OpenWorker(internal::Worker& worker, internal::Session session);
+  void SetAdmission(const internal::Worker& worker);
+  void ApplyVmList();
+  void LeaveWorker(internal::Worker& worker);
+
+  // --- owner_requests.cc
+  void On(RequestReceived event);
+  void Dispatch(RequestToken token, JobRequest request, MonotonicTime deadline);
+  void DispatchTo(RequestToken token, const SubmitJob& r,
+                  MonotonicTime deadline);
+  void DispatchTo(RequestToken token, const GetJob& r, MonotonicTime deadline);
+  void DispatchTo(RequestToken token, const CancelJob& r,
+                  MonotonicTime deadline);
+  void DispatchTo(RequestToken token, const ExplainJob& r,
+                  MonotonicTime deadline);
+  std::optional<Refusal> RefuseSubmission(const SubmitJob& request) const;
+  // The job, or a refusal that was answered (null).
+  const internal::LedgerJob* FindFor(RequestToken token, const TeamId& team,
+                                     const JobId& job);
+  void WaitForAppend(RequestToken token, internal::Sequence sequence,
+                     MonotonicTime deadline);
+  void AnswerDue();
+  void AnswerDueAppend(RequestToken token, internal::Sequence sequence,
+                       MonotonicTime deadline);
+  void AnswerChanged();
+  void AnswerRecord(internal::Sequence sequence, const JobId& job);
+  void Reply(RequestToken token, JobResponse response);
+  void Refuse(RequestToken token, RefusalCode code, Effect effect,
+              std::string message,
+              std::optional<Duration> retry_after = std::nullopt);
+  JobView View(const JobId& id) const;
+  TaskView ViewTask(const TaskId& id, const TaskSnapshot& task,
+                    const internal::JobTimes& times) const;
+  bool HeldAnswerReady(const internal::UntilChanged& held) const;
+
+  // --- owner_tasks.cc
+  void PlaceTasks();
+  void Carry(const placement::Start& start);
+  void Carry(const placement::Preempt& preempt);
+  void OrderStart(internal::LiveAttempt& attempt);
+  void OnStartCommitted(const TaskStarted& started);
+  void OrderStop(internal::LiveAttempt& attempt, StopKind kind);
+  void HandleWorkerEvent(internal::Worker& worker, const WorkerEvent& event);
+  void OnEnd(const TaskId& task, const WorkerEvent& event);
+  void Finish(const TaskId& task, TaskState state, std::string reason,
+              placement::AttemptOutcome outcome);
+  void Requeue(const TaskId& task, placement::AttemptOutcome outcome,
+               bool from_checkpoint, const std::string& reason);
+  void Lose(const TaskId& task, const std::string& reason);
+  void StopUnsent(const TaskId& task, const std::string& reason);
+  void CancelTasks(const JobId& job);
+  void ExpireJobs();
+  void ForgetJobs();
+  void OnTaskChanged(const TaskId& task);
+  void Log(std::string kind, const TaskId& task, int32_t attempt, VmId vm,
+           std::string reason);
+
+  const Options options_;
+  const PartitionId partition_;
+  const std::vector<WorkerSpec> specs_;
+  const uint64_t nonce_;
+  const Epoch epoch_;
+  internal::Surroundings surroundings_;
+
+  internal::Phase phase_ = internal::Idle{};
+  MonotonicTime now_{};
+  std::vector<Action> actions_;
+  std::map<VmId, std::vector<Order>> orders_;  // Of this call of Handle.
+
+  // Invariant: live_ is committed_ with all decided records applied that are
+  // neither submissions nor cancellations, which enter it with their append.
+  internal::Ledger committed_;
+  internal::Ledger live_;
+  internal::GroupCommit commit_;
+  internal::WorkerBook workers_;
+  internal::RequestTable requests_;
+  internal::JobBook jobs_;
+  placement::Cell cell_;
+  std::map<internal::Sequence, TaskId> held_;  // Starts that wait.
+  std::set<JobId> changed_;                    // Since the last answers.
+  std::set<TeamId> teams_;                     // Known to the cell.
+  int64_t next_job_number_ = 1;
+
+  MonotonicTime claimed_{};  // Time and wall clock of the claim.
+  WallTime claimed_wall_{};
+  bool place_ = false;  // Something changed that placement looks at.
+  int64_t snapshot_through_ = 0;
+  bool snapshot_in_flight_ = false;
+  MonotonicTime snapshot_retry_{};
+  MonotonicTime next_demand_{};
+  std::map<TeamId, std::pair<Resources, Resources>> reported_;
+  std::optional<MonotonicTime> wake_;  // As last emitted.
+};
+
+}  // namespace azurepass::partition
+
+#endif  // AZUREPASS_PARTITION_INTERNAL_OWNER_IMPL_H_
--- /dev/null
+++ b/azurepass/partition/internal/request_table.h
@@ -0,0 +1,97 @@
+// Requests that are not yet answered, and what each one waits for. Each token
+// is answered exactly once: an answer goes out only together with the token's
+// removal from this table.
+
+#ifndef AZUREPASS_PARTITION_INTERNAL_REQUEST_TABLE_H_
+#define AZUREPASS_PARTITION_INTERNAL_REQUEST_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "azurepass/core/core.h"
+#include "azurepass/partition/internal/group_commit.h"
+#include "azurepass/partition/partition.h"
+
+namespace azurepass::partition::internal {
+
+// Waits for the end of recovery.
+struct UntilOwning {
+  JobRequest request;
+};
+// Waits for the append of a submission or cancellation.
+struct UntilAppended {
+  Sequence sequence;
+};
+// Waits for a version of the job above `known`.
+struct UntilChanged {
+  JobId job;
+  int64_t known = 0;
+};
+using WaitsFor = std::variant<UntilOwning, UntilAppended, UntilChanged>;
+
+struct WaitingRequest {
+  WaitsFor waits_for;
+  MonotonicTime deadline;
+};
+
+// A submission or cancellation whose record is not settled. Several tokens may
+// wait for one: retries of the same request.
+struct PendingRecord {
+  Record record;
+  std::set<RequestToken> tokens;
+};
+
+class RequestTable {
+ public:
+  // `due` is when the token is to be looked at again, at most the deadline.
+  void Add(RequestToken token, WaitingRequest request, MonotonicTime due);
+  // Replaces the time at which a token is to be looked at.
+  void Reschedule(RequestToken token, MonotonicTime due);
+  // Empty when the token is unknown: answered already.
+  std::optional<WaitingRequest> Take(RequestToken token);
+  const WaitingRequest* Find(RequestToken token) const;
+
+  // The tokens whose time has come; they stay in the table.
+  std::vector<RequestToken> Due(MonotonicTime now) const;
+  std::optional<MonotonicTime> NextDue() const;
+
+  // Tokens that wait for a change of the job.
+  std::vector<RequestToken> WaitingForJob(const JobId& job) const;
+  std::vector<RequestToken> All() const;
+  std::vector<RequestToken> WaitingForOwning() const;
+  int64_t size() const { return std::ssize(requests_); }
+
+  // --- Records on their way
+  void AddRecord(Sequence sequence, Record record);
+  PendingRecord* FindRecord(Sequence sequence);
+  std::optional<PendingRecord> TakeRecord(Sequence sequence);
+  std::optional<Sequence> FindSubmission(const TeamId& team,
+                                         const RequestId& request) const;
+  std::optional<Sequence> FindCancellation(const JobId& job) const;
+  // Tasks of the team in submissions on their way.
+  int64_t PendingTasks(const TeamId& team) const;
+  bool has_records() const { return !records_.empty(); }
+
+ private:
+  struct Entry {
+    WaitingRequest request;
+    MonotonicTime due;
+  };
+
+  std::map<RequestToken, Entry> requests_;
+  std::set<std::pair<MonotonicTime, RequestToken>> due_;  // Of all requests_.
+  std::map<JobId, std::set<RequestToken>> by_job_;        // UntilChanged.
+  std::map<Sequence, PendingRecord> records_;
+  std::map<std::pair<TeamId, RequestId>, Sequence> submissions_;
+  std::map<JobId, Sequence> cancellations_;
+  std::map<TeamId, int64_t> pending_tasks_;
+};
+
+}  // namespace azurepass::partition::internal
+
+#endif  // AZUREPASS_PARTITION_INTERNAL_REQUEST_TABLE_H_
--- /dev/null
+++ b/azurepass/partition/internal/worker_book.cc
@@ -0,0 +1,118 @@
+// Sessions and attempts by worker.
+
+#include "azurepass/partition/internal/worker_book.h"
+
+#include <utility>
+
+namespace azurepass::partition::internal {
+namespace {
+
+// When the session lapses; empty when it does not.
+std::optional<MonotonicTime> LapsesAt(const Session& session) {
+  return std::visit(
+      Visitor{
+          [](const SessionOpening& s) { return std::optional(s.lapses); },
+          [](const SessionUnreachable& s) { return std::optional(s.lapses); },
+          [](const auto&) { return std::optional<MonotonicTime>(); }},
+      session);
+}
+
+}  // namespace
+
+WorkerBook::WorkerBook(const std::vector<WorkerSpec>& workers) {
+  for (const WorkerSpec& spec : workers) workers_[spec.vm].spec = spec;
+}
+
+Worker* WorkerBook::Find(const VmId& vm) {
+  auto found = workers_.find(vm);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
+const Worker* WorkerBook::Find(const VmId& vm) const {
+  auto found = workers_.find(vm);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
+Worker& WorkerBook::AddUnconfigured(const VmId& vm) {
+  Worker& worker = workers_[vm];
+  worker.spec.vm = vm;
+  worker.configured = false;
+  return worker;
+}
+
+void WorkerBook::AddAttempt(LiveAttempt attempt) {
+  const TaskId task = attempt.id.task;
+  if (Worker* worker = Find(attempt.vm)) worker->tasks.insert(task);
+  attempts_.insert_or_assign(task, std::move(attempt));
+}
+
+LiveAttempt* WorkerBook::FindAttempt(const TaskId& task) {
+  auto found = attempts_.find(task);
+  return found == attempts_.end() ? nullptr : &found->second;
+}
+
+const LiveAttempt* WorkerBook::FindAttempt(const TaskId& task) const {
+  auto found = attempts_.find(task);
+  return found == attempts_.end() ? nullptr : &found->second;
+}
+
+void WorkerBook::RemoveAttempt(const TaskId& task) {
+  auto found = attempts_.find(task);
+  if (found == attempts_.end()) return;
+  SetLostAt(found->second, std::nullopt);
+  if (Worker* worker = Find(found->second.vm)) worker->tasks.erase(task);
+  attempts_.erase(found);
+}
+
+void WorkerBook::SetLostAt(LiveAttempt& attempt,
+                           std::optional<MonotonicTime> at) {
+  if (attempt.lost_at) lost_.erase({*attempt.lost_at, attempt.id.task});
+  attempt.lost_at = at;
+  if (at) lost_.insert({*at, attempt.id.task});
+}
+
+std::vector<TaskId> WorkerBook::Lost(MonotonicTime now) const {
+  std::vector<TaskId> tasks;
+  for (const auto& [at, task] : lost_) {
+    if (at > now) break;
+    tasks.push_back(task);
+  }
+  return tasks;
+}
+
+std::vector<VmId> WorkerBook::Lapsing(MonotonicTime now) const {
+  std::vector<VmId> lapsing;
+  for (const auto& [at, vm] : lapses_) {
+    if (at > now) break;
+    lapsing.push_back(vm);
+  }
+  return lapsing;
+}
+
+std::optional<MonotonicTime> WorkerBook::NextWake() const {
+  std::optional<MonotonicTime> next;
+  if (!lost_.empty()) next = lost_.begin()->first;
+  if (!lapses_.empty() && (!next || lapses_.begin()->first < *next)) {
+    next = lapses_.begin()->first;
+  }
+  return next;
+}
+
+void WorkerBook::SetSession(Worker& worker, Session session) {
+  if (const auto at = LapsesAt(worker.session)) {
+    lapses_.erase({*at, worker.spec.vm});
+  }
+  if (const auto at = LapsesAt(session)) lapses_.insert({*at, worker.spec.vm});
+  worker.session = session;
+}
+
+placement::WorkerAdmission WorkerBook::AdmissionOf(const Worker& worker) {
+  if (worker.listed == VmState::kLeaving) {
+    return placement::WorkerAdmission::kLeaving;
+  }
+  const bool open = std::holds_alternative<SessionOpen>(worker.session);
+  return open && worker.draining.empty() ? placement::WorkerAdmission::kOpen
+                                         : placement::WorkerAdmission::kClosed;
+}
+
+}  // namespace azurepass::partition::internal
--- /dev/null
+++ b/azurepass/partition/owner.cc
@@ -0,0 +1,299 @@
+// Phases, timers, and the public class.
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "azurepass/partition/internal/owner_impl.h"
+
+namespace azurepass::partition {
+
+using internal::Idle;
+using internal::Loading;
+using internal::Opening;
+using internal::Owning;
+using internal::Releasing;
+
+namespace {
+
+constexpr Duration kHandoverRetryAfter{250};
+
+// Lowers `at` to `other` when that is earlier.
+void Earliest(std::optional<MonotonicTime>& at,
+              std::optional<MonotonicTime> other) {
+  if (other && (!at || *other < *at)) at = other;
+}
+
+}  // namespace
+
+Owner::Impl::Impl(const Options& options, PartitionId partition,
+                  std::vector<WorkerSpec> workers, uint64_t nonce, Epoch epoch,
+                  internal::Surroundings surroundings)
+    : options_(options),
+      partition_(std::move(partition)),
+      specs_(std::move(workers)),
+      nonce_(nonce),
+      epoch_(epoch),
+      surroundings_(std::move(surroundings)),
+      commit_(options_, nonce),
+      workers_(specs_),
+      jobs_(epoch),
+      cell_(options_.placement) {}
+
+std::vector<Action> Owner::Impl::Handle(Event event, MonotonicTime now) {
+  now_ = now;
+  actions_.clear();
+  std::visit([this](auto& e) { On(std::move(e)); }, event);
+  Advance();
+  return std::exchange(actions_, {});
+}
+
+void Owner::Impl::On(ClaimWon event) {
+  claimed_ = now_;
+  claimed_wall_ = event.wall;
+  phase_ = Loading{};
+  Emit(LoadJournal{epoch_});
+}
+
+void Owner::Impl::On(ReleaseWanted /*event*/) {
+  if (In<Owning>()) {
+    phase_ = Releasing{};
+    return;
+  }
+  if (In<Releasing>()) return;
+  for (RequestToken token : requests_.All()) {
+    Refuse(token, RefusalCode::kShuttingDown, Effect::kNotRun,
+           "The owner is shutting down.", kHandoverRetryAfter);
+  }
+  if (In<Idle>()) return;
+  for (const auto& [vm, worker] : workers_.workers()) Emit(CloseSession{vm});
+  Emit(Released{});
+  phase_ = Idle{};
+}
+
+void Owner::Impl::On(ClaimLost /*event*/) {
+  if (!In<Idle>()) LoseOwnership("the claim is lost", Effect::kUnknown);
+}
+
+void Owner::Impl::On(ConfigurationChanged event) {
+  if (event.configuration == nullptr) return;
+  if (event.configuration->revision < surroundings_.configuration->revision) {
+    return;
+  }
+  surroundings_.configuration = std::move(event.configuration);
+  if (loaded()) ApplyConfiguration();
+}
+
+void Owner::Impl::On(FreshnessChanged event) {
+  surroundings_.may_start = event.may_start;
+  place_ = true;
+}
+
+void Owner::Impl::On(AllowancesChanged event) {
+  surroundings_.allowances = std::move(event.allowances);
+  if (loaded()) ApplyConfiguration();
+}
+
+void Owner::Impl::On(Tick /*event*/) {}
+
+// The order matters: what has run out of time is settled before anything is
+// started; answers follow what they report; the write comes last, so that it
+// takes along all that this event decided.
+void Owner::Impl::Advance() {
+  if (In<Idle>()) return;
+  AdvanceTimers();
+  if (In<Opening>() &&
+      (workers_.AllSettled() || options_.testing.skip_session_barrier)) {
+    FinishOpening();
+  }
+  if (In<Owning>()) PlaceTasks();
+  AnswerDue();
+  AnswerChanged();
+  WriteNext();
+  MaybeSnapshot();
+  if (In<Releasing>()) FinishRelease();
+  FlushOrders();
+  ReportDemands();
+  ScheduleWake();
+}
+
+void Owner::Impl::AdvanceTimers() {
+  if (auto* loading = std::get_if<Loading>(&phase_)) {
+    if (loading->retry && *loading->retry <= now_) {
+      loading->retry.reset();
+      Emit(LoadJournal{epoch_});
+    }
+    return;
+  }
+  if (!loaded()) return;
+  LapseWorkers();
+  if (In<Opening>()) return;
+  LoseMissing();
+  ExpireJobs();
+  ForgetJobs();
+}
+
+void Owner::Impl::FinishRelease() {
+  if (!commit_.idle() || requests_.has_records()) return;
+  for (RequestToken token : requests_.All()) {
+    const internal::WaitingRequest* waiting = requests_.Find(token);
+    if (const auto* held =
+            std::get_if<internal::UntilChanged>(&waiting->waits_for)) {
+      Reply(token, View(held->job));
+    }
+  }
+  for (const auto& [vm, worker] : workers_.workers()) {
+    if (worker.configured) Emit(CloseSession{vm});
+  }
+  Emit(Released{});
+  phase_ = Idle{};
+}
+
+void Owner::Impl::LoseOwnership(const std::string& reason, Effect in_flight) {
+  for (RequestToken token : requests_.All()) {
+    const internal::WaitingRequest* waiting = requests_.Find(token);
+    const auto* appended =
+        std::get_if<internal::UntilAppended>(&waiting->waits_for);
+    const bool maybe =
+        appended != nullptr && !commit_.IsWaiting(appended->sequence);
+    Refuse(token, RefusalCode::kNotOwner, maybe ? in_flight : Effect::kNotRun,
+           "The partition has another owner: " + reason + ".",
+           kHandoverRetryAfter);
+  }
+  for (const auto& [vm, worker] : workers_.workers()) {
+    if (worker.configured) Emit(CloseSession{vm});
+  }
+  Emit(Deposed{reason});
+  orders_.clear();
+  phase_ = Idle{};
+}
+
+void Owner::Impl::FlushOrders() {
+  for (auto& [vm, orders] : std::exchange(orders_, {})) {
+    if (!orders.empty()) Emit(SendOrders{vm, std::move(orders)});
+  }
+}
+
+void Owner::Impl::ReportDemands() {
+  if (!In<Owning>() || now_ < next_demand_) return;
+  ReportDemand report;
+  for (const TeamId& team : teams_) {
+    const Resources committed = cell_.CommittedOf(team);
+    const Resources wanted = committed + live_.QueueOf(team).size;
+    auto& last = reported_[team];
+    if (last == std::pair(committed, wanted)) continue;
+    last = {committed, wanted};
+    report.demands.push_back({team, committed, wanted});
+  }
+  if (report.demands.empty()) return;
+  next_demand_ = now_ + options_.demand_interval;
+  Emit(std::move(report));
+}
+
+void Owner::Impl::ScheduleWake() {
+  const std::optional<MonotonicTime> next = NextWake();
+  if (!next) return;
+  if (wake_ && *wake_ > now_ && *wake_ == *next) return;
+  wake_ = std::max(*next, now_);
+  Emit(Wake{*wake_});
+}
+
+std::optional<MonotonicTime> Owner::Impl::NextWake() const {
+  std::optional<MonotonicTime> next = commit_.NextWake();
+  Earliest(next, requests_.NextDue());
+  if (const auto* loading = std::get_if<Loading>(&phase_)) {
+    Earliest(next, loading->retry);
+  }
+  if (!loaded()) return next;
+  Earliest(next, workers_.NextWake());
+  if (In<Opening>()) return next;
+  Earliest(next, jobs_.NextWake());
+  if (!In<Owning>()) return next;
+  const bool starts = surroundings_.may_start &&
+                      commit_.unsettled() < options_.unjournaled_bound;
+  if (starts && place_) Earliest(next, now_);
+  if (starts) Earliest(next, cell_.NextWake());
+  if (next_demand_ > now_) Earliest(next, next_demand_);
+  if (snapshot_retry_ > now_) Earliest(next, snapshot_retry_);
+  return next;
+}
+
+void Owner::Impl::ApplyConfiguration() {
+  std::set<ZoneId> zones;
+  for (const WorkerSpec& spec : specs_) zones.insert(spec.zone);
+  for (const ZoneId& zone : zones) {
+    cell_.SetZoneInService(zone, ZoneInService(zone));
+  }
+  for (const auto& [team, contract] : surroundings_.configuration->contracts) {
+    teams_.insert(team);
+  }
+  for (const TeamId& team : teams_) SetTeamTerms(team);
+  place_ = true;
+}
+
+// A team without a contract, whose jobs may still be here, gets nothing.
+void Owner::Impl::SetTeamTerms(const TeamId& team) {
+  placement::TeamTerms terms;
+  const auto& contracts = surroundings_.configuration->contracts;
+  auto contract = contracts.find(team);
+  if (contract != contracts.end()) {
+    terms.share = contract->second.share;
+    terms.zones = contract->second.zones;
+    auto allowance = surroundings_.allowances.find(team);
+    if (allowance != surroundings_.allowances.end()) {
+      terms.allowance =
+          Resources::Min(contract->second.upper_limit, allowance->second);
+    }
+  }
+  cell_.SetTeam(team, terms);
+}
+
+bool Owner::Impl::ZoneInService(const ZoneId& zone) const {
+  const auto& zones = surroundings_.configuration->zones;
+  auto found = zones.find(zone);
+  return found == zones.end() || found->second.in_service;
+}
+
+WallTime Owner::Impl::ToWall(MonotonicTime at) const {
+  return claimed_wall_ +
+         std::chrono::duration_cast<WallTime::duration>(at - claimed_);
+}
+
+bool Owner::Impl::owns() const { return In<Owning>() || In<Releasing>(); }
+
+Status Owner::Impl::status() const {
+  Status status{partition_, epoch_, cell_.Status(), {}};
+  for (const TeamId& team : teams_) {
+    status.committed.emplace_back(team, cell_.CommittedOf(team));
+  }
+  return status;
+}
+
+// ---------------------------------------------------------------------------
+
+Owner::Owner(const Options& options, PartitionId partition,
+             std::vector<WorkerSpec> workers, uint64_t nonce)
+    : impl_(std::make_unique<Impl>(options, std::move(partition),
+                                   std::move(workers), nonce, Epoch{},
+                                   internal::Surroundings{})) {}
+Owner::~Owner() = default;
+Owner::Owner(Owner&&) noexcept = default;
+Owner& Owner::operator=(Owner&&) noexcept = default;
+
+std::vector<Action> Owner::Handle(Event event, MonotonicTime now) {
+  std::vector<Action> actions;
+  if (const auto* claim = std::get_if<ClaimWon>(&event)) {
+    if (!impl_->idle()) actions = impl_->Handle(ClaimLost{}, now);
+    impl_ = std::make_unique<Impl>(impl_->options(), impl_->partition(),
+                                   impl_->worker_specs(), impl_->nonce(),
+                                   claim->epoch, impl_->surroundings());
+  }
+  std::vector<Action> more = impl_->Handle(std::move(event), now);
+  std::move(more.begin(), more.end(), std::back_inserter(actions));
+  return actions;
+}
+
+bool Owner::owns() const { return impl_->owns(); }
+Status Owner::status() const { return impl_->status(); }
+
+}  // namespace azurepass::partition
--- /dev/null
+++ b/azurepass/partition/owner_journal.cc
@@ -0,0 +1,170 @@
+// Recovery of the ledger, appends, and what follows once they are settled.
+
+#include <algorithm>
+#include <utility>
+
+#include "azurepass/partition/internal/owner_impl.h"
+
+namespace azurepass::partition {
+
+using internal::AppendOutcome;
+using internal::Committed;
+using internal::Fencing;
+using internal::Loading;
+using internal::Owning;
+using internal::Sequence;
+using internal::Superseded;
+using internal::Unsettled;
+
+namespace {
+
+constexpr Duration kLoadRetryDelay{250};
+constexpr Duration kSnapshotRetryDelay{2'000};
+
+bool IsContiguous(const JournalLoaded& loaded) {
+  int64_t next = loaded.snapshot ? loaded.snapshot->through + 1 : 1;
+  return std::all_of(
+      loaded.batches.begin(), loaded.batches.end(),
+      [&](const Batch& batch) { return batch.number == next++; });
+}
+
+}  // namespace
+
+void Owner::Impl::On(JournalLoaded event) {
+  if (!In<Loading>() || event.epoch != epoch_) return;
+  if (!IsContiguous(event)) {
+    phase_ = Loading{now_ + kLoadRetryDelay};
+    return;
+  }
+  committed_ = internal::Ledger();
+  int64_t last = 0;
+  if (event.snapshot) {
+    committed_.Load(*event.snapshot);
+    last = event.snapshot->through;
+  }
+  snapshot_through_ = last;
+  for (const Batch& batch : event.batches) {
+    if (batch.epoch >= epoch_) {
+      LoseOwnership("the journal has a later epoch", Effect::kNotRun);
+      return;
+    }
+    for (const Record& record : batch.records) committed_.Apply(record);
+    last = batch.number;
+  }
+  commit_.Begin(epoch_, nonce_, last + 1);
+  phase_ = Fencing{};
+  if (options_.testing.skip_fencing_append) {
+    commit_.SkipFirst();
+    BeginOpening();
+  }
+}
+
+void Owner::Impl::On(LoadFailed event) {
+  if (!In<Loading>() || event.epoch != epoch_) return;
+  phase_ = Loading{now_ + kLoadRetryDelay};
+}
+
+void Owner::Impl::On(Appended event) { Settle(commit_.OnAppended(event)); }
+
+void Owner::Impl::On(const AppendFound& event) {
+  Settle(commit_.OnFound(event, now_));
+}
+
+void Owner::Impl::On(AppendUnknown event) { commit_.OnUnknown(event, now_); }
+
+void Owner::Impl::On(AppendUnavailable event) {
+  commit_.OnUnavailable(event, now_);
+}
+
+void Owner::Impl::On(SnapshotWritten event) {
+  if (event.epoch != epoch_ || !snapshot_in_flight_) return;
+  snapshot_in_flight_ = false;
+  if (event.ok) {
+    snapshot_through_ = std::max(snapshot_through_, event.through);
+  } else {
+    snapshot_retry_ = now_ + kSnapshotRetryDelay;
+  }
+}
+
+void Owner::Impl::Settle(AppendOutcome outcome) {
+  if (In<internal::Idle>()) return;
+  std::visit(
+      Visitor{
+          [this](Committed& committed) { OnCommitted(std::move(committed)); },
+          [this](Superseded& superseded) { OnSuperseded(superseded.there); },
+          [](Unsettled&) {}},
+      outcome);
+}
+
+void Owner::Impl::OnCommitted(Committed committed) {
+  for (const Record& record : committed.batch.records) {
+    committed_.Apply(record);
+  }
+  if (In<Fencing>()) {
+    BeginOpening();
+    return;
+  }
+  for (size_t i = 0; i < committed.sequences.size(); ++i) {
+    OnRecordCommitted(committed.sequences[i], committed.batch.records[i]);
+  }
+}
+
+// Before our first append a former owner may still append. Its batches are part
+// of the journal: they are taken in, and we try the number after. Behind our
+// first append nobody of a lower epoch can be.
+void Owner::Impl::OnSuperseded(const Batch& there) {
+  if (!In<Fencing>() || there.epoch >= epoch_) {
+    LoseOwnership("the journal was continued by epoch " +
+                      std::to_string(there.epoch.value),
+                  Effect::kNotRun);
+    return;
+  }
+  if (there.number != commit_.next_number()) {
+    phase_ = Loading{now_ + kLoadRetryDelay};
+    return;
+  }
+  for (const Record& record : there.records) committed_.Apply(record);
+  commit_.Begin(epoch_, nonce_, there.number + 1);
+}
+
+void Owner::Impl::OnRecordCommitted(Sequence sequence, const Record& record) {
+  std::visit(Visitor{[&](const JobSubmitted& r) {
+                       live_.Apply(r);
+                       jobs_.Add(r.job, now_, r.spec.deadline);
+                       cell_.AddJob(r.job, r.team, r.spec, now_);
+                       place_ = true;
+                       AnswerRecord(sequence, r.job);
+                     },
+                     [&](const JobCancelled& r) {
+                       CancelTasks(r.job);
+                       AnswerRecord(sequence, r.job);
+                     },
+                     [&](const TaskStarted& r) {
+                       if (held_.erase(sequence) > 0) OnStartCommitted(r);
+                     },
+                     [&](const TaskEnded& r) { changed_.insert(r.task.job); },
+                     [](const auto&) {}},
+             record);
+}
+
+Sequence Owner::Impl::Decide(Record record) {
+  live_.Apply(record);
+  return commit_.Add(std::move(record));
+}
+
+void Owner::Impl::WriteNext() {
+  if (In<Loading>()) return;
+  if (std::optional<Action> action = commit_.Next(now_)) {
+    Emit(*std::move(action));
+  }
+}
+
+void Owner::Impl::MaybeSnapshot() {
+  if (!In<Owning>() || snapshot_in_flight_ || now_ < snapshot_retry_) return;
+  const int64_t through = commit_.next_number() - 1;
+  if (through - snapshot_through_ < options_.snapshot_every) return;
+  snapshot_in_flight_ = true;
+  Emit(WriteSnapshot{epoch_, committed_.Take(through)});
+}
+
+}  // namespace azurepass::partition
--- /dev/null
+++ b/azurepass/partition/owner_recovery.cc
@@ -0,0 +1,343 @@
+// Sessions with workers, and reconciliation of the ledger with what they list.
+//
+// Recovery. The journal tells which tasks were started; starts of repeatable
+// tasks may be missing from it, and so may ends. What each worker lists
+// decides:
+//   * listed, and the ledger's latest attempt: it runs.
+//   * listed, with a higher number than the ledger's latest: a start that the
+//     former owner did not get to append. It is adopted. If the ledger has an
+//     earlier attempt as running, that one was over before, because the former
+//     owner started the task again.
+//   * listed otherwise (final, unknown or superseded): stopped, and the worker
+//     gets nothing new until it has stopped, because its size is in no sum.
+//   * running in the ledger, not listed: its end may be among the events that
+//     the worker kept, so it is lost only after a grace time.
+// All of it has to wait until every worker is settled: a task that is queued in
+// the ledger may be running on any worker that has not answered yet.
+//
+// A worker is settled when it opened a session at our epoch, which voids all
+// orders of former owners; when its lease has lapsed since the takeover; or
+// when the VM list does not have it.
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+#include "azurepass/partition/internal/owner_impl.h"
+
+namespace azurepass::partition {
+
+using internal::AttemptStage;
+using internal::LiveAttempt;
+using internal::Opening;
+using internal::Owning;
+using internal::Releasing;
+using internal::Session;
+using internal::SessionGone;
+using internal::SessionLapsed;
+using internal::SessionOpen;
+using internal::SessionOpening;
+using internal::SessionUnreachable;
+using internal::Worker;
+
+namespace {
+
+bool IsOpen(const Worker& worker) {
+  return std::holds_alternative<SessionOpen>(worker.session);
+}
+
+bool IsGone(const Worker& worker) {
+  return std::holds_alternative<SessionGone>(worker.session);
+}
+
+}  // namespace
+
+void Owner::Impl::BeginOpening() {
+  phase_ = Opening{};
+  live_ = committed_;
+  next_job_number_ = live_.next_job_number();
+  const MonotonicTime lapses =
+      now_ + options_.worker_lease + options_.worker_lease_margin;
+  for (auto& [vm, worker] : workers_.workers()) {
+    cell_.AddWorker(worker.spec, placement::WorkerAdmission::kClosed);
+    OpenWorker(worker, SessionOpening{lapses});
+  }
+  for (const auto& [id, job] : live_.jobs()) teams_.insert(job.submitted.team);
+  ApplyConfiguration();
+  for (const auto& [id, job] : live_.jobs()) AddRecoveredJob(id, job);
+  ApplyVmList();
+}
+
+void Owner::Impl::AddRecoveredJob(const JobId& id,
+                                  const internal::LedgerJob& job) {
+  const auto age = std::clamp<WallTime::duration>(
+      ToWall(now_) - job.submitted.accepted, WallTime::duration(0),
+      job.submitted.spec.deadline.value_or(Duration(0)));
+  const MonotonicTime accepted =
+      now_ - std::chrono::duration_cast<MonotonicTime::duration>(age);
+  jobs_.Add(id, accepted, job.submitted.spec.deadline);
+  if (job.unfinished == 0) {
+    jobs_.SetEnded(id, now_ + options_.kept_after_end);
+    return;
+  }
+  cell_.AddJob(id, job.submitted.team, job.submitted.spec, accepted);
+  for (int32_t index = 0; index < std::ssize(job.tasks); ++index) {
+    const TaskSnapshot& task = job.tasks[index];
+    const TaskId task_id{id, index};
+    if (IsFinal(task.state)) cell_.CancelTask(task_id);
+    if (task.state != TaskState::kRunning) continue;
+    if (workers_.Find(task.vm) == nullptr) {
+      Worker& unknown = workers_.AddUnconfigured(task.vm);
+      workers_.SetSession(unknown,
+                          SessionOpening{now_ + options_.worker_lease +
+                                         options_.worker_lease_margin});
+    }
+    LiveAttempt attempt({task_id, task.attempt}, task.vm,
+                        AttemptStage::kConfirmed);
+    attempt.fits = cell_.Commit(task_id, task.vm);
+    if (!attempt.fits) cell_.CancelTask(task_id);
+    workers_.AddAttempt(std::move(attempt));
+  }
+}
+
+void Owner::Impl::OpenWorker(Worker& worker, Session session) {
+  workers_.SetSession(worker, session);
+  Emit(OpenSession{worker.spec, epoch_});
+}
+
+void Owner::Impl::On(WorkerSessionOpened event) {
+  Worker* worker = workers_.Find(event.vm);
+  if (event.epoch != epoch_ || !loaded() || worker == nullptr) return;
+  workers_.SetSession(*worker, SessionOpen{});
+  worker->draining.clear();
+  if (In<Opening>()) {
+    worker->running = std::move(event.running);
+  } else {
+    AdoptListed(event.vm, event.running);
+    ReconcileWorker(*worker, event.running);
+  }
+  SetAdmission(*worker);
+}
+
+void Owner::Impl::FinishOpening() {
+  phase_ = Owning{};
+  for (auto& [vm, worker] : workers_.workers()) {
+    if (IsOpen(worker)) AdoptListed(vm, worker.running);
+  }
+  for (auto& [vm, worker] : workers_.workers()) {
+    if (IsOpen(worker)) {
+      ReconcileWorker(worker, std::exchange(worker.running, {}));
+    } else if (!std::holds_alternative<SessionOpening>(worker.session)) {
+      LoseAttemptsOn(worker, "worker gone at the takeover");
+    }
+    SetAdmission(worker);
+  }
+  for (auto& [vm, worker] : workers_.workers()) {
+    for (const WorkerEvent& event : std::exchange(worker.unread, {})) {
+      HandleWorkerEvent(worker, event);
+    }
+  }
+  place_ = true;
+  for (RequestToken token : requests_.WaitingForOwning()) {
+    internal::WaitingRequest waiting = *requests_.Take(token);
+    Dispatch(token, std::get<internal::UntilOwning>(waiting.waits_for).request,
+             waiting.deadline);
+  }
+}
+
+void Owner::Impl::AdoptListed(const VmId& vm,
+                              const std::vector<AttemptId>& running) {
+  for (const AttemptId& attempt : running) {
+    const TaskSnapshot* task = live_.FindTask(attempt.task);
+    if (task == nullptr || IsFinal(task->state)) continue;
+    if (attempt.attempt > task->attempt) Adopt(attempt, vm);
+  }
+}
+
+void Owner::Impl::Adopt(const AttemptId& attempt, const VmId& vm) {
+  const TaskId& task = attempt.task;
+  if (live_.FindTask(task)->state == TaskState::kRunning) {
+    Requeue(task, placement::AttemptOutcome::kStopped, false,
+            "started again by the former owner");
+  }
+  if (live_.FindTask(task)->state != TaskState::kQueued) return;
+  LiveAttempt adopted(attempt, vm, AttemptStage::kConfirmed);
+  adopted.fits = cell_.Commit(task, vm);
+  if (!adopted.fits) cell_.CancelTask(task);
+  Decide(TaskStarted{attempt, vm});
+  workers_.AddAttempt(std::move(adopted));
+  OnTaskChanged(task);
+  Log("adopt", task, attempt.attempt, vm, "started by the former owner");
+}
+
+void Owner::Impl::ReconcileWorker(Worker& worker,
+                                  const std::vector<AttemptId>& running) {
+  std::set<TaskId> listed;
+  for (const AttemptId& id : running) {
+    LiveAttempt* attempt = workers_.FindAttempt(id.task);
+    if (attempt == nullptr || attempt->id != id ||
+        attempt->vm != worker.spec.vm) {
+      StopOrphan(worker, id);
+      continue;
+    }
+    listed.insert(id.task);
+    attempt->stage = AttemptStage::kConfirmed;
+    workers_.SetLostAt(*attempt, std::nullopt);
+    if (!attempt->fits) worker.draining.insert(id);
+    if (!attempt->fits || attempt->stopping) {
+      OrderStop(*attempt, attempt->stopping.value_or(StopKind::kStop));
+    }
+    changed_.insert(id.task.job);
+  }
+  for (const TaskId& task : worker.tasks) {
+    if (listed.contains(task)) continue;
+    LiveAttempt& attempt = *workers_.FindAttempt(task);
+    const bool under_way =
+        attempt.stage == AttemptStage::kOrdered && !attempt.reopened;
+    if (attempt.stage == AttemptStage::kHeld || under_way) continue;
+    workers_.SetLostAt(attempt, now_ + options_.report_grace);
+  }
+}
+
+void Owner::Impl::StopOrphan(Worker& worker, const AttemptId& attempt) {
+  worker.draining.insert(attempt);
+  orders_[worker.spec.vm].push_back(StopTask{attempt, StopKind::kStop});
+  SetAdmission(worker);
+  Log("stop_orphan", attempt.task, attempt.attempt, worker.spec.vm,
+      "not an attempt of the ledger");
+}
+
+void Owner::Impl::On(WorkerReported event) {
+  Worker* worker = workers_.Find(event.vm);
+  if (event.epoch != epoch_ || !loaded() || worker == nullptr) return;
+  if (In<Opening>()) {
+    std::move(event.events.begin(), event.events.end(),
+              std::back_inserter(worker->unread));
+    return;
+  }
+  for (const WorkerEvent& e : event.events) HandleWorkerEvent(*worker, e);
+}
+
+void Owner::Impl::On(const WorkerFenced& event) {
+  if (In<internal::Idle>() || event.theirs <= epoch_) return;
+  LoseOwnership("a worker has seen epoch " + std::to_string(event.theirs.value),
+                Effect::kUnknown);
+}
+
+void Owner::Impl::On(const WorkerUnreachable& event) {
+  Worker* worker = workers_.Find(event.vm);
+  if (event.epoch != epoch_ || !loaded() || worker == nullptr) return;
+  // A session that was never opened at our epoch lapses with the former
+  // owner's lease, whose end is known already.
+  if (!IsOpen(*worker)) return;
+  const MonotonicTime lapses =
+      options_.testing.ignore_worker_lease ? now_ : event.lease_until;
+  workers_.SetSession(*worker, SessionUnreachable{lapses});
+  SetAdmission(*worker);
+  ApplyVmList();
+}
+
+void Owner::Impl::LapseWorkers() {
+  for (const VmId& vm : workers_.Lapsing(now_)) {
+    Worker& worker = *workers_.Find(vm);
+    const bool ours =
+        std::holds_alternative<SessionUnreachable>(worker.session);
+    workers_.SetSession(worker, SessionLapsed{});
+    worker.draining.clear();
+    if (ours) ReopenWorker(worker);
+    if (!In<Opening>()) LoseAttemptsOn(worker, "the worker's lease lapsed");
+  }
+}
+
+// Voids what was ordered in the session before.
+void Owner::Impl::ReopenWorker(Worker& worker) {
+  for (const TaskId& task : worker.tasks) {
+    LiveAttempt& attempt = *workers_.FindAttempt(task);
+    if (attempt.stage == AttemptStage::kOrdered) attempt.reopened = true;
+  }
+  Emit(CloseSession{worker.spec.vm});
+  Emit(OpenSession{worker.spec, epoch_});
+}
+
+void Owner::Impl::LoseMissing() {
+  for (const TaskId& task : workers_.Lost(now_)) {
+    LiveAttempt* attempt = workers_.FindAttempt(task);
+    if (attempt == nullptr) continue;
+    Worker* worker = workers_.Find(attempt->vm);
+    if (!IsOpen(*worker)) {
+      // Its session's own time decides.
+      workers_.SetLostAt(*attempt, std::nullopt);
+    } else if (attempt->stage == AttemptStage::kOrdered && !attempt->reopened) {
+      workers_.SetLostAt(*attempt, std::nullopt);
+      workers_.SetSession(*worker,
+                          SessionUnreachable{now_ + options_.worker_lease +
+                                             options_.worker_lease_margin});
+      SetAdmission(*worker);
+      ReopenWorker(*worker);
+    } else {
+      Lose(task, "the worker does not run it");
+    }
+  }
+}
+
+void Owner::Impl::LoseAttemptsOn(Worker& worker, const std::string& reason) {
+  for (const TaskId& task : std::set<TaskId>(worker.tasks)) {
+    if (workers_.FindAttempt(task)->stage == AttemptStage::kHeld) {
+      StopUnsent(task, reason);
+    } else {
+      Lose(task, reason);
+    }
+  }
+}
+
+void Owner::Impl::SetAdmission(const Worker& worker) {
+  if (!worker.configured) return;
+  const bool settled = In<Owning>() || In<Releasing>();
+  cell_.SetAdmission(worker.spec.vm,
+                     settled ? internal::WorkerBook::AdmissionOf(worker)
+                             : placement::WorkerAdmission::kClosed);
+  place_ = true;
+}
+
+void Owner::Impl::On(VmListChanged event) {
+  surroundings_.vms = std::move(event.vms);
+  if (loaded()) ApplyVmList();
+}
+
+// A VM that is not in the list is gone, unless it answers: the list lags.
+void Owner::Impl::ApplyVmList() {
+  if (!surroundings_.vms) return;
+  for (auto& [vm, worker] : workers_.workers()) {
+    auto found = surroundings_.vms->find(vm);
+    const bool present = found != surroundings_.vms->end();
+    const std::optional<VmState> before = worker.listed;
+    worker.listed = present ? std::optional(found->second) : std::nullopt;
+    if (!present && !IsOpen(worker) && !IsGone(worker)) {
+      workers_.SetSession(worker, SessionGone{});
+      worker.draining.clear();
+      if (worker.configured) Emit(CloseSession{vm});
+      if (!In<Opening>()) LoseAttemptsOn(worker, "the VM is gone");
+    } else if (present && IsGone(worker) && worker.configured) {
+      OpenWorker(worker, SessionLapsed{});
+    }
+    if (worker.listed == before) continue;
+    SetAdmission(worker);
+    if (worker.listed == VmState::kLeaving) LeaveWorker(worker);
+  }
+}
+
+// What can go on elsewhere is checkpointed while the VM is still there.
+void Owner::Impl::LeaveWorker(Worker& worker) {
+  for (const TaskId& task : std::set<TaskId>(worker.tasks)) {
+    const internal::LedgerJob* job = live_.Find(task.job);
+    LiveAttempt& attempt = *workers_.FindAttempt(task);
+    if (attempt.stage == AttemptStage::kHeld) {
+      StopUnsent(task, "the VM is leaving");
+    } else if (job != nullptr && job->submitted.spec.repeatable) {
+      OrderStop(attempt, StopKind::kCheckpoint);
+    }
+  }
+}
+
+}  // namespace azurepass::partition
--- /dev/null
+++ b/azurepass/partition/owner_tasks.cc
@@ -0,0 +1,259 @@
+// Starts, ends and stops of attempts.
+
+#include <utility>
+
+#include "azurepass/partition/internal/attempt_numbers.h"
+#include "azurepass/partition/internal/owner_impl.h"
+
+namespace azurepass::partition {
+
+using internal::AttemptStage;
+using internal::LedgerJob;
+using internal::LiveAttempt;
+using internal::Owning;
+using internal::SessionOpen;
+using internal::Worker;
+using placement::AttemptOutcome;
+
+void Owner::Impl::PlaceTasks() {
+  if (!surroundings_.may_start && !options_.testing.start_while_not_fresh) {
+    return;
+  }
+  if (commit_.unsettled() >= options_.unjournaled_bound) return;
+  const std::optional<MonotonicTime> wake = cell_.NextWake();
+  if (!place_ && !(wake && *wake <= now_)) return;
+  const placement::DecideBudget budget;
+  const std::vector<placement::Decision> decisions = cell_.Decide(now_, budget);
+  place_ = !decisions.empty();
+  for (const placement::Decision& decision : decisions) {
+    std::visit([this](const auto& d) { Carry(d); }, decision);
+  }
+}
+
+void Owner::Impl::Carry(const placement::Start& start) {
+  const LedgerJob& job = *live_.Find(start.task.job);
+  const TaskSnapshot& task = job.tasks[start.task.index];
+  const Epoch base = options_.testing.reuse_attempt_numbers ? Epoch{} : epoch_;
+  const AttemptId id{start.task, internal::NextAttempt(base, task.attempt)};
+  const bool record_first = !job.submitted.spec.repeatable ||
+                            internal::NeedsRecordFirst(epoch_, id.attempt);
+  if (internal::JobTimes* times = jobs_.Find(id.task.job)) {
+    times->waited[id.task.index] =
+        std::chrono::duration_cast<Duration>(now_ - times->accepted);
+  }
+  const internal::Sequence sequence = Decide(TaskStarted{id, start.vm});
+  workers_.AddAttempt(LiveAttempt(id, start.vm, AttemptStage::kHeld));
+  if (record_first && !options_.testing.start_without_append) {
+    held_[sequence] = id.task;
+  } else {
+    OrderStart(*workers_.FindAttempt(id.task));
+  }
+  OnTaskChanged(id.task);
+  Log("start", id.task, id.attempt, start.vm,
+      "score " + std::to_string(start.score) + " of " +
+          std::to_string(start.considered));
+}
+
+void Owner::Impl::Carry(const placement::Preempt& preempt) {
+  LiveAttempt* attempt = workers_.FindAttempt(preempt.task);
+  if (attempt == nullptr) return;
+  Log("preempt", preempt.task, attempt->id.attempt, preempt.vm, preempt.reason);
+  if (attempt->stage == AttemptStage::kHeld) {
+    StopUnsent(preempt.task, preempt.reason);
+  } else {
+    OrderStop(*attempt,
+              preempt.checkpoint ? StopKind::kCheckpoint : StopKind::kStop);
+  }
+}
+
+void Owner::Impl::OrderStart(LiveAttempt& attempt) {
+  const LedgerJob& job = *live_.Find(attempt.id.task.job);
+  const JobSpec& spec = job.submitted.spec;
+  attempt.stage = AttemptStage::kOrdered;
+  workers_.SetLostAt(attempt, now_ + options_.worker_lease);
+  orders_[attempt.vm].push_back(StartTask{
+      attempt.id, job.submitted.team, spec.task, spec.declared_run_time,
+      job.tasks[attempt.id.task.index].from_checkpoint});
+}
+
+// The start may have become wrong while its record was on the way. It was never
+// ordered, so the task can wait again even when it must not be repeated.
+void Owner::Impl::OnStartCommitted(const TaskStarted& started) {
+  LiveAttempt* attempt = workers_.FindAttempt(started.attempt.task);
+  if (attempt == nullptr || attempt->id != started.attempt) return;
+  const Worker& worker = *workers_.Find(attempt->vm);
+  const bool reachable = std::holds_alternative<SessionOpen>(worker.session) &&
+                         worker.listed != VmState::kLeaving;
+  const bool wanted = In<Owning>() && surroundings_.may_start &&
+                      ZoneInService(worker.spec.zone) &&
+                      !jobs_.Expired(started.attempt.task.job, now_);
+  if (reachable && wanted) {
+    OrderStart(*attempt);
+  } else {
+    StopUnsent(started.attempt.task, "not ordered: no longer allowed");
+  }
+}
+
+void Owner::Impl::OrderStop(LiveAttempt& attempt, StopKind kind) {
+  attempt.stopping = kind;
+  orders_[attempt.vm].push_back(StopTask{attempt.id, kind});
+  changed_.insert(attempt.id.task.job);
+}
+
+void Owner::Impl::HandleWorkerEvent(Worker& worker, const WorkerEvent& event) {
+  const bool started = event.kind == WorkerEventKind::kStarted;
+  LiveAttempt* attempt = workers_.FindAttempt(event.attempt.task);
+  const bool current = attempt != nullptr && attempt->id == event.attempt &&
+                       attempt->vm == worker.spec.vm &&
+                       attempt->stage != AttemptStage::kHeld;
+  if (!started && worker.draining.erase(event.attempt) > 0) {
+    SetAdmission(worker);
+  }
+  if (!current) {
+    if (started) StopOrphan(worker, event.attempt);
+    return;
+  }
+  if (!started) {
+    OnEnd(event.attempt.task, event);
+    return;
+  }
+  attempt->stage = AttemptStage::kConfirmed;
+  workers_.SetLostAt(*attempt, std::nullopt);
+  changed_.insert(event.attempt.task.job);
+}
+
+void Owner::Impl::OnEnd(const TaskId& task, const WorkerEvent& event) {
+  const LedgerJob& job = *live_.Find(task.job);
+  if (event.kind == WorkerEventKind::kSucceeded) {
+    Finish(task, TaskState::kSucceeded, event.detail,
+           AttemptOutcome::kSucceeded);
+    return;
+  }
+  const bool failed = event.kind == WorkerEventKind::kFailed;
+  const AttemptOutcome outcome =
+      failed ? AttemptOutcome::kFailed : AttemptOutcome::kStopped;
+  if (job.cancelled) {
+    Finish(task, TaskState::kCancelled, "cancelled", outcome);
+  } else if (!job.submitted.spec.repeatable) {
+    Finish(task, TaskState::kFailed,
+           failed ? event.detail : "stopped before it finished", outcome);
+  } else {
+    Requeue(task, outcome, event.kind == WorkerEventKind::kCheckpointed,
+            event.detail);
+  }
+}
+
+void Owner::Impl::Finish(const TaskId& task, TaskState state,
+                         std::string reason, AttemptOutcome outcome) {
+  const LiveAttempt* attempt = workers_.FindAttempt(task);
+  if (attempt == nullptr) return;
+  Log("end", task, attempt->id.attempt, attempt->vm,
+      std::string(TaskStateName(state)) + ": " + reason);
+  Decide(TaskEnded{task, state, std::move(reason)});
+  if (attempt->fits) cell_.Release(task, outcome, /*requeue=*/false, now_);
+  workers_.RemoveAttempt(task);
+  OnTaskChanged(task);
+}
+
+void Owner::Impl::Requeue(const TaskId& task, AttemptOutcome outcome,
+                          bool from_checkpoint, const std::string& reason) {
+  const LedgerJob& job = *live_.Find(task.job);
+  const LiveAttempt* attempt = workers_.FindAttempt(task);
+  if (attempt == nullptr) return;
+  const bool counts = internal::CountsAsFailure(outcome, job.submitted.spec);
+  if (job.cancelled) {
+    Finish(task, TaskState::kCancelled, "cancelled", outcome);
+  } else if (jobs_.Expired(task.job, now_)) {
+    Finish(task, TaskState::kExpired, "not started again before its deadline",
+           outcome);
+  } else if (!attempt->fits) {
+    Finish(task, TaskState::kFailed, "the worker had no room for it", outcome);
+  } else if (counts && job.tasks[task.index].failures + 1 >= kMaxAttempts) {
+    Finish(task, TaskState::kFailed, "too many attempts: " + reason, outcome);
+  } else {
+    Log("requeue", task, attempt->id.attempt, attempt->vm, reason);
+    Decide(TaskRequeued{attempt->id, outcome, from_checkpoint});
+    cell_.Release(task, outcome, /*requeue=*/true, now_);
+    workers_.RemoveAttempt(task);
+    OnTaskChanged(task);
+  }
+}
+
+// The attempt is over for certain, but nobody can say how it ended.
+void Owner::Impl::Lose(const TaskId& task, const std::string& reason) {
+  const LedgerJob& job = *live_.Find(task.job);
+  if (!job.submitted.spec.repeatable) {
+    Finish(task, TaskState::kUnknown, reason, AttemptOutcome::kLost);
+    return;
+  }
+  Requeue(task, AttemptOutcome::kLost, job.tasks[task.index].from_checkpoint,
+          reason);
+}
+
+void Owner::Impl::StopUnsent(const TaskId& task, const std::string& reason) {
+  const TaskSnapshot& snapshot = *live_.FindTask(task);
+  Requeue(task, AttemptOutcome::kStopped, snapshot.from_checkpoint, reason);
+}
+
+void Owner::Impl::CancelTasks(const JobId& id) {
+  const LedgerJob* job = live_.Find(id);
+  if (job == nullptr) return;
+  std::vector<TaskId> open;
+  for (int32_t index = 0; index < std::ssize(job->tasks); ++index) {
+    if (!IsFinal(job->tasks[index].state)) open.push_back({id, index});
+  }
+  live_.Apply(JobCancelled{id});
+  for (const TaskId& task : open) {
+    cell_.CancelTask(task);
+    LiveAttempt* attempt = workers_.FindAttempt(task);
+    if (attempt == nullptr) continue;
+    if (attempt->stage == AttemptStage::kHeld) {
+      StopUnsent(task, "cancelled");
+    } else {
+      OrderStop(*attempt, StopKind::kStop);
+    }
+  }
+  if (!open.empty()) OnTaskChanged(open.front());
+}
+
+void Owner::Impl::ExpireJobs() {
+  for (const JobId& id : jobs_.TakeExpired(now_)) {
+    const LedgerJob* job = live_.Find(id);
+    if (job == nullptr) continue;
+    for (int32_t index = 0; index < std::ssize(job->tasks); ++index) {
+      if (job->tasks[index].state != TaskState::kQueued) continue;
+      const TaskId task{id, index};
+      cell_.CancelTask(task);
+      Decide(TaskEnded{task, TaskState::kExpired,
+                       "not started before its deadline"});
+      OnTaskChanged(task);
+    }
+  }
+}
+
+void Owner::Impl::ForgetJobs() {
+  for (const JobId& id : jobs_.TakeForgotten(now_)) {
+    const LedgerJob* job = live_.Find(id);
+    if (job == nullptr || job->unfinished > 0) continue;
+    Decide(JobForgotten{id});
+    cell_.RemoveJob(id);
+    jobs_.Remove(id);
+  }
+}
+
+void Owner::Impl::OnTaskChanged(const TaskId& task) {
+  changed_.insert(task.job);
+  place_ = true;
+  const LedgerJob* job = live_.Find(task.job);
+  if (job != nullptr && job->unfinished == 0) {
+    jobs_.SetEnded(task.job, now_ + options_.kept_after_end);
+  }
+}
+
+void Owner::Impl::Log(std::string kind, const TaskId& task, int32_t attempt,
+                      VmId vm, std::string reason) {
+  Emit(LogDecision{std::move(kind), task, attempt, std::move(vm),
+                   surroundings_.configuration->revision, std::move(reason)});
+}
+
+}  // namespace azurepass::partition
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -24,6 +24,14 @@
 //     be gone, or its lease has lapsed on the successor's own clock.
 //   * A task that may not be repeated is started only after the record of that
 //     start was appended, and never again.
+//   * Attempt numbers of different epochs come from disjoint ranges, so that a
+//     start which the journal does not know of is never confused with a later
+//     one (internal/attempt_numbers.h).
+//
+// What callers are told follows the journal: a submission or cancellation takes
+// effect and is answered once its record is appended; a task is shown as final
+// once its end is. "Not run" is said only of a record that was withdrawn before
+// any write of it, or whose number in the journal was taken by another owner.
 
 #ifndef AZUREPASS_PARTITION_PARTITION_H_
 #define AZUREPASS_PARTITION_PARTITION_H_
@@ -90,12 +98,16 @@
   TeamId team;
   RequestId request;
   JobSpec spec;
+  // For the job's deadline after a takeover, which is as exact as the wall
+  // clocks of the owners agree. Nothing else depends on it.
+  WallTime accepted{};
+  bool operator==(const JobSubmitted&) const = default;
 };
 struct TaskStarted {
   AttemptId attempt;
   VmId vm;
 };
-// The attempt is over and the task waits again.
+// The attempt is over, or was never ordered, and the task waits again.
 struct TaskRequeued {
   AttemptId attempt;
   placement::AttemptOutcome outcome = placement::AttemptOutcome::kStopped;
@@ -125,13 +137,17 @@
   std::vector<Record> records;
 };
 
-// What a job looks like in a snapshot.
+// What a job looks like in a snapshot. A task is queued, running (from its
+// start on) or final.
 struct TaskSnapshot {
   TaskState state = TaskState::kQueued;
-  VmId vm;
-  int32_t attempts = 0;
+  VmId vm;               // Of the latest attempt.
+  int32_t attempt = 0;   // Number of the latest attempt; 0 before the first.
+  int32_t attempts = 0;  // How many there were.
+  int32_t failures = 0;  // How many of them count towards kMaxAttempts.
   bool from_checkpoint = false;
   std::string reason;
+  bool operator==(const TaskSnapshot&) const = default;
 };
 struct JobSnapshot {
   JobSubmitted submitted;
@@ -148,40 +164,56 @@
 // ---------------------------------------------------------------------------
 // Events: what happened
 
-// We hold the claim, as its `epoch`-th owner. Starts recovery.
+// We hold the claim, as its `epoch`-th owner. Starts recovery. `wall` is the
+// wall clock's time of the event.
 struct ClaimWon {
   Epoch epoch;
+  WallTime wall{};
 };
 // We should give the partition back: finish answers, append, release.
 struct ReleaseWanted {};
-// The claim's lease is certainly gone or somebody else holds it.
+// The claim's lease is certainly gone or somebody else holds it. Must be sent
+// before a successor can take the claim unless this process is stopped: a
+// worker that the successor cannot reach is taken to have stopped one lease
+// after the takeover, so nobody may renew its lease after that.
 struct ClaimLost {};
 
 // Answer to LoadJournal: the newest snapshot, if any, and all later batches.
+// Each answer names the epoch that asked, so that a late one is not taken for
+// the answer to a later owner of the same process.
 struct JournalLoaded {
+  Epoch epoch;
   std::optional<Snapshot> snapshot;
   std::vector<Batch> batches;
 };
-struct LoadFailed {};
+struct LoadFailed {
+  Epoch epoch;
+};
 
-// Answers to AppendBatch and ReadBack, for batch `number`.
+// Answers to AppendBatch and ReadBack, for batch `number`. Each action is
+// answered exactly once.
 struct Appended {
+  Epoch epoch;
   int64_t number = 0;
 };
 // Something is there already, or was read back.
 struct AppendFound {
+  Epoch epoch;
   int64_t number = 0;
-  std::optional<Batch> there;  // Empty: read back, and nothing is there.
+  std::optional<Batch> there;  // Empty: read back, and nothing is there yet.
 };
 // The write may or may not have happened.
 struct AppendUnknown {
+  Epoch epoch;
   int64_t number = 0;
 };
 // The write certainly did not happen, or the reading back failed.
 struct AppendUnavailable {
+  Epoch epoch;
   int64_t number = 0;
 };
 struct SnapshotWritten {
+  Epoch epoch;
   int64_t through = 0;
   bool ok = false;
 };
@@ -242,15 +274,19 @@
 // ---------------------------------------------------------------------------
 // Actions: what is to be done
 
-struct LoadJournal {};
+struct LoadJournal {
+  Epoch epoch;
+};
 struct AppendBatch {
   Batch batch;
 };
 struct ReadBack {
+  Epoch epoch;
   int64_t number = 0;
 };
-// Write this snapshot, then remove batches up to `through`.
+// Write this snapshot; batches up to `through` are then not needed any more.
 struct WriteSnapshot {
+  Epoch epoch;
   Snapshot snapshot;
 };
 struct OpenSession {
@@ -312,7 +348,32 @@
   Duration worker_lease{15'000};  // Unrenewed, a worker stops what it runs.
   Duration worker_lease_margin{1'000};
   Duration kept_after_end{600'000};  // A final job is remembered so long.
+  // How long a submission or cancellation waits for the store before it is
+  // refused as not run, if it can be.
+  Duration append_wait{5'000};
+  // With so many records not yet appended nothing more is started.
+  int64_t unjournaled_bound = 5'000;
+  // What a worker should run but does not list is given this time to report
+  // its end before it counts as lost.
+  Duration report_grace{2'000};
+  Duration demand_interval{500};  // Between two ReportDemand.
   placement::Options placement;
+
+  // Each takes one mechanism out, so that a test can show that it would notice.
+  // Never set outside tests.
+  struct Testing {
+    bool start_without_append = false;   // Of non-repeatable tasks.
+    bool answer_without_append = false;  // Submissions.
+    bool skip_session_barrier = false;   // After a takeover.
+    bool ignore_worker_lease = false;    // Unreachable counts as stopped.
+    bool trust_empty_read_back = false;  // As proof that nothing was written.
+    bool reuse_attempt_numbers = false;  // After a takeover.
+    bool skip_fencing_append = false;    // Own at once.
+    bool start_while_not_fresh = false;
+    bool refuse_in_flight_as_not_run = false;
+    bool forget_held_answer = false;  // A GET held past its time.
+  };
+  Testing testing;
 };
 
 struct Status {
@@ -326,8 +387,8 @@
  public:
   // `workers` are the partition's, from the settings. `nonce` is random and
   // unlike that of any other process.
-  Owner(Options options, PartitionId partition, std::vector<WorkerSpec> workers,
-        uint64_t nonce);
+  Owner(const Options& options, PartitionId partition,
+        std::vector<WorkerSpec> workers, uint64_t nonce);
   ~Owner();
   Owner(Owner&&) noexcept;
   Owner& operator=(Owner&&) noexcept;
