Owner: an unknown allowance neither starts nor stops anything

Cause: a new owner hears of its allowances only once the broker has read the books; until then a missing allowance counted as nothing, which orders the preemption of all that the former owner had started. Change: a team with a contract but no allowance keeps what is committed. Ruled out: the upper limit as a stand-in, which would let several partitions pass it together. Conclusion: reasoned, covered by the build; the system tests have to show it.

--- a/azurepass/partition/owner.cc
+++ b/azurepass/partition/owner.cc
@@ -240,10 +240,12 @@
     terms.share = contract->second.share;
     terms.zones = contract->second.zones;
     auto allowance = surroundings_.allowances.find(team);
-    if (allowance != surroundings_.allowances.end()) {
-      terms.allowance =
-          Resources::Min(contract->second.upper_limit, allowance->second);
-    }
+    // Until the allowance is known nothing is started and nothing is stopped.
+    terms.allowance =
+        Resources::Min(contract->second.upper_limit,
+                       allowance == surroundings_.allowances.end()
+                           ? cell_.CommittedOf(team)
+                           : allowance->second);
   }
   cell_.SetTeam(team, terms);
 }
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -138,7 +138,7 @@
       HandleWorkerEvent(worker, event);
     }
   }
-  place_ = true;
+  ApplyConfiguration();  // Recovered tasks are committed by now.
   for (RequestToken token : requests_.WaitingForOwning()) {
     internal::WaitingRequest waiting = *requests_.Take(token);
     Dispatch(token, std::get<internal::UntilOwning>(waiting.waits_for).request,
