Placement: a slow oracle, tried exhaustively and at random

The oracle keeps plain maps and judges every decision by looking at every worker, team and job: capacity, allowance, zones, admission, one place at a time, gangs whole; and, where nothing holds room back on purpose, that no worker was better for the policy, nobody had the turn first and nothing startable was left.

It found two faults, now with tests of their own: * a delayed retry that was recovered by Commit was counted as waiting; * what was left of a gang after a part was recovered kept the verdict of the whole gang.

--- a/azurepass/placement/internal/cell_state.cc
+++ b/azurepass/placement/internal/cell_state.cc
@@ -89,6 +89,7 @@
   Task& task = job.tasks[ref.task];
   Team& team = teams[job.team];
   Worker& worker = fleet.worker(worker_index);
+  --(task.phase == TaskPhase::kDelayed ? job.delayed : job.waiting);
   task.phase = TaskPhase::kCommitted;
   task.since = at;
   task.worker = worker_index;
@@ -99,7 +100,6 @@
   team.running.push_back(ref);
   team.committed += job.spec.task;
   --team.waiting;
-  --job.waiting;
   ++job.committed;
   --queued;
   ++committed;
@@ -168,8 +168,6 @@
   --teams[job.team].waiting;
   --queued;
   if (job.waiting + job.delayed == 0) DropReservation(ref.job);
-  // A smaller gang may fit where the larger one did not.
-  if (job.lane != kNone) lanes[job.lane].checked = GrowthLog::kNever;
   UpdateQueue(ref.job);
 }
 
@@ -274,6 +272,8 @@
   const bool startable = job.is_startable();
   if (job.lane != kNone && !startable) Dequeue(index);
   if (startable && job.lane == kNone) Enqueue(index);
+  // What is left of a gang may fit where all of it did not.
+  if (startable && job.is_gang()) lanes[job.lane].checked = GrowthLog::kNever;
 }
 
 void CellState::Unblock(Team& team) {
--- /dev/null
+++ b/azurepass/placement/oracle_test.cc
@@ -0,0 +1,121 @@
+// Tries Cell against the oracle: every sequence of a few calls on a cell of two
+// workers, and random sequences on larger cells. CTest fixes the seeds by
+// RC_PARAMS; a run with fresh ones: RC_PARAMS="max_success=20000" oracle_test.
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <string>
+
+#include "azurepass/placement/testing/trial.h"
+
+namespace azurepass::placement::testing {
+namespace {
+
+void Check(const TrialOptions& options, const std::vector<Call>& calls) {
+  Trial trial(options);
+  const auto violation = trial.Run(calls);
+  if (!violation) return;
+  std::string text;
+  for (const Call& call : calls) text += ToString(call);
+  FAIL(*violation << " after " << text);
+}
+
+// Calls that meet each other's effects on a small cell.
+const Call kAlphabet[] = {
+    {CallKind::kAddJob, 0, 0, 2}, {CallKind::kAddJob, 4, 3, 1},
+    {CallKind::kAddJob, 2, 2, 2}, {CallKind::kAddJob, 8, 4, 0},
+    {CallKind::kDecide, 2, 0, 0}, {CallKind::kEnd, 0, 1, 1},
+    {CallKind::kEnd, 1, 0, 0},    {CallKind::kZone, 0, 0, 0},
+    {CallKind::kZone, 0, 1, 0},   {CallKind::kAllowance, 0, 3, 3},
+    {CallKind::kCancel, 0, 0, 0},
+};
+
+constexpr int kLength = 5;  // Calls of a sequence.
+
+TEST_CASE("every sequence of five calls on two workers") {
+  const TrialOptions options{.zones = 2,
+                             .racks = 1,
+                             .workers = 1,
+                             .teams = 3,
+                             .max_tasks = 3,
+                             .judge_preference = true,
+                             .urgent = false};
+  const auto letters = static_cast<int>(std::size(kAlphabet));
+  int total = 1;
+  for (int i = 0; i < kLength; ++i) total *= letters;
+  for (int number = 0; number < total; ++number) {
+    std::vector<Call> calls;
+    for (int i = 0, rest = number; i < kLength; ++i, rest /= letters) {
+      calls.push_back(kAlphabet[rest % letters]);
+    }
+    calls.push_back({CallKind::kDecide, 0, 0, 0});
+    Check(options, calls);
+  }
+}
+
+rc::Gen<Call> AnyCall() {
+  const auto number = rc::gen::inRange<uint32_t>(0, 1'000);
+  const auto kind = rc::gen::weightedElement<CallKind>({
+      {6, CallKind::kAddJob},
+      {8, CallKind::kDecide},
+      {8, CallKind::kEnd},
+      {1, CallKind::kZone},
+      {1, CallKind::kAdmission},
+      {1, CallKind::kAllowance},
+      {1, CallKind::kCancel},
+      {1, CallKind::kRecover},
+      {1, CallKind::kResize},
+      {1, CallKind::kRemove},
+  });
+  return rc::gen::build<Call>(
+      rc::gen::set(&Call::kind, kind), rc::gen::set(&Call::a, number),
+      rc::gen::set(&Call::b, number), rc::gen::set(&Call::c, number));
+}
+
+void TryAtRandom(const TrialOptions& options) {
+  const bool ok = rc::check([&] {
+    const auto calls = *rc::gen::container<std::vector<Call>>(AnyCall());
+    Trial trial(options);
+    const auto violation = trial.Run(calls);
+    if (!violation) return;
+    for (const Call& call : calls) RC_LOG() << ToString(call) << ",";
+    RC_FAIL(*violation);
+  });
+  CHECK(ok);
+}
+
+// Sequences that once failed.
+TEST_CASE("a retry that is delayed may be recovered") {
+  Check({}, {{CallKind::kAddJob, 0, 0, 1},
+             {CallKind::kDecide, 0, 0, 0},
+             {CallKind::kEnd, 0, 61, 1},
+             {CallKind::kEnd, 0, 1, 1},
+             {CallKind::kRecover, 0, 0, 0},
+             {CallKind::kDecide, 2, 0, 0}});
+}
+
+TEST_CASE("a gang of which a part was recovered may fit") {
+  Check({.urgent = false}, {{CallKind::kZone, 0, 0, 0},
+                            {CallKind::kAddJob, 17, 2, 268},
+                            {CallKind::kDecide, 0, 0, 0},
+                            {CallKind::kRecover, 0, 0, 0},
+                            {CallKind::kDecide, 0, 0, 0}});
+}
+
+TEST_CASE("random calls, preference judged") { TryAtRandom({.urgent = false}); }
+
+TEST_CASE("random calls with urgent work") {
+  TryAtRandom({.zones = 3, .racks = 3, .workers = 3, .max_tasks = 20});
+}
+
+TEST_CASE("random calls with reservations, quarantine and ramps") {
+  TryAtRandom({.zones = 3,
+               .racks = 2,
+               .workers = 2,
+               .max_tasks = 20,
+               .judge_preference = false});
+}
+
+}  // namespace
+}  // namespace azurepass::placement::testing
--- /dev/null
+++ b/azurepass/placement/testing/oracle.h
@@ -0,0 +1,108 @@
+// A slow and obvious model of a cell, against which Cell is tried. It keeps
+// plain maps, is told what the caller tells the cell, and judges the cell's
+// decisions one by one, looking at every worker, team and job each time.
+//
+// Always checked: capacity, allowance, zones, admission, that a task is in one
+// place at a time, and that a gang starts whole. With `judge_preference` also
+// that no worker was better for the policy, that no team or job had the turn
+// first, and that nothing that could start was left. Reservations, quarantine
+// and ramps hold room back on purpose, so preference is judged only without
+// them; it is no longer judged after room was made for urgent work.
+
+#ifndef AZUREPASS_PLACEMENT_TESTING_ORACLE_H_
+#define AZUREPASS_PLACEMENT_TESTING_ORACLE_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "azurepass/placement/placement.h"
+
+namespace azurepass::placement::testing {
+
+class Oracle {
+ public:
+  explicit Oracle(bool judge_preference)
+      : judge_preference_(judge_preference) {}
+
+  enum class Phase { kWaiting, kRunning, kLeaving, kDone };
+  struct ModelTask {
+    Phase phase = Phase::kWaiting;
+    VmId vm;
+    bool cancelled = false;
+  };
+  struct ModelJob {
+    int64_t number = 0;
+    TeamId team;
+    JobSpec spec;
+    std::vector<ModelTask> tasks;
+  };
+  struct ModelWorker {
+    WorkerSpec spec;
+    WorkerAdmission admission = WorkerAdmission::kOpen;
+  };
+
+  // --- What the caller tells the cell.
+  void AddWorker(const WorkerSpec& spec, WorkerAdmission admission);
+  void SetAdmission(const VmId& vm, WorkerAdmission admission);
+  void RemoveWorker(const VmId& vm) { workers_.erase(vm); }
+  void SetZoneInService(const ZoneId& zone, bool in) { in_service_[zone] = in; }
+  void SetTeam(const TeamId& team, const TeamTerms& terms);
+  void AddJob(const JobId& job, const TeamId& team, const JobSpec& spec);
+  void CancelTask(const TaskId& id);
+  void RemoveJob(const JobId& job) { jobs_.erase(job); }
+  // Whether the cell has to accept the commitment.
+  bool MayCommit(const TaskId& id, const VmId& vm) const;
+  void Commit(const TaskId& id, const VmId& vm);
+  void Release(const TaskId& id, bool requeue);
+
+  // Judges and takes in one call's decisions. `cell` is asked only which tasks
+  // wait for a retry, which is its own choice. Returns the first violation.
+  std::optional<std::string> Judge(const std::vector<Decision>& decisions,
+                                   const Cell& cell);
+  // Compares the cell's totals with the model's.
+  std::optional<std::string> Compare(const Cell& cell) const;
+
+  // --- For the choice of the next call.
+  const std::map<JobId, ModelJob>& jobs() const { return jobs_; }
+  const std::map<VmId, ModelWorker>& workers() const { return workers_; }
+  const std::map<TeamId, TeamTerms>& teams() const { return teams_; }
+  bool InService(const ZoneId& zone) const;
+  std::vector<TaskId> Committed() const;
+  Resources UsedOn(const VmId& vm) const;
+  Resources UsedBy(const TeamId& team) const;
+
+ private:
+  using Violation = std::optional<std::string>;
+
+  Violation JudgeStart(const Start& start, const Cell& cell);
+  Violation JudgePreempt(const Preempt& preempt);
+  Violation JudgeSafety(const Start& start, const ModelJob& job) const;
+  Violation JudgeTurn(const JobId& id, const ModelJob& job,
+                      const Cell& cell) const;
+  Violation JudgeWorker(const Start& start, const ModelJob& job) const;
+  Violation JudgeGangs() const;
+  Violation JudgeLeftOvers(const Cell& cell) const;
+
+  bool MayUse(const ModelWorker& worker, const ModelJob& job) const;
+  Resources FreeOn(const VmId& vm) const;
+  int32_t Waiting(const JobId& id, const ModelJob& job, const Cell& cell) const;
+  bool CouldStart(const JobId& id, const ModelJob& job, const Cell& cell) const;
+  double Key(const TeamId& team) const;
+  int64_t CountIn(const ModelJob& job, const ZoneId* zone,
+                  const RackId* rack) const;
+
+  bool judge_preference_;
+  int64_t last_number_ = 0;
+  std::map<VmId, ModelWorker> workers_;
+  std::map<ZoneId, bool> in_service_;
+  std::map<TeamId, TeamTerms> teams_;
+  std::map<JobId, ModelJob> jobs_;
+  std::optional<JobId> gang_;  // Being started by the decisions judged now.
+  int32_t gang_left_ = 0;      // Its tasks yet to come.
+};
+
+}  // namespace azurepass::placement::testing
+
+#endif  // AZUREPASS_PLACEMENT_TESTING_ORACLE_H_
--- /dev/null
+++ b/azurepass/placement/testing/trial.h
@@ -0,0 +1,80 @@
+// Runs a sequence of calls against a Cell and the Oracle side by side. A call
+// is four small numbers, so that sequences can be enumerated, drawn at random
+// and shrunk; numbers beyond what there is wrap around.
+
+#ifndef AZUREPASS_PLACEMENT_TESTING_TRIAL_H_
+#define AZUREPASS_PLACEMENT_TESTING_TRIAL_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "azurepass/placement/testing/oracle.h"
+
+namespace azurepass::placement::testing {
+
+enum class CallKind : uint8_t {
+  kAddJob,
+  kDecide,
+  kEnd,
+  kZone,
+  kAdmission,
+  kAllowance,
+  kCancel,
+  kRecover,
+  kResize,
+  kRemove,
+};
+inline constexpr int kCallKinds = 10;
+
+struct Call {
+  CallKind kind = CallKind::kDecide;
+  uint32_t a = 0;
+  uint32_t b = 0;
+  uint32_t c = 0;
+};
+std::string ToString(const Call& call);
+
+struct TrialOptions {
+  int zones = 2;
+  int racks = 2;    // In each zone.
+  int workers = 2;  // In each rack.
+  int teams = 3;
+  uint32_t max_tasks = 6;  // Of a job.
+  bool judge_preference = true;
+  bool urgent = true;  // Some jobs are.
+};
+
+class Trial {
+ public:
+  explicit Trial(const TrialOptions& options);
+
+  // Returns what was violated, if anything.
+  std::optional<std::string> Run(const std::vector<Call>& calls);
+
+ private:
+  std::optional<std::string> Apply(const Call& call);
+  void AddJob(const Call& call);
+  std::optional<std::string> Decide(const Call& call);
+  void End(const Call& call);
+  void SetZone(const Call& call);
+  void SetAdmission(const Call& call);
+  void SetAllowance(const Call& call);
+  void Cancel(const Call& call);
+  std::optional<std::string> Recover(const Call& call);
+  void Resize(const Call& call);
+  void Remove(const Call& call);
+  std::optional<TaskId> PickTask(uint32_t number) const;
+  VmId PickWorker(uint32_t number) const;
+
+  TrialOptions options_;
+  Cell cell_;
+  Oracle oracle_;
+  MonotonicTime now_;
+  int jobs_ = 0;
+};
+
+}  // namespace azurepass::placement::testing
+
+#endif  // AZUREPASS_PLACEMENT_TESTING_TRIAL_H_
