--- a/azurepass/partition/owner.cc
+++ b/azurepass/partition/owner.cc
@@ -241,11 +241,10 @@
     terms.zones = contract->second.zones;
     auto allowance = surroundings_.allowances.find(team);
     // Until the allowance is known nothing is started and nothing is stopped.
-    terms.allowance =
-        Resources::Min(contract->second.upper_limit,
-                       allowance == surroundings_.allowances.end()
-                           ? cell_.CommittedOf(team)
-                           : allowance->second);
+    terms.allowance = Resources::Min(contract->second.upper_limit,
+                                     allowance == surroundings_.allowances.end()
+                                         ? cell_.CommittedOf(team)
+                                         : allowance->second);
   }
   cell_.SetTeam(team, terms);
 }
--- /dev/null
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -0,0 +1,316 @@
+// Carries events to a partition::Owner and its actions to the peers.
+//
+// Freshness. The permission to start ends by itself at a moment on the
+// monotonic clock. A process that was paused past it must not start anything
+// before it has noticed, so each event is preceded by a look at the clock, and
+// a timer looks when no event comes.
+
+#include "azurepass/scheduling/internal/partition_task.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace azurepass::scheduling {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// Whoever asked should find the new owner soon.
+constexpr Duration kAskNewOwnerAfter{200};
+
+Refusal NotOwner() {
+  return Refusal{RefusalCode::kNotOwner, Effect::kNotRun,
+                 "this process does not own the partition", kAskNewOwnerAfter};
+}
+
+// The request may have been recorded before the partition was lost.
+Refusal OwnerLost() {
+  return Refusal{RefusalCode::kNotOwner, Effect::kUnknown,
+                 "the partition moved to another process before the answer",
+                 kAskNewOwnerAfter};
+}
+
+Duration Until(MonotonicTime when, MonotonicTime now) {
+  // Rounded up, so that a timer never fires before its time.
+  return std::max(Duration(0), std::chrono::ceil<Duration>(when - now));
+}
+
+// The response types of a partition are a part of those between processes.
+entry::Response Widen(partition::JobResponse response) {
+  return std::visit(
+      [](auto& alternative) { return entry::Response(std::move(alternative)); },
+      response);
+}
+
+}  // namespace
+
+PartitionTask::PartitionTask(task::Loop& loop, PartitionTaskOptions options,
+                             PartitionTaskPeers peers)
+    : options_(std::move(options)),
+      peers_(std::move(peers)),
+      mailbox_(loop, [this](Inbox inbox) { Handle(std::move(inbox)); }),
+      wake_(loop),
+      freshness_timer_(loop),
+      status_timer_(loop),
+      loop_(loop) {
+  status_timer_.Every(options_.status_interval, [this] { SendStatus(); });
+}
+
+task::Address<PartitionTask::Command> PartitionTask::address() const {
+  return mailbox_.address();
+}
+
+void PartitionTask::Handle(Inbox inbox) {
+  std::visit(Visitor{
+                 [this](Command& command) { OnCommand(command); },
+                 [this](ForOwner& event) {
+                   if (event.epoch == epoch_) Feed(std::move(event.event));
+                 },
+                 [this](endpoint::Update& update) { OnWorker(update); },
+                 [this](const escrow::Granted& granted) { OnGranted(granted); },
+             },
+             inbox);
+}
+
+void PartitionTask::OnCommand(Command& command) {
+  std::visit(Visitor{
+                 [this](const Hold& hold) { OnHold(hold); },
+                 [this](const Release&) { Feed(partition::ReleaseWanted{}); },
+                 [this](const Lose&) { Feed(partition::ClaimLost{}); },
+                 [this](JobReceived& job) { OnJob(job); },
+                 [this](configuration::Update& update) {
+                   const bool changed =
+                       !configuration_ ||
+                       configuration_->configuration != update.configuration;
+                   configuration_ = std::move(update);
+                   if (changed) TellConfiguration();
+                   if (owner_) TellFreshness(Clock::now());
+                 },
+                 [this](vmlist::Snapshot& snapshot) {
+                   vms_ = std::move(snapshot);
+                   Feed(partition::VmListChanged{vms_->vms});
+                 },
+             },
+             command);
+}
+
+void PartitionTask::OnHold(const Hold& hold) {
+  DropOwner();
+  epoch_ = hold.epoch;
+  told_may_start_ = false;
+  obeyed_grant_ = 0;
+  const task::Address<Inbox> inbox = mailbox_.address();
+  const Epoch epoch = epoch_;
+  writer_ = std::make_unique<journal::Writer>(
+      loop_, options_.partition.id, peers_.store,
+      inbox.Map<partition::Event>([epoch](partition::Event event) {
+        return Inbox(ForOwner{epoch, std::move(event)});
+      }));
+  owner_.emplace(options_.owner, options_.partition.id,
+                 options_.partition.workers, options_.nonce);
+  peers_.broker.Send(escrow::Adopt{options_.partition.id, inbox});
+  if (vms_) Feed(partition::VmListChanged{vms_->vms});
+  TellConfiguration();
+  Feed(partition::ClaimWon{epoch_, std::chrono::system_clock::now()});
+}
+
+void PartitionTask::OnJob(JobReceived& job) {
+  if (!owner_) {
+    job.responder.Answer(NotOwner());
+    return;
+  }
+  const partition::RequestToken token{next_token_++};
+  open_requests_[token] = job.responder;
+  Feed(partition::RequestReceived{token, std::move(job.request), job.deadline});
+}
+
+void PartitionTask::OnWorker(endpoint::Update& update) {
+  std::visit(
+      Visitor{
+          [this](endpoint::SessionOpened& u) {
+            Feed(partition::WorkerSessionOpened{u.vm, u.epoch,
+                                                std::move(u.running)});
+          },
+          [this](endpoint::Events& u) {
+            Feed(partition::WorkerReported{u.vm, u.epoch, std::move(u.events),
+                                           std::move(u.usage)});
+          },
+          [this](const endpoint::Fenced& u) {
+            if (u.epoch == epoch_) {
+              Feed(partition::WorkerFenced{u.vm, u.theirs});
+            }
+          },
+          [this](const endpoint::Unreachable& u) {
+            Feed(partition::WorkerUnreachable{u.vm, u.epoch, u.lease_until});
+          },
+          [this](endpoint::Reachable& u) {
+            Feed(partition::WorkerSessionOpened{u.vm, u.epoch,
+                                                std::move(u.running)});
+          },
+      },
+      update);
+}
+
+void PartitionTask::OnGranted(const escrow::Granted& granted) {
+  if (!owner_) return;
+  obeyed_grant_ = granted.sequence;
+  allowances_ = granted.allowances;
+  partition::Allowances bounds;
+  std::map<TeamId, Resources> committed;
+  for (auto& [team, amount] : owner_->status().committed) {
+    committed[team] = amount;
+  }
+  for (const auto& [team, allowance] : allowances_) {
+    bounds[team] = escrow::BoundOf(allowance, committed[team]);
+  }
+  Feed(partition::AllowancesChanged{std::move(bounds)});
+  ReportDemand(partition::ReportDemand{demands_});
+}
+
+void PartitionTask::Feed(partition::Event event) {
+  if (!owner_) return;
+  const MonotonicTime now = Clock::now();
+  TellFreshness(now);
+  if (!owner_) return;
+  PerformAll(owner_->Handle(std::move(event), now));
+}
+
+void PartitionTask::TellFreshness(MonotonicTime now) {
+  const bool may_start = configuration_ && configuration_->MayStart(now);
+  if (may_start) {
+    freshness_timer_.After(Until(configuration_->valid_until, now),
+                           [this] { Feed(partition::Tick{}); });
+  }
+  if (may_start == told_may_start_) return;
+  told_may_start_ = may_start;
+  PerformAll(owner_->Handle(partition::FreshnessChanged{may_start}, now));
+}
+
+void PartitionTask::TellConfiguration() {
+  if (!owner_ || !configuration_ || !configuration_->configuration) return;
+  Feed(partition::ConfigurationChanged{configuration_->configuration});
+  ReportDemand(partition::ReportDemand{demands_});
+}
+
+void PartitionTask::PerformAll(std::vector<partition::Action> actions) {
+  for (partition::Action& action : actions) Perform(action);
+}
+
+void PartitionTask::Perform(partition::Action& action) {
+  const task::Address<Inbox> inbox = mailbox_.address();
+  std::visit(
+      Visitor{
+          [this](partition::LoadJournal& a) { writer_->address().Send(a); },
+          [this](partition::AppendBatch& a) {
+            writer_->address().Send(std::move(a));
+          },
+          [this](partition::ReadBack& a) { writer_->address().Send(a); },
+          [this](partition::WriteSnapshot& a) {
+            writer_->address().Send(std::move(a));
+          },
+          [&](partition::OpenSession& a) {
+            peers_.workers.Send(
+                endpoint::Open{std::move(a.worker), a.epoch, inbox});
+          },
+          [this](partition::CloseSession& a) {
+            peers_.workers.Send(endpoint::Close{a.vm});
+          },
+          [this](partition::SendOrders& a) {
+            peers_.workers.Send(endpoint::Send{a.vm, std::move(a.orders)});
+          },
+          [this](partition::Answer& a) { Answer(a); },
+          [this](partition::ReportDemand& a) {
+            demands_ = std::move(a.demands);
+            ReportDemand(partition::ReportDemand{demands_});
+          },
+          [this](partition::Released&) {
+            const Epoch epoch = epoch_;
+            DropOwner();
+            peers_.manager.Send(HandedOver{options_.partition.id, epoch});
+          },
+          [this](partition::Deposed& a) {
+            LOG(WARNING) << "deposed partition="
+                         << options_.partition.id.value()
+                         << " epoch=" << epoch_.value << " reason=\""
+                         << a.reason << "\"";
+            const Epoch epoch = epoch_;
+            DropOwner();
+            peers_.manager.Send(WasDeposed{options_.partition.id, epoch});
+          },
+          [this](const partition::Wake& a) {
+            wake_.After(Until(a.at, Clock::now()),
+                        [this] { Feed(partition::Tick{}); });
+          },
+          [this](const partition::LogDecision& a) { Log(a); },
+      },
+      action);
+}
+
+void PartitionTask::Log(const partition::LogDecision& decision) const {
+  LOG(INFO) << "decision kind=" << decision.kind
+            << " partition=" << options_.partition.id.value()
+            << " epoch=" << epoch_.value << " task=" << ToString(decision.task)
+            << " attempt=" << decision.attempt << " vm=" << decision.vm.value()
+            << " revision=" << decision.revision.value << " reason=\""
+            << decision.reason << "\"";
+}
+
+void PartitionTask::Answer(partition::Answer& answer) {
+  const auto found = open_requests_.find(answer.token);
+  if (found == open_requests_.end()) return;
+  found->second.Answer(Widen(std::move(answer.response)));
+  open_requests_.erase(found);
+}
+
+void PartitionTask::ReportDemand(const partition::ReportDemand& report) {
+  if (!owner_ || !configuration_ || !configuration_->configuration) return;
+  escrow::Demands demands{options_.partition.id, obeyed_grant_, {}};
+  for (const auto& [team, contract] :
+       configuration_->configuration->contracts) {
+    demands.teams[team].limit = contract.upper_limit;
+  }
+  for (const auto& [team, committed] : owner_->status().committed) {
+    demands.teams[team].need = {committed, committed};
+  }
+  for (const partition::AllowanceDemand& demand : report.demands) {
+    Resources& wanted = demands.teams[demand.team].need.wanted;
+    wanted = Resources::Max(wanted, demand.wanted);
+  }
+  for (auto& [team, demand] : demands.teams) {
+    demand.bound = escrow::BoundOf(allowances_[team], demand.need.committed);
+  }
+  peers_.broker.Send(std::move(demands));
+}
+
+void PartitionTask::DropOwner() {
+  if (!owner_) return;
+  for (const auto& worker : options_.partition.workers) {
+    peers_.workers.Send(endpoint::Close{worker.vm});
+  }
+  peers_.broker.Send(escrow::Abandon{options_.partition.id});
+  for (auto& [token, responder] : open_requests_) {
+    responder.Answer(OwnerLost());
+  }
+  open_requests_.clear();
+  owner_.reset();
+  writer_.reset();
+  allowances_.clear();
+  demands_.clear();
+  wake_.Cancel();
+  freshness_timer_.Cancel();
+}
+
+void PartitionTask::SendStatus() {
+  StatusNotice notice;
+  if (owner_) {
+    notice.status = owner_->status();
+    notice.owns = owner_->owns();
+  }
+  notice.status.partition = options_.partition.id;
+  peers_.manager.Send(std::move(notice));
+}
+
+}  // namespace azurepass::scheduling
--- /dev/null
+++ b/azurepass/scheduling/manager.cc
@@ -0,0 +1,414 @@
+// Claims, hands over and looks up partitions.
+//
+// A claim is a value in the store that names the holder and its epoch. It is
+// taken by a conditional write of the next epoch, when nobody holds it or the
+// holder's member key is gone. A write whose outcome is unknown is never taken
+// for a success: the next view shows what is there, and if that is us, the
+// claim is simply written again with a higher epoch.
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "azurepass/scheduling/internal/partition_task.h"
+#include "azurepass/scheduling/scheduling.h"
+
+namespace azurepass::scheduling {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr Duration kRetryAfter{200};
+// A held claim is written at most this often, so that a store that refuses
+// everything is not asked in a tight loop.
+constexpr Duration kClaimInterval{200};
+
+// --- What this process has to do with one partition
+
+struct NotHeld {};
+// A conditional write for `epoch` is in flight.
+struct Claiming {
+  Epoch epoch;
+};
+struct Held {
+  Epoch epoch;
+  store::Version version = store::kAbsent;
+};
+// Told to hand over; the claim goes back when that is done.
+struct HandingOver {
+  Epoch epoch;
+  store::Version version = store::kAbsent;
+};
+using Holding = std::variant<NotHeld, Claiming, Held, HandingOver>;
+
+struct ClaimWritten {
+  PartitionId partition;
+  Epoch epoch;
+  store::WriteReply reply;
+};
+using Inbox = std::variant<Message, Notice, ClaimWritten, membership::Left>;
+
+partition::Options OwnerOptions(const settings::CellSettings& cell) {
+  partition::Options options;
+  options.append_spacing = cell.timing.append_spacing;
+  options.snapshot_every = cell.budgets.snapshot_every;
+  options.queue_bound = cell.budgets.queue_bound;
+  options.worker_lease = cell.timing.worker_lease;
+  options.worker_lease_margin = cell.timing.worker_lease_margin;
+  options.kept_after_end = cell.timing.kept_after_end;
+  return options;
+}
+
+}  // namespace
+
+class Manager::Impl {
+ public:
+  Impl(task::Loop& loop, Options options, Peers peers)
+      : options_(std::move(options)),
+        peers_(std::move(peers)),
+        mailbox_(loop, [this](Inbox inbox) { Handle(inbox); }),
+        claim_timer_(loop) {
+    for (const auto& partition : options_.cell.partitions) {
+      AddPartition(loop, partition);
+    }
+    claim_timer_.Every(kClaimInterval, [this] { Reconsider(); });
+  }
+
+  task::Address<Message> address() const { return mailbox_.address(); }
+
+ private:
+  struct Partition {
+    std::unique_ptr<PartitionTask> task;
+    Holding holding;
+    partition::Status status;
+    bool owns = false;
+  };
+
+  void AddPartition(task::Loop& loop,
+                    const settings::PartitionSettings& settings) {
+    PartitionTaskOptions options;
+    options.partition = settings;
+    options.owner = OwnerOptions(options_.cell);
+    options.nonce = options_.nonce;
+    PartitionTaskPeers peers{peers_.store, peers_.workers, peers_.broker,
+                             mailbox_.address()};
+    Partition& partition = partitions_[settings.id];
+    partition.task =
+        std::make_unique<PartitionTask>(loop, std::move(options), peers);
+  }
+
+  void Handle(Inbox& inbox) {
+    std::visit(Visitor{
+                   [this](Message& message) { OnMessage(message); },
+                   [this](const Notice& notice) { OnNotice(notice); },
+                   [this](const ClaimWritten& w) { OnClaimWritten(w); },
+                   [this](const membership::Left&) {
+                     if (shutdown_) shutdown_->done.Send(ShutdownDone{});
+                   },
+               },
+               inbox);
+  }
+
+  void OnMessage(Message& message) {
+    std::visit(Visitor{
+                   [this](membership::View& view) { OnView(view); },
+                   [this](const configuration::Update& update) {
+                     OnConfiguration(update);
+                   },
+                   [this](const vmlist::Update& update) { OnVmList(update); },
+                   [this](entry::Incoming& incoming) { OnIncoming(incoming); },
+                   [this](const Shutdown& shutdown) { OnShutdown(shutdown); },
+               },
+               message);
+  }
+
+  // --- Claims
+
+  void OnView(membership::View& view) {
+    view_ = std::move(view);
+    TellKeeperOfPeers();
+    Reconsider();
+  }
+
+  void Reconsider() {
+    if (!view_.known) return;
+    const std::set<PartitionId> wanted(view_.wanted.begin(),
+                                       view_.wanted.end());
+    for (auto& [id, partition] : partitions_) {
+      Reconsider(id, partition, wanted.contains(id) && !shutdown_);
+    }
+    FinishShutdown();
+  }
+
+  void Reconsider(const PartitionId& id, Partition& partition, bool wanted) {
+    std::visit(
+        Visitor{
+            [&](const NotHeld&) {
+              if (wanted && view_.lease_ok && IsClaimable(id)) {
+                Claim(id, partition);
+              }
+            },
+            [](const Claiming&) {},
+            [&](const Held& held) {
+              if (IsTakenOver(id, held.epoch)) {
+                partition.task->address().Send(Lose{});
+                partition.holding = NotHeld{};
+              } else if (!wanted) {
+                partition.task->address().Send(Release{});
+                partition.holding = HandingOver{held.epoch, held.version};
+              }
+            },
+            [&](const HandingOver& held) {
+              if (IsTakenOver(id, held.epoch)) {
+                partition.task->address().Send(Lose{});
+                partition.holding = NotHeld{};
+              }
+            },
+        },
+        Holding(partition.holding));
+  }
+
+  // Nobody holds it, the holder is gone, or the holder is a former start of
+  // this very process.
+  bool IsClaimable(const PartitionId& id) const {
+    const auto claim = view_.claims.find(id);
+    if (claim == view_.claims.end()) return true;
+    return claim->second.member.empty() || claim->second.address.empty() ||
+           claim->second.member == options_.member;
+  }
+
+  bool IsTakenOver(const PartitionId& id, Epoch epoch) const {
+    const auto claim = view_.claims.find(id);
+    return claim != view_.claims.end() && claim->second.epoch > epoch;
+  }
+
+  void Claim(const PartitionId& id, Partition& partition) {
+    const auto claim = view_.claims.find(id);
+    const bool absent = claim == view_.claims.end();
+    const Epoch epoch{absent ? 1 : claim->second.epoch.value + 1};
+    partition.holding = Claiming{epoch};
+    WriteClaim(id, {id, options_.member, epoch},
+               absent ? store::kAbsent : claim->second.version);
+  }
+
+  void WriteClaim(const PartitionId& id, const membership::ClaimRecord& record,
+                  store::Version expected) {
+    const task::Address<Inbox> inbox = mailbox_.address();
+    store::Put put;
+    put.key = membership::StoreKey(id);
+    put.value = membership::Encode(record);
+    put.expected = expected;
+    put.reply_to = inbox.Map<store::WriteReply>(
+        [id, epoch = record.epoch](store::WriteReply reply) {
+          return Inbox(ClaimWritten{id, epoch, std::move(reply)});
+        });
+    peers_.store.Send(std::move(put));
+  }
+
+  void OnClaimWritten(const ClaimWritten& written) {
+    Partition& partition = partitions_.at(written.partition);
+    const auto* claiming = std::get_if<Claiming>(&partition.holding);
+    if (claiming == nullptr || claiming->epoch != written.epoch) return;
+    const auto* done = std::get_if<store::Written>(&written.reply);
+    if (done == nullptr) {
+      partition.holding = NotHeld{};
+      return;
+    }
+    LOG(INFO) << "claim partition=" << written.partition.value()
+              << " epoch=" << written.epoch.value
+              << " member=" << options_.member.value();
+    partition.holding = Held{written.epoch, done->version};
+    partition.task->address().Send(Hold{written.epoch});
+  }
+
+  // --- Notices of partitions
+
+  void OnNotice(const Notice& notice) {
+    std::visit(Visitor{
+                   [this](const HandedOver& n) { OnHandedOver(n); },
+                   [this](const WasDeposed& n) {
+                     Partition& partition = partitions_.at(n.partition);
+                     if (EpochOf(partition.holding) == n.epoch) {
+                       partition.holding = NotHeld{};
+                     }
+                   },
+                   [this](const StatusNotice& n) {
+                     Partition& partition = partitions_.at(n.status.partition);
+                     partition.status = n.status;
+                     partition.owns = n.owns;
+                     TellMembership();
+                   },
+               },
+               notice);
+    FinishShutdown();
+  }
+
+  void OnHandedOver(const HandedOver& notice) {
+    Partition& partition = partitions_.at(notice.partition);
+    const auto* handing = std::get_if<HandingOver>(&partition.holding);
+    if (handing != nullptr && handing->epoch == notice.epoch) {
+      LOG(INFO) << "handover partition=" << notice.partition.value()
+                << " epoch=" << notice.epoch.value
+                << " member=" << options_.member.value();
+      WriteClaim(notice.partition, {notice.partition, MemberId(), notice.epoch},
+                 handing->version);
+    }
+    partition.holding = NotHeld{};
+  }
+
+  static std::optional<Epoch> EpochOf(const Holding& holding) {
+    return std::visit(
+        Visitor{
+            [](const NotHeld&) -> std::optional<Epoch> { return {}; },
+            [](const auto& held) -> std::optional<Epoch> { return held.epoch; },
+        },
+        holding);
+  }
+
+  // --- News for the other tasks
+
+  void OnConfiguration(const configuration::Update& update) {
+    configuration_ = update;
+    for (auto& [id, partition] : partitions_) {
+      partition.task->address().Send(update);
+    }
+    TellMembership();
+  }
+
+  void OnVmList(const vmlist::Update& update) {
+    const auto* snapshot = std::get_if<vmlist::Snapshot>(&update);
+    if (snapshot == nullptr) return;
+    vms_ = *snapshot;
+    for (auto& [id, partition] : partitions_) {
+      partition.task->address().Send(*snapshot);
+    }
+    TellKeeperOfPeers();
+  }
+
+  void TellMembership() {
+    membership::SelfChanged self;
+    if (configuration_ && configuration_->configuration) {
+      self.revision = configuration_->configuration->revision;
+      self.store_contact_age = configuration_->store_contact_age;
+    }
+    for (const auto& [id, partition] : partitions_) {
+      if (partition.owns) self.owned.push_back(id);
+    }
+    peers_.membership.Send(std::move(self));
+  }
+
+  void TellKeeperOfPeers() {
+    configuration::PeersChanged changed;
+    for (const auto& [id, member] : view_.members) {
+      if (id == options_.member) continue;
+      const bool gone = vms_ && !member.record.vm.empty() &&
+                        !vms_->vms.contains(member.record.vm);
+      changed.peers.push_back({id, member.record.address, gone});
+    }
+    peers_.configuration.Send(std::move(changed));
+  }
+
+  // --- Requests of other processes
+
+  void OnIncoming(entry::Incoming& incoming) {
+    const MonotonicTime deadline = Clock::now() + incoming.time_left;
+    std::visit(Visitor{
+                   [&](entry::Gossip& gossip) {
+                     peers_.membership.Send(membership::GossipReceived{
+                         std::move(gossip), incoming.responder});
+                   },
+                   [&](const entry::PullConfiguration& pull) {
+                     peers_.configuration.Send(
+                         configuration::AnswerPull{pull, incoming.responder});
+                   },
+                   [&](const entry::GetStatus&) {
+                     incoming.responder.Answer(CurrentStatus());
+                   },
+                   [&](partition::SubmitJob& submit) {
+                     const PartitionId id = submit.partition;
+                     Pass(id, std::move(submit), deadline, incoming.responder);
+                   },
+                   [&](auto& about_job) {
+                     const std::optional<PartitionId> id =
+                         PartitionOf(about_job.job);
+                     Pass(id.value_or(PartitionId()), std::move(about_job),
+                          deadline, incoming.responder);
+                   },
+               },
+               incoming.request);
+  }
+
+  void Pass(const PartitionId& id, partition::JobRequest request,
+            MonotonicTime deadline, const entry::Responder& responder) {
+    const auto found = partitions_.find(id);
+    if (found == partitions_.end()) {
+      responder.Answer(Refusal{RefusalCode::kNotFound, Effect::kNotRun,
+                               "no partition has this name", std::nullopt});
+      return;
+    }
+    if (std::holds_alternative<NotHeld>(found->second.holding)) {
+      responder.Answer(Refusal{RefusalCode::kNotOwner, Effect::kNotRun,
+                               "this process does not own the partition",
+                               kRetryAfter});
+      return;
+    }
+    found->second.task->address().Send(
+        JobReceived{std::move(request), deadline, responder});
+  }
+
+  entry::Status CurrentStatus() const {
+    entry::Status status;
+    status.member = options_.member;
+    if (configuration_ && configuration_->configuration) {
+      status.revision = configuration_->configuration->revision;
+    }
+    for (const auto& [id, partition] : partitions_) {
+      if (partition.owns) status.partitions.push_back(partition.status);
+    }
+    return status;
+  }
+
+  // --- Leaving
+
+  void OnShutdown(const Shutdown& shutdown) {
+    shutdown_ = shutdown;
+    peers_.membership.Send(membership::Drain{});
+    Reconsider();
+    FinishShutdown();
+  }
+
+  void FinishShutdown() {
+    if (!shutdown_ || leaving_) return;
+    for (const auto& [id, partition] : partitions_) {
+      if (!std::holds_alternative<NotHeld>(partition.holding)) return;
+    }
+    leaving_ = true;
+    const task::Address<Inbox> inbox = mailbox_.address();
+    peers_.membership.Send(membership::Leave{inbox});
+  }
+
+  const Options options_;
+  const Peers peers_;
+  std::map<PartitionId, Partition> partitions_;
+  membership::View view_;
+  std::optional<configuration::Update> configuration_;
+  std::optional<vmlist::Snapshot> vms_;
+  std::optional<Shutdown> shutdown_;
+  bool leaving_ = false;
+  task::Mailbox<Inbox> mailbox_;
+  task::Timer claim_timer_;
+};
+
+Manager::Manager(task::Loop& loop, Options options, Peers peers)
+    : impl_(
+          std::make_shared<Impl>(loop, std::move(options), std::move(peers))) {}
+
+Manager::~Manager() = default;
+
+task::Address<Message> Manager::address() const { return impl_->address(); }
+
+}  // namespace azurepass::scheduling
--- /dev/null
+++ b/azurepass/testing/system/process.h
@@ -0,0 +1,43 @@
+// A child process of a system test: started, signalled by its id, and always
+// ended with the object. Tests start processes; azurepass itself never does.
+
+#ifndef AZUREPASS_TESTING_SYSTEM_PROCESS_H_
+#define AZUREPASS_TESTING_SYSTEM_PROCESS_H_
+
+#include <gio/gio.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "azurepass/core/core.h"
+
+namespace azurepass::testing {
+
+class Process {
+ public:
+  // Starts the program; its standard error goes to `log_file`.
+  Process(const std::vector<std::string>& arguments,
+          const std::string& log_file);
+  // Kills it, if it still runs, and waits for it.
+  ~Process();
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  // Reads the first line of standard output, "listening NAME=ADDRESS ...", into
+  // a map. Blocks until the line or the end of the output; empty then.
+  std::map<std::string, std::string> ReadAnnouncement();
+
+  void Signal(int signal);
+  // Waits for the end and returns the exit code, or -1 after a signal.
+  int Wait();
+  bool running() const;
+
+ private:
+  GSubprocess* process_ = nullptr;
+  GDataInputStream* output_ = nullptr;
+};
+
+}  // namespace azurepass::testing
+
+#endif  // AZUREPASS_TESTING_SYSTEM_PROCESS_H_
