Relay: a task for two tasks that need each other's address

Cause: the entry server, the member list and the manager form a cycle of addresses, and dependencies come through constructors. Change: task::Relay keeps messages until its receiver is connected. Ruled out: setters on the tasks (half-built objects); a global registry. Conclusion: task_test passes with the new case.

--- a/azurepass/task/task.h
+++ b/azurepass/task/task.h
@@ -34,6 +34,8 @@
 #include <thread>
 #include <type_traits>
 #include <utility>
+#include <variant>
+#include <vector>
 
 #include "azurepass/core/core.h"
 
@@ -146,6 +148,52 @@
   std::shared_ptr<std::function<void(T)>> handler_;
 };
 
+// A task that passes messages on to an address that is known only later, for
+// two tasks of which each needs the other's address. What comes before Connect
+// is kept.
+template <class T>
+class Relay {
+ public:
+  explicit Relay(Loop& loop)
+      : mailbox_(loop, [this](Inbox inbox) { Handle(std::move(inbox)); }) {}
+
+  Address<T> address() const { return mailbox_.address(); }
+  // The first receiver counts.
+  void Connect(Address<T> receiver) {
+    mailbox_.address().Send(Inbox(Receiver{std::move(receiver)}));
+  }
+
+ private:
+  struct Receiver {
+    Address<T> address;
+  };
+  using Inbox = std::variant<T, Receiver>;
+
+  void Handle(Inbox inbox) {
+    std::visit(Visitor{
+                   [this](T& message) { Pass(std::move(message)); },
+                   [this](Receiver& receiver) { Open(receiver.address); },
+               },
+               inbox);
+  }
+  void Pass(T message) {
+    if (receiver_) {
+      receiver_.Send(std::move(message));
+    } else {
+      kept_.push_back(std::move(message));
+    }
+  }
+  void Open(const Address<T>& receiver) {
+    if (receiver_) return;
+    receiver_ = receiver;
+    for (T& message : std::exchange(kept_, {})) Pass(std::move(message));
+  }
+
+  Address<T> receiver_;
+  std::vector<T> kept_;
+  Mailbox<Inbox> mailbox_;
+};
+
 // Calls back on its loop after a delay, once or again and again. Belongs to
 // the task that holds it; destroying or cancelling it stops the calls.
 class Timer {
--- a/azurepass/task/task_test.cc
+++ b/azurepass/task/task_test.cc
@@ -89,6 +89,26 @@
   loop.Stop();
 }
 
+TEST_CASE("a relay keeps what comes before its receiver, in order") {
+  Loop loop;
+  Recorder recorder(loop);
+  Relay<Add> relay(loop);
+  relay.address().Send(Add{1});
+  relay.address().Send(Add{2});
+  relay.Connect(recorder.address());
+  relay.address().Send(Add{3});
+  loop.Start();
+  Address<Report> reports = recorder.address();
+  std::vector<int> seen;
+  while (seen.size() < 3) {
+    auto [address, result] = Expect<std::vector<int>>();
+    reports.Send(Report{address});
+    seen = result.get();
+  }
+  CHECK(seen == std::vector<int>{1, 2, 3});
+  loop.Stop();
+}
+
 TEST_CASE("a timer fires, repeats, and can be set again from its callback") {
   Loop loop;
   Timer once(loop);
