Set down the headers of configuration and membership

The daemons are written against these messages, so they come before the code behind them. A verdict on freshness carries the time until which it holds: a process that was paused must not rely on one that it has not yet replaced. ConfigurationPulled gains who answers, whether it is in contact with the store, and the revision since which it is complete, so that peers exchange deltas without keeping a history: records carry the revision that wrote them.

No code yet; built, nothing measured.

--- /dev/null
+++ b/azurepass/configuration/configuration.h
@@ -0,0 +1,262 @@
+// The operators' configuration as one process holds it, and whether it may
+// rely on it. Three layers, from pure to running:
+//
+//   Register   applies what the store or a peer says; never goes back.
+//   Freshness  decides whether the revision held is certainly current.
+//   Keeper     the task: watches the store, asks peers, tells subscribers.
+//
+// Usage:
+//
+//   configuration::Keeper keeper(loop, options, store.address(),
+//                                client.address());
+//   keeper.address().Send(Subscribe{mailbox.address()});    // -> Updates
+//   keeper.address().Send(PeersChanged{...});               // From membership.
+//   keeper.address().Send(AnswerPull{request, responder});  // From entry.
+//
+// A subscriber keeps the latest Update and asks Update::MayStart(now) at each
+// start. The permission ends by itself at `valid_until`, also in a process
+// that was paused and has not yet handled any message since.
+//
+// Why a verdict is safe. Every confirmation is counted from the moment at
+// which the request that brought it was sent, on this process's monotonic
+// clock: whatever happened to the answer on its way (a slow store, a paused
+// peer, a paused reader), the confirmed state is at least as new as that. A
+// peer's answer carries the age of its own contact, counted in the same way,
+// and the ages add up. Pushed gossip has no such bound and confirms nothing.
+
+#ifndef AZUREPASS_CONFIGURATION_CONFIGURATION_H_
+#define AZUREPASS_CONFIGURATION_CONFIGURATION_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "azurepass/core/core.h"
+#include "azurepass/entry/entry.h"
+#include "azurepass/store/store.h"
+#include "azurepass/task/task.h"
+
+namespace azurepass::configuration {
+
+// ---------------------------------------------------------------------------
+// Keys in the store
+
+inline constexpr std::string_view kPrefix = "config/";
+
+// "config/contracts/TEAM", "config/keys/ID" and "config/zones/ZONE". The value
+// is the record's JSON; the version inside it is ignored, the store's counts.
+std::string StoreKey(const TeamId& team);
+std::string StoreKey(const KeyId& key);
+std::string StoreKey(const ZoneId& zone);
+
+// ---------------------------------------------------------------------------
+// Keys of callers
+
+// SHA-256 of a secret, in lower-case hexadecimal.
+std::string HashSecret(std::string_view secret);
+
+// The record of the key whose secret was presented; empty when there is none
+// or it is withdrawn.
+std::optional<KeyRecord> FindKey(const Configuration& configuration,
+                                 std::string_view secret);
+
+// ---------------------------------------------------------------------------
+// Register
+
+// The configuration held. Invariant: the revision only grows, and no record
+// is replaced by one of a lower version.
+class Register {
+ public:
+  Register();
+
+  // Takes in the whole of what is below kPrefix. `listing.revision` is that of
+  // the first page when there were several. Returns whether anything changed.
+  bool Replace(const store::Listing& listing);
+  // Takes in changes after revision cursor(). Returns whether anything changed.
+  bool Apply(const store::Changes& changes);
+  // Takes in a peer's answer to PullConfiguration{revision()}.
+  bool Adopt(const entry::ConfigurationPulled& pulled);
+
+  // Answers a peer that holds `after`: only what changed since when that is
+  // exact, the whole otherwise.
+  entry::ConfigurationPulled Since(Revision after) const;
+
+  std::shared_ptr<const Configuration> configuration() const {
+    return configuration_;
+  }
+  // Of the newest change taken in; kept in the configuration too.
+  Revision revision() const { return configuration_->revision; }
+  // All changes up to here are taken in; watch after it.
+  Revision cursor() const { return cursor_; }
+  // Values that could not be read; the record before stays in force.
+  int64_t unreadable() const { return unreadable_; }
+
+ private:
+  std::shared_ptr<const Configuration> configuration_;
+  Revision cursor_;
+  Revision last_removal_;  // No record was removed after it.
+  int64_t unreadable_ = 0;
+};
+
+// ---------------------------------------------------------------------------
+// Freshness
+
+// The store confirmed the revision held, `age` ago.
+struct Confirmed {
+  Duration age{0};
+};
+// A peer in contact with the store holds nothing newer.
+struct ConfirmedByPeer {
+  Duration age{0};
+  MemberId peer;
+};
+// Every other member answered that it has no contact either, or is gone: nobody
+// can have accepted a change. `age` is that of the oldest answer.
+struct OutageEvident {
+  Duration age{0};
+  int64_t witnesses = 0;
+};
+// None of these: changes may be in force that are not known here.
+struct Stale {
+  std::string reason;  // For a refusal's sentence.
+};
+using Verdict = std::variant<Confirmed, ConfirmedByPeer, OutageEvident, Stale>;
+
+bool MayStart(const Verdict& verdict);
+std::string ToString(const Verdict& verdict);
+
+// What another member answered to a pull.
+struct PeerAnswer {
+  MemberId member;
+  Revision revision;
+  Duration store_contact_age{0};  // As it said.
+  bool in_contact = false;        // Its latest request to the store succeeded.
+};
+
+// Another member, as the member list and the VM list show it.
+struct Peer {
+  MemberId member;
+  std::string address;  // "IP:PORT" of its entry server.
+  bool gone = false;    // Its VM is missing from the VM list.
+};
+
+// The rule of freshness; pure. Times are this process's monotonic ones.
+class Freshness {
+ public:
+  explicit Freshness(Duration max_age) : max_age_(max_age) {}
+
+  // The store answered a request sent at `sent`, and the answer is taken in.
+  void OnStoreConfirmed(MonotonicTime sent);
+  // A request to the store failed.
+  void OnStoreFailed();
+  // A peer answered a pull sent at `sent`.
+  void OnPeerAnswered(const PeerAnswer& answer, MonotonicTime sent);
+  // The other members; `peers` is complete as of some contact with the store.
+  void SetPeers(std::vector<Peer> peers);
+  // A change of this revision is known to be accepted.
+  void OnAccepted(Revision revision);
+
+  struct Decision {
+    Verdict verdict;
+    MonotonicTime valid_until;  // Without further events; past when stale.
+  };
+  // Whether `held` is current at `now`.
+  Decision Decide(Revision held, MonotonicTime now) const;
+
+  // Whether the store's latest answer is good and recent.
+  bool in_contact(MonotonicTime now) const;
+  // Since the store last confirmed; Duration::max() when it never did.
+  Duration store_contact_age(MonotonicTime now) const;
+
+ private:
+  struct Witness {
+    MonotonicTime sent;
+    Revision revision;
+    bool in_contact = false;
+    MonotonicTime contact;  // Of the peer with the store, at the latest.
+  };
+  Decision DecideByPeers(Revision held, MonotonicTime now) const;
+  Decision DecideByOutage(Revision held, MonotonicTime now) const;
+
+  Duration max_age_;
+  std::optional<MonotonicTime> confirmed_at_;
+  bool last_request_failed_ = false;
+  Revision accepted_;  // The newest change known to be accepted.
+  std::optional<std::vector<Peer>> peers_;  // Empty until known.
+  std::map<MemberId, Witness> witnesses_;   // The newest answer of each.
+};
+
+// ---------------------------------------------------------------------------
+// Keeper
+
+inline constexpr Duration kMaxAge{3'000};
+
+struct Options {
+  MemberId member;              // This process.
+  Duration max_age = kMaxAge;   // Of a confirmation that permits starts.
+  Duration watch_wait{500};     // One held request; well below max_age.
+  Duration peer_interval{500};  // Between rounds of asking peers.
+  Duration peer_timeout{1'000};
+  Duration min_backoff{100};  // After a failed request, jittered.
+  Duration max_backoff{1'000};
+  int64_t peer_fanout = 3;       // Peers asked for a confirmation.
+  int64_t max_witnesses = 64;    // Peers asked for evidence of an outage.
+  int64_t page_entries = 1'000;  // Of a listing.
+  uint64_t seed = 1;             // Of jitter and of the choice of peers.
+};
+
+// What subscribers get, first when they subscribe and then on each change of
+// the configuration, the verdict or valid_until.
+struct Update {
+  std::shared_ptr<const Configuration> configuration;
+  Verdict verdict;
+  MonotonicTime valid_until;      // The verdict holds no longer than this.
+  Duration store_contact_age{0};  // Duration::max(): never.
+
+  bool MayStart(MonotonicTime now) const {
+    return configuration::MayStart(verdict) && now < valid_until;
+  }
+};
+
+struct Subscribe {
+  task::Address<Update> subscriber;
+};
+// All other members, read from the store at least once.
+struct PeersChanged {
+  std::vector<Peer> peers;
+};
+// A peer asks.
+struct AnswerPull {
+  entry::PullConfiguration request;
+  entry::Responder responder;
+};
+// The store accepted a change that this process wrote.
+struct ChangeAccepted {
+  Revision revision;
+};
+using Message =
+    std::variant<Subscribe, PeersChanged, AnswerPull, ChangeAccepted>;
+
+class Keeper {
+ public:
+  Keeper(task::Loop& loop, Options options, task::Address<store::Request> store,
+         task::Address<entry::Call> peers);
+  ~Keeper();
+  Keeper(const Keeper&) = delete;
+  Keeper& operator=(const Keeper&) = delete;
+
+  task::Address<Message> address() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace azurepass::configuration
+
+#endif  // AZUREPASS_CONFIGURATION_CONFIGURATION_H_
--- a/azurepass/entry/entry.h
+++ b/azurepass/entry/entry.h
@@ -57,10 +57,15 @@
   Revision revision;
   std::vector<partition::Status> partitions;
 };
-// The whole of the configuration when the peer's history does not reach back.
+// The configuration of the peer. With `since`, which is then the revision asked
+// for, only the records that were written after it, and none was removed;
+// without, the whole.
 struct ConfigurationPulled {
+  MemberId member;  // Who answers.
   Configuration configuration;
-  Duration store_contact_age{0};
+  std::optional<Revision> since;
+  Duration store_contact_age{0};  // Duration::max(): never confirmed.
+  bool in_contact = false;  // The peer's latest request to the store succeeded.
 };
 using Response = std::variant<JobView, placement::Explanation, Status, Gossip,
                               ConfigurationPulled, Refusal>;
--- /dev/null
+++ b/azurepass/membership/membership.h
@@ -0,0 +1,210 @@
+// Which processes of ours there are, who owns which partition, and which
+// partitions this one should own. Three sources, none of which is a
+// coordination service of our own:
+//
+//   * the store: a key for each member on the member's lease, a key for each
+//     claim; the list of members that counts for ownership;
+//   * gossip: heartbeats with a fixed fan-out, for what changes too often or
+//     matters too little for the store (revision, contact age, owned);
+//   * the local monotonic clock: a member not heard of for long is suspected.
+//
+// Usage:
+//
+//   membership::Agent agent(loop, options, self, partitions,
+//                           store.address(), client.address());
+//   agent.address().Send(Subscribe{mailbox.address()});      // -> Views
+//   agent.address().Send(GossipReceived{gossip, responder}); // From entry.
+//   agent.address().Send(SelfChanged{...});                  // What to tell.
+//   agent.address().Send(Drain{});                           // Leaving soon.
+//   agent.address().Send(Leave{done});                       // Leaving now.
+//
+// Safety does not hang on anything here: the journal fences owners. The lease
+// only says when somebody else may try.
+
+#ifndef AZUREPASS_MEMBERSHIP_MEMBERSHIP_H_
+#define AZUREPASS_MEMBERSHIP_MEMBERSHIP_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "azurepass/core/core.h"
+#include "azurepass/entry/entry.h"
+#include "azurepass/store/store.h"
+#include "azurepass/task/task.h"
+
+namespace azurepass::membership {
+
+// ---------------------------------------------------------------------------
+// What the store holds
+
+inline constexpr std::string_view kPrefix = "cluster/";
+
+enum class Role { kFrontend, kScheduler };
+
+// "cluster/members/MEMBER", on the member's lease.
+struct MemberRecord {
+  MemberId member;
+  std::string address;      // "IP:PORT" of its entry server.
+  int64_t incarnation = 0;  // Grows with every start of the process.
+  Role role = Role::kScheduler;
+  ZoneId zone;
+  VmId vm;               // Of the entry VM, as the VM list names it.
+  bool leaving = false;  // Should hold no partition any more.
+  bool operator==(const MemberRecord&) const = default;
+};
+
+// "cluster/claims/PARTITION", without a lease. Taken over by a conditional
+// write of the next epoch once the holder's member key is gone.
+struct ClaimRecord {
+  PartitionId partition;
+  MemberId member;  // Empty: given back.
+  Epoch epoch;
+  bool operator==(const ClaimRecord&) const = default;
+};
+
+std::string StoreKey(const MemberId& member);
+std::string StoreKey(const PartitionId& partition);
+std::string Encode(const MemberRecord& record);
+std::string Encode(const ClaimRecord& record);
+// Empty when the text is not such a record.
+std::optional<MemberRecord> DecodeMember(std::string_view text);
+std::optional<ClaimRecord> DecodeClaim(std::string_view text);
+
+// ---------------------------------------------------------------------------
+// Pure parts
+
+// What is heard of the members, and how long ago.
+class Table {
+ public:
+  explicit Table(entry::MemberNews self);
+
+  // Takes in news; a higher (incarnation, heartbeat) wins. News of this member
+  // itself is ignored.
+  void Merge(const std::vector<entry::MemberNews>& news, MonotonicTime now);
+  // Raises this member's heartbeat and replaces what it says of itself.
+  void Beat(Revision revision, Duration store_contact_age,
+            std::vector<PartitionId> owned);
+  // Drops a member.
+  void Forget(const MemberId& member);
+
+  // News of this member and of at most `bound` - 1 others: those heard of most
+  // recently, with ties broken by `random`.
+  std::vector<entry::MemberNews> NewsToSend(int64_t bound, uint64_t random,
+                                            MonotonicTime now) const;
+
+  // Time since the member's heartbeat last grew; empty when never heard of.
+  std::optional<Duration> SilenceOf(const MemberId& member,
+                                    MonotonicTime now) const;
+  const entry::MemberNews* Find(const MemberId& member) const;
+
+ private:
+  struct Heard {
+    entry::MemberNews news;
+    MonotonicTime at;
+  };
+  entry::MemberNews self_;
+  std::map<MemberId, Heard> heard_;  // Never holds self_.
+};
+
+// Picks `fanout` different ones of `candidates`; the random bits decide.
+std::vector<MemberId> ChooseGossipPeers(std::vector<MemberId> candidates,
+                                        int64_t fanout, uint64_t random);
+
+// Rendezvous hashing with bounded load: each partition goes to the member with
+// the highest hash of the pair that still has room, and no member holds more
+// than one partition above any other. A pure function of two sets: all who see
+// the same ones agree.
+std::map<PartitionId, MemberId> Assign(std::vector<PartitionId> partitions,
+                                       std::vector<MemberId> members);
+
+// ---------------------------------------------------------------------------
+// The agent
+
+struct Options {
+  Duration lease_ttl{3'000};
+  Duration watch_wait{1'000};
+  Duration gossip_interval{1'000};
+  Duration gossip_timeout{1'000};
+  Duration suspect_after{5'000};  // Of silence.
+  Duration min_backoff{100};      // After a failed request, jittered.
+  Duration max_backoff{1'000};
+  int64_t gossip_fanout = 3;
+  int64_t news_bound = 16;  // Members told of in one message.
+  uint64_t seed = 1;        // Of jitter and of the choice of peers.
+};
+
+struct Member {
+  MemberRecord record;
+  bool suspected = false;  // Not heard of for suspect_after.
+  std::optional<entry::MemberNews> news;
+};
+
+// Who holds a partition, as the store last showed it.
+struct Claim {
+  MemberId member;      // Empty: nobody.
+  std::string address;  // Empty: the holder's member key is gone.
+  Epoch epoch;
+  store::Version version = store::kAbsent;  // For the conditional write.
+};
+
+// Sent to subscribers when they subscribe and on each change.
+struct View {
+  bool known = false;                  // The store was read at least once.
+  std::map<MemberId, Member> members;  // With a member key; this one included.
+  std::map<PartitionId, Claim> claims;
+  std::vector<PartitionId> wanted;  // Partitions this member should hold.
+  bool lease_ok = false;            // The lease stands as far as is known.
+  // Counted from the send of the last renewal that succeeded: before it the
+  // store cannot have dropped the lease.
+  MonotonicTime lease_valid_until;
+};
+
+struct Subscribe {
+  task::Address<View> subscriber;
+};
+// A peer's exchange.
+struct GossipReceived {
+  entry::Gossip gossip;
+  entry::Responder responder;
+};
+// What this member tells of itself.
+struct SelfChanged {
+  Revision revision;
+  Duration store_contact_age{0};
+  std::vector<PartitionId> owned;
+};
+// Asks others to want what this member holds; the lease stays.
+struct Drain {};
+// Gives the lease back; `done` is told when that was tried.
+struct Left {};
+struct Leave {
+  task::Address<Left> done;
+};
+using Message =
+    std::variant<Subscribe, GossipReceived, SelfChanged, Drain, Leave>;
+
+class Agent {
+ public:
+  Agent(task::Loop& loop, Options options, MemberRecord self,
+        std::vector<PartitionId> partitions,
+        task::Address<store::Request> store, task::Address<entry::Call> peers);
+  ~Agent();
+  Agent(const Agent&) = delete;
+  Agent& operator=(const Agent&) = delete;
+
+  task::Address<Message> address() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace azurepass::membership
+
+#endif  // AZUREPASS_MEMBERSHIP_MEMBERSHIP_H_
