entry: calls between our own processes over nghttp2 streams

One connection a pair and one stream a call, so that answers come late and crossed and still meet their request.

Server::Drain takes an address that is told when all is answered; ClientOptions gains max_body_bytes.

--- a/azurepass/entry/entry.h
+++ b/azurepass/entry/entry.h
@@ -6,6 +6,11 @@
 // on and a listener for Incoming messages, and answers each one through its
 // Responder. A process that asks constructs a Client and sends it Calls; every
 // Call is answered exactly once, by the peer or by a Failure.
+//
+// A request's kind is the path of its stream, its content a CBOR body, its
+// remaining time a header. A peer that is not one of ours (garbage, oversized
+// bodies) costs its own connection or stream and nobody else's. Both ends hold
+// a bounded number of streams and of bytes.
 
 #ifndef AZUREPASS_ENTRY_ENTRY_H_
 #define AZUREPASS_ENTRY_ENTRY_H_
@@ -95,6 +100,9 @@
   uint32_t max_streams = 4'096;  // At once on a connection.
 };
 
+// Every request that was taken in is answered and every connection closed.
+struct Drained {};
+
 class Server {
  public:
   Server(task::Loop& loop, ServerOptions options,
@@ -105,8 +113,9 @@
 
   // "IP:PORT" with the port the kernel chose; empty when listening failed.
   std::string listening_on() const;
-  // Refuses new streams and lets the open ones finish.
-  void Drain();
+  // Stops listening, refuses new streams and lets the open ones finish; `done`
+  // is told when the last one has. Callable from any thread.
+  void Drain(task::Address<Drained> done = {});
 
  private:
   class Impl;
@@ -135,6 +144,7 @@
 struct ClientOptions {
   Duration connect_timeout{1'000};
   int64_t max_streams = 4'096;  // In flight to one peer; beyond: kNotSent.
+  int64_t max_body_bytes = 4 << 20;
 };
 
 class Client {
