--- a/azurepass/entry/entry.h
+++ b/azurepass/entry/entry.h
@@ -6,6 +6,11 @@
 // on and a listener for Incoming messages, and answers each one through its
 // Responder. A process that asks constructs a Client and sends it Calls; every
 // Call is answered exactly once, by the peer or by a Failure.
+//
+// A request's kind is the path of its stream, its content a CBOR body, its
+// remaining time a header. A peer that is not one of ours (garbage, oversized
+// bodies) costs its own connection or stream and nobody else's. Both ends hold
+// a bounded number of streams and of bytes.
 
 #ifndef AZUREPASS_ENTRY_ENTRY_H_
 #define AZUREPASS_ENTRY_ENTRY_H_
@@ -57,10 +62,15 @@
   Revision revision;
   std::vector<partition::Status> partitions;
 };
-// The whole of the configuration when the peer's history does not reach back.
+// The configuration of the peer. With `since`, which is then the revision asked
+// for, only the records that were written after it, and none was removed;
+// without, the whole.
 struct ConfigurationPulled {
+  MemberId member;  // Who answers.
   Configuration configuration;
-  Duration store_contact_age{0};
+  std::optional<Revision> since;
+  Duration store_contact_age{0};  // Duration::max(): never confirmed.
+  bool in_contact = false;  // The peer's latest request to the store succeeded.
 };
 using Response = std::variant<JobView, placement::Explanation, Status, Gossip,
                               ConfigurationPulled, Refusal>;
@@ -90,6 +100,9 @@
   uint32_t max_streams = 4'096;  // At once on a connection.
 };
 
+// Every request that was taken in is answered and every connection closed.
+struct Drained {};
+
 class Server {
  public:
   Server(task::Loop& loop, ServerOptions options,
@@ -100,8 +113,9 @@
 
   // "IP:PORT" with the port the kernel chose; empty when listening failed.
   std::string listening_on() const;
-  // Refuses new streams and lets the open ones finish.
-  void Drain();
+  // Stops listening, refuses new streams and lets the open ones finish; `done`
+  // is told when the last one has. Callable from any thread.
+  void Drain(task::Address<Drained> done = {});
 
  private:
   class Impl;
@@ -130,6 +144,7 @@
 struct ClientOptions {
   Duration connect_timeout{1'000};
   int64_t max_streams = 4'096;  // In flight to one peer; beyond: kNotSent.
+  int64_t max_body_bytes = 4 << 20;
 };
 
 class Client {
