--- /dev/null
+++ b/azurepass/caller/caller.h
@@ -0,0 +1,118 @@
+// Callers: who submits jobs, over HTTP and JSON.
+//
+//   POST   /v1/jobs              JobSpec's fields and "request_id".
+//   GET    /v1/jobs/ID           With ?wait=SECONDS held until the job's
+//   version
+//                                is above ?known=VERSION or the job is final.
+//   DELETE /v1/jobs/ID           Cancels.
+//   GET    /v1/jobs/ID/explain   Why it waits or runs where it does.
+//
+// with "Authorization: Bearer KEY". Each request that can be read becomes one
+// Incoming message; all others are refused here. A refusal is JSON: code,
+// effect ("not_run" or "unknown"), message, retry_after_ms, and a Retry-After
+// header where asking again may help. The codes' HTTP statuses are
+// httpserver::StatusOf.
+//
+// Usage: construct a Server with a listener, answer each Incoming through its
+// Responder. An Abandoned tells that nobody waits for that answer any more.
+
+#ifndef AZUREPASS_CALLER_CALLER_H_
+#define AZUREPASS_CALLER_CALLER_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "azurepass/core/core.h"
+#include "azurepass/httpserver/httpserver.h"
+#include "azurepass/metrics/metrics.h"
+#include "azurepass/partition/partition.h"
+#include "azurepass/task/task.h"
+
+namespace azurepass::caller {
+
+inline constexpr size_t kMaxRequestIdChars = 128;  // Printable ASCII.
+inline constexpr std::chrono::seconds kMaxWait{120};
+// Time to answer a request beyond what it asks to be held.
+inline constexpr Duration kAnswerTime{10'000};
+
+struct Submit {
+  RequestId request;
+  JobSpec spec;
+};
+struct Get {
+  JobId job;
+  int64_t known = 0;
+  Duration wait{0};
+};
+struct Cancel {
+  JobId job;
+};
+struct Explain {
+  JobId job;
+};
+using Request = std::variant<Submit, Get, Cancel, Explain>;
+using Response = partition::JobResponse;
+
+// Answers one request. Copyable; the first answer counts.
+class Responder {
+ public:
+  Responder() = default;
+  explicit Responder(task::Address<Response> to) : to_(std::move(to)) {}
+  void Answer(Response response) const { to_.Send(std::move(response)); }
+
+ private:
+  task::Address<Response> to_;
+};
+
+using RequestNumber = httpserver::ExchangeId;
+
+struct Incoming {
+  RequestNumber number;
+  std::string key;  // As presented; never empty.
+  Request request;
+  Duration time_left{0};  // Answer by then.
+  Responder responder;
+};
+struct Abandoned {
+  RequestNumber number;
+};
+using Event = std::variant<Incoming, Abandoned>;
+
+// The listener has left the request: no new ones come after Drained.
+struct Drained {};
+
+// Reads a request; the other side is what to answer at once.
+std::variant<Request, Refusal> Read(const httpserver::Request& http);
+
+// The document of an answer.
+httpserver::Response ToHttp(const Response& response);
+codec::Json ToJson(const placement::Explanation& explanation);
+
+class Server {
+ public:
+  Server(task::Loop& loop, httpserver::Options options,
+         task::Address<Event> listener);
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  // "IP:PORT" with the port the kernel chose; empty when listening failed.
+  std::string listening_on() const;
+
+  // Stops listening and tells `done` once every open request is answered.
+  // Callable from any thread.
+  void Drain(task::Address<Drained> done);
+
+  // Where to ask for this task's metrics.
+  task::Address<metrics::Scrape> metrics() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace azurepass::caller
+
+#endif  // AZUREPASS_CALLER_CALLER_H_
--- a/azurepass/escrow/broker.cc
+++ b/azurepass/escrow/broker.cc
@@ -46,8 +46,7 @@
   static Json Write(const escrow::Book& value) {
     Json lines = Json::array();
     for (const auto& line : value.lines) {
-      lines.push_back(
-          codec::Write(std::pair<PartitionId, escrow::Line>(line)));
+      lines.push_back(codec::Write(std::pair<PartitionId, escrow::Line>(line)));
     }
     return {{"lines", lines}};
   }
@@ -156,11 +155,10 @@
                   const TeamId& team, const Demand& demand) {
     BookState& state = books_[team];
     if (state.busy) return;
-    const bool stale =
-        Clock::now() - state.read_at > options_.refresh_interval;
+    const bool stale = Clock::now() - state.read_at > options_.refresh_interval;
     if (!state.loaded || stale) {
-      const bool needed = demand.need.wanted != Resources() ||
-                          state.book.lines.contains(id);
+      const bool needed =
+          demand.need.wanted != Resources() || state.book.lines.contains(id);
       if (needed || !state.loaded) Read(team, state);
       return;
     }
@@ -176,8 +174,8 @@
     Book settled = Settle(book, demand.limit, id, demand.need);
     const auto before = book.lines.find(id);
     if (before == book.lines.end()) return settled;
-    const Resources floor = Resources::Min(before->second.granted,
-                                           ObeyedBound(partition, team, demand));
+    const Resources floor = Resources::Min(
+        before->second.granted, ObeyedBound(partition, team, demand));
     Line& line = settled.lines[id];
     line.granted = Resources::Max(line.granted, floor);
     if (line.granted == before->second.granted &&
@@ -199,12 +197,11 @@
 
   // A published want is renewed only when it changed by more than a quarter.
   static bool WantMoved(const Resources& before, const Resources& after) {
-    return std::any_of(
-        std::begin(kAllDimensions), std::end(kAllDimensions),
-        [&](Dimension d) {
-          const int64_t change = std::abs(after[d] - before[d]);
-          return change * 4 > std::max(before[d], after[d]);
-        });
+    return std::any_of(std::begin(kAllDimensions), std::end(kAllDimensions),
+                       [&](Dimension d) {
+                         const int64_t change = std::abs(after[d] - before[d]);
+                         return change * 4 > std::max(before[d], after[d]);
+                       });
   }
 
   // Raising a grant is urgent, anything else can wait.
@@ -212,10 +209,9 @@
                 const Book& settled) const {
     const auto before = state.book.lines.find(id);
     const auto after = settled.lines.find(id);
-    const bool raises =
-        after != settled.lines.end() &&
-        (before == state.book.lines.end() ||
-         !after->second.granted.FitsIn(before->second.granted));
+    const bool raises = after != settled.lines.end() &&
+                        (before == state.book.lines.end() ||
+                         !after->second.granted.FitsIn(before->second.granted));
     const Duration interval =
         raises ? options_.raise_interval : options_.give_back_interval;
     return Clock::now() - state.written_at >= interval;
--- a/azurepass/escrow/escrow_test.cc
+++ b/azurepass/escrow/escrow_test.cc
@@ -84,8 +84,8 @@
   const int64_t usable = Usable(party.seen, limit, party.id)[kSlots];
   if (party.committed > usable) party.committed = usable;
   if (random() % 2 == 0 && party.committed < usable) {
-    party.committed += static_cast<int64_t>(random()) %
-                           (usable - party.committed) + 1;
+    party.committed +=
+        static_cast<int64_t>(random()) % (usable - party.committed) + 1;
   } else if (party.committed > 0) {
     party.committed -= static_cast<int64_t>(random()) % (party.committed + 1);
   }
--- /dev/null
+++ b/azurepass/httpserver/httpserver.cc
@@ -0,0 +1,561 @@
+// Requests, one Exchange each, over SoupServer.
+//
+// SoupServer makes a SoupServerMessage as soon as it begins to read from a
+// connection, and again after each answer on a connection that is kept open;
+// so there is one Exchange for each connection at any time, and its state tells
+// what the connection waits for:
+//
+//   kReading    for the client: headers and body. read_timeout runs.
+//   kHandling   for our owner. The message is paused; libsoup does not look at
+//               the socket meanwhile, so a source of ours tells when the client
+//               hangs up. answer_timeout runs.
+//   kWriting    for the client to take the answer. write_timeout runs.
+//
+//   kRefused    for nothing: the connection is about to be taken from libsoup.
+//
+// What libsoup cannot answer, because it does not hold a whole request, is
+// answered by a canned response on the connection, which is taken away from
+// libsoup for that. On headers over 64 KiB libsoup closes without a word; a
+// second handle on the socket, kept while a request is read, lets us answer.
+
+#include "azurepass/httpserver/httpserver.h"
+
+#include <gio/gio.h>
+#include <glog/logging.h>
+#include <libsoup/soup.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "azurepass/httpserver/internal/lingering_close.h"
+
+namespace azurepass::httpserver {
+namespace {
+
+constexpr char kBearerPrefix[] = "Bearer ";
+
+enum class State { kReading, kHandling, kWriting, kRefused };
+
+Method MethodOf(const char* name) {
+  const std::string_view text(name);
+  if (text == "GET") return Method::kGet;
+  if (text == "POST") return Method::kPost;
+  if (text == "PUT") return Method::kPut;
+  if (text == "DELETE") return Method::kDelete;
+  return Method::kOther;
+}
+
+std::vector<std::string> SplitPath(std::string_view path) {
+  std::vector<std::string> segments;
+  while (!path.empty()) {
+    const size_t slash = std::min(path.find('/'), path.size());
+    if (slash > 0) segments.emplace_back(path.substr(0, slash));
+    path.remove_prefix(std::min(slash + 1, path.size()));
+  }
+  return segments;
+}
+
+std::map<std::string, std::string> ReadQuery(GHashTable* table) {
+  std::map<std::string, std::string> query;
+  if (table == nullptr) return query;
+  GHashTableIter iter;
+  gpointer name = nullptr;
+  gpointer value = nullptr;
+  g_hash_table_iter_init(&iter, table);
+  while (g_hash_table_iter_next(&iter, &name, &value) != FALSE) {
+    query[static_cast<const char*>(name)] = static_cast<const char*>(value);
+  }
+  return query;
+}
+
+std::string ReadBearer(SoupServerMessage* message) {
+  SoupMessageHeaders* headers =
+      soup_server_message_get_request_headers(message);
+  const char* value = soup_message_headers_get_one(headers, "Authorization");
+  if (value == nullptr) return "";
+  const std::string_view text(value);
+  if (!text.starts_with(kBearerPrefix)) return "";
+  return std::string(text.substr(sizeof(kBearerPrefix) - 1));
+}
+
+int64_t HeaderBytes(SoupMessageHeaders* headers) {
+  int64_t bytes = 0;
+  SoupMessageHeadersIter iter;
+  const char* name = nullptr;
+  const char* value = nullptr;
+  soup_message_headers_iter_init(&iter, headers);
+  while (soup_message_headers_iter_next(&iter, &name, &value) != FALSE) {
+    bytes += static_cast<int64_t>(std::string_view(name).size() +
+                                  std::string_view(value).size());
+  }
+  return bytes;
+}
+
+std::string RetryAfterSeconds(Duration delay) {
+  const auto whole = std::chrono::ceil<std::chrono::seconds>(delay);
+  return std::to_string(std::max<int64_t>(1, whole.count()));
+}
+
+Response Refuse(int status, RefusalCode code, std::string message) {
+  Response response =
+      ToResponse({code, Effect::kNotRun, std::move(message), std::nullopt});
+  response.status = status;
+  return response;
+}
+
+bool IsNumber(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+    return c >= '0' && c <= '9';
+  });
+}
+
+// A whole response as bytes, for a request that libsoup has not read whole.
+std::string Canned(const Response& response) {
+  const char* reason = soup_status_get_phrase(response.status);
+  return "HTTP/1.1 " + std::to_string(response.status) + " " + reason +
+         "\r\nContent-Type: " + response.content_type +
+         "\r\nContent-Length: " + std::to_string(response.body.size()) +
+         "\r\nConnection: close\r\n\r\n" + response.body;
+}
+
+GSocketAddress* ParseAddress(const std::string& address) {
+  const size_t colon = address.rfind(':');
+  if (colon == std::string::npos) return nullptr;
+  guint port = 0;
+  const char* end = address.data() + address.size();
+  auto [stop, error] = std::from_chars(address.data() + colon + 1, end, port);
+  if (error != std::errc() || stop != end || port > 65'535) return nullptr;
+  return g_inet_socket_address_new_from_string(address.substr(0, colon).c_str(),
+                                               port);
+}
+
+}  // namespace
+
+class Server::Impl {
+ public:
+  Impl(task::Loop& loop, Options options, std::function<void(Event)> handler);
+  ~Impl();
+
+  std::string listening_on() const;
+  void Answer(ExchangeId id, const Response& response);
+  void Drain(std::function<void()> drained);
+  int64_t open_requests() const { return open_requests_; }
+  int64_t connections() const {
+    return static_cast<int64_t>(exchanges_.size());
+  }
+
+ private:
+  struct Exchange {
+    explicit Exchange(task::Loop& loop) : timeout(loop) {}
+    ExchangeId id;
+    State state = State::kReading;
+    SoupServerMessage* message = nullptr;  // Held by a reference.
+    GSocket* second_handle = nullptr;      // In kReading.
+    GSource* hang_up = nullptr;            // In kHandling.
+    gulong disconnected = 0;               // Signal handler of message.
+    bool counted = false;                  // In open_requests_.
+    task::Timer timeout;
+  };
+
+  void Listen(const std::string& address);
+  void OnStarted(SoupServerMessage* message);
+  void OnHeaders(SoupServerMessage* message);
+  void OnRequest(SoupServerMessage* message, const char* path,
+                 GHashTable* query);
+  void OnEnded(SoupServerMessage* message);
+  void OnDisconnected(SoupServerMessage* message);
+  void OnReadTimeout(ExchangeId id);
+  void WatchForHangUp(Exchange& exchange);
+  gboolean OnSocketReadable(ExchangeId id, GSocket* socket);
+  void Abandon(ExchangeId id);
+  void SetResponse(Exchange& exchange, const Response& response);
+  // Ends the connection without a word.
+  void CutOff(Exchange& exchange);
+  // Takes the connection from libsoup and ends it with a response, not before
+  // libsoup has returned.
+  void RefuseLater(Exchange& exchange, Response last_words);
+  void TakeAndRefuse(ExchangeId id, const Response& last_words);
+  void Linger(GSocket* socket, const Response& last_words);
+  void Forget(ExchangeId id);
+  Response HeadersTooLong() const;
+  Exchange* Find(SoupServerMessage* message);
+  Exchange* Find(ExchangeId id);
+  std::optional<Response> Objection(SoupServerMessage* message) const;
+
+  task::Loop& loop_;
+  const Options options_;
+  const std::function<void(Event)> handler_;
+  SoupServer* server_;
+  int64_t last_id_ = 0;
+  int64_t open_requests_ = 0;  // Exchanges not in kReading.
+  bool draining_ = false;
+  std::function<void()> drained_;
+  // The two maps hold the same exchanges.
+  std::map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
+  std::map<SoupServerMessage*, ExchangeId> ids_;
+  int64_t last_linger_ = 0;
+  std::map<int64_t, std::unique_ptr<internal::LingeringClose>> lingering_;
+};
+
+Server::Impl::Impl(task::Loop& loop, Options options,
+                   std::function<void(Event)> handler)
+    : loop_(loop),
+      options_(std::move(options)),
+      handler_(std::move(handler)),
+      server_(soup_server_new("server-header", "azurepass", nullptr)) {
+  g_signal_connect_swapped(
+      server_, "request-started",
+      G_CALLBACK(+[](Impl* self, SoupServerMessage* message, SoupServer*) {
+        self->OnStarted(message);
+      }),
+      this);
+  const auto ended = +[](Impl* self, SoupServerMessage* message, SoupServer*) {
+    self->OnEnded(message);
+  };
+  g_signal_connect_swapped(server_, "request-finished", G_CALLBACK(ended),
+                           this);
+  g_signal_connect_swapped(server_, "request-aborted", G_CALLBACK(ended), this);
+  soup_server_add_early_handler(
+      server_, nullptr,
+      [](SoupServer*, SoupServerMessage* message, const char*, GHashTable*,
+         gpointer self) { static_cast<Impl*>(self)->OnHeaders(message); },
+      this, nullptr);
+  soup_server_add_handler(
+      server_, nullptr,
+      [](SoupServer*, SoupServerMessage* message, const char* path,
+         GHashTable* query, gpointer self) {
+        static_cast<Impl*>(self)->OnRequest(message, path, query);
+      },
+      this, nullptr);
+  Listen(options_.address);
+}
+
+Server::Impl::~Impl() {
+  g_signal_handlers_disconnect_by_data(server_, this);
+  while (!exchanges_.empty()) Forget(exchanges_.begin()->first);
+  soup_server_disconnect(server_);
+  g_object_unref(server_);
+}
+
+void Server::Impl::Listen(const std::string& address) {
+  GSocketAddress* socket_address = ParseAddress(address);
+  if (socket_address == nullptr) {
+    LOG(ERROR) << "event=listen_failed address=" << address
+               << " reason=\"not an IP:PORT\"";
+    return;
+  }
+  // SoupServer listens on the context that is the thread's default.
+  g_main_context_push_thread_default(loop_.context());
+  GError* error = nullptr;
+  if (soup_server_listen(server_, socket_address,
+                         static_cast<SoupServerListenOptions>(0),
+                         &error) == FALSE) {
+    LOG(ERROR) << "event=listen_failed address=" << address << " reason=\""
+               << error->message << "\"";
+    g_clear_error(&error);
+  }
+  g_main_context_pop_thread_default(loop_.context());
+  g_object_unref(socket_address);
+}
+
+std::string Server::Impl::listening_on() const {
+  std::string result;
+  GSList* uris = soup_server_get_uris(server_);
+  if (uris != nullptr) {
+    auto* uri = static_cast<GUri*>(uris->data);
+    result = std::string(g_uri_get_host(uri)) + ":" +
+             std::to_string(g_uri_get_port(uri));
+  }
+  g_slist_free_full(uris, reinterpret_cast<GDestroyNotify>(g_uri_unref));
+  return result;
+}
+
+Server::Impl::Exchange* Server::Impl::Find(ExchangeId id) {
+  auto found = exchanges_.find(id);
+  return found == exchanges_.end() ? nullptr : found->second.get();
+}
+
+Server::Impl::Exchange* Server::Impl::Find(SoupServerMessage* message) {
+  auto found = ids_.find(message);
+  return found == ids_.end() ? nullptr : Find(found->second);
+}
+
+void Server::Impl::OnStarted(SoupServerMessage* message) {
+  auto exchange = std::make_unique<Exchange>(loop_);
+  const ExchangeId id{++last_id_};
+  exchange->id = id;
+  exchange->message = SOUP_SERVER_MESSAGE(g_object_ref(message));
+  exchange->timeout.After(options_.read_timeout,
+                          [this, id] { OnReadTimeout(id); });
+  exchange->disconnected = g_signal_connect_swapped(
+      message, "disconnected",
+      G_CALLBACK(+[](Impl* self, SoupServerMessage* gone) {
+        self->OnDisconnected(gone);
+      }),
+      this);
+  GSocket* socket = soup_server_message_get_socket(message);
+  if (socket != nullptr) exchange->second_handle = internal::Duplicate(socket);
+  ids_[message] = id;
+  Exchange& kept = *(exchanges_[id] = std::move(exchange));
+  const auto connections = static_cast<int64_t>(exchanges_.size());
+  if (connections > options_.max_connections) CutOff(kept);
+}
+
+Response Server::Impl::HeadersTooLong() const {
+  return Refuse(431, RefusalCode::kTooLarge,
+                "the headers are longer than " +
+                    std::to_string(options_.max_header_bytes) + " bytes");
+}
+
+std::optional<Response> Server::Impl::Objection(
+    SoupServerMessage* message) const {
+  SoupMessageHeaders* headers =
+      soup_server_message_get_request_headers(message);
+  if (HeaderBytes(headers) > options_.max_header_bytes) {
+    return HeadersTooLong();
+  }
+  const char* length = soup_message_headers_get_one(headers, "Content-Length");
+  if (length != nullptr && !IsNumber(length)) {
+    return Refuse(400, RefusalCode::kInvalidRequest,
+                  "Content-Length must be a whole number");
+  }
+  const SoupEncoding encoding = soup_message_headers_get_encoding(headers);
+  if (encoding != SOUP_ENCODING_CONTENT_LENGTH &&
+      encoding != SOUP_ENCODING_NONE) {
+    return Refuse(411, RefusalCode::kInvalidRequest,
+                  "a body needs a Content-Length");
+  }
+  if (encoding == SOUP_ENCODING_CONTENT_LENGTH &&
+      soup_message_headers_get_content_length(headers) >
+          options_.max_body_bytes) {
+    return Refuse(413, RefusalCode::kTooLarge,
+                  "the body is longer than " +
+                      std::to_string(options_.max_body_bytes) + " bytes");
+  }
+  if (open_requests_ >= options_.max_requests) {
+    Response response = Refuse(503, RefusalCode::kUnavailable,
+                               "too many requests at once; ask again");
+    response.retry_after = Duration(1'000);
+    return response;
+  }
+  return std::nullopt;
+}
+
+void Server::Impl::OnHeaders(SoupServerMessage* message) {
+  Exchange* exchange = Find(message);
+  if (exchange == nullptr) return;
+  std::optional<Response> objection = Objection(message);
+  if (!objection) return;
+  // The rest of the request is unread, so that the connection can't go on.
+  RefuseLater(*exchange, *std::move(objection));
+}
+
+void Server::Impl::OnRequest(SoupServerMessage* message, const char* path,
+                             GHashTable* query) {
+  Exchange* exchange = Find(message);
+  if (exchange == nullptr) return;
+  if (exchange->state == State::kRefused) {
+    soup_server_message_pause(message);
+    return;
+  }
+  Request request;
+  request.method = MethodOf(soup_server_message_get_method(message));
+  request.path = SplitPath(path);
+  request.query = ReadQuery(query);
+  request.bearer = ReadBearer(message);
+  SoupMessageBody* body = soup_server_message_get_request_body(message);
+  if (body->data != nullptr) request.body.assign(body->data, body->length);
+
+  const ExchangeId id = exchange->id;
+  exchange->state = State::kHandling;
+  exchange->counted = true;
+  g_clear_object(&exchange->second_handle);
+  ++open_requests_;
+  soup_server_message_pause(message);
+  WatchForHangUp(*exchange);
+  exchange->timeout.After(options_.answer_timeout, [this, id] {
+    Answer(id, ToResponse({RefusalCode::kDeadlineExceeded, Effect::kUnknown,
+                           "no answer in time", Duration(1'000)}));
+  });
+  handler_(Received{id, std::move(request)});
+}
+
+void Server::Impl::WatchForHangUp(Exchange& exchange) {
+  GSocket* socket = soup_server_message_get_socket(exchange.message);
+  if (socket == nullptr) return;
+  struct Context {
+    Impl* self;
+    ExchangeId id;
+  };
+  exchange.hang_up = g_socket_create_source(socket, G_IO_IN, nullptr);
+  const auto callback =
+      +[](GSocket* readable, GIOCondition, gpointer data) -> gboolean {
+    const Context context = *static_cast<Context*>(data);
+    return context.self->OnSocketReadable(context.id, readable);
+  };
+  g_source_set_callback(
+      exchange.hang_up, G_SOURCE_FUNC(callback), new Context{this, exchange.id},
+      [](gpointer data) { delete static_cast<Context*>(data); });
+  g_source_attach(exchange.hang_up, loop_.context());
+}
+
+gboolean Server::Impl::OnSocketReadable(ExchangeId id, GSocket* socket) {
+  // A next request that came early is read by libsoup after the answer.
+  if (internal::PeerHungUp(socket)) Abandon(id);
+  return G_SOURCE_REMOVE;
+}
+
+void Server::Impl::Abandon(ExchangeId id) {
+  Exchange* exchange = Find(id);
+  if (exchange == nullptr || exchange->state != State::kHandling) return;
+  SoupServerMessage* message = exchange->message;
+  g_object_ref(message);
+  CutOff(*exchange);
+  Forget(id);
+  soup_server_message_set_status(message, 499, nullptr);
+  soup_server_message_unpause(message);
+  g_object_unref(message);
+  handler_(Abandoned{id});
+}
+
+void Server::Impl::SetResponse(Exchange& exchange, const Response& response) {
+  SoupServerMessage* message = exchange.message;
+  SoupMessageHeaders* headers =
+      soup_server_message_get_response_headers(message);
+  soup_server_message_set_status(message, response.status, nullptr);
+  soup_server_message_set_response(message, response.content_type.c_str(),
+                                   SOUP_MEMORY_COPY, response.body.data(),
+                                   response.body.size());
+  if (response.retry_after) {
+    const std::string seconds = RetryAfterSeconds(*response.retry_after);
+    soup_message_headers_replace(headers, "Retry-After", seconds.c_str());
+  }
+  if (draining_) soup_message_headers_replace(headers, "Connection", "close");
+}
+
+void Server::Impl::Answer(ExchangeId id, const Response& response) {
+  Exchange* exchange = Find(id);
+  if (exchange == nullptr || exchange->state != State::kHandling) return;
+  exchange->state = State::kWriting;
+  if (exchange->hang_up != nullptr) {
+    g_source_destroy(exchange->hang_up);
+    g_clear_pointer(&exchange->hang_up, g_source_unref);
+  }
+  SetResponse(*exchange, response);
+  exchange->timeout.After(options_.write_timeout, [this, id] {
+    if (Exchange* late = Find(id)) CutOff(*late);
+  });
+  soup_server_message_unpause(exchange->message);
+}
+
+void Server::Impl::OnReadTimeout(ExchangeId id) {
+  Exchange* exchange = Find(id);
+  if (exchange == nullptr || exchange->state != State::kReading) return;
+  RefuseLater(*exchange, Refuse(408, RefusalCode::kDeadlineExceeded,
+                                "the request was not sent in time"));
+}
+
+void Server::Impl::CutOff(Exchange& exchange) {
+  GSocket* socket = soup_server_message_get_socket(exchange.message);
+  if (socket != nullptr) g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+}
+
+void Server::Impl::RefuseLater(Exchange& exchange, Response last_words) {
+  exchange.state = State::kRefused;
+  exchange.timeout.After(
+      Duration(0), [this, id = exchange.id, response = std::move(last_words)] {
+        TakeAndRefuse(id, response);
+      });
+}
+
+void Server::Impl::TakeAndRefuse(ExchangeId id, const Response& last_words) {
+  Exchange* exchange = Find(id);
+  if (exchange == nullptr) return;
+  GSocket* socket = soup_server_message_get_socket(exchange->message);
+  GIOStream* stream = soup_server_message_steal_connection(exchange->message);
+  if (socket != nullptr && stream != nullptr) Linger(socket, last_words);
+  // The stream closes its socket with its last reference; see Linger.
+  g_clear_object(&stream);
+  Forget(id);
+}
+
+void Server::Impl::Linger(GSocket* socket, const Response& last_words) {
+  const int64_t key = ++last_linger_;
+  GSocket* kept = internal::Duplicate(socket);
+  if (kept == nullptr) return;
+  lingering_[key] = std::make_unique<internal::LingeringClose>(
+      loop_, kept, Canned(last_words), [this, key] { lingering_.erase(key); });
+  g_object_unref(kept);
+}
+
+void Server::Impl::OnEnded(SoupServerMessage* message) {
+  auto found = ids_.find(message);
+  if (found == ids_.end()) return;
+  const ExchangeId id = found->second;
+  const bool unanswered = Find(id)->state == State::kHandling;
+  Forget(id);
+  if (unanswered) handler_(Abandoned{id});
+}
+
+void Server::Impl::OnDisconnected(SoupServerMessage* message) {
+  Exchange* exchange = Find(message);
+  if (exchange == nullptr) return;
+  GSocket* socket = exchange->second_handle;
+  if (exchange->state == State::kReading && socket != nullptr &&
+      !internal::PeerHungUp(socket)) {
+    Linger(socket, HeadersTooLong());
+  }
+  OnEnded(message);
+}
+
+void Server::Impl::Forget(ExchangeId id) {
+  auto found = exchanges_.find(id);
+  if (found == exchanges_.end()) return;
+  Exchange& exchange = *found->second;
+  if (exchange.hang_up != nullptr) {
+    g_source_destroy(exchange.hang_up);
+    g_source_unref(exchange.hang_up);
+  }
+  g_clear_object(&exchange.second_handle);
+  g_signal_handler_disconnect(exchange.message, exchange.disconnected);
+  if (exchange.counted) --open_requests_;
+  ids_.erase(exchange.message);
+  g_object_unref(exchange.message);
+  exchanges_.erase(found);
+  if (!draining_ || open_requests_ > 0 || !drained_) return;
+  std::exchange(drained_, nullptr)();
+}
+
+void Server::Impl::Drain(std::function<void()> drained) {
+  draining_ = true;
+  drained_ = std::move(drained);
+  GSList* listeners = soup_server_get_listeners(server_);
+  for (GSList* item = listeners; item != nullptr; item = item->next) {
+    g_socket_close(static_cast<GSocket*>(item->data), nullptr);
+  }
+  g_slist_free(listeners);
+  if (open_requests_ == 0 && drained_) std::exchange(drained_, nullptr)();
+}
+
+Server::Server(task::Loop& loop, Options options,
+               std::function<void(Event)> handler)
+    : impl_(std::make_unique<Impl>(loop, std::move(options),
+                                   std::move(handler))) {}
+Server::~Server() = default;
+
+std::string Server::listening_on() const { return impl_->listening_on(); }
+
+void Server::Answer(ExchangeId id, const Response& response) {
+  impl_->Answer(id, response);
+}
+
+void Server::Drain(std::function<void()> drained) {
+  impl_->Drain(std::move(drained));
+}
+
+int64_t Server::open_requests() const { return impl_->open_requests(); }
+
+int64_t Server::connections() const { return impl_->connections(); }
+
+}  // namespace azurepass::httpserver
--- /dev/null
+++ b/azurepass/httpserver/testing/raw_client.cc
@@ -0,0 +1,50 @@
+// See raw_client.h.
+
+#include "azurepass/httpserver/testing/raw_client.h"
+
+#include <array>
+
+namespace azurepass::httpserver::testing {
+
+RawClient::RawClient(const std::string& address)
+    : socket_(g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                           G_SOCKET_PROTOCOL_TCP, nullptr)) {
+  const size_t colon = address.rfind(':');
+  const auto port = static_cast<guint>(std::stoul(address.substr(colon + 1)));
+  GSocketAddress* peer = g_inet_socket_address_new_from_string(
+      address.substr(0, colon).c_str(), port);
+  connected_ = g_socket_connect(socket_, peer, nullptr, nullptr) != FALSE;
+  g_object_unref(peer);
+  g_socket_set_blocking(socket_, FALSE);
+}
+
+RawClient::~RawClient() {
+  g_socket_close(socket_, nullptr);
+  g_object_unref(socket_);
+}
+
+bool RawClient::Finished() {
+  if (!unsent_.empty()) {
+    const gssize sent = g_socket_send(socket_, unsent_.data(), unsent_.size(),
+                                      nullptr, nullptr);
+    if (sent > 0) unsent_.erase(0, sent);
+  }
+  std::array<char, 4'096> buffer;
+  while (!closed_) {
+    GError* error = nullptr;
+    const gssize count = g_socket_receive(socket_, buffer.data(), buffer.size(),
+                                          nullptr, &error);
+    if (count > 0) {
+      received_.append(buffer.data(), count);
+      continue;
+    }
+    const bool would_block =
+        g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != FALSE;
+    g_clear_error(&error);
+    if (would_block) break;
+    closed_ = true;
+  }
+  return closed_;
+}
+
+}  // namespace azurepass::httpserver::testing
--- /dev/null
+++ b/azurepass/httpserver/testing/raw_client.h
@@ -0,0 +1,37 @@
+// A TCP client that sends bytes as they are, for what a well-behaved HTTP
+// library would not send. It never blocks.
+
+#ifndef AZUREPASS_HTTPSERVER_TESTING_RAW_CLIENT_H_
+#define AZUREPASS_HTTPSERVER_TESTING_RAW_CLIENT_H_
+
+#include <gio/gio.h>
+
+#include <string>
+
+namespace azurepass::httpserver::testing {
+
+class RawClient {
+ public:
+  // Connects to "IP:PORT".
+  explicit RawClient(const std::string& address);
+  ~RawClient();
+  RawClient(const RawClient&) = delete;
+  RawClient& operator=(const RawClient&) = delete;
+
+  bool connected() const { return connected_; }
+  void Send(const std::string& bytes) { unsent_ += bytes; }
+  // Sends and receives what it can; true once the server has closed.
+  bool Finished();
+  const std::string& received() const { return received_; }
+
+ private:
+  GSocket* socket_;
+  bool connected_ = false;
+  bool closed_ = false;
+  std::string unsent_;
+  std::string received_;
+};
+
+}  // namespace azurepass::httpserver::testing
+
+#endif  // AZUREPASS_HTTPSERVER_TESTING_RAW_CLIENT_H_
