Placement: a blocked job looks only at workers that changed

Change: a lane keeps the workers that were held back; its next search weighs these and the workers that grew since, exactly. A gang counts what it could gain before it searches. A walk passes over keys too low to hold the task.

--- a/azurepass/placement/internal/decider.cc
+++ b/azurepass/placement/internal/decider.cc
@@ -11,6 +11,9 @@
 // Urgent tasks for which room is made in one call.
 constexpr int kRoomsPerCall = 32;
 
+// Workers looked at one by one before the index is asked instead.
+constexpr size_t kMaxCandidates = 64;
+
 bool HoldsUp(WaitReason reason) {
   return reason == WaitReason::kNoRoom || reason == WaitReason::kGangIncomplete;
 }
@@ -90,15 +93,47 @@
 // ---------------------------------------------------------------------------
 // Attempts
 
-bool Decider::MayHaveRoom(const Lane& lane) const {
+// Counts what the gang could gain at most, until that may be enough.
+Decider::Scope Decider::ScopeOfGang(Lane& lane) const {
+  const GrowthLog& growth = state_.fleet.growth();
+  growth.ForEachSince(lane.checked, [&](Index w) {
+    const Worker& worker = state_.fleet.worker(w);
+    if (!state_.fleet.IsOpen(worker)) return;
+    lane.gained += TimesFits(lane.key.size, worker.free, kMaxTasksPerJob);
+  });
+  lane.checked = growth.end();
+  return lane.gained >= lane.missing ? Scope::kAll : Scope::kNothing;
+}
+
+Decider::Scope Decider::ScopeOf(Lane& lane) {
   const GrowthLog& growth = state_.fleet.growth();
-  if (!growth.Covers(lane.checked)) return true;
+  if (!growth.Covers(lane.checked)) return Scope::kAll;
+  if (lane.key.gang != 0) return ScopeOfGang(lane);
   const std::vector<Index>& zones = state_.teams[lane.team].zones;
-  return growth.AnySince(lane.checked, [&](Index w) {
+  candidates_ = lane.held;
+  growth.ForEachSince(lane.checked, [&](Index w) {
     const Worker& worker = state_.fleet.worker(w);
-    return lane.key.size.FitsIn(worker.free) && state_.fleet.IsOpen(worker) &&
-           std::find(zones.begin(), zones.end(), worker.zone) != zones.end();
+    if (!lane.key.size.FitsIn(worker.free) || !state_.fleet.IsOpen(worker) ||
+        std::find(zones.begin(), zones.end(), worker.zone) == zones.end()) {
+      return;
+    }
+    candidates_.push_back(w);
   });
+  if (candidates_.size() > kMaxCandidates) return Scope::kAll;
+  return candidates_.empty() ? Scope::kNothing : Scope::kCandidates;
+}
+
+// Keeps what a search in vain found out.
+void Decider::Remember(Lane& lane, Found& found,
+                       GrowthLog::Position end) const {
+  const bool tells = !found.zone_held && found.held.size() <= kMaxCandidates;
+  lane.checked = tells ? end : GrowthLog::kNever;
+  lane.held = std::move(found.held);
+  std::sort(lane.held.begin(), lane.held.end());
+  lane.held.erase(std::unique(lane.held.begin(), lane.held.end()),
+                  lane.held.end());
+  lane.missing = found.missing;
+  lane.gained = 0;
 }
 
 Decider::Turn Decider::TryLane(Index index) {
@@ -106,7 +141,8 @@
   // Jobs past their deadline are the caller's to cancel; they are not started.
   for (const auto& [number, job] : lane.jobs) {
     if (state_.jobs[job].is_expired(state_.now)) continue;
-    if (MayHaveRoom(lane)) return TryJob(index, job);
+    const Scope scope = ScopeOf(lane);
+    if (scope != Scope::kNothing) return TryJob(index, job, scope);
     lane.checked = state_.fleet.growth().end();
     return Block(index, job, lane.reason);
   }
@@ -140,7 +176,7 @@
   return WaitReason::kNoRoom;
 }
 
-Decider::Turn Decider::TryJob(Index lane_index, Index job_index) {
+Decider::Turn Decider::TryJob(Index lane_index, Index job_index, Scope scope) {
   Job& job = state_.jobs[job_index];
   const Team& team = state_.teams[job.team];
   const int32_t tasks = job.is_gang() ? job.waiting : 1;
@@ -152,14 +188,17 @@
     return Block(lane_index, job_index, WaitReason::kAllowance);
   }
   const GrowthLog::Position end = state_.fleet.growth().end();
-  const Found found = search_.Find(job, job_index, team, state_.now, steps_);
+  Found found =
+      search_.Find(job, job_index, team, state_.now, steps_,
+                   scope == Scope::kCandidates ? &candidates_ : nullptr);
   if (!found.places.empty()) {
     StartAll(job_index, found);
     return Turn::kStarted;
   }
   if (found.out_of_budget) return Turn::kOutOfBudget;
-  if (!found.held_back) state_.lanes[lane_index].checked = end;
-  return Block(lane_index, job_index, ReasonFor(team, found));
+  const WaitReason reason = ReasonFor(team, found);
+  Remember(state_.lanes[lane_index], found, end);
+  return Block(lane_index, job_index, reason);
 }
 
 // ---------------------------------------------------------------------------
--- a/azurepass/placement/internal/decider.h
+++ b/azurepass/placement/internal/decider.h
@@ -41,6 +41,9 @@
  private:
   enum class Turn { kStarted, kStuck, kOutOfBudget };
 
+  // How much of the fleet the lane's next search has to look at.
+  enum class Scope { kNothing, kCandidates, kAll };
+
   // A lane that could not start its first job, after `starts` decisions.
   struct Stuck {
     Index lane = kNone;
@@ -51,8 +54,11 @@
   double TurnKey(const Team& team, Priority priority) const;
   Turn TakeTurn(Index team, Priority priority);
   Turn TryLane(Index lane);
-  Turn TryJob(Index lane, Index job);
-  bool MayHaveRoom(const Lane& lane) const;
+  Turn TryJob(Index lane, Index job, Scope scope);
+  // Puts the workers to look at into `candidates_`.
+  Scope ScopeOf(Lane& lane);
+  Scope ScopeOfGang(Lane& lane) const;
+  void Remember(Lane& lane, Found& found, GrowthLog::Position end) const;
   Turn Block(Index lane, Index job, WaitReason reason);
   WaitReason ReasonFor(const Team& team, const Found& found) const;
   void StartAll(Index job, const Found& found);
@@ -71,6 +77,7 @@
   Preemption preemption_;
   std::vector<Decision> decisions_;
   std::vector<Stuck> stuck_;
+  std::vector<Index> candidates_;
   bool has_more_ = false;
 };
 
--- a/azurepass/placement/internal/fit_index.h
+++ b/azurepass/placement/internal/fit_index.h
@@ -34,13 +34,14 @@
   bool Contains(Index worker) const;
 
   // Calls `found(worker)` for the zone's workers with room for `size`, by
-  // ascending key, until it returns false. Each node looked at takes one from
+  // ascending key, until it returns false. None with a key below `least_key`
+  // may have room; those are passed over. Each node looked at takes one from
   // `steps`; the walk ends when none are left.
   template <class Found>
-  void Walk(Index zone, const Resources& size, int64_t& steps,
+  void Walk(Index zone, const Resources& size, double least_key, int64_t& steps,
             Found found) const {
     if (zone < static_cast<Index>(roots_.size())) {
-      WalkNode(roots_[zone], size, steps, found);
+      WalkNode(roots_[zone], size, least_key, steps, found);
     }
   }
 
@@ -58,15 +59,17 @@
   };
 
   template <class Found>
-  bool WalkNode(Index n, const Resources& size, int64_t& steps,
-                Found& found) const {
+  bool WalkNode(Index n, const Resources& size, double least_key,
+                int64_t& steps, Found& found) const {
     if (n == kNone) return true;
     if (--steps < 0) return false;
     const Node& node = nodes_[n];
     if (!size.FitsIn(node.max)) return true;
-    if (!WalkNode(node.left, size, steps, found)) return false;
-    if (size.FitsIn(node.free) && !found(n)) return false;
-    return WalkNode(node.right, size, steps, found);
+    if (node.key >= least_key) {
+      if (!WalkNode(node.left, size, least_key, steps, found)) return false;
+      if (size.FitsIn(node.free) && !found(n)) return false;
+    }
+    return WalkNode(node.right, size, least_key, steps, found);
   }
 
   bool Before(Index a, Index b) const;
--- a/azurepass/placement/internal/fleet.cc
+++ b/azurepass/placement/internal/fleet.cc
@@ -7,6 +7,9 @@
 namespace azurepass::placement::internal {
 namespace {
 
+// Sums of the same numbers in another order differ by less.
+constexpr double kRounding = 1e-9;
+
 // At most this part of the workers is quarantined at once, and one always may
 // be: when more than that fail, the workers are hardly the cause.
 constexpr int64_t kQuarantineDivisor = 5;
@@ -43,6 +46,19 @@
       packing_);
 }
 
+double Fleet::LeastKey(const Resources& size) const {
+  return std::visit(Visitor{[&](const BestFit&) {
+                              double sum = 0;
+                              for (Dimension d : kAllDimensions) {
+                                sum += static_cast<double>(size[d]) /
+                                       static_cast<double>(scale_[d]);
+                              }
+                              return sum - kRounding;
+                            },
+                            [&](const FirstFit&) { return -1.0; }},
+                    packing_);
+}
+
 Index Fleet::InternZone(const ZoneId& zone) {
   const Index index = zone_ids_.Intern(zone);
   if (index == static_cast<Index>(zones_.size())) {
--- a/azurepass/placement/internal/fleet.h
+++ b/azurepass/placement/internal/fleet.h
@@ -99,6 +99,8 @@
   const std::vector<Model>& models() const { return models_; }
   // The packing's order: a lower key is preferred.
   double KeyOf(Index worker) const;
+  // No worker with a lower key has room for `size`.
+  double LeastKey(const Resources& size) const;
 
  private:
   void Unindex(Index worker);
--- a/azurepass/placement/internal/growth_log.h
+++ b/azurepass/placement/internal/growth_log.h
@@ -33,14 +33,11 @@
   // False when entries after `since` are no longer kept.
   bool Covers(Position since) const { return since >= base_; }
 
-  // True when `matches(worker)` holds for an entry from `since` on.
-  // Requires Covers(since).
-  template <class Predicate>
-  bool AnySince(Position since, Predicate matches) const {
-    for (size_t i = since - base_; i < entries_.size(); ++i) {
-      if (matches(entries_[i])) return true;
-    }
-    return false;
+  // Calls `visit(worker)` for the entries from `since` on; a worker may come
+  // several times. Requires Covers(since).
+  template <class Visit>
+  void ForEachSince(Position since, Visit visit) const {
+    for (size_t i = since - base_; i < entries_.size(); ++i) visit(entries_[i]);
   }
 
  private:
--- a/azurepass/placement/internal/search.cc
+++ b/azurepass/placement/internal/search.cc
@@ -24,6 +24,7 @@
   const Team& team;
   MonotonicTime now;
   int64_t& steps;
+  const std::vector<Index>* only;
   Found found;
 
   const Resources& size() const { return job.spec.task; }
@@ -58,31 +59,57 @@
                       fleet_.scale(), index);
 }
 
+bool Search::ZoneMayStart(Query& query, Index zone) const {
+  if (fleet_.MayStartInZone(zone)) return true;
+  query.found.zone_held |= fleet_.zone(zone).in_service;
+  return false;
+}
+
+template <class Weigh>
+void Search::ForEachWithRoom(Query& query, Index zone, Weigh weigh) const {
+  const auto look = [&](Index w) {
+    ++query.found.considered;
+    const Resources room =
+        RoomFor(fleet_.worker(w), query.job, query.job_index, query.now);
+    if (query.size().FitsIn(room)) return weigh(w);
+    query.found.held.push_back(w);
+    return true;
+  };
+  if (query.only == nullptr) {
+    fleet_.fit().Walk(zone, query.size(), fleet_.LeastKey(query.size()),
+                      query.steps, look);
+    return;
+  }
+  for (Index w : *query.only) {
+    --query.steps;
+    const Worker& worker = fleet_.worker(w);
+    const bool fits = worker.zone == zone && fleet_.IsOpen(worker) &&
+                      query.size().FitsIn(worker.free);
+    if (fits && !look(w)) return;
+  }
+}
+
 void Search::FindBatch(Query& query) const {
   Place best;
   double best_key = std::numeric_limits<double>::infinity();
   for (Index zone : query.team.zones) {
-    if (!fleet_.MayStartInZone(zone)) {
-      query.found.held_back |= fleet_.zone(zone).in_service;
-      continue;
-    }
-    const auto weigh = [&](Index w) {
-      ++query.found.considered;
-      const Resources room =
-          RoomFor(fleet_.worker(w), query.job, query.job_index, query.now);
-      if (!query.size().FitsIn(room)) {
-        query.found.held_back = true;
-        return true;
-      }
-      query.found.weighed.push_back(w);
+    if (!ZoneMayStart(query, zone)) continue;
+    Place here;
+    double here_key = std::numeric_limits<double>::infinity();
+    ForEachWithRoom(query, zone, [&](Index w) {
       const double key = fleet_.KeyOf(w);
-      if (std::pair(key, w) < std::pair(best_key, best.worker)) {
-        best_key = key;
-        best.worker = w;
+      if (std::pair(key, w) < std::pair(here_key, here.worker)) {
+        here_key = key;
+        here.worker = w;
       }
-      return false;
-    };
-    fleet_.fit().Walk(zone, query.size(), query.steps, weigh);
+      return query.only != nullptr;  // In order, the first is the best.
+    });
+    if (here.worker == kNone) continue;
+    query.found.weighed.push_back(here.worker);
+    if (std::pair(here_key, here.worker) < std::pair(best_key, best.worker)) {
+      best_key = here_key;
+      best = here;
+    }
   }
   if (best.worker != kNone) query.found.places.push_back(best);
 }
@@ -92,37 +119,29 @@
 Place Search::BestInZoneForService(Query& query, Index zone,
                                    int32_t* rack_tasks) const {
   Place best;
+  double best_key = 0;
   int weighed = 0;
-  const auto weigh = [&](Index w) {
-    ++query.found.considered;
-    const Worker& worker = fleet_.worker(w);
-    const Resources room =
-        RoomFor(worker, query.job, query.job_index, query.now);
-    if (!query.size().FitsIn(room)) {
-      query.found.held_back = true;
-      return true;
-    }
-    const int32_t here = CountIn(query.job.in_rack, worker.rack);
-    // Keys ascend, so that the first of several with equal racks is best.
-    if (best.worker == kNone || here < *rack_tasks) {
+  ForEachWithRoom(query, zone, [&](Index w) {
+    const int32_t here = CountIn(query.job.in_rack, fleet_.worker(w).rack);
+    const double key = fleet_.KeyOf(w);
+    if (best.worker == kNone ||
+        std::pair(here, key) < std::pair(*rack_tasks, best_key)) {
       best.worker = w;
+      best_key = key;
       *rack_tasks = here;
       query.found.weighed.push_back(w);
     }
+    if (query.only != nullptr) return true;
     return here > 0 && ++weighed < kSpreadCandidates;
-  };
-  fleet_.fit().Walk(zone, query.size(), query.steps, weigh);
+  });
   return best;
 }
 
 void Search::FindService(Query& query) const {
   std::vector<std::pair<int32_t, Index>> zones;
   for (Index zone : query.team.zones) {
-    if (fleet_.MayStartInZone(zone)) {
-      zones.emplace_back(CountIn(query.job.in_zone, zone), zone);
-    } else {
-      query.found.held_back |= fleet_.zone(zone).in_service;
-    }
+    if (!ZoneMayStart(query, zone)) continue;
+    zones.emplace_back(CountIn(query.job.in_zone, zone), zone);
   }
   std::sort(zones.begin(), zones.end());
   Place best;
@@ -146,25 +165,15 @@
 int32_t Search::CollectInZone(Query& query, Index zone, int32_t wanted,
                               std::vector<Place>& places) const {
   int32_t collected = 0;
-  if (!fleet_.MayStartInZone(zone)) {
-    query.found.held_back |= fleet_.zone(zone).in_service;
-    return 0;
-  }
-  const auto collect = [&](Index w) {
-    ++query.found.considered;
-    const Worker& worker = fleet_.worker(w);
+  if (!ZoneMayStart(query, zone)) return 0;
+  ForEachWithRoom(query, zone, [&](Index w) {
     const Resources room =
-        RoomFor(worker, query.job, query.job_index, query.now);
+        RoomFor(fleet_.worker(w), query.job, query.job_index, query.now);
     const int32_t fits = TimesFits(query.size(), room, wanted - collected);
-    if (fits == 0) {
-      query.found.held_back = true;
-      return true;
-    }
     places.push_back({.worker = w, .tasks = fits});
     collected += fits;
     return collected < wanted;
-  };
-  fleet_.fit().Walk(zone, query.size(), query.steps, collect);
+  });
   return collected;
 }
 
@@ -191,12 +200,14 @@
 }
 
 Found Search::Find(const Job& job, Index job_index, const Team& team,
-                   MonotonicTime now, int64_t& steps) const {
+                   MonotonicTime now, int64_t& steps,
+                   const std::vector<Index>* only) const {
   Query query{.job = job,
               .job_index = job_index,
               .team = team,
               .now = now,
               .steps = steps,
+              .only = job.is_gang() ? nullptr : only,
               .found = {}};
   std::visit(Visitor{[&](const ServicePolicy&) { FindService(query); },
                      [&](const BatchPolicy&) { FindBatch(query); },
--- a/azurepass/placement/internal/search.h
+++ b/azurepass/placement/internal/search.h
@@ -33,8 +33,9 @@
   std::vector<Place> places;   // Empty when the job cannot start now.
   std::vector<Index> weighed;  // Candidates that were compared.
   int64_t considered = 0;
-  int32_t missing = 0;     // Gang tasks without a place.
-  bool held_back = false;  // Room exists but is reserved, or not yet due.
+  int32_t missing = 0;      // Gang tasks without a place.
+  std::vector<Index> held;  // Have room, but not for this job now.
+  bool zone_held = false;   // A zone is still filling up.
   bool out_of_budget = false;
 };
 
@@ -46,9 +47,11 @@
          const RunTimes& run_times)
       : fleet_(fleet), reservations_(reservations), run_times_(run_times) {}
 
-  // Takes the nodes looked at from `steps`.
+  // Takes the nodes looked at from `steps`. With `only`, looks at those workers
+  // and no others (for a gang, `only` does nothing).
   Found Find(const Job& job, Index job_index, const Team& team,
-             MonotonicTime now, int64_t& steps) const;
+             MonotonicTime now, int64_t& steps,
+             const std::vector<Index>* only) const;
 
   // The room on `worker` that is open to the job: less what is reserved for
   // others, and none where only probes may go and this is no probe.
@@ -60,6 +63,11 @@
 
  private:
   struct Query;
+  // Calls `weigh(worker)` for the workers of the zone that have room, in the
+  // packing's order unless the query is limited, until it returns false.
+  template <class Weigh>
+  void ForEachWithRoom(Query& query, Index zone, Weigh weigh) const;
+  bool ZoneMayStart(Query& query, Index zone) const;
   void FindBatch(Query& query) const;
   void FindService(Query& query) const;
   void FindGang(Query& query) const;
--- a/azurepass/placement/internal/teams.h
+++ b/azurepass/placement/internal/teams.h
@@ -39,8 +39,14 @@
   LaneKey key;
   // Waiting jobs by number: the order in which they were accepted.
   std::set<std::pair<int64_t, Index>> jobs;
-  // No worker had room when the growth log ended here.
+  // What the latest search left, so that the next one looks only at what has
+  // changed. It found room nowhere when the growth log ended at `checked`,
+  // except on the workers in `held`, which were held back. A gang lacked
+  // `missing` places, and workers that grew since offer at most `gained`.
   int64_t checked = -1;
+  std::vector<Index> held;
+  int64_t missing = 0;
+  int64_t gained = 0;
   int64_t stuck_pass = 0;    // The pass in which it last could not start.
   bool passed_over = false;  // Others started while it was blocked.
   WaitReason reason = WaitReason::kBehindOthers;
--- /dev/null
+++ b/azurepass/placement/testing/deployments.h
@@ -0,0 +1,51 @@
+// The fleets that benchmarks and experiments run on: the four services of the
+// two deployments at today's sizes, and larger ones.
+
+#ifndef AZUREPASS_PLACEMENT_TESTING_DEPLOYMENTS_H_
+#define AZUREPASS_PLACEMENT_TESTING_DEPLOYMENTS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "azurepass/placement/placement.h"
+
+namespace azurepass::placement::testing {
+
+// Workers of one capacity, filled rack by rack, the racks dealt to the zones in
+// turn.
+struct Deployment {
+  std::string name;
+  std::vector<ZoneId> zones;
+  int32_t workers = 0;
+  int32_t workers_per_rack = 1;
+  Resources capacity;
+};
+
+Deployment Intake();        // Rilapak: 35 workers.
+Deployment Vision();        // Rilapak: 13 workers with accelerators.
+Deployment RegistroRuta();  // Presión Viva: 35 workers.
+Deployment TallerIa();      // Presión Viva: 13 workers with accelerators.
+// Seven zones, 24 slots a worker; two accelerators on each.
+Deployment Large(int32_t workers);
+
+std::vector<WorkerSpec> WorkersOf(const Deployment& deployment);
+
+// A small generator of random numbers, the same on every machine.
+class Random {
+ public:
+  explicit Random(uint64_t seed) : state_(seed) {}
+  uint64_t Next();
+  int64_t Below(int64_t bound) {
+    return static_cast<int64_t>(Next() % static_cast<uint64_t>(bound));
+  }
+  double Unit();                    // In [0, 1).
+  double Exponential(double mean);  // In the unit of the mean.
+
+ private:
+  uint64_t state_;
+};
+
+}  // namespace azurepass::placement::testing
+
+#endif  // AZUREPASS_PLACEMENT_TESTING_DEPLOYMENTS_H_
