What the daemons share; the margin of worker leases covers old evidence

Cause: both daemons map the same settings to the same tasks. And an owner that goes on through an outage of the store relies on evidence that may be freshness_max_age old: its successor has to wait that much longer for a worker that it cannot reach. Change: daemons/process; worker_lease_margin_ms must be at least freshness_max_age_ms, 3,500 ms by default. Ruled out: a grace time during which a cut-off owner goes on renewing; it would lengthen the wait of every takeover that meets an unreachable worker.

--- /dev/null
+++ b/azurepass/daemons/process.cc
@@ -0,0 +1,121 @@
+// Settings to options, logging and signals.
+
+#include "azurepass/daemons/process.h"
+
+#include <glib-unix.h>
+#include <glog/logging.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <random>
+
+namespace azurepass::daemons {
+namespace {
+
+template <class T>
+std::optional<T> ValueOrPrint(settings::Loaded<T> loaded) {
+  if (auto* problem = std::get_if<settings::Problem>(&loaded)) {
+    std::fprintf(stderr, "%s\n", problem->ToString().c_str());
+    return std::nullopt;
+  }
+  return std::get<T>(std::move(loaded));
+}
+
+}  // namespace
+
+std::optional<AllSettings> LoadSettings(const std::string& cell_file,
+                                        const std::string& process_file) {
+  auto cell = ValueOrPrint(settings::LoadCell(cell_file));
+  if (!cell) return std::nullopt;
+  auto process = ValueOrPrint(settings::LoadProcess(process_file));
+  if (!process) return std::nullopt;
+  return AllSettings{*std::move(cell), *std::move(process)};
+}
+
+void StartLogging(const char* program) {
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(program);
+}
+
+SignalTask::SignalTask(task::Loop& loop, std::function<void()> on_terminate)
+    : on_terminate_(std::move(on_terminate)) {
+  for (const int signal : {SIGTERM, SIGINT}) {
+    GSource* source = g_unix_signal_source_new(signal);
+    g_source_set_callback(source, OnSignal, this, nullptr);
+    g_source_attach(source, loop.context());
+    sources_.push_back(source);
+  }
+}
+
+SignalTask::~SignalTask() {
+  for (GSource* source : sources_) {
+    g_source_destroy(source);
+    g_source_unref(source);
+  }
+}
+
+gboolean SignalTask::OnSignal(gpointer self) {
+  auto* task = static_cast<SignalTask*>(self);
+  if (task->asked_) std::_Exit(kExitFailure);
+  task->asked_ = true;
+  LOG(INFO) << "shutdown reason=signal";
+  task->on_terminate_();
+  return G_SOURCE_CONTINUE;
+}
+
+store::Options StoreOptions(const settings::CellSettings& cell) {
+  store::Options options;
+  options.address = cell.store_address;
+  options.request_timeout = cell.timing.store_timeout;
+  options.writes_per_second = cell.budgets.store_writes_per_second;
+  options.reads_per_second = cell.budgets.store_reads_per_second;
+  return options;
+}
+
+configuration::Options KeeperOptions(const AllSettings& all) {
+  configuration::Options options;
+  options.member = all.process.member;
+  options.max_age = all.cell.timing.freshness_max_age;
+  options.watch_wait = all.cell.timing.watch_wait;
+  options.seed = RandomNumber();
+  return options;
+}
+
+membership::Options MembershipOptions(const settings::CellSettings& cell) {
+  membership::Options options;
+  options.lease_ttl = cell.timing.member_lease;
+  options.watch_wait = cell.timing.watch_wait;
+  options.gossip_interval = cell.timing.gossip_interval;
+  options.seed = RandomNumber();
+  return options;
+}
+
+membership::MemberRecord SelfRecord(const settings::ProcessSettings& process,
+                                    const std::string& entry_address,
+                                    membership::Role role) {
+  membership::MemberRecord record;
+  record.member = process.member;
+  record.address = entry_address;
+  record.incarnation =
+      std::chrono::duration_cast<Duration>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count();
+  record.role = role;
+  record.zone = process.zone;
+  return record;
+}
+
+std::vector<PartitionId> PartitionIds(const settings::CellSettings& cell) {
+  std::vector<PartitionId> ids;
+  for (const auto& partition : cell.partitions) ids.push_back(partition.id);
+  return ids;
+}
+
+uint64_t RandomNumber() {
+  std::random_device device;
+  return (uint64_t{device()} << 32) | device();
+}
+
+}  // namespace azurepass::daemons
--- a/azurepass/settings/settings.cc
+++ b/azurepass/settings/settings.cc
@@ -119,6 +119,11 @@
                   "must be at most half of worker_lease_ms, or leases lapse "
                   "between two renewals");
     }
+    if (timing.worker_lease_margin < timing.freshness_max_age) {
+      reader.Fail(ErrorCode::kOutOfRange, "worker_lease_margin_ms",
+                  "must be at least freshness_max_age_ms, or a task could run "
+                  "on two workers after an outage of the store");
+    }
     if (timing.watch_wait >= timing.freshness_max_age) {
       reader.Fail(ErrorCode::kOutOfRange, "watch_wait_ms",
                   "must be below freshness_max_age_ms, or the configuration "
--- a/azurepass/settings/settings.h
+++ b/azurepass/settings/settings.h
@@ -41,7 +41,9 @@
 struct Timing {
   Duration member_lease{2'500};   // A silent process loses its partitions.
   Duration worker_lease{15'000};  // A silent owner's workers stop.
-  Duration worker_lease_margin{1'000};
+  // Before a lapsed worker lease is trusted; covers the age of the evidence on
+  // which an owner goes on through an outage of the store.
+  Duration worker_lease_margin{3'500};
   Duration worker_hold{4'000};        // Of a worker's empty answer.
   Duration freshness_max_age{3'000};  // Older configuration starts nothing.
   Duration watch_wait{1'000};         // Of the store's empty answer.
--- a/azurepass/settings/settings_test.cc
+++ b/azurepass/settings/settings_test.cc
@@ -61,6 +61,9 @@
        "\"timing\": {\"worker_hold_ms\": 9000}, "
        "\"partitions\"",
        "timing.worker_hold_ms"},
+      {"\"partitions\"",
+       "\"timing\": {\"worker_lease_margin_ms\": 500}, \"partitions\"",
+       "timing.worker_lease_margin_ms"},
       {"\"partitions\"", "\"budgets\": {\"writes\": 1}, \"partitions\"",
        "budgets.writes"},
       {"\"worker_groups\"", "\"groups\"", "partitions[0].groups"},
