configuration: register, freshness rule and keeper

The rule of freshness counts each confirmation from the send of the request that brought it. Gossip that is pushed confirms nothing, since its sender may have been paused in the middle; peers are asked instead. A process that knows of an accepted change it does not hold yet is no witness of an outage.

--- a/azurepass/configuration/configuration.h
+++ b/azurepass/configuration/configuration.h
@@ -115,8 +115,8 @@
   Duration age{0};
   MemberId peer;
 };
-// Every other member answered that it has no contact either, or is gone: nobody
-// can have accepted a change. `age` is that of the oldest answer.
+// Every other member answered that it has no contact either, or is gone, and
+// holds nothing newer. `age` is that of the oldest answer.
 struct OutageEvident {
   Duration age{0};
   int64_t witnesses = 0;
@@ -146,24 +146,35 @@
 };
 
 // The rule of freshness; pure. Times are this process's monotonic ones.
+//
+// In each permitted case there is a moment t, less than max_age ago, at which
+// no change had been accepted that is not held here:
+//   * the store answered a request that was sent at t;
+//   * a peer that holds nothing newer was itself confirmed as of t;
+//   * every other member, asked at t or later, had no contact and nothing
+//     newer. Changes are accepted by members only, so nobody had one to know.
+// A change accepted after t is in force here, or starts have stopped here,
+// within max_age of its acceptance. That is the whole promise.
 class Freshness {
  public:
-  explicit Freshness(Duration max_age) : max_age_(max_age) {}
+  // Beyond `contact_limit` without a confirmation the store counts as lost.
+  Freshness(Duration max_age, Duration contact_limit)
+      : max_age_(max_age), contact_limit_(contact_limit) {}
 
   // The store answered a request sent at `sent`, and the answer is taken in.
   void OnStoreConfirmed(MonotonicTime sent);
   // A request to the store failed.
   void OnStoreFailed();
-  // A peer answered a pull sent at `sent`.
+  // A peer answered a pull sent at `sent`; what it held is taken in.
   void OnPeerAnswered(const PeerAnswer& answer, MonotonicTime sent);
-  // The other members; `peers` is complete as of some contact with the store.
+  // All other members, as of some contact with the store.
   void SetPeers(std::vector<Peer> peers);
   // A change of this revision is known to be accepted.
   void OnAccepted(Revision revision);
 
   struct Decision {
     Verdict verdict;
-    MonotonicTime valid_until;  // Without further events; past when stale.
+    MonotonicTime valid_until;  // Without further events; `now` when stale.
   };
   // Whether `held` is current at `now`.
   Decision Decide(Revision held, MonotonicTime now) const;
@@ -172,21 +183,24 @@
   bool in_contact(MonotonicTime now) const;
   // Since the store last confirmed; Duration::max() when it never did.
   Duration store_contact_age(MonotonicTime now) const;
+  // The newest change known to be accepted.
+  Revision accepted() const { return accepted_; }
 
  private:
   struct Witness {
     MonotonicTime sent;
-    Revision revision;
     bool in_contact = false;
-    MonotonicTime contact;  // Of the peer with the store, at the latest.
+    std::optional<MonotonicTime> confirmed_at;  // There, on our clock.
   };
-  Decision DecideByPeers(Revision held, MonotonicTime now) const;
-  Decision DecideByOutage(Revision held, MonotonicTime now) const;
+  std::optional<Decision> DecideByStore(MonotonicTime now) const;
+  std::optional<Decision> DecideByPeers(MonotonicTime now) const;
+  std::optional<Decision> DecideByOutage(MonotonicTime now) const;
 
   Duration max_age_;
+  Duration contact_limit_;
   std::optional<MonotonicTime> confirmed_at_;
   bool last_request_failed_ = false;
-  Revision accepted_;  // The newest change known to be accepted.
+  Revision accepted_;
   std::optional<std::vector<Peer>> peers_;  // Empty until known.
   std::map<MemberId, Witness> witnesses_;   // The newest answer of each.
 };
@@ -197,10 +211,11 @@
 inline constexpr Duration kMaxAge{3'000};
 
 struct Options {
-  MemberId member;              // This process.
-  Duration max_age = kMaxAge;   // Of a confirmation that permits starts.
-  Duration watch_wait{500};     // One held request; well below max_age.
-  Duration peer_interval{500};  // Between rounds of asking peers.
+  MemberId member;                // This process.
+  Duration max_age = kMaxAge;     // Of a confirmation that permits starts.
+  Duration contact_limit{2'000};  // Unconfirmed for longer: no contact.
+  Duration watch_wait{500};       // One held request; well below both.
+  Duration peer_interval{500};    // Between rounds of asking peers.
   Duration peer_timeout{1'000};
   Duration min_backoff{100};  // After a failed request, jittered.
   Duration max_backoff{1'000};
--- /dev/null
+++ b/azurepass/configuration/keeper.cc
@@ -0,0 +1,293 @@
+// The keeper: one held request to the store at a time, and pulls from peers
+// while the store does not answer.
+//
+// Reading starts with a listing, page by page, and goes on with watches after
+// the first page's revision; so what changed while the pages were read comes
+// again, and versions tell the older copy from the newer. A failed request is
+// followed by a jittered backoff, so that the return of the store meets no
+// herd.
+//
+// Peers are asked only without contact: a few in the first round and while one
+// of them confirms; all of them, for the evidence of an outage, otherwise.
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "azurepass/configuration/configuration.h"
+
+namespace azurepass::configuration {
+namespace {
+
+MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+
+struct PageRead {
+  store::ListReply reply;
+};
+struct Watched {
+  MonotonicTime sent;
+  store::WatchReply reply;
+};
+struct Pulled {
+  MemberId peer;
+  MonotonicTime sent;
+  entry::CallResult result;
+};
+using Inner = std::variant<Message, PageRead, Watched, Pulled>;
+
+}  // namespace
+
+class Keeper::Impl {
+ public:
+  Impl(task::Loop& loop, Options options, task::Address<store::Request> store,
+       task::Address<entry::Call> peers)
+      : options_(std::move(options)),
+        store_(std::move(store)),
+        client_(std::move(peers)),
+        freshness_(options_.max_age, options_.contact_limit),
+        random_(options_.seed),
+        backoff_(options_.min_backoff),
+        read_timer_(loop),
+        peer_timer_(loop),
+        expiry_timer_(loop),
+        mailbox_(loop, [this](Inner m) { Handle(std::move(m)); }) {
+    // On the loop, after whoever constructs this is ready for messages.
+    read_timer_.After(Duration(0), [this] { Read(); });
+    peer_timer_.Every(options_.peer_interval, [this] { AskPeers(); });
+  }
+
+  task::Address<Message> address() const { return mailbox_.address(); }
+
+ private:
+  void Handle(Inner message) {
+    std::visit(Visitor{[this](Message& m) { HandleMessage(std::move(m)); },
+                       [this](PageRead& m) { OnPage(std::move(m)); },
+                       [this](Watched& m) { OnWatched(std::move(m)); },
+                       [this](Pulled& m) { OnPulled(std::move(m)); }},
+               message);
+    Publish();
+  }
+
+  void HandleMessage(Message message) {
+    std::visit(Visitor{[this](Subscribe& m) { OnSubscribe(std::move(m)); },
+                       [this](PeersChanged& m) {
+                         peers_ = m.peers;
+                         freshness_.SetPeers(std::move(m.peers));
+                       },
+                       [this](AnswerPull& m) { OnAnswerPull(m); },
+                       [this](ChangeAccepted& m) {
+                         freshness_.OnAccepted(m.revision);
+                       }},
+               message);
+  }
+
+  // --- The store
+
+  void Read() {
+    if (listed_) return Watch();
+    listing_ = {};
+    listing_sent_ = Now();
+    ReadPage("");
+  }
+
+  void ReadPage(std::string from) {
+    store_.Send(store::List{
+        std::string(kPrefix), std::move(from), options_.page_entries,
+        mailbox_.address().Map<store::ListReply>([](store::ListReply reply) {
+          return PageRead{std::move(reply)};
+        })});
+  }
+
+  void OnPage(PageRead page) {
+    std::visit(
+        Visitor{[this](store::Listing& listing) { TakePage(listing); },
+                [this](const store::Error& error) { OnStoreError(error); }},
+        page.reply);
+  }
+
+  void TakePage(store::Listing& listing) {
+    if (listing_.entries.empty()) listing_.revision = listing.revision;
+    const bool last =
+        static_cast<int64_t>(listing.entries.size()) < options_.page_entries;
+    std::move(listing.entries.begin(), listing.entries.end(),
+              std::back_inserter(listing_.entries));
+    // The next key after the last one read.
+    if (!last) return ReadPage(listing_.entries.back().key + '\0');
+    register_.Replace(std::exchange(listing_, {}));
+    listed_ = true;
+    OnStoreAnswered(listing_sent_);
+    Read();
+  }
+
+  void Watch() {
+    const MonotonicTime sent = Now();
+    store_.Send(store::Watch{std::string(kPrefix), register_.cursor(),
+                             options_.watch_wait,
+                             mailbox_.address().Map<store::WatchReply>(
+                                 [sent](store::WatchReply reply) {
+                                   return Watched{sent, std::move(reply)};
+                                 })});
+  }
+
+  void OnWatched(Watched watched) {
+    std::visit(
+        Visitor{[&](const store::Changes& changes) {
+                  register_.Apply(changes);
+                  OnStoreAnswered(watched.sent);
+                  ReadAfter(changes.changes.empty() ? RestOfWait(watched.sent)
+                                                    : Duration(0));
+                },
+                [this](const store::Error& error) { OnStoreError(error); }},
+        watched.reply);
+  }
+
+  // A store that does not hold watches must not make this one spin.
+  Duration RestOfWait(MonotonicTime sent) const {
+    const auto taken = std::chrono::ceil<Duration>(Now() - sent);
+    return std::max(Duration(0), options_.watch_wait - taken);
+  }
+
+  void OnStoreAnswered(MonotonicTime sent) {
+    freshness_.OnStoreConfirmed(sent);
+    backoff_ = options_.min_backoff;
+    lonely_rounds_ = 0;
+  }
+
+  void OnStoreError(const store::Error& error) {
+    if (error.code == store::ErrorCode::kCompacted) listed_ = false;
+    freshness_.OnStoreFailed();
+    ReadAfter(Jittered(backoff_));
+    backoff_ = std::min(2 * backoff_, options_.max_backoff);
+  }
+
+  void ReadAfter(Duration delay) {
+    read_timer_.After(delay, [this] { Read(); });
+  }
+
+  // Between half and all of it.
+  Duration Jittered(Duration delay) {
+    std::uniform_int_distribution<int64_t> spread(delay.count() / 2,
+                                                  delay.count());
+    return Duration(spread(random_));
+  }
+
+  // --- Peers
+
+  void AskPeers() {
+    if (freshness_.in_contact(Now())) return;
+    std::vector<Peer> asked;
+    for (const Peer& peer : peers_) {
+      if (!peer.gone) asked.push_back(peer);
+    }
+    std::shuffle(asked.begin(), asked.end(), random_);
+    // Whoever confirmed last is the likeliest to do so again.
+    std::stable_partition(asked.begin(), asked.end(), [this](const Peer& p) {
+      return p.member == confirmed_by_;
+    });
+    const bool few = lonely_rounds_ == 0 || !confirmed_by_.empty();
+    const int64_t bound = few ? options_.peer_fanout : options_.max_witnesses;
+    if (static_cast<int64_t>(asked.size()) > bound) asked.resize(bound);
+    for (const Peer& peer : asked) Pull(peer);
+    ++lonely_rounds_;
+  }
+
+  void Pull(const Peer& peer) {
+    const MonotonicTime sent = Now();
+    client_.Send({peer.address, entry::PullConfiguration{register_.revision()},
+                  options_.peer_timeout,
+                  mailbox_.address().Map<entry::CallResult>(
+                      [member = peer.member, sent](entry::CallResult result) {
+                        return Pulled{member, sent, std::move(result)};
+                      })});
+  }
+
+  void OnPulled(Pulled pulled) {
+    auto* response = std::get_if<entry::Response>(&pulled.result);
+    auto* answer = response == nullptr
+                       ? nullptr
+                       : std::get_if<entry::ConfigurationPulled>(response);
+    // Another process may answer at an address that was a peer's.
+    if (answer == nullptr || answer->member != pulled.peer) return;
+    register_.Adopt(*answer);
+    freshness_.OnPeerAnswered({pulled.peer, answer->configuration.revision,
+                               answer->store_contact_age, answer->in_contact},
+                              pulled.sent);
+  }
+
+  // A process that knows of an accepted change it does not hold neither
+  // confirms what others hold nor witnesses an outage.
+  void OnAnswerPull(const AnswerPull& asked) {
+    const MonotonicTime now = Now();
+    const bool behind = register_.revision() < freshness_.accepted();
+    entry::ConfigurationPulled pulled = register_.Since(asked.request.after);
+    pulled.member = options_.member;
+    pulled.store_contact_age =
+        behind ? Duration::max() : freshness_.store_contact_age(now);
+    pulled.in_contact = behind || freshness_.in_contact(now);
+    asked.responder.Answer(std::move(pulled));
+  }
+
+  // --- Subscribers
+
+  void OnSubscribe(Subscribe subscribe) {
+    subscribers_.push_back(std::move(subscribe.subscriber));
+    subscribers_.back().Send(MakeUpdate(Now()));
+  }
+
+  Update MakeUpdate(MonotonicTime now) const {
+    Freshness::Decision decision = freshness_.Decide(register_.revision(), now);
+    return {register_.configuration(), std::move(decision.verdict),
+            decision.valid_until, freshness_.store_contact_age(now)};
+  }
+
+  // Tells subscribers what is new, and sets the time to look again.
+  void Publish() {
+    const MonotonicTime now = Now();
+    const Update update = MakeUpdate(now);
+    const bool may_start = update.MayStart(now);
+    const auto* by_peer = std::get_if<ConfirmedByPeer>(&update.verdict);
+    confirmed_by_ = by_peer == nullptr ? MemberId() : by_peer->peer;
+    if (may_start) {
+      expiry_timer_.After(std::chrono::ceil<Duration>(update.valid_until - now),
+                          [this] { Publish(); });
+    }
+    const bool same = update.configuration == told_.configuration &&
+                      update.verdict.index() == told_.verdict.index() &&
+                      (!may_start || update.valid_until == told_.valid_until);
+    if (same) return;
+    told_ = update;
+    for (const auto& subscriber : subscribers_) subscriber.Send(update);
+  }
+
+  const Options options_;
+  const task::Address<store::Request> store_;
+  const task::Address<entry::Call> client_;
+  Register register_;
+  Freshness freshness_;
+  std::mt19937_64 random_;
+  Duration backoff_;
+  bool listed_ = false;         // Else the next read is a listing.
+  store::Listing listing_;      // Pages read so far.
+  MonotonicTime listing_sent_;  // Of the first page.
+  std::vector<Peer> peers_;
+  int64_t lonely_rounds_ = 0;  // Of asking peers, since the last contact.
+  MemberId confirmed_by_;      // In the latest verdict; empty when by none.
+  std::vector<task::Address<Update>> subscribers_;
+  Update told_;  // The latest update sent.
+  task::Timer read_timer_;
+  task::Timer peer_timer_;
+  task::Timer expiry_timer_;
+  task::Mailbox<Inner> mailbox_;
+};
+
+Keeper::Keeper(task::Loop& loop, Options options,
+               task::Address<store::Request> store,
+               task::Address<entry::Call> peers)
+    : impl_(std::make_shared<Impl>(loop, std::move(options), std::move(store),
+                                   std::move(peers))) {}
+
+Keeper::~Keeper() = default;
+
+task::Address<Message> Keeper::address() const { return impl_->address(); }
+
+}  // namespace azurepass::configuration
--- /dev/null
+++ b/azurepass/configuration/keeper_test.cc
@@ -0,0 +1,199 @@
+// Keepers on a loop with a fake store and peers that reach each other through
+// a switchboard: start, change, outage, cut, compaction, return.
+
+#include <doctest/doctest.h>
+
+#include "azurepass/codec/codec.h"
+#include "azurepass/configuration/configuration.h"
+#include "azurepass/testing/fake_store.h"
+#include "azurepass/testing/inbox.h"
+
+namespace azurepass::configuration {
+namespace {
+
+using testing::FakeStore;
+using testing::Faults;
+using testing::Inbox;
+using testing::SetFaults;
+
+// Short, so that tests are quick; their ratios are those of the defaults.
+Options ShortOptions(int64_t index) {
+  Options options;
+  options.member = MemberId("m" + std::to_string(index));
+  options.max_age = Duration(600);
+  options.contact_limit = Duration(400);
+  options.watch_wait = Duration(100);
+  options.peer_interval = Duration(100);
+  options.peer_timeout = Duration(200);
+  options.min_backoff = Duration(20);
+  options.max_backoff = Duration(100);
+  options.seed = static_cast<uint64_t>(index) + 1;
+  return options;
+}
+
+// Some keepers that call each other without sockets.
+class Cluster {
+ public:
+  explicit Cluster(int64_t size) : store_(loop_), reachable_(size, true) {
+    for (int64_t i = 0; i < size; ++i) {
+      inboxes_.push_back(std::make_unique<Inbox<Update>>());
+      keepers_.push_back(std::make_unique<Keeper>(
+          loop_, ShortOptions(i), store_.Port(i), Switchboard(i)));
+      keepers_[i]->address().Send(Subscribe{inboxes_[i]->address()});
+    }
+    for (int64_t i = 0; i < size; ++i) SendPeers(i);
+  }
+  ~Cluster() { loop_.Stop(); }
+  void Start() { loop_.Start(); }
+
+  void Set(std::optional<int64_t> port, Faults faults) {
+    store_.control().Send(SetFaults{port, faults});
+  }
+  FakeStore& store() { return store_; }
+  Keeper& keeper(int64_t index) { return *keepers_[index]; }
+  // Before Start only.
+  void CutOff(int64_t index) { reachable_[index] = false; }
+
+  int64_t WriteZone(const std::string& name, bool in_service) {
+    const ZoneRecord zone{ZoneId(name), in_service, 0};
+    Inbox<store::WriteReply> reply;
+    store_.Port(-1).Send(store::Put{StoreKey(zone.zone),
+                                    codec::Write(zone).dump(), std::nullopt, "",
+                                    reply.address()});
+    return std::get<store::Written>(reply.Take()).version;
+  }
+  template <class Expected>
+  Update Await(int64_t index) {
+    return inboxes_[index]->TakeUntil([](const Update& update) {
+      return std::holds_alternative<Expected>(update.verdict);
+    });
+  }
+  Update AwaitRevision(int64_t index, int64_t revision) {
+    return inboxes_[index]->TakeUntil([revision](const Update& update) {
+      return update.configuration->revision.value >= revision;
+    });
+  }
+
+ private:
+  static std::string AddressOf(int64_t index) {
+    return "10.0.0." + std::to_string(index) + ":1";
+  }
+  // Carries calls of keeper `from`. Runs on the loop.
+  task::Address<entry::Call> Switchboard(int64_t from) {
+    return task::Address<entry::Call>([this, from](const entry::Call& call) {
+      for (size_t to = 0; to < keepers_.size(); ++to) {
+        if (AddressOf(static_cast<int64_t>(to)) != call.peer) continue;
+        if (!reachable_[from] || !reachable_[to]) break;
+        const auto reply = call.reply_to;
+        return keepers_[to]->address().Send(
+            AnswerPull{std::get<entry::PullConfiguration>(call.request),
+                       entry::Responder(task::Address<entry::Response>(
+                           [reply](entry::Response response) {
+                             reply.Send(std::move(response));
+                           }))});
+      }
+      call.reply_to.Send(entry::Failure{entry::FailureCode::kNotSent, "cut"});
+    });
+  }
+  void SendPeers(int64_t to) {
+    PeersChanged changed;
+    for (size_t i = 0; i < keepers_.size(); ++i) {
+      const auto index = static_cast<int64_t>(i);
+      if (index == to) continue;
+      changed.peers.push_back({MemberId("m" + std::to_string(index)),
+                               AddressOf(index), /*gone=*/false});
+    }
+    keepers_[to]->address().Send(std::move(changed));
+  }
+
+  std::vector<std::unique_ptr<Inbox<Update>>> inboxes_;
+  task::Loop loop_;
+  FakeStore store_;
+  std::vector<std::unique_ptr<Keeper>> keepers_;
+  std::vector<bool> reachable_;
+};
+
+TEST_CASE("a change reaches every keeper, each confirmed") {
+  Cluster cluster(3);
+  cluster.Start();
+  for (int64_t i = 0; i < 3; ++i) cluster.Await<Confirmed>(i);
+  const int64_t revision = cluster.WriteZone("plovdiv-a", false);
+  for (int64_t i = 0; i < 3; ++i) {
+    const Update update = cluster.AwaitRevision(i, revision);
+    CHECK_FALSE(update.configuration->zones.at(ZoneId("plovdiv-a")).in_service);
+  }
+}
+
+TEST_CASE("a keeper cut from the store learns from its peers") {
+  Cluster cluster(3);
+  cluster.Start();
+  for (int64_t i = 0; i < 3; ++i) cluster.Await<Confirmed>(i);
+  cluster.Set(0, {true, 0, Duration(0)});
+  const int64_t revision = cluster.WriteZone("plovdiv-a", false);
+  cluster.AwaitRevision(0, revision);
+  CHECK(cluster.Await<ConfirmedByPeer>(0).configuration->revision.value >=
+        revision);
+  cluster.Set(0, {});
+  cluster.Await<Confirmed>(0);
+}
+
+TEST_CASE("a keeper that is cut from all goes stale and comes back") {
+  Cluster cluster(3);
+  cluster.CutOff(0);
+  cluster.Start();
+  for (int64_t i = 0; i < 3; ++i) cluster.Await<Confirmed>(i);
+  cluster.Set(0, {true, 0, Duration(0)});
+  cluster.Await<Stale>(0);
+  cluster.Set(0, {});
+  cluster.Await<Confirmed>(0);
+}
+
+TEST_CASE("an outage for all is evident to all, and passes") {
+  Cluster cluster(3);
+  cluster.Start();
+  for (int64_t i = 0; i < 3; ++i) cluster.Await<Confirmed>(i);
+  cluster.Set(std::nullopt, {true, 0, Duration(0)});
+  for (int64_t i = 0; i < 3; ++i) cluster.Await<OutageEvident>(i);
+  cluster.Set(std::nullopt, {});
+  const int64_t revision = cluster.WriteZone("plovdiv-a", false);
+  for (int64_t i = 0; i < 3; ++i) cluster.AwaitRevision(i, revision);
+}
+
+TEST_CASE("a keeper that starts in an outage stays stale until the store is") {
+  Cluster cluster(1);
+  cluster.Set(std::nullopt, {true, 0, Duration(0)});
+  cluster.Start();
+  CHECK(cluster.Await<Stale>(0).configuration->revision == Revision{0});
+  cluster.Set(std::nullopt, {});
+  cluster.Await<Confirmed>(0);
+}
+
+TEST_CASE("a compacted history is read again as a whole") {
+  Cluster cluster(1);
+  cluster.Start();
+  cluster.AwaitRevision(0, cluster.WriteZone("plovdiv-a", false));
+  cluster.Set(0, {true, 0, Duration(0)});
+  cluster.Await<Stale>(0);
+  const int64_t revision = cluster.WriteZone("plovdiv-b", false);
+  cluster.store().control().Send(testing::Compact{});
+  cluster.Set(0, {});
+  const Update update = cluster.AwaitRevision(0, revision);
+  CHECK(update.configuration->zones.size() == 2);
+}
+
+TEST_CASE("a keeper behind a change it knows of is no witness") {
+  Cluster cluster(1);
+  cluster.Start();
+  cluster.Await<Confirmed>(0);
+  cluster.keeper(0).address().Send(ChangeAccepted{Revision{1'000'000}});
+  cluster.Await<Stale>(0);
+  Inbox<entry::Response> answer;
+  cluster.keeper(0).address().Send(AnswerPull{
+      entry::PullConfiguration{}, entry::Responder(answer.address())});
+  const auto pulled = std::get<entry::ConfigurationPulled>(answer.Take());
+  CHECK(pulled.in_contact);
+  CHECK(pulled.store_contact_age == Duration::max());
+}
+
+}  // namespace
+}  // namespace azurepass::configuration
--- a/azurepass/entry/entry_test.cc
+++ b/azurepass/entry/entry_test.cc
@@ -11,47 +11,15 @@
 #include <optional>
 #include <utility>
 
+#include "azurepass/testing/inbox.h"
+
 namespace azurepass::entry {
 namespace {
 
-constexpr Duration kLong{20'000};
-constexpr int kCalls = 3'000;  // Of the tests under load.
-
-// Messages that arrive on any thread, taken in order by the test's thread.
-template <class T>
-class Inbox {
- public:
-  Inbox() : queue_(g_async_queue_new()) {}
-  ~Inbox() {
-    while (auto* left = g_async_queue_try_pop(queue_)) {
-      delete static_cast<T*>(left);
-    }
-    g_async_queue_unref(queue_);
-  }
-  Inbox(const Inbox&) = delete;
-  Inbox& operator=(const Inbox&) = delete;
+using testing::Inbox;
+using testing::kLong;
 
-  task::Address<T> address() {
-    return task::Address<T>([queue = queue_](T message) {
-      g_async_queue_push(queue, new T(std::move(message)));
-    });
-  }
-  std::optional<T> TakeWithin(Duration limit) {
-    const guint64 limit_us = std::chrono::microseconds(limit).count();
-    std::unique_ptr<T> message(
-        static_cast<T*>(g_async_queue_timeout_pop(queue_, limit_us)));
-    if (message == nullptr) return std::nullopt;
-    return std::move(*message);
-  }
-  T Take() {
-    std::optional<T> message = TakeWithin(kLong);
-    REQUIRE(message.has_value());
-    return *std::move(message);
-  }
-
- private:
-  GAsyncQueue* queue_;
-};
+constexpr int kCalls = 3'000;  // Of the tests under load.
 
 struct ServerUnderTest {
   explicit ServerUnderTest(const ServerOptions& options = {"127.0.0.1:0"})
