--- a/azurepass/daemons/process.cc
+++ b/azurepass/daemons/process.cc
@@ -98,10 +98,9 @@
   membership::MemberRecord record;
   record.member = process.member;
   record.address = entry_address;
-  record.incarnation =
-      std::chrono::duration_cast<Duration>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count();
+  record.incarnation = std::chrono::duration_cast<Duration>(
+                           std::chrono::system_clock::now().time_since_epoch())
+                           .count();
   record.role = role;
   record.zone = process.zone;
   return record;
--- a/azurepass/journal/internal/formats.cc
+++ b/azurepass/journal/internal/formats.cc
@@ -74,8 +74,7 @@
 TaskId ReadTask(ObjectReader& reader) {
   TaskId task;
   task.job = reader.Name<JobId>("job");
-  task.index =
-      static_cast<int32_t>(reader.Int("task", 0, kMaxTasksPerJob - 1));
+  task.index = static_cast<int32_t>(reader.Int("task", 0, kMaxTasksPerJob - 1));
   return task;
 }
 
@@ -127,34 +126,33 @@
 
 Json Format<Record>::Write(const Record& value) {
   return std::visit(
-      Visitor{
-          [](const partition::JobSubmitted& r) {
-            return WriteSubmittedRecord(r);
-          },
-          [](const partition::TaskStarted& r) -> Json {
-            return {{"r", "started"},
-                    {"attempt", ToString(r.attempt)},
-                    {"vm", r.vm.value()}};
-          },
-          [](const partition::TaskRequeued& r) -> Json {
-            return {{"r", "requeued"},
-                    {"attempt", ToString(r.attempt)},
-                    {"outcome", OutcomeName(r.outcome)},
-                    {"ckpt", r.from_checkpoint}};
-          },
-          [](const partition::TaskEnded& r) -> Json {
-            return {{"r", "ended"},
-                    {"job", r.task.job.value()},
-                    {"task", r.task.index},
-                    {"state", TaskStateName(r.state)},
-                    {"why", r.reason}};
-          },
-          [](const partition::JobCancelled& r) -> Json {
-            return {{"r", "cancelled"}, {"job", r.job.value()}};
-          },
-          [](const partition::JobForgotten& r) -> Json {
-            return {{"r", "forgotten"}, {"job", r.job.value()}};
-          }},
+      Visitor{[](const partition::JobSubmitted& r) {
+                return WriteSubmittedRecord(r);
+              },
+              [](const partition::TaskStarted& r) -> Json {
+                return {{"r", "started"},
+                        {"attempt", ToString(r.attempt)},
+                        {"vm", r.vm.value()}};
+              },
+              [](const partition::TaskRequeued& r) -> Json {
+                return {{"r", "requeued"},
+                        {"attempt", ToString(r.attempt)},
+                        {"outcome", OutcomeName(r.outcome)},
+                        {"ckpt", r.from_checkpoint}};
+              },
+              [](const partition::TaskEnded& r) -> Json {
+                return {{"r", "ended"},
+                        {"job", r.task.job.value()},
+                        {"task", r.task.index},
+                        {"state", TaskStateName(r.state)},
+                        {"why", r.reason}};
+              },
+              [](const partition::JobCancelled& r) -> Json {
+                return {{"r", "cancelled"}, {"job", r.job.value()}};
+              },
+              [](const partition::JobForgotten& r) -> Json {
+                return {{"r", "forgotten"}, {"job", r.job.value()}};
+              }},
       value);
 }
 
@@ -302,9 +300,8 @@
     const std::vector<std::string>& chunks) {
   partition::Snapshot snapshot{through, next_job_number, {}};
   for (const std::string& text : chunks) {
-    auto chunk = codec::Try([&] {
-      return codec::Decode<internal::Chunk>(text, StoreLimits());
-    });
+    auto chunk = codec::Try(
+        [&] { return codec::Decode<internal::Chunk>(text, StoreLimits()); });
     auto* decoded = std::get_if<internal::Chunk>(&chunk);
     if (decoded == nullptr) return std::nullopt;
     std::move(decoded->jobs.begin(), decoded->jobs.end(),
--- a/azurepass/journal/journal.h
+++ b/azurepass/journal/journal.h
@@ -71,9 +71,8 @@
     int64_t through, int64_t next_job_number,
     const std::vector<std::string>& chunks);
 
-using Request =
-    std::variant<partition::LoadJournal, partition::AppendBatch,
-                 partition::ReadBack, partition::WriteSnapshot>;
+using Request = std::variant<partition::LoadJournal, partition::AppendBatch,
+                             partition::ReadBack, partition::WriteSnapshot>;
 
 class Writer {
  public:
--- a/azurepass/journal/writer.cc
+++ b/azurepass/journal/writer.cc
@@ -57,9 +57,9 @@
   int64_t epoch = 0;
   store::ListReply reply;
 };
-using Inbox = std::variant<Request, ManifestRead, ChunkRead, SlotsListed,
-                           BatchWritten, SlotRead, ChunkWritten,
-                           ManifestWritten, ChunksListed>;
+using Inbox =
+    std::variant<Request, ManifestRead, ChunkRead, SlotsListed, BatchWritten,
+                 SlotRead, ChunkWritten, ManifestWritten, ChunksListed>;
 
 // A load under way.
 struct Load {
@@ -144,10 +144,10 @@
 
   void Begin(const partition::LoadJournal& request) {
     load_ = Load{request.epoch, std::nullopt, {}, {}};
-    store_.Send(store::Get{
-        ManifestKey(partition_), Back<store::GetReply>([](store::GetReply r) {
-          return ManifestRead{std::move(r)};
-        })});
+    store_.Send(store::Get{ManifestKey(partition_),
+                           Back<store::GetReply>([](store::GetReply r) {
+                             return ManifestRead{std::move(r)};
+                           })});
   }
 
   void On(ManifestRead& read) {
@@ -171,10 +171,10 @@
       ListSlots("");
       return;
     }
-    store_.Send(store::Get{
-        ChunkKey(partition_, load_->manifest->id, next),
-        Back<store::GetReply>(
-            [](store::GetReply r) { return ChunkRead{std::move(r)}; })});
+    store_.Send(store::Get{ChunkKey(partition_, load_->manifest->id, next),
+                           Back<store::GetReply>([](store::GetReply r) {
+                             return ChunkRead{std::move(r)};
+                           })});
   }
 
   void On(ChunkRead& read) {
@@ -215,9 +215,8 @@
     partition::JournalLoaded loaded{load.epoch, std::nullopt, {}};
     covered_ = 0;
     if (load.manifest) {
-      loaded.snapshot =
-          DecodeSnapshot(load.manifest->through, load.manifest->next_job_number,
-                         load.chunks);
+      loaded.snapshot = DecodeSnapshot(
+          load.manifest->through, load.manifest->next_job_number, load.chunks);
       if (!loaded.snapshot) {
         owner_.Send(partition::LoadFailed{load.epoch});
         return;
@@ -286,25 +285,23 @@
   void Begin(const partition::ReadBack& request) {
     store_.Send(store::Get{
         SlotKey(partition_, request.number),
-        Back<store::GetReply>(
-            [epoch = request.epoch,
-             number = request.number](store::GetReply r) {
-              return SlotRead{epoch, number, std::move(r)};
-            })});
+        Back<store::GetReply>([epoch = request.epoch,
+                               number = request.number](store::GetReply r) {
+          return SlotRead{epoch, number, std::move(r)};
+        })});
   }
 
   void On(SlotRead& read) {
-    std::visit(
-        Visitor{
-            [&](const store::Value& value) {
-              Found(read.epoch, read.number, value.entry);
-            },
-            [&](const store::Error&) {
-              owner_.Send(
-                  partition::AppendUnavailable{read.epoch, read.number});
-            },
-        },
-        read.reply);
+    std::visit(Visitor{
+                   [&](const store::Value& value) {
+                     Found(read.epoch, read.number, value.entry);
+                   },
+                   [&](const store::Error&) {
+                     owner_.Send(
+                         partition::AppendUnavailable{read.epoch, read.number});
+                   },
+               },
+               read.reply);
   }
 
   // What the slot of `number` holds. An older batch means that nothing is
@@ -378,19 +375,18 @@
   }
 
   void On(ManifestWritten& written) {
-    std::visit(
-        Visitor{
-            [&](const store::Written& done) {
-              TakeManifest(written.manifest, done.version);
-              RemoveOrphans(EpochOf(written.manifest.id));
-              FinishSnapshot(true);
-            },
-            [&](const store::Conflict& conflict) {
-              FinishSnapshot(IsOurs(conflict, written.manifest));
-            },
-            [&](const store::Error&) { FinishSnapshot(false); },
-        },
-        written.reply);
+    std::visit(Visitor{
+                   [&](const store::Written& done) {
+                     TakeManifest(written.manifest, done.version);
+                     RemoveOrphans(EpochOf(written.manifest.id));
+                     FinishSnapshot(true);
+                   },
+                   [&](const store::Conflict& conflict) {
+                     FinishSnapshot(IsOurs(conflict, written.manifest));
+                   },
+                   [&](const store::Error&) { FinishSnapshot(false); },
+               },
+               written.reply);
   }
 
   // Whether an earlier try of ours took effect though its answer was lost. A
@@ -422,9 +418,8 @@
 
   void RemoveChunks(const Manifest& manifest) {
     for (int64_t chunk = 0; chunk < manifest.chunks; ++chunk) {
-      store_.Send(store::Delete{ChunkKey(partition_, manifest.id, chunk),
-                                std::nullopt,
-                                {}});
+      store_.Send(store::Delete{
+          ChunkKey(partition_, manifest.id, chunk), std::nullopt, {}});
     }
   }
 
