--- a/azurepass/codec/core_formats.cc
+++ b/azurepass/codec/core_formats.cc
@@ -92,6 +92,10 @@
   return BatchPolicy{};
 }
 
+// A stored record carries the id of the change that wrote it, by which its
+// writer settles a lost answer. Nobody else needs it.
+void SkipChangeId(ObjectReader& reader) { reader.String("change", ""); }
+
 }  // namespace
 
 AttemptId ReadAttemptId(ObjectReader& reader, std::string_view name) {
@@ -185,6 +189,7 @@
   }
   contract.queues = reader.Objects<QueueSpec>("queues");
   contract.version = reader.Int("version", 0, kMaxInt, 0);
+  SkipChangeId(reader);
   return contract;
 }
 
@@ -209,6 +214,7 @@
   key.sha256 = reader.String("sha256");
   key.withdrawn = reader.Bool("withdrawn", false);
   key.version = reader.Int("version", 0, kMaxInt, 0);
+  SkipChangeId(reader);
   return key;
 }
 
@@ -225,6 +231,7 @@
   zone.zone = reader.Name<ZoneId>("zone");
   zone.in_service = reader.Bool("in_service", true);
   zone.version = reader.Int("version", 0, kMaxInt, 0);
+  SkipChangeId(reader);
   return zone;
 }
 
