--- a/azurepass/operators/configuration_writer.cc
+++ b/azurepass/operators/configuration_writer.cc
@@ -145,16 +145,15 @@
                  std::function<ConfigurationResponse(Record)> answer);
   // Lists the records below the prefix of `key`.
   template <class Record>
-  void ListRecords(const std::string& key, const Reply& reply,
-                   std::function<ConfigurationResponse(std::vector<Record>,
-                                                       Revision)>
-                       answer);
+  void ListRecords(
+      const std::string& key, const Reply& reply,
+      std::function<ConfigurationResponse(std::vector<Record>, Revision)>
+          answer);
 
   template <class ReplyType>
   task::Address<ReplyType> Continue(std::function<void(ReplyType)> then) {
     return mailbox_.address().Map<ReplyType>([then](ReplyType reply) {
-      return Message(
-          Resume{[then, reply = std::move(reply)] { then(reply); }});
+      return Message(Resume{[then, reply = std::move(reply)] { then(reply); }});
     });
   }
 
@@ -182,8 +181,8 @@
 
 // --- Steps
 
-void ConfigurationWriter::Impl::Get(
-    const std::string& key, std::function<void(store::GetReply)> then) {
+void ConfigurationWriter::Impl::Get(const std::string& key,
+                                    std::function<void(store::GetReply)> then) {
   store_.Send(store::Get{key, Continue<store::GetReply>(std::move(then))});
 }
 
@@ -212,8 +211,8 @@
 void ConfigurationWriter::Impl::WriteSettled(
     Change change, MonotonicTime deadline,
     std::function<void(WriteOutcome)> then) {
-  auto write = std::make_shared<Write>(loop_, std::move(change), deadline,
-                                       random_());
+  auto write =
+      std::make_shared<Write>(loop_, std::move(change), deadline, random_());
   write->done = std::move(then);
   Perform(write, internal::SendWrite{});
 }
@@ -309,11 +308,10 @@
 
 void ConfigurationWriter::Impl::Start(const ListContracts& /*request*/,
                                       const Reply& reply, MonotonicTime) {
-  ListRecords<Contract>(
-      configuration::StoreKey(TeamId()), reply,
-      [](std::vector<Contract> contracts, Revision revision) {
-        return ContractList{std::move(contracts), revision};
-      });
+  ListRecords<Contract>(configuration::StoreKey(TeamId()), reply,
+                        [](std::vector<Contract> contracts, Revision revision) {
+                          return ContractList{std::move(contracts), revision};
+                        });
 }
 
 void ConfigurationWriter::Impl::Start(const GetContract& request,
@@ -366,8 +364,7 @@
                         reply.Send(std::move(conflict));
                       },
                       [&](const Failed& failed) {
-                        reply.Send(
-                            StoreRefusal(failed.effect, failed.message));
+                        reply.Send(StoreRefusal(failed.effect, failed.message));
                       }},
               outcome);
         });
--- a/azurepass/operators/documents.cc
+++ b/azurepass/operators/documents.cc
@@ -184,14 +184,11 @@
 }
 
 codec::Json ToJson(const MemberStatus& member) {
-  return {{"member", member.member.value()},
-          {"role", member.role},
-          {"zone", member.zone.value()},
-          {"address", member.address},
-          {"leaving", member.leaving},
-          {"suspected", member.suspected},
-          {"answered", member.answered},
-          {"revision", member.revision.value}};
+  return {
+      {"member", member.member.value()}, {"role", member.role},
+      {"zone", member.zone.value()},     {"address", member.address},
+      {"leaving", member.leaving},       {"suspected", member.suspected},
+      {"answered", member.answered},     {"revision", member.revision.value}};
 }
 
 codec::Json ToJson(const PartitionStatus& partition) {
@@ -234,8 +231,8 @@
 httpserver::Response ListResponse(const std::string& name,
                                   const std::vector<Record>& records,
                                   Revision revision) {
-  return JsonResponse(200, {{name, codec::WriteAll(records)},
-                            {"revision", revision.value}});
+  return JsonResponse(
+      200, {{name, codec::WriteAll(records)}, {"revision", revision.value}});
 }
 
 }  // namespace
@@ -253,51 +250,52 @@
 
 httpserver::Response ToHttp(const ConfigurationResponse& response) {
   return std::visit(
-      Visitor{[](const ContractList& list) {
-                return ListResponse("contracts", list.contracts, list.revision);
-              },
-              [](const KeyList& list) {
-                codec::Json keys = codec::Json::array();
-                for (const auto& key : list.keys) keys.push_back(ToJson(key));
-                return JsonResponse(200, {{"keys", keys},
-                                          {"revision", list.revision.value}});
-              },
-              [](const ZoneList& list) {
-                return ListResponse("zones", list.zones, list.revision);
-              },
-              [](const KeyCreated& created) {
-                codec::Json out = ToJson(created.record);
-                out["secret"] = created.secret;
-                return JsonResponse(201, out);
-              },
-              [](const KeyRecord& key) { return JsonResponse(200, ToJson(key)); },
-              [](const Deleted&) {
-                return JsonResponse(200, {{"deleted", true}});
-              },
-              [](const Conflict& conflict) {
-                return JsonResponse(409, ToJson(conflict));
-              },
-              [](const Refusal& refusal) {
-                return httpserver::ToResponse(refusal);
-              },
-              [](const auto& record) {
-                return JsonResponse(200, codec::Write(record));
-              }},
+      Visitor{
+          [](const ContractList& list) {
+            return ListResponse("contracts", list.contracts, list.revision);
+          },
+          [](const KeyList& list) {
+            codec::Json keys = codec::Json::array();
+            for (const auto& key : list.keys) keys.push_back(ToJson(key));
+            return JsonResponse(
+                200, {{"keys", keys}, {"revision", list.revision.value}});
+          },
+          [](const ZoneList& list) {
+            return ListResponse("zones", list.zones, list.revision);
+          },
+          [](const KeyCreated& created) {
+            codec::Json out = ToJson(created.record);
+            out["secret"] = created.secret;
+            return JsonResponse(201, out);
+          },
+          [](const KeyRecord& key) { return JsonResponse(200, ToJson(key)); },
+          [](const Deleted&) {
+            return JsonResponse(200, {{"deleted", true}});
+          },
+          [](const Conflict& conflict) {
+            return JsonResponse(409, ToJson(conflict));
+          },
+          [](const Refusal& refusal) {
+            return httpserver::ToResponse(refusal);
+          },
+          [](const auto& record) {
+            return JsonResponse(200, codec::Write(record));
+          }},
       response);
 }
 
 httpserver::Response ToHttp(const CellResponse& response) {
-  return std::visit(
-      Visitor{[](const CellStatus& status) {
-                return JsonResponse(200, ToJson(status));
-              },
-              [](const placement::Explanation& explanation) {
-                return JsonResponse(200, caller::ToJson(explanation));
-              },
-              [](const Refusal& refusal) {
-                return httpserver::ToResponse(refusal);
-              }},
-      response);
+  return std::visit(Visitor{[](const CellStatus& status) {
+                              return JsonResponse(200, ToJson(status));
+                            },
+                            [](const placement::Explanation& explanation) {
+                              return JsonResponse(200,
+                                                  caller::ToJson(explanation));
+                            },
+                            [](const Refusal& refusal) {
+                              return httpserver::ToResponse(refusal);
+                            }},
+                    response);
 }
 
 }  // namespace azurepass::operators
--- a/azurepass/operators/server.cc
+++ b/azurepass/operators/server.cc
@@ -100,16 +100,16 @@
     Finish(id, httpserver::ToResponse(*refusal));
     return;
   }
-  std::visit(Visitor{[&](ConfigurationRequest& request) {
-                       configuration_.Send(
-                           {std::move(request), kAnswerTime,
-                            ReplyTo<ConfigurationResponse>(id)});
-                     },
-                     [&](CellRequest& request) {
-                       cell_.Send({std::move(request), kAnswerTime,
-                                   ReplyTo<CellResponse>(id)});
-                     }},
-             std::get<Request>(outcome));
+  std::visit(
+      Visitor{[&](ConfigurationRequest& request) {
+                configuration_.Send({std::move(request), kAnswerTime,
+                                     ReplyTo<ConfigurationResponse>(id)});
+              },
+              [&](CellRequest& request) {
+                cell_.Send({std::move(request), kAnswerTime,
+                            ReplyTo<CellResponse>(id)});
+              }},
+      std::get<Request>(outcome));
 }
 
 void Server::Impl::Finish(httpserver::ExchangeId id,
--- a/azurepass/operators/settled_write.cc
+++ b/azurepass/operators/settled_write.cc
@@ -39,14 +39,13 @@
 }
 
 Step SettledWrite::On(const store::GetReply& reply, MonotonicTime now) {
-  return std::visit(
-      Visitor{[this](const store::Value& value) {
-                return OnFound(value.entry, /*read_back=*/true);
-              },
-              [&](const store::Error& error) {
-                return Backoff(error.message, now);
-              }},
-      reply);
+  return std::visit(Visitor{[this](const store::Value& value) {
+                              return OnFound(value.entry, /*read_back=*/true);
+                            },
+                            [&](const store::Error& error) {
+                              return Backoff(error.message, now);
+                            }},
+                    reply);
 }
 
 Step SettledWrite::OnFound(const std::optional<store::Entry>& current,
--- a/azurepass/operators/validation.cc
+++ b/azurepass/operators/validation.cc
@@ -59,7 +59,8 @@
     const std::string path = Element("queues", i);
     if (!IsName(queue.name.value())) return NameRule(path + ".name");
     if (!seen.insert(queue.name).second) {
-      return path + ".name: the queue " + queue.name.value() + " is there twice";
+      return path + ".name: the queue " + queue.name.value() +
+             " is there twice";
     }
     if (!known.services.contains(queue.service)) {
       return path + ".service: the cell has no service " +
--- /dev/null
+++ b/azurepass/routing/admission.cc
@@ -0,0 +1,205 @@
+// Who may send what, and to which partition it belongs.
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+#include "azurepass/routing/internal/dispatcher_impl.h"
+
+namespace azurepass::routing {
+namespace {
+
+constexpr Duration kRetryAfter{1'000};
+
+MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+
+Refusal Refuse(RefusalCode code, std::string message,
+               std::optional<Duration> retry_after = std::nullopt) {
+  return {code, Effect::kNotRun, std::move(message), retry_after};
+}
+
+}  // namespace
+
+void Dispatcher::Impl::OnIncoming(const caller::Incoming& incoming) {
+  Pending pending;
+  pending.origin = internal::ToCaller{incoming.number, incoming.responder};
+  pending.deadline = Now() + incoming.time_left;
+  if (std::optional<Refusal> refusal = Admit(incoming, pending)) {
+    ++refused_[RefusalCodeName(refusal->code)];
+    LOG(INFO) << "event=refuse code=" << RefusalCodeName(refusal->code)
+              << " team=" << pending.team.value() << " effect=not_run";
+    incoming.responder.Answer(*std::move(refusal));
+    return;
+  }
+  Begin(std::move(pending));
+}
+
+std::optional<Refusal> Dispatcher::Impl::Stale() const {
+  if (!update_ || update_->configuration == nullptr) {
+    return Refuse(RefusalCode::kStaleConfiguration,
+                  "the configuration was not read yet", kRetryAfter);
+  }
+  if (!update_->MayStart(Now())) {
+    return Refuse(RefusalCode::kStaleConfiguration,
+                  "this process can't know that its configuration is in "
+                  "force: " +
+                      configuration::ToString(update_->verdict),
+                  kRetryAfter);
+  }
+  return std::nullopt;
+}
+
+std::optional<Refusal> Dispatcher::Impl::Admit(const caller::Incoming& incoming,
+                                               Pending& pending) const {
+  if (std::optional<Refusal> stale = Stale()) return stale;
+  const Configuration& configuration = *update_->configuration;
+  std::optional<KeyRecord> key =
+      configuration::FindKey(configuration, incoming.key);
+  if (!key || !configuration.contracts.contains(key->team)) {
+    return Refuse(RefusalCode::kUnauthenticated,
+                  "the key is unknown or withdrawn");
+  }
+  pending.key = key->id;
+  pending.team = key->team;
+  auto open = open_per_team_.find(key->team);
+  if (open != open_per_team_.end() &&
+      open->second >= options_.max_open_per_team) {
+    return Refuse(RefusalCode::kQueueFull,
+                  "the team has too many requests without an answer",
+                  kRetryAfter);
+  }
+  return std::visit(
+      Visitor{
+          [&](const caller::Submit& submit) {
+            return RouteSubmit(submit, pending);
+          },
+          [&](const caller::Get& get) {
+            pending.held_until = Now() + get.wait;
+            pending.request =
+                partition::GetJob{pending.team, get.job, get.known, get.wait};
+            return RouteJob(get.job, pending);
+          },
+          [&](const caller::Cancel& cancel) {
+            pending.request = partition::CancelJob{pending.team, cancel.job};
+            return RouteJob(cancel.job, pending);
+          },
+          [&](const caller::Explain& explain) {
+            pending.request = partition::ExplainJob{pending.team, explain.job};
+            return RouteJob(explain.job, pending);
+          }},
+      incoming.request);
+}
+
+std::optional<Refusal> Dispatcher::Impl::RouteSubmit(
+    const caller::Submit& submit, Pending& pending) const {
+  const Contract& contract = update_->configuration->contracts.at(pending.team);
+  auto queue = std::find_if(
+      contract.queues.begin(), contract.queues.end(),
+      [&](const QueueSpec& q) { return q.name == submit.spec.queue; });
+  if (queue == contract.queues.end()) {
+    return Refuse(RefusalCode::kNotFound, "the team's contract has no queue " +
+                                              submit.spec.queue.value());
+  }
+  std::vector<PartitionId> candidates;
+  for (const Partition& partition : options_.partitions) {
+    if (partition.service == queue->service) candidates.push_back(partition.id);
+  }
+  pending.partition = ChoosePartition(candidates, pending.team, submit.request);
+  if (pending.partition.empty()) {
+    return Refuse(RefusalCode::kNotFound,
+                  "the cell has no service " + queue->service.value());
+  }
+  pending.request =
+      partition::SubmitJob{pending.partition, pending.team, submit.request,
+                           submit.spec, update_->configuration->revision};
+  return std::nullopt;
+}
+
+std::optional<Refusal> Dispatcher::Impl::RouteJob(const JobId& job,
+                                                  Pending& pending) const {
+  const std::optional<PartitionId> partition = PartitionOf(job);
+  const auto is_it = [&](const Partition& p) { return p.id == *partition; };
+  if (!partition || std::none_of(options_.partitions.begin(),
+                                 options_.partitions.end(), is_it)) {
+    return Refuse(RefusalCode::kNotFound, "no such job");
+  }
+  pending.partition = *partition;
+  return std::nullopt;
+}
+
+void Dispatcher::Impl::OnAbandoned(const caller::Abandoned& abandoned) {
+  auto found = by_number_.find(abandoned.number);
+  if (found == by_number_.end()) return;
+  Forget(pending_.at(found->second));
+}
+
+void Dispatcher::Impl::OnOperator(const operators::CellCall& call) {
+  const auto* explain = std::get_if<operators::ExplainJob>(&call.request);
+  if (explain == nullptr) return BeginStatus(call);
+  Pending pending;
+  pending.origin = internal::ToOperator{call.reply_to};
+  pending.deadline = Now() + call.time_left;
+  pending.request = partition::ExplainJob{TeamId(), explain->job};
+  if (std::optional<Refusal> refusal = RouteJob(explain->job, pending)) {
+    call.reply_to.Send(*std::move(refusal));
+    return;
+  }
+  Begin(std::move(pending));
+}
+
+void Dispatcher::Impl::BeginStatus(const operators::CellCall& call) {
+  operators::CellStatus known;
+  known.answered_by = options_.member;
+  if (update_ && update_->configuration != nullptr) {
+    known.revision = update_->configuration->revision;
+    known.freshness = configuration::ToString(update_->verdict);
+    known.may_start = update_->MayStart(Now());
+  }
+  const int64_t number = ++last_status_;
+  auto& open = statuses_[number] = std::make_unique<OpenStatus>(
+      loop_, internal::StatusRound(std::move(known), options_.partitions, view_,
+                                   call.reply_to));
+  open->timeout.After(options_.status_timeout + kRetryAfter,
+                      [this, number] { FinishStatus(number); });
+  for (const membership::MemberRecord& record : open->round.ToAsk()) {
+    peers_.Send(
+        {record.address, entry::GetStatus{}, options_.status_timeout,
+         mailbox_.address().Map<entry::CallResult>(
+             [number, member = record.member](entry::CallResult result) {
+               return Message(StatusCalled{number, member, std::move(result)});
+             })});
+  }
+  if (open->round.complete()) FinishStatus(number);
+}
+
+void Dispatcher::Impl::FinishStatus(int64_t round) {
+  auto found = statuses_.find(round);
+  if (found == statuses_.end()) return;
+  const std::unique_ptr<OpenStatus> open = std::move(found->second);
+  statuses_.erase(found);
+  open->round.Answer();
+}
+
+void Dispatcher::Impl::Report(const metrics::Scrape& scrape) const {
+  metrics::Text text;
+  text.Counter("azurepass_routing_routed_total", "Requests taken.", routed_);
+  text.Counter("azurepass_routing_retries_total", "Calls sent again.",
+               retried_);
+  text.Counter("azurepass_routing_retries_put_off_total",
+               "Retries that had to wait for the budget.", retries_put_off_);
+  for (const auto& [code, count] : refused_) {
+    text.Counter("azurepass_routing_refused_total", "Requests refused here.",
+                 count, metrics::Label("code", code));
+  }
+  text.Gauge("azurepass_routing_open_requests", "Requests without an answer.",
+             static_cast<double>(pending_.size()));
+  text.Latency("azurepass_routing_latency_seconds",
+               "From the taking of a request to its answer, wait included.",
+               latency_);
+  metrics::Report report{text.Take(), std::nullopt};
+  if (std::optional<Refusal> stale = Stale()) report.not_ready = stale->message;
+  if (!view_.known) report.not_ready = "the members were not read yet";
+  scrape.reply_to.Send(std::move(report));
+}
+
+}  // namespace azurepass::routing
--- /dev/null
+++ b/azurepass/routing/dispatcher.cc
@@ -0,0 +1,376 @@
+// Carries requests to owners and answers back.
+//
+// Why there are never two answers, and never another's: an answer is given in
+// Finish alone, which forgets the pending request; a result is matched by the
+// request's id and the number of the attempt, and a late one finds neither.
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+#include "azurepass/routing/internal/dispatcher_impl.h"
+
+namespace azurepass::routing {
+namespace {
+
+constexpr Duration kRetryAfter{1'000};
+// Requests that waited for an owner are spread over this time when it comes.
+constexpr Duration kOwnerSpread{100};
+
+MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+
+bool ShouldAskAgain(RefusalCode code) {
+  return code == RefusalCode::kNotOwner || code == RefusalCode::kShuttingDown;
+}
+
+}  // namespace
+
+Dispatcher::Impl::Impl(task::Loop& loop, Options options,
+                       task::Address<entry::Call> peers)
+    : loop_(loop),
+      options_(std::move(options)),
+      peers_(std::move(peers)),
+      retries_(options_.retries, Now()),
+      random_(static_cast<std::minstd_rand::result_type>(options_.seed)),
+      timer_(loop),
+      mailbox_(loop, [this](Message m) { Handle(std::move(m)); }) {}
+
+void Dispatcher::Impl::Handle(Message message) {
+  std::visit(
+      Visitor{[this](caller::Event& event) {
+                std::visit(
+                    Visitor{
+                        [this](const caller::Incoming& i) { OnIncoming(i); },
+                        [this](const caller::Abandoned& a) { OnAbandoned(a); }},
+                    event);
+              },
+              [this](const operators::CellCall& call) { OnOperator(call); },
+              [this](configuration::Update& u) { OnUpdate(std::move(u)); },
+              [this](membership::View& v) { OnView(std::move(v)); },
+              [this](const Called& called) { OnCalled(called); },
+              [this](const StatusCalled& called) {
+                auto found = statuses_.find(called.round);
+                if (found == statuses_.end()) return;
+                found->second->round.On(called.member, called.result);
+                if (found->second->round.complete()) FinishStatus(called.round);
+              },
+              [this](const Hurry&) { OnHurry(); },
+              [this](const metrics::Scrape& scrape) { Report(scrape); }},
+      message);
+}
+
+// --- The way there
+
+void Dispatcher::Impl::Begin(Pending pending) {
+  ++routed_;
+  retries_.OnRequest();
+  const PendingId id{++last_id_};
+  pending.id = id;
+  pending.since = Now();
+  if (const auto* caller = std::get_if<internal::ToCaller>(&pending.origin)) {
+    by_number_[caller->number] = id;
+    ++open_per_team_[pending.team];
+  }
+  if (hurrying_) pending.held_until = Now();
+  Pending& kept = pending_.emplace(id, std::move(pending)).first->second;
+  SetAlarm(kept, kept.deadline);
+  Attempt(kept);
+}
+
+const membership::Claim* Dispatcher::Impl::OwnerOf(
+    const PartitionId& partition) const {
+  auto found = view_.claims.find(partition);
+  if (found == view_.claims.end() || found->second.address.empty()) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+void Dispatcher::Impl::Attempt(Pending& pending) {
+  const bool from_caller = !pending.key.empty();
+  if (std::optional<Refusal> stale = from_caller ? Stale() : std::nullopt) {
+    return GiveUp(pending, *std::move(stale));
+  }
+  const membership::Claim* claim = OwnerOf(pending.partition);
+  if (claim == nullptr) {
+    LOG(INFO) << "event=wait_for_owner kind="
+              << internal::KindOf(pending.request) << " "
+              << internal::SubjectOf(pending.request)
+              << " team=" << pending.team.value()
+              << " partition=" << pending.partition.value();
+    pending.waiting = internal::ForOwner{};
+    SetAlarm(pending, pending.deadline);
+    return;
+  }
+  Send(pending, *claim);
+}
+
+void Dispatcher::Impl::Send(Pending& pending, const membership::Claim& claim) {
+  const MonotonicTime now = Now();
+  const int64_t attempt = ++pending.attempts;
+  pending.waiting = internal::ForAnswer{claim.member, claim.epoch};
+  SetAlarm(pending, pending.deadline);
+  LogRoute(pending, claim, attempt == 1 ? "owner" : "retry");
+  const Duration left = std::chrono::ceil<Duration>(pending.deadline - now);
+  const Duration timeout = std::min(
+      left, internal::WaitLeft(pending, now) + options_.attempt_timeout);
+  const Revision revision =
+      update_ ? update_->configuration->revision : Revision{};
+  peers_.Send({claim.address, internal::ToSend(pending, revision, now), timeout,
+               mailbox_.address().Map<entry::CallResult>(
+                   [id = pending.id, attempt](entry::CallResult result) {
+                     return Message(Called{id, attempt, std::move(result)});
+                   })});
+}
+
+void Dispatcher::Impl::LogRoute(const Pending& pending,
+                                const membership::Claim& claim,
+                                std::string_view reason) const {
+  const int64_t revision = update_ ? update_->configuration->revision.value : 0;
+  LOG(INFO) << "event=route kind=" << internal::KindOf(pending.request) << " "
+            << internal::SubjectOf(pending.request)
+            << " team=" << pending.team.value()
+            << " partition=" << pending.partition.value()
+            << " member=" << claim.member.value()
+            << " epoch=" << claim.epoch.value << " revision=" << revision
+            << " attempt=" << pending.attempts << " reason=" << reason;
+}
+
+// --- The way back
+
+void Dispatcher::Impl::OnCalled(const Called& called) {
+  auto found = pending_.find(called.id);
+  if (found == pending_.end()) return;
+  Pending& pending = found->second;
+  const bool awaited =
+      std::holds_alternative<internal::ForAnswer>(pending.waiting) &&
+      called.attempt == pending.attempts;
+  if (!awaited) return;
+  std::visit(
+      Visitor{[&](const entry::Failure& failure) {
+                if (failure.code == entry::FailureCode::kNoAnswer) {
+                  pending.may_have_run = true;
+                }
+                Retry(pending, failure.message);
+              },
+              [&](const entry::Response& response) {
+                std::visit(
+                    Visitor{[&](const JobView& job) { Finish(pending, job); },
+                            [&](const placement::Explanation& explanation) {
+                              Finish(pending, explanation);
+                            },
+                            [&](const Refusal& refusal) {
+                              OnRefused(pending, refusal);
+                            },
+                            [&](const auto&) {
+                              pending.may_have_run = true;
+                              GiveUp(pending,
+                                     {RefusalCode::kInternal,
+                                      Effect::kUnknown,
+                                      "the owner answered something else",
+                                      {}});
+                            }},
+                    response);
+              }},
+      called.result);
+}
+
+void Dispatcher::Impl::OnRefused(Pending& pending, const Refusal& refusal) {
+  if (refusal.effect == Effect::kUnknown) pending.may_have_run = true;
+  if (ShouldAskAgain(refusal.code)) return Retry(pending, refusal.message);
+  Finish(pending, internal::Truthful(pending, refusal));
+}
+
+void Dispatcher::Impl::Retry(Pending& pending, const std::string& reason) {
+  LOG(INFO) << "event=retry kind=" << internal::KindOf(pending.request) << " "
+            << internal::SubjectOf(pending.request)
+            << " team=" << pending.team.value()
+            << " partition=" << pending.partition.value()
+            << " attempt=" << pending.attempts << " reason=\"" << reason
+            << "\"";
+  pending.backoff = pending.backoff == Duration(0)
+                        ? options_.min_backoff
+                        : std::min(pending.backoff * 2, options_.max_backoff);
+  const Duration half = pending.backoff / 2;
+  Wait(pending, Now() + half + Jitter(pending.backoff - half));
+}
+
+void Dispatcher::Impl::Wait(Pending& pending, MonotonicTime until) {
+  pending.waiting = internal::ForBackoff{until};
+  SetAlarm(pending, std::min(until, pending.deadline));
+}
+
+Duration Dispatcher::Impl::Jitter(Duration most) {
+  std::uniform_int_distribution<Duration::rep> random(0, most.count());
+  return Duration(random(random_));
+}
+
+// --- Time
+
+void Dispatcher::Impl::SetAlarm(Pending& pending, MonotonicTime at) {
+  alarms_.erase({pending.alarm, pending.id});
+  pending.alarm = at;
+  alarms_.insert({at, pending.id});
+  ArmTimer();
+}
+
+void Dispatcher::Impl::ArmTimer() {
+  if (alarms_.empty()) {
+    timer_.Cancel();
+    return;
+  }
+  if (timer_.active() && timer_at_ == alarms_.begin()->first) return;
+  timer_at_ = alarms_.begin()->first;
+  const auto delay =
+      std::chrono::ceil<Duration>(alarms_.begin()->first - Now());
+  timer_.After(std::max(Duration(0), delay), [this] { OnTimer(); });
+}
+
+void Dispatcher::Impl::OnTimer() {
+  const MonotonicTime now = Now();
+  while (!alarms_.empty() && alarms_.begin()->first <= now) {
+    const PendingId id = alarms_.begin()->second;
+    alarms_.erase(alarms_.begin());
+    OnAlarm(pending_.at(id));
+  }
+  ArmTimer();
+}
+
+// The alarm is out of alarms_ now; each way from here sets another or ends the
+// request.
+void Dispatcher::Impl::OnAlarm(Pending& pending) {
+  const MonotonicTime now = Now();
+  if (now >= pending.deadline) {
+    const bool sent =
+        std::holds_alternative<internal::ForAnswer>(pending.waiting);
+    if (sent) pending.may_have_run = true;
+    return GiveUp(pending, {RefusalCode::kUnavailable, Effect::kNotRun,
+                            sent ? "the owner did not answer in time"
+                                 : "no owner could be reached in time",
+                            kRetryAfter});
+  }
+  if (pending.attempts > 0 && !retries_.TryTake(now)) {
+    ++retries_put_off_;
+    return Wait(pending, now + pending.backoff + Jitter(pending.backoff));
+  }
+  if (pending.attempts > 0) ++retried_;
+  Attempt(pending);
+}
+
+// --- The end
+
+void Dispatcher::Impl::GiveUp(Pending& pending, Refusal refusal) {
+  ++refused_[RefusalCodeName(refusal.code)];
+  const Refusal truthful = internal::Truthful(pending, std::move(refusal));
+  LOG(INFO) << "event=give_up kind=" << internal::KindOf(pending.request) << " "
+            << internal::SubjectOf(pending.request)
+            << " team=" << pending.team.value()
+            << " partition=" << pending.partition.value()
+            << " attempts=" << pending.attempts
+            << " code=" << RefusalCodeName(truthful.code) << " effect="
+            << (truthful.effect == Effect::kNotRun ? "not_run" : "unknown");
+  Finish(pending, truthful);
+}
+
+void Dispatcher::Impl::Finish(Pending& pending,
+                              const partition::JobResponse& response) {
+  internal::Answer(pending, response);
+  latency_.Record(Now() - pending.since);
+  Forget(pending);
+}
+
+void Dispatcher::Impl::Forget(const Pending& pending) {
+  if (const auto* caller = std::get_if<internal::ToCaller>(&pending.origin)) {
+    by_number_.erase(caller->number);
+    auto open = open_per_team_.find(pending.team);
+    if (--open->second == 0) open_per_team_.erase(open);
+  }
+  alarms_.erase({pending.alarm, pending.id});
+  pending_.erase(pending.id);
+}
+
+// --- What changes around
+
+void Dispatcher::Impl::OnUpdate(configuration::Update update) {
+  const bool changed =
+      !update_ || update_->configuration != update.configuration;
+  update_ = std::move(update);
+  if (!changed) return;
+  const Configuration& configuration = *update_->configuration;
+  std::vector<PendingId> withdrawn;
+  for (const auto& [id, pending] : pending_) {
+    if (pending.key.empty()) continue;
+    auto key = configuration.keys.find(pending.key);
+    const bool works = key != configuration.keys.end() &&
+                       !key->second.withdrawn &&
+                       configuration.contracts.contains(pending.team);
+    if (!works) withdrawn.push_back(id);
+  }
+  for (const PendingId& id : withdrawn) {
+    Pending& pending = pending_.at(id);
+    if (std::holds_alternative<internal::ForAnswer>(pending.waiting)) {
+      pending.may_have_run = true;
+    }
+    GiveUp(pending, {RefusalCode::kUnauthenticated, Effect::kNotRun,
+                     "the key was withdrawn", std::nullopt});
+  }
+}
+
+void Dispatcher::Impl::OnView(membership::View view) {
+  view_ = std::move(view);
+  const MonotonicTime now = Now();
+  for (auto& [id, pending] : pending_) {
+    const membership::Claim* claim = OwnerOf(pending.partition);
+    if (claim == nullptr) continue;
+    const auto* sent = std::get_if<internal::ForAnswer>(&pending.waiting);
+    // A read of a former owner would be held there in vain.
+    const bool owner_lost =
+        sent != nullptr && internal::IsRead(pending.request) &&
+        (sent->member != claim->member || sent->epoch != claim->epoch);
+    if (!owner_lost &&
+        !std::holds_alternative<internal::ForOwner>(pending.waiting)) {
+      continue;
+    }
+    pending.backoff = std::max(pending.backoff, options_.min_backoff);
+    Wait(pending, now + Jitter(kOwnerSpread));
+  }
+}
+
+void Dispatcher::Impl::OnHurry() {
+  hurrying_ = true;
+  const MonotonicTime now = Now();
+  std::vector<PendingId> held;
+  for (auto& [id, pending] : pending_) {
+    if (internal::WaitLeft(pending, now) == Duration(0)) continue;
+    pending.held_until = now;
+    if (!std::holds_alternative<internal::ForAnswer>(pending.waiting)) continue;
+    held.push_back(id);
+  }
+  // Asked anew, without a wait.
+  for (const PendingId& id : held) Attempt(pending_.at(id));
+}
+
+Dispatcher::Dispatcher(task::Loop& loop, Options options,
+                       task::Address<entry::Call> peers)
+    : impl_(
+          std::make_shared<Impl>(loop, std::move(options), std::move(peers))) {}
+Dispatcher::~Dispatcher() = default;
+
+task::Address<caller::Event> Dispatcher::callers() const {
+  return impl_->address();
+}
+task::Address<operators::CellCall> Dispatcher::operators() const {
+  return impl_->address();
+}
+task::Address<configuration::Update> Dispatcher::updates() const {
+  return impl_->address();
+}
+task::Address<membership::View> Dispatcher::views() const {
+  return impl_->address();
+}
+task::Address<Hurry> Dispatcher::hurry() const { return impl_->address(); }
+task::Address<metrics::Scrape> Dispatcher::metrics() const {
+  return impl_->address();
+}
+
+}  // namespace azurepass::routing
--- /dev/null
+++ b/azurepass/routing/dispatcher_test.cc
@@ -0,0 +1,436 @@
+// The dispatcher against stand-ins for owners, configuration and members:
+// late, crossed and lost answers, owners that change, withdrawn keys.
+
+#include <doctest/doctest.h>
+
+#include <deque>
+
+#include "azurepass/httpserver/testing/turn.h"
+#include "azurepass/routing/routing.h"
+
+namespace azurepass::routing {
+namespace {
+
+using httpserver::testing::TurnUntil;
+
+constexpr char kSecret[] = "secret";
+constexpr Duration kLong{60'000};
+
+MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+
+Options TestOptions() {
+  Options options;
+  options.member = MemberId("f1");
+  options.partitions = {{PartitionId("p"), ServiceId("intake")}};
+  options.min_backoff = Duration(1);
+  options.max_backoff = Duration(4);
+  return options;
+}
+
+Configuration TestConfiguration() {
+  Configuration configuration;
+  configuration.revision = Revision{7};
+  Contract contract;
+  contract.team = TeamId("rilapak");
+  contract.queues = {{QueueId("lots"), ServiceId("intake")},
+                     {QueueId("odd"), ServiceId("none")}};
+  configuration.contracts[contract.team] = contract;
+  KeyRecord key;
+  key.id = KeyId("k1");
+  key.team = contract.team;
+  key.sha256 = configuration::HashSecret(kSecret);
+  configuration.keys[key.id] = key;
+  return configuration;
+}
+
+// A dispatcher with everything around it, all on one loop.
+class Bench {
+ public:
+  explicit Bench(Options options = TestOptions())
+      : peers_(loop_, [this](entry::Call c) { calls.push_back(std::move(c)); }),
+        dispatcher_(loop_, std::move(options), peers_.address()) {}
+
+  // With a configuration in force and an owner.
+  static std::unique_ptr<Bench> Ready(Options options = TestOptions()) {
+    auto bench = std::make_unique<Bench>(std::move(options));
+    bench->Update(TestConfiguration());
+    bench->Own("s1", 1);
+    return bench;
+  }
+
+  void Update(const Configuration& configuration,
+              configuration::Verdict verdict = configuration::Confirmed{}) {
+    configuration::Update update;
+    update.configuration = std::make_shared<Configuration>(configuration);
+    update.verdict = std::move(verdict);
+    update.valid_until = Now() + std::chrono::hours(1);
+    dispatcher_.updates().Send(update);
+  }
+  // An empty member: nobody owns the partition.
+  void Own(const std::string& member, int64_t epoch) {
+    membership::View view;
+    view.known = true;
+    const std::string address = member.empty() ? "" : member + ":1";
+    view.claims[PartitionId("p")] = {MemberId(member), address, Epoch{epoch},
+                                     epoch};
+    if (!member.empty()) {
+      view.members[MemberId(member)].record.member = MemberId(member);
+      view.members[MemberId(member)].record.address = address;
+    }
+    dispatcher_.views().Send(view);
+  }
+  // Returns the request's number.
+  int64_t Ask(caller::Request request, Duration time_left = kLong,
+              const std::string& key = kSecret) {
+    const int64_t number = ++last_;
+    caller::Responder responder(
+        task::Address<caller::Response>([this, number](caller::Response r) {
+          answers[number].push_back(std::move(r));
+        }));
+    dispatcher_.callers().Send(caller::Event(caller::Incoming{
+        {number}, key, std::move(request), time_left, responder}));
+    return number;
+  }
+  bool WaitForCalls(size_t count) {
+    return TurnUntil(loop_, [&] { return calls.size() >= count; });
+  }
+  // The only answer to a request.
+  caller::Response Answer(int64_t number) {
+    REQUIRE(TurnUntil(loop_, [&] { return !answers[number].empty(); }));
+    Settle();
+    REQUIRE(answers[number].size() == 1);
+    return answers[number][0];
+  }
+  Refusal Refused(int64_t number) {
+    const caller::Response response = Answer(number);
+    REQUIRE(std::holds_alternative<Refusal>(response));
+    return std::get<Refusal>(response);
+  }
+  // Handles all messages that are under way.
+  void Settle() {
+    bool handled = false;
+    task::Timer timer(loop_);
+    timer.After(Duration(10), [&] { handled = true; });
+    TurnUntil(loop_, [&] { return handled; });
+  }
+  task::Loop& loop() { return loop_; }
+  Dispatcher& dispatcher() { return dispatcher_; }
+
+  std::deque<entry::Call> calls;
+  std::map<int64_t, std::vector<caller::Response>> answers;
+
+ private:
+  task::Loop loop_;
+  int64_t last_ = 0;
+  task::Mailbox<entry::Call> peers_;
+  Dispatcher dispatcher_;
+};
+
+caller::Submit Submit(const std::string& queue = "lots") {
+  caller::Submit submit;
+  submit.request = RequestId("r1");
+  submit.spec.queue = QueueId(queue);
+  return submit;
+}
+
+caller::Get Get(const std::string& job, Duration wait = Duration(0)) {
+  return {JobId(job), 0, wait};
+}
+
+JobView Job(const std::string& id) {
+  JobView job;
+  job.id = JobId(id);
+  return job;
+}
+
+entry::CallResult Fail(entry::FailureCode code) {
+  return entry::Failure{code, "test"};
+}
+
+entry::CallResult Refuse(RefusalCode code, Effect effect = Effect::kNotRun) {
+  return entry::Response(Refusal{code, effect, "test", std::nullopt});
+}
+
+TEST_CASE("a submission meets its owner, and the first answer counts") {
+  auto bench = Bench::Ready();
+  const int64_t number = bench->Ask(Submit());
+  REQUIRE(bench->WaitForCalls(1));
+  const entry::Call& call = bench->calls[0];
+  CHECK(call.peer == "s1:1");
+  const auto& sent = std::get<partition::SubmitJob>(call.request);
+  CHECK(sent.partition == PartitionId("p"));
+  CHECK(sent.team == TeamId("rilapak"));
+  CHECK(sent.request == RequestId("r1"));
+  CHECK(sent.revision == Revision{7});
+  call.reply_to.Send(entry::Response(Job("p.1")));
+  call.reply_to.Send(entry::Response(Job("p.2")));
+  CHECK(std::get<JobView>(bench->Answer(number)).id == JobId("p.1"));
+}
+
+TEST_CASE("answers that cross meet their own requests") {
+  auto bench = Bench::Ready();
+  std::vector<int64_t> numbers;
+  for (int i = 0; i < 20; ++i) {
+    numbers.push_back(bench->Ask(Get("p." + std::to_string(i))));
+  }
+  REQUIRE(bench->WaitForCalls(20));
+  for (int i = 19; i >= 0; --i) {
+    const auto& get = std::get<partition::GetJob>(bench->calls[i].request);
+    bench->calls[i].reply_to.Send(entry::Response(Job(get.job.value())));
+  }
+  for (int i = 0; i < 20; ++i) {
+    CHECK(std::get<JobView>(bench->Answer(numbers[i])).id ==
+          JobId("p." + std::to_string(i)));
+  }
+}
+
+TEST_CASE("what must not be sent is refused, certainly not run") {
+  struct Case {
+    caller::Request request;
+    std::string key;
+    RefusalCode code;
+  };
+  const Case cases[] = {
+      {Submit(), "other", RefusalCode::kUnauthenticated},
+      {Submit("no-such"), kSecret, RefusalCode::kNotFound},
+      {Submit("odd"), kSecret, RefusalCode::kNotFound},
+      {Get("q.1"), kSecret, RefusalCode::kNotFound},
+      {Get("nonsense"), kSecret, RefusalCode::kNotFound},
+      {caller::Cancel{JobId("q.1")}, kSecret, RefusalCode::kNotFound},
+  };
+  auto bench = Bench::Ready();
+  for (const Case& c : cases) {
+    const Refusal refusal = bench->Refused(bench->Ask(c.request, kLong, c.key));
+    CHECK(refusal.code == c.code);
+    CHECK(refusal.effect == Effect::kNotRun);
+  }
+  CHECK(bench->calls.empty());
+}
+
+TEST_CASE("without a configuration that is in force nothing is sent") {
+  Bench bench;
+  bench.Own("s1", 1);
+  CHECK(bench.Refused(bench.Ask(Submit())).code ==
+        RefusalCode::kStaleConfiguration);
+  bench.Update(TestConfiguration(), configuration::Stale{"cut off"});
+  CHECK(bench.Refused(bench.Ask(Submit())).code ==
+        RefusalCode::kStaleConfiguration);
+  CHECK(bench.calls.empty());
+}
+
+TEST_CASE("a withdrawn key is refused at once, also for what is under way") {
+  auto bench = Bench::Ready();
+  const int64_t held = bench->Ask(Get("p.1", kLong));
+  const int64_t submitted = bench->Ask(Submit());
+  REQUIRE(bench->WaitForCalls(2));
+  Configuration configuration = TestConfiguration();
+  configuration.keys[KeyId("k1")].withdrawn = true;
+  bench->Update(configuration);
+  CHECK(bench->Refused(bench->Ask(Submit())).code ==
+        RefusalCode::kUnauthenticated);
+  CHECK(bench->Refused(held).effect == Effect::kNotRun);
+  const Refusal refusal = bench->Refused(submitted);
+  CHECK(refusal.code == RefusalCode::kUnauthenticated);
+  CHECK(refusal.effect == Effect::kUnknown);
+  CHECK(bench->calls.size() == 2);
+}
+
+TEST_CASE("the last answer is true, whatever the attempts before it met") {
+  using entry::FailureCode;
+  struct Case {
+    std::string name;
+    caller::Request request;
+    std::vector<entry::CallResult> results;
+    RefusalCode code;
+    Effect effect;
+  };
+  const Case cases[] = {
+      {"refused by the owner",
+       Submit(),
+       {Refuse(RefusalCode::kQueueFull)},
+       RefusalCode::kQueueFull,
+       Effect::kNotRun},
+      {"refused after nothing was sent",
+       Submit(),
+       {Fail(FailureCode::kNotSent), Refuse(RefusalCode::kQueueFull)},
+       RefusalCode::kQueueFull,
+       Effect::kNotRun},
+      {"refused by a former owner first",
+       Submit(),
+       {Refuse(RefusalCode::kNotOwner), Refuse(RefusalCode::kNeverFits)},
+       RefusalCode::kNeverFits,
+       Effect::kNotRun},
+      {"refused after an answer was lost",
+       Submit(),
+       {Fail(FailureCode::kNoAnswer), Refuse(RefusalCode::kQueueFull)},
+       RefusalCode::kQueueFull,
+       Effect::kUnknown},
+      {"unknown to a former owner",
+       Submit(),
+       {Refuse(RefusalCode::kNotOwner, Effect::kUnknown),
+        Refuse(RefusalCode::kQueueFull)},
+       RefusalCode::kQueueFull,
+       Effect::kUnknown},
+      {"a cancellation after a lost answer",
+       caller::Cancel{JobId("p.1")},
+       {Fail(FailureCode::kNoAnswer), Refuse(RefusalCode::kStoreUnavailable)},
+       RefusalCode::kStoreUnavailable,
+       Effect::kUnknown},
+      {"a read after a lost answer",
+       Get("p.1"),
+       {Fail(FailureCode::kNoAnswer), Refuse(RefusalCode::kNotFound)},
+       RefusalCode::kNotFound,
+       Effect::kNotRun},
+      {"an answer of another kind",
+       Submit(),
+       {entry::Response(entry::Gossip{})},
+       RefusalCode::kInternal,
+       Effect::kUnknown},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(c.name);
+    auto bench = Bench::Ready();
+    const int64_t number = bench->Ask(c.request);
+    for (size_t i = 0; i < c.results.size(); ++i) {
+      REQUIRE(bench->WaitForCalls(i + 1));
+      bench->calls[i].reply_to.Send(c.results[i]);
+    }
+    const Refusal refusal = bench->Refused(number);
+    CHECK(refusal.code == c.code);
+    CHECK(refusal.effect == c.effect);
+    CHECK(bench->calls.size() == c.results.size());
+  }
+}
+
+TEST_CASE("the deadline ends a request, with the effect that is known") {
+  auto silent = Bench::Ready();
+  const Refusal unanswered =
+      silent->Refused(silent->Ask(Submit(), Duration(30)));
+  CHECK(unanswered.code == RefusalCode::kUnavailable);
+  CHECK(unanswered.effect == Effect::kUnknown);
+  REQUIRE(silent->calls.size() == 1);
+  CHECK(silent->calls[0].timeout <= Duration(30));
+  // An answer that comes later has nowhere to go.
+  silent->calls[0].reply_to.Send(entry::Response(Job("p.1")));
+  silent->Settle();
+  CHECK(silent->answers[1].size() == 1);
+
+  Bench ownerless;
+  ownerless.Update(TestConfiguration());
+  const Refusal unsent =
+      ownerless.Refused(ownerless.Ask(Submit(), Duration(30)));
+  CHECK(unsent.code == RefusalCode::kUnavailable);
+  CHECK(unsent.effect == Effect::kNotRun);
+}
+
+TEST_CASE("a request waits for an owner, and is then sent once") {
+  Bench bench;
+  bench.Update(TestConfiguration());
+  bench.Own("", 1);
+  const int64_t number = bench.Ask(Submit());
+  bench.Settle();
+  CHECK(bench.calls.empty());
+  bench.Own("s2", 2);
+  REQUIRE(bench.WaitForCalls(1));
+  CHECK(bench.calls[0].peer == "s2:1");
+  bench.calls[0].reply_to.Send(entry::Response(Job("p.1")));
+  CHECK(std::holds_alternative<JobView>(bench.Answer(number)));
+  CHECK(bench.calls.size() == 1);
+}
+
+TEST_CASE("a held read goes on at the new owner with the rest of its wait") {
+  auto bench = Bench::Ready();
+  const int64_t number = bench->Ask(Get("p.1", Duration(5'000)));
+  REQUIRE(bench->WaitForCalls(1));
+  CHECK(bench->calls[0].timeout > Duration(5'000));
+  bench->Settle();
+  bench->Own("s2", 2);
+  REQUIRE(bench->WaitForCalls(2));
+  CHECK(bench->calls[1].peer == "s2:1");
+  const auto& again = std::get<partition::GetJob>(bench->calls[1].request);
+  CHECK(again.wait < Duration(5'000));
+  CHECK(again.wait > Duration(0));
+  bench->calls[0].reply_to.Send(entry::Response(Job("late")));
+  bench->calls[1].reply_to.Send(entry::Response(Job("p.1")));
+  CHECK(std::get<JobView>(bench->Answer(number)).id == JobId("p.1"));
+}
+
+TEST_CASE("in a hurry, held reads are asked for without their wait") {
+  auto bench = Bench::Ready();
+  const int64_t number = bench->Ask(Get("p.1", kLong));
+  REQUIRE(bench->WaitForCalls(1));
+  bench->dispatcher().hurry().Send(Hurry{});
+  REQUIRE(bench->WaitForCalls(2));
+  CHECK(std::get<partition::GetJob>(bench->calls[1].request).wait ==
+        Duration(0));
+  bench->calls[1].reply_to.Send(entry::Response(Job("p.1")));
+  CHECK(std::holds_alternative<JobView>(bench->Answer(number)));
+}
+
+TEST_CASE("retries of all requests together keep within the budget") {
+  constexpr int kRequests = 200;
+  Options options = TestOptions();
+  options.retries = {.per_request = 0.1, .per_second = 0, .burst = 10};
+  auto bench = Bench::Ready(options);
+  std::vector<int64_t> numbers;
+  for (int i = 0; i < kRequests; ++i) {
+    numbers.push_back(bench->Ask(Submit(), Duration(300)));
+  }
+  size_t answered = 0;
+  size_t failed_calls = 0;
+  REQUIRE(TurnUntil(bench->loop(), [&] {
+    for (; failed_calls < bench->calls.size(); ++failed_calls) {
+      bench->calls[failed_calls].reply_to.Send(
+          Fail(entry::FailureCode::kNotSent));
+    }
+    answered = bench->answers.size();
+    return answered == kRequests;
+  }));
+  // One call each, a tenth more, and what was saved up.
+  CHECK(bench->calls.size() <= kRequests + kRequests / 10 + 10);
+  CHECK(bench->calls.size() > kRequests);
+  for (const int64_t number : numbers) {
+    CHECK(bench->Refused(number).effect == Effect::kNotRun);
+  }
+}
+
+TEST_CASE("a team's open requests are bounded, and free again when answered") {
+  Options options = TestOptions();
+  options.max_open_per_team = 3;
+  auto bench = Bench::Ready(options);
+  for (int i = 0; i < 3; ++i) bench->Ask(Get("p.1", kLong));
+  REQUIRE(bench->WaitForCalls(3));
+  const Refusal refusal = bench->Refused(bench->Ask(Get("p.1")));
+  CHECK(refusal.code == RefusalCode::kQueueFull);
+  CHECK(refusal.retry_after.has_value());
+  bench->calls[0].reply_to.Send(entry::Response(Job("p.1")));
+  bench->dispatcher().callers().Send(caller::Event(caller::Abandoned{{2}}));
+  bench->Settle();
+  bench->Ask(Get("p.1"));
+  bench->Ask(Get("p.1"));
+  CHECK(bench->WaitForCalls(5));
+}
+
+TEST_CASE("status asks every scheduler and marks those that are silent") {
+  auto bench = Bench::Ready();
+  std::optional<operators::CellResponse> answer;
+  bench->dispatcher().operators().Send(
+      {operators::GetStatus{}, kLong,
+       task::Address<operators::CellResponse>(
+           [&](operators::CellResponse r) { answer = std::move(r); })});
+  REQUIRE(bench->WaitForCalls(1));
+  CHECK(std::holds_alternative<entry::GetStatus>(bench->calls[0].request));
+  bench->calls[0].reply_to.Send(Fail(entry::FailureCode::kNoAnswer));
+  REQUIRE(TurnUntil(bench->loop(), [&] { return answer.has_value(); }));
+  const auto& status = std::get<operators::CellStatus>(*answer);
+  CHECK(status.answered_by == MemberId("f1"));
+  CHECK(status.may_start);
+  REQUIRE(status.members.size() == 1);
+  CHECK_FALSE(status.members[0].answered);
+  REQUIRE(status.partitions.size() == 1);
+  CHECK(status.partitions[0].owner == MemberId("s1"));
+  CHECK_FALSE(status.partitions[0].answered);
+}
+
+}  // namespace
+}  // namespace azurepass::routing
--- /dev/null
+++ b/azurepass/routing/internal/dispatcher_impl.h
@@ -0,0 +1,127 @@
+// The dispatcher's state. admission.cc decides whether a request is taken and
+// where it goes; dispatcher.cc carries it there.
+//
+// Every pending request has an alarm, the time at which it is looked at again
+// whatever happens: the end of its backoff, or its deadline. One timer serves
+// all alarms.
+
+#ifndef AZUREPASS_ROUTING_INTERNAL_DISPATCHER_IMPL_H_
+#define AZUREPASS_ROUTING_INTERNAL_DISPATCHER_IMPL_H_
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "azurepass/routing/internal/pending.h"
+#include "azurepass/routing/internal/status_round.h"
+#include "azurepass/routing/routing.h"
+
+namespace azurepass::routing {
+
+class Dispatcher::Impl {
+ public:
+  Impl(task::Loop& loop, Options options, task::Address<entry::Call> peers);
+
+  // An attempt's result; `attempt` tells a late one from that which is awaited.
+  struct Called {
+    internal::PendingId id;
+    int64_t attempt = 0;
+    entry::CallResult result;
+  };
+  struct StatusCalled {
+    int64_t round = 0;
+    MemberId member;
+    entry::CallResult result;
+  };
+  using Message = std::variant<caller::Event, operators::CellCall,
+                               configuration::Update, membership::View, Called,
+                               StatusCalled, Hurry, metrics::Scrape>;
+  task::Address<Message> address() const { return mailbox_.address(); }
+
+ private:
+  using Pending = internal::Pending;
+  using PendingId = internal::PendingId;
+
+  void Handle(Message message);
+
+  // --- admission.cc
+  void OnIncoming(const caller::Incoming& incoming);
+  void OnAbandoned(const caller::Abandoned& abandoned);
+  void OnOperator(const operators::CellCall& call);
+  // Fills in team, key, partition and the request to send.
+  std::optional<Refusal> Admit(const caller::Incoming& incoming,
+                               Pending& pending) const;
+  std::optional<Refusal> Stale() const;
+  std::optional<Refusal> RouteSubmit(const caller::Submit& submit,
+                                     Pending& pending) const;
+  std::optional<Refusal> RouteJob(const JobId& job, Pending& pending) const;
+  void BeginStatus(const operators::CellCall& call);
+  void FinishStatus(int64_t round);
+  void Report(const metrics::Scrape& scrape) const;
+
+  // --- dispatcher.cc
+  void Begin(Pending pending);
+  // Sends it to the owner, or waits for one.
+  void Attempt(Pending& pending);
+  void Send(Pending& pending, const membership::Claim& claim);
+  void OnCalled(const Called& called);
+  void OnRefused(Pending& pending, const Refusal& refusal);
+  void Retry(Pending& pending, const std::string& reason);
+  void Wait(Pending& pending, MonotonicTime until);
+  void SetAlarm(Pending& pending, MonotonicTime at);
+  void ArmTimer();
+  void OnTimer();
+  void OnAlarm(Pending& pending);
+  void GiveUp(Pending& pending, Refusal refusal);
+  // Answers; the pending request is gone afterwards.
+  void Finish(Pending& pending, const partition::JobResponse& response);
+  void Forget(const Pending& pending);
+  void OnUpdate(configuration::Update update);
+  void OnView(membership::View view);
+  void OnHurry();
+  const membership::Claim* OwnerOf(const PartitionId& partition) const;
+  Duration Jitter(Duration most);
+  void LogRoute(const Pending& pending, const membership::Claim& claim,
+                std::string_view reason) const;
+
+  task::Loop& loop_;
+  const Options options_;
+  const task::Address<entry::Call> peers_;
+  std::optional<configuration::Update> update_;
+  membership::View view_;
+  bool hurrying_ = false;
+
+  int64_t last_id_ = 0;
+  std::map<PendingId, Pending> pending_;
+  std::map<caller::RequestNumber, PendingId> by_number_;  // Callers' ones.
+  std::map<TeamId, int64_t> open_per_team_;  // Callers' ones; never 0.
+  std::set<std::pair<MonotonicTime, PendingId>> alarms_;  // Of all pending_.
+  RetryBudget retries_;
+  std::minstd_rand random_;
+
+  struct OpenStatus {
+    OpenStatus(task::Loop& loop, internal::StatusRound r)
+        : round(std::move(r)), timeout(loop) {}
+    internal::StatusRound round;
+    task::Timer timeout;
+  };
+  int64_t last_status_ = 0;
+  std::map<int64_t, std::unique_ptr<OpenStatus>> statuses_;
+
+  int64_t routed_ = 0;
+  int64_t retried_ = 0;
+  int64_t retries_put_off_ = 0;                  // For want of budget.
+  std::map<std::string_view, int64_t> refused_;  // By code.
+  metrics::Histogram latency_;
+  task::Timer timer_;
+  MonotonicTime timer_at_;  // While timer_ is active: what it is set to.
+  task::Mailbox<Message> mailbox_;
+};
+
+}  // namespace azurepass::routing
+
+#endif  // AZUREPASS_ROUTING_INTERNAL_DISPATCHER_IMPL_H_
--- /dev/null
+++ b/azurepass/routing/route.cc
@@ -0,0 +1,68 @@
+// The choice of a partition, and the retry budget.
+
+#include <algorithm>
+
+#include "azurepass/routing/routing.h"
+
+namespace azurepass::routing {
+namespace {
+
+// FNV-1a, 64 bits.
+constexpr uint64_t kFnvOffset = 14695981039346656037ULL;
+constexpr uint64_t kFnvPrime = 1099511628211ULL;
+
+uint64_t Fnv(std::string_view text, uint64_t hash) {
+  for (const char c : text) {
+    hash ^= static_cast<unsigned char>(c);
+    hash *= kFnvPrime;
+  }
+  return hash;
+}
+
+// The finalizer of SplitMix64: spreads what FNV leaves close together.
+uint64_t Mix(uint64_t x) {
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+}  // namespace
+
+PartitionId ChoosePartition(const std::vector<PartitionId>& candidates,
+                            const TeamId& team, const RequestId& request) {
+  // A team's name holds no slash, so that no two pairs are spelt alike.
+  uint64_t pair = Fnv(team.value(), kFnvOffset);
+  pair = Mix(Fnv(request.value(), Fnv("/", pair)));
+  PartitionId best;
+  uint64_t best_score = 0;
+  for (const PartitionId& candidate : candidates) {
+    const uint64_t score = Mix(pair ^ Mix(Fnv(candidate.value(), kFnvOffset)));
+    const bool wins = best.empty() || score > best_score ||
+                      (score == best_score && candidate < best);
+    if (!wins) continue;
+    best = candidate;
+    best_score = score;
+  }
+  return best;
+}
+
+RetryBudget::RetryBudget(RetryBudgetOptions options, MonotonicTime now)
+    : options_(options), tokens_(options.burst), refilled_(now) {}
+
+void RetryBudget::OnRequest() {
+  tokens_ = std::min(options_.burst, tokens_ + options_.per_request);
+}
+
+bool RetryBudget::TryTake(MonotonicTime now) {
+  if (now > refilled_) {
+    const std::chrono::duration<double> elapsed = now - refilled_;
+    tokens_ = std::min(options_.burst,
+                       tokens_ + elapsed.count() * options_.per_second);
+    refilled_ = now;
+  }
+  if (tokens_ < 1) return false;
+  tokens_ -= 1;
+  return true;
+}
+
+}  // namespace azurepass::routing
--- a/azurepass/testing/system/process.cc
+++ b/azurepass/testing/system/process.cc
@@ -26,8 +26,7 @@
     g_clear_error(&error);
     return;
   }
-  output_ =
-      g_data_input_stream_new(g_subprocess_get_stdout_pipe(process_));
+  output_ = g_data_input_stream_new(g_subprocess_get_stdout_pipe(process_));
 }
 
 Process::~Process() {
@@ -43,8 +42,8 @@
 std::map<std::string, std::string> Process::ReadAnnouncement() {
   std::map<std::string, std::string> announced;
   if (output_ == nullptr) return announced;
-  char* line = g_data_input_stream_read_line_utf8(output_, nullptr, nullptr,
-                                                  nullptr);
+  char* line =
+      g_data_input_stream_read_line_utf8(output_, nullptr, nullptr, nullptr);
   std::istringstream words(line == nullptr ? "" : line);
   g_free(line);
   std::string word;
@@ -68,7 +67,8 @@
 }
 
 bool Process::running() const {
-  return process_ != nullptr && g_subprocess_get_identifier(process_) != nullptr;
+  return process_ != nullptr &&
+         g_subprocess_get_identifier(process_) != nullptr;
 }
 
 }  // namespace azurepass::testing
