--- a/azurepass/endpoint/endpoint.h
+++ b/azurepass/endpoint/endpoint.h
@@ -11,6 +11,15 @@
 // An exchange holds its answer until there is an event or `hold` has passed;
 // orders go out at once in an exchange of their own beside the held one.
 //
+// The lease. Each answer carries a token with the worker's own time in it. An
+// exchange renews the lease only by the token it brings, to the token's time
+// plus the lease's length, however late it arrives. So a lease never outlasts
+// the receipt of the newest token that was sent, plus its length, and the owner
+// knows that moment by its own clock, with a margin for clocks that run at
+// different rates. Neither a delayed exchange nor a paused process can prolong
+// it. For the same reason a process whose permission to own has an end (see
+// Authorize) prolongs no lease beyond that end plus the lease's length.
+//
 // Usage: construct a Client on a task::Loop. Open starts a session with a
 // worker; from then on the client renews the lease by itself and sends an
 // Update for whatever happens, until Close.
@@ -32,7 +41,12 @@
 
 // --- Updates, all of one session
 
-// The worker accepted the epoch; `running` is all it runs, whoever ordered it.
+// The worker accepted the epoch; `running` is all it runs, whoever ordered it,
+// and the starts that are still being sent to it. What ended before is told
+// first, in Events: events that a former owner acknowledged are given again, as
+// far as the worker still keeps them. So an attempt that is neither running nor
+// reported does not run there and will not. A worker that restarted opens its
+// session anew under the same epoch, and orders not yet taken are dropped.
 struct SessionOpened {
   VmId vm;
   Epoch epoch;
@@ -50,8 +64,9 @@
   Epoch epoch;
   Epoch theirs;
 };
-// No answer. `lease_until` is the moment by which whatever ran there under our
-// lease has certainly stopped (margin included).
+// No answer, twice in a row. `lease_until` is the moment by which whatever ran
+// there under our lease has certainly stopped (margin included), unless
+// Reachable or SessionOpened comes before.
 struct Unreachable {
   VmId vm;
   Epoch epoch;
@@ -73,6 +88,7 @@
   Epoch epoch;
   task::Address<Update> listener;
 };
+// To a session that is open here; otherwise dropped.
 struct Send {
   VmId vm;
   std::vector<Order> orders;  // Repeated until the worker has taken them.
@@ -80,7 +96,12 @@
 struct Close {
   VmId vm;
 };
-using Request = std::variant<Open, Send, Close>;
+// From now on nothing is sent to any worker at or after `until`, until a later
+// Authorize. Without any Authorize there is no such end.
+struct Authorize {
+  MonotonicTime until;
+};
+using Request = std::variant<Open, Send, Close, Authorize>;
 
 struct Options {
   Duration lease{15'000};        // A worker keeps running this long unrenewed.
@@ -91,6 +112,14 @@
   Duration retry_delay_max{2'000};
 };
 
+// What the client did, for metrics.
+struct Counters {
+  int64_t exchanges = 0;  // Ended, with or without an answer.
+  int64_t failures = 0;   // Without an answer.
+  int64_t bytes_sent = 0;
+  int64_t bytes_received = 0;
+};
+
 class Client {
  public:
   Client(task::Loop& loop, Options options);
@@ -99,6 +128,8 @@
   Client& operator=(const Client&) = delete;
 
   task::Address<Request> address() const;
+  // Send it an address to get the counters.
+  task::Address<task::Address<Counters>> counters() const;
 
  private:
   class Impl;
--- a/azurepass/http/client.cc
+++ b/azurepass/http/client.cc
@@ -95,9 +95,12 @@
   if (g_main_context_is_owner(context) || !g_main_context_acquire(context)) {
     return;
   }
+  // libsoup insists on the thread default that it was started under.
+  g_main_context_push_thread_default(context);
   for (int i = 0; i < kMaxDrainRounds; ++i) {
     if (!g_main_context_iteration(context, FALSE)) break;
   }
+  g_main_context_pop_thread_default(context);
   g_main_context_release(context);
 }
 
--- a/azurepass/http/http_test.cc
+++ b/azurepass/http/http_test.cc
@@ -112,15 +112,36 @@
   }
 }
 
+TEST_CASE("an answer to a request whose server was closed goes nowhere") {
+  task::Loop loop;
+  std::vector<Responder> held;
+  Server server(loop, [&](const ServerRequest&, const Responder& responder) {
+    held.push_back(responder);
+    server.Close();
+  });
+  const auto bound = server.Listen("127.0.0.1:0");
+  testing::HttpCaller caller(loop);
+  loop.Start();
+  CHECK(Kind(caller.Send({"GET", std::get<Server::Bound>(bound).address, "/x",
+                          "", kLong})) == FailureKind::kNoAnswer);
+  loop.Stop();
+  REQUIRE(held.size() == 1);
+  CHECK(held[0].closed());
+  held[0].Answer(kOk, "late");
+}
+
 TEST_CASE("a client that goes while a call is in flight leaves nothing") {
   task::Loop loop;
   Peer peer(loop);
   const std::string address = peer.Listen();
   auto caller = std::make_unique<testing::HttpCaller>(loop);
   loop.Start();
-  caller->Send({"GET", address, "/hang", "", kShort});
+  auto held = caller->Start({"GET", address, "/hang", "", kLong});
+  // Answered after the other has arrived at the peer.
+  caller->Send({"GET", address, "/plain", "", kLong});
   loop.Stop();
   caller.reset();
+  CHECK_THROWS_AS(held.get(), std::future_error);  // Its promise is gone.
 }
 
 }  // namespace
--- a/azurepass/http/server.cc
+++ b/azurepass/http/server.cc
@@ -56,6 +56,7 @@
   static void OnRequest(SoupServer* server, SoupServerMessage* message,
                         const char* path, GHashTable* query, gpointer data);
   static void OnFinished(SoupServerMessage* message, gpointer data);
+  static void OnForgotten(gpointer data, GClosure* closure);
   std::string BoundAddress() const;
 
   task::Loop& loop_;
@@ -110,6 +111,12 @@
   (*static_cast<std::shared_ptr<Responder::State>*>(data))->message = nullptr;
 }
 
+// The message is being freed, with or without having finished.
+void Server::Impl::OnForgotten(gpointer data, GClosure* /*closure*/) {
+  OnFinished(nullptr, data);
+  delete static_cast<std::shared_ptr<Responder::State>*>(data);
+}
+
 void Server::Impl::OnRequest(SoupServer* /*server*/, SoupServerMessage* message,
                              const char* path, GHashTable* query,
                              gpointer data) {
@@ -131,13 +138,9 @@
   }
   auto state = std::make_shared<Responder::State>(Responder::State{message});
   soup_server_message_pause(message);
-  g_signal_connect_data(
-      message, "finished", G_CALLBACK(OnFinished),
-      new std::shared_ptr<Responder::State>(state),
-      [](gpointer held, GClosure*) {
-        delete static_cast<std::shared_ptr<Responder::State>*>(held);
-      },
-      static_cast<GConnectFlags>(0));
+  g_signal_connect_data(message, "finished", G_CALLBACK(OnFinished),
+                        new std::shared_ptr<Responder::State>(state),
+                        OnForgotten, static_cast<GConnectFlags>(0));
   static_cast<Impl*>(data)->handler_(request, Responder(std::move(state)));
 }
 
--- a/azurepass/testing/await.h
+++ b/azurepass/testing/await.h
@@ -43,9 +43,13 @@
           });
         }) {}
 
-  http::Result Send(http::Request request) {
+  std::future<http::Result> Start(http::Request request) {
     auto [reply_to, result] = Expect<http::Result>();
     mailbox_.address().Send(Call{std::move(request), reply_to});
+    return std::move(result);
+  }
+  http::Result Send(http::Request request) {
+    std::future<http::Result> result = Start(std::move(request));
     return Await(result).value_or(http::Failure{http::FailureKind::kNoAnswer,
                                                 "test ran out of patience"});
   }
--- a/azurepass/testing/standin/standin.h
+++ b/azurepass/testing/standin/standin.h
@@ -8,7 +8,9 @@
 // is azurepass-standin.
 //
 // The control address takes POST /v1/faults?target=T, T being "store", "vmlist"
-// or a VM; it answers once the fault is in force.
+// or a VM; it answers once the fault is in force. POST /v1/vms?vm=V&state=S has
+// a VM "leaving" (in the list alone), "gone" (its worker, too, is no more) or
+// "replaced" (a new worker listens at the same address and knows nothing).
 
 #ifndef AZUREPASS_TESTING_STANDIN_STANDIN_H_
 #define AZUREPASS_TESTING_STANDIN_STANDIN_H_
@@ -31,6 +33,8 @@
   bool workers = true;
   // Each worker listens at the address its spec names.
   std::vector<WorkerSpec> cell;
+  // How far the VM list lags behind at first.
+  Duration vmlist_lag{0};
   // Changes that a watch of the store can go back.
   int64_t store_history = 10'000;
 };
