--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -5,6 +5,13 @@
 // holder's member key is gone. A write whose outcome is unknown is never taken
 // for a success: the next view shows what is there, and if that is us, the
 // claim is simply written again with a higher epoch.
+//
+// Authority. A successor that cannot reach a worker takes it to have stopped
+// all tasks one worker lease (and a margin) after the takeover. So nobody may
+// renew that lease longer than somebody else may have taken over: this process
+// sends nothing to workers once its member lease may have lapsed, unless every
+// other member shows that the store is out for all, so that nobody can have
+// taken anything over. The margin covers the age of that evidence.
 
 #include <glog/logging.h>
 
@@ -71,7 +78,8 @@
       : options_(std::move(options)),
         peers_(std::move(peers)),
         mailbox_(loop, [this](Inbox inbox) { Handle(inbox); }),
-        claim_timer_(loop) {
+        claim_timer_(loop),
+        authority_timer_(loop) {
     for (const auto& partition : options_.cell.partitions) {
       AddPartition(loop, partition);
     }
@@ -131,9 +139,45 @@
   void OnView(membership::View& view) {
     view_ = std::move(view);
     TellKeeperOfPeers();
+    UpdateAuthority();
     Reconsider();
   }
 
+  // --- Authority
+
+  MonotonicTime AuthorityUntil() const {
+    MonotonicTime until = view_.lease_valid_until;
+    if (configuration_ && std::holds_alternative<configuration::OutageEvident>(
+                              configuration_->verdict)) {
+      until = std::max(until, configuration_->valid_until);
+    }
+    return until;
+  }
+
+  void UpdateAuthority() {
+    const MonotonicTime until = AuthorityUntil();
+    if (until == authority_until_) return;
+    authority_until_ = until;
+    peers_.workers.Send(endpoint::Authorize{until});
+    const Duration left = std::chrono::ceil<Duration>(until - Clock::now());
+    authority_timer_.After(std::max(Duration(0), left),
+                           [this] { OnAuthorityEnd(); });
+  }
+
+  bool HasAuthority() const { return Clock::now() < AuthorityUntil(); }
+
+  void OnAuthorityEnd() {
+    if (HasAuthority()) return;
+    for (auto& [id, partition] : partitions_) {
+      const std::optional<Epoch> epoch = EpochOf(partition.holding);
+      if (!epoch) continue;
+      LOG(WARNING) << "authority ended partition=" << id.value()
+                   << " epoch=" << epoch->value;
+      partition.task->address().Send(Lose{});
+      partition.holding = NotHeld{};
+    }
+  }
+
   void Reconsider() {
     if (!view_.known) return;
     const std::set<PartitionId> wanted(view_.wanted.begin(),
@@ -148,7 +192,8 @@
     std::visit(
         Visitor{
             [&](const NotHeld&) {
-              if (wanted && view_.lease_ok && IsClaimable(id)) {
+              if (wanted && view_.lease_ok && HasAuthority() &&
+                  IsClaimable(id)) {
                 Claim(id, partition);
               }
             },
@@ -218,6 +263,10 @@
       partition.holding = NotHeld{};
       return;
     }
+    if (!HasAuthority()) {
+      partition.holding = NotHeld{};
+      return;
+    }
     LOG(INFO) << "claim partition=" << written.partition.value()
               << " epoch=" << written.epoch.value
               << " member=" << options_.member.value();
@@ -273,6 +322,7 @@
 
   void OnConfiguration(const configuration::Update& update) {
     configuration_ = update;
+    UpdateAuthority();
     for (auto& [id, partition] : partitions_) {
       partition.task->address().Send(update);
     }
@@ -321,11 +371,11 @@
                      peers_.membership.Send(membership::GossipReceived{
                          std::move(gossip), incoming.responder});
                    },
-                   [&](const entry::PullConfiguration& pull) {
+                   [&](entry::PullConfiguration& pull) {
                      peers_.configuration.Send(
                          configuration::AnswerPull{pull, incoming.responder});
                    },
-                   [&](const entry::GetStatus&) {
+                   [&](entry::GetStatus&) {
                      incoming.responder.Answer(CurrentStatus());
                    },
                    [&](partition::SubmitJob& submit) {
@@ -401,6 +451,8 @@
   bool leaving_ = false;
   task::Mailbox<Inbox> mailbox_;
   task::Timer claim_timer_;
+  task::Timer authority_timer_;
+  MonotonicTime authority_until_;
 };
 
 Manager::Manager(task::Loop& loop, Options options, Peers peers)
--- a/azurepass/settings/settings_test.cc
+++ b/azurepass/settings/settings_test.cc
@@ -78,6 +78,30 @@
   }
 }
 
+TEST_CASE("the settings files that come with the source are valid") {
+  struct Case {
+    const char* file;
+    size_t workers;
+  };
+  const Case cells[] = {{"rilapak-bg-south.json", 48},
+                        {"presion-viva-altiplano-oeste.json", 48}};
+  for (const Case& c : cells) {
+    CAPTURE(c.file);
+    auto loaded = LoadCell(std::string(AZUREPASS_SETTINGS) + "/" + c.file);
+    REQUIRE(std::holds_alternative<CellSettings>(loaded));
+    size_t workers = 0;
+    for (const auto& p : std::get<CellSettings>(loaded).partitions) {
+      workers += p.workers.size();
+    }
+    CHECK(workers == c.workers);
+  }
+  for (const char* file : {"scheduler-example.json", "frontend-example.json"}) {
+    CAPTURE(file);
+    auto loaded = LoadProcess(std::string(AZUREPASS_SETTINGS) + "/" + file);
+    CHECK(std::holds_alternative<ProcessSettings>(loaded));
+  }
+}
+
 TEST_CASE("a file that can't be opened is a problem without a path") {
   auto loaded = LoadCell("/nonexistent/cell.json");
   CHECK(std::get<Problem>(loaded).path.empty());
