membership, follow: the member list, gossip, assignment and the lease

follow is what configuration and membership share: a listing, then watches, a jittered backoff after errors. The keeper now uses it too.

Gossip has a fixed fan-out and a bound on the news of a message, so traffic for each member stays constant and the age of what is known grows with n. Silence that raises suspicion therefore grows with the members: 5 s up to 8, in proportion above. Suspicion is a hint; leases decide.

Idle connections are probed once a minute instead of every 5 s, since a full mesh of them would cost more than gossip does.

--- a/azurepass/configuration/keeper.cc
+++ b/azurepass/configuration/keeper.cc
@@ -1,11 +1,4 @@
-// The keeper: one held request to the store at a time, and pulls from peers
-// while the store does not answer.
-//
-// Reading starts with a listing, page by page, and goes on with watches after
-// the first page's revision; so what changed while the pages were read comes
-// again, and versions tell the older copy from the newer. A failed request is
-// followed by a jittered backoff, so that the return of the store meets no
-// herd.
+// The keeper: follows the store, and pulls from peers while it does not answer.
 //
 // Peers are asked only without contact: a few in the first round and while one
 // of them confirms; all of them, for the evidence of an outage, otherwise.
@@ -15,25 +8,24 @@
 #include <utility>
 
 #include "azurepass/configuration/configuration.h"
+#include "azurepass/follow/follow.h"
 
 namespace azurepass::configuration {
 namespace {
 
 MonotonicTime Now() { return std::chrono::steady_clock::now(); }
 
-struct PageRead {
-  store::ListReply reply;
-};
-struct Watched {
-  MonotonicTime sent;
-  store::WatchReply reply;
-};
 struct Pulled {
   MemberId peer;
   MonotonicTime sent;
   entry::CallResult result;
 };
-using Inner = std::variant<Message, PageRead, Watched, Pulled>;
+using Inner = std::variant<Message, follow::Event, Pulled>;
+
+follow::Options FollowOptionsOf(const Options& options) {
+  return {std::string(kPrefix), options.watch_wait,   options.min_backoff,
+          options.max_backoff,  options.page_entries, options.seed};
+}
 
 }  // namespace
 
@@ -42,17 +34,14 @@
   Impl(task::Loop& loop, Options options, task::Address<store::Request> store,
        task::Address<entry::Call> peers)
       : options_(std::move(options)),
-        store_(std::move(store)),
         client_(std::move(peers)),
         freshness_(options_.max_age, options_.contact_limit),
         random_(options_.seed),
-        backoff_(options_.min_backoff),
-        read_timer_(loop),
         peer_timer_(loop),
         expiry_timer_(loop),
-        mailbox_(loop, [this](Inner m) { Handle(std::move(m)); }) {
-    // On the loop, after whoever constructs this is ready for messages.
-    read_timer_.After(Duration(0), [this] { Read(); });
+        mailbox_(loop, [this](Inner m) { Handle(std::move(m)); }),
+        follower_(loop, FollowOptionsOf(options_), std::move(store),
+                  mailbox_.address()) {
     peer_timer_.Every(options_.peer_interval, [this] { AskPeers(); });
   }
 
@@ -61,8 +50,7 @@
  private:
   void Handle(Inner message) {
     std::visit(Visitor{[this](Message& m) { HandleMessage(std::move(m)); },
-                       [this](PageRead& m) { OnPage(std::move(m)); },
-                       [this](Watched& m) { OnWatched(std::move(m)); },
+                       [this](follow::Event& m) { OnStoreEvent(m); },
                        [this](Pulled& m) { OnPulled(std::move(m)); }},
                message);
     Publish();
@@ -81,96 +69,26 @@
                message);
   }
 
-  // --- The store
-
-  void Read() {
-    if (listed_) return Watch();
-    listing_ = {};
-    listing_sent_ = Now();
-    ReadPage("");
-  }
-
-  void ReadPage(std::string from) {
-    store_.Send(store::List{
-        std::string(kPrefix), std::move(from), options_.page_entries,
-        mailbox_.address().Map<store::ListReply>([](store::ListReply reply) {
-          return PageRead{std::move(reply)};
-        })});
-  }
-
-  void OnPage(PageRead page) {
-    std::visit(
-        Visitor{[this](store::Listing& listing) { TakePage(listing); },
-                [this](const store::Error& error) { OnStoreError(error); }},
-        page.reply);
-  }
-
-  void TakePage(store::Listing& listing) {
-    if (listing_.entries.empty()) listing_.revision = listing.revision;
-    const bool last =
-        static_cast<int64_t>(listing.entries.size()) < options_.page_entries;
-    std::move(listing.entries.begin(), listing.entries.end(),
-              std::back_inserter(listing_.entries));
-    // The next key after the last one read.
-    if (!last) return ReadPage(listing_.entries.back().key + '\0');
-    register_.Replace(std::exchange(listing_, {}));
-    listed_ = true;
-    OnStoreAnswered(listing_sent_);
-    Read();
-  }
-
-  void Watch() {
-    const MonotonicTime sent = Now();
-    store_.Send(store::Watch{std::string(kPrefix), register_.cursor(),
-                             options_.watch_wait,
-                             mailbox_.address().Map<store::WatchReply>(
-                                 [sent](store::WatchReply reply) {
-                                   return Watched{sent, std::move(reply)};
-                                 })});
-  }
-
-  void OnWatched(Watched watched) {
-    std::visit(
-        Visitor{[&](const store::Changes& changes) {
-                  register_.Apply(changes);
-                  OnStoreAnswered(watched.sent);
-                  ReadAfter(changes.changes.empty() ? RestOfWait(watched.sent)
-                                                    : Duration(0));
-                },
-                [this](const store::Error& error) { OnStoreError(error); }},
-        watched.reply);
-  }
-
-  // A store that does not hold watches must not make this one spin.
-  Duration RestOfWait(MonotonicTime sent) const {
-    const auto taken = std::chrono::ceil<Duration>(Now() - sent);
-    return std::max(Duration(0), options_.watch_wait - taken);
+  void OnStoreEvent(const follow::Event& event) {
+    std::visit(Visitor{[this](const follow::Replaced& replaced) {
+                         register_.Replace(replaced.listing);
+                         OnStoreAnswered(replaced.sent);
+                       },
+                       [this](const follow::Changed& changed) {
+                         register_.Apply(changed.changes);
+                         OnStoreAnswered(changed.sent);
+                       },
+                       [this](const follow::Failed& /*failed*/) {
+                         freshness_.OnStoreFailed();
+                       }},
+               event);
   }
 
   void OnStoreAnswered(MonotonicTime sent) {
     freshness_.OnStoreConfirmed(sent);
-    backoff_ = options_.min_backoff;
     lonely_rounds_ = 0;
   }
 
-  void OnStoreError(const store::Error& error) {
-    if (error.code == store::ErrorCode::kCompacted) listed_ = false;
-    freshness_.OnStoreFailed();
-    ReadAfter(Jittered(backoff_));
-    backoff_ = std::min(2 * backoff_, options_.max_backoff);
-  }
-
-  void ReadAfter(Duration delay) {
-    read_timer_.After(delay, [this] { Read(); });
-  }
-
-  // Between half and all of it.
-  Duration Jittered(Duration delay) {
-    std::uniform_int_distribution<int64_t> spread(delay.count() / 2,
-                                                  delay.count());
-    return Duration(spread(random_));
-  }
-
   // --- Peers
 
   void AskPeers() {
@@ -260,24 +178,19 @@
   }
 
   const Options options_;
-  const task::Address<store::Request> store_;
   const task::Address<entry::Call> client_;
   Register register_;
   Freshness freshness_;
   std::mt19937_64 random_;
-  Duration backoff_;
-  bool listed_ = false;         // Else the next read is a listing.
-  store::Listing listing_;      // Pages read so far.
-  MonotonicTime listing_sent_;  // Of the first page.
   std::vector<Peer> peers_;
   int64_t lonely_rounds_ = 0;  // Of asking peers, since the last contact.
   MemberId confirmed_by_;      // In the latest verdict; empty when by none.
   std::vector<task::Address<Update>> subscribers_;
   Update told_;  // The latest update sent.
-  task::Timer read_timer_;
   task::Timer peer_timer_;
   task::Timer expiry_timer_;
   task::Mailbox<Inner> mailbox_;
+  follow::Follower follower_;
 };
 
 Keeper::Keeper(task::Loop& loop, Options options,
--- a/azurepass/entry/client.cc
+++ b/azurepass/entry/client.cc
@@ -77,6 +77,10 @@
 
   void Submit(Call call);
 
+  Traffic traffic() const {
+    return {submitted_, link_->sent(), link_->received()};
+  }
+
  private:
   using Deadlines = std::multimap<MonotonicTime, int32_t>;
 
@@ -223,6 +227,7 @@
   task::Timer deadline_timer_;
   MonotonicTime armed_for_;
   bool draining_ = false;
+  int64_t submitted_ = 0;
   std::unordered_map<int32_t, OpenCall> calls_;
   // Of calls that were answered before their stream was closed.
   std::unordered_map<int32_t, std::unique_ptr<OutgoingBody>> finished_bodies_;
@@ -293,6 +298,7 @@
     OnGoaway();  // Stream ids are used up, or the session is closing.
     return call.reply_to.Send(NotSent(peer_ + ": no stream to be had"));
   }
+  ++submitted_;
   auto deadline = deadlines_.emplace(Now() + call.timeout, stream_id);
   calls_[stream_id] = {std::move(call.reply_to), deadline, std::move(body),
                        std::string(), std::nullopt};
@@ -371,7 +377,21 @@
 
   task::Address<Call> address() const { return mailbox_.address(); }
 
+  Traffic traffic() const {
+    Traffic sum = ended_;
+    for (const auto& [id, connection] : connections_) {
+      Add(connection->traffic(), sum);
+    }
+    return sum;
+  }
+
  private:
+  static void Add(const Traffic& traffic, Traffic& sum) {
+    sum.calls += traffic.calls;
+    sum.sent_bytes += traffic.sent_bytes;
+    sum.received_bytes += traffic.received_bytes;
+  }
+
   void Handle(Call call) {
     if (call.timeout < kMinTimeLeft) {
       return call.reply_to.Send(NotSent(call.peer + ": no time left"));
@@ -404,6 +424,7 @@
   // Destroys the connection, and with it the closure that calls this.
   void Remove(int64_t id, const std::string& peer) {
     Retire(id, peer);
+    Add(connections_.at(id)->traffic(), ended_);
     connections_.erase(id);
   }
 
@@ -412,6 +433,7 @@
   std::map<int64_t, std::unique_ptr<ClientConnection>> connections_;
   std::map<std::string, int64_t> current_;  // Where new calls go, by peer.
   int64_t next_connection_ = 1;
+  Traffic ended_;  // Of connections that are gone.
   task::Mailbox<Call> mailbox_;
 };
 
@@ -422,4 +444,6 @@
 
 task::Address<Call> Client::address() const { return impl_->address(); }
 
+Traffic Client::traffic() const { return impl_->traffic(); }
+
 }  // namespace azurepass::entry
--- a/azurepass/entry/entry.h
+++ b/azurepass/entry/entry.h
@@ -33,15 +33,15 @@
 
 struct GetStatus {};
 
-// What a member says of itself and of those it heard from.
+// What a member says of itself, and passes on of others.
 struct MemberNews {
   MemberId member;
-  std::string address;            // "IP:PORT" of its entry server.
-  int64_t incarnation = 0;        // Grows with every start of the process.
-  int64_t heartbeat = 0;          // Grows while it lives.
-  Revision revision;              // Configuration in force there.
-  Duration store_contact_age{0};  // Since the store last confirmed it.
-  std::vector<PartitionId> owned;
+  std::string address;             // "IP:PORT"; empty in what is passed on.
+  int64_t incarnation = 0;         // Grows with every start of the process.
+  int64_t heartbeat = 0;           // Grows while it lives.
+  Revision revision;               // Configuration in force there.
+  Duration store_contact_age{0};   // Since the store last confirmed it.
+  std::vector<PartitionId> owned;  // Empty in what is passed on.
 };
 // Periodic exchange with a few peers.
 struct Gossip {
@@ -124,6 +124,13 @@
 
 // --- Client
 
+// What a client moved since it was made, without what TCP and IP add.
+struct Traffic {
+  int64_t calls = 0;
+  int64_t sent_bytes = 0;
+  int64_t received_bytes = 0;
+};
+
 enum class FailureCode {
   kNotSent,   // Certainly not seen by the peer.
   kNoAnswer,  // Sent; the connection or the time ended first.
@@ -155,6 +162,8 @@
   Client& operator=(const Client&) = delete;
 
   task::Address<Call> address() const;
+  // On the client's loop, or after it has stopped.
+  Traffic traffic() const;
 
  private:
   class Impl;
--- a/azurepass/entry/internal/link.cc
+++ b/azurepass/entry/internal/link.cc
@@ -27,7 +27,8 @@
 constexpr size_t kMaxUnsentBytes = size_t{256} << 10;
 // A peer that acknowledges nothing for so long has vanished.
 constexpr Duration kUnacknowledgedLimit{5'000};
-constexpr std::chrono::seconds kKeepaliveIdle{5};
+// Probes of idle connections; calls in flight have their own time-outs.
+constexpr std::chrono::seconds kKeepaliveIdle{60};
 // A finished connection waits so long for the peer to close.
 constexpr Duration kLingerLimit{2'000};
 
@@ -177,6 +178,7 @@
     if (count < 0 && WouldBlock(error.get())) break;
     if (count < 0) return Fail(error->message);
     if (count == 0) return Fail("the peer closed the connection");
+    received_ += count;
     if (lingering_) continue;
     const ssize_t taken = nghttp2_session_mem_recv(
         session_.get(), receive_buffer_.data(), static_cast<size_t>(count));
--- a/azurepass/entry/internal/link.h
+++ b/azurepass/entry/internal/link.h
@@ -87,6 +87,7 @@
   // Bytes that the session produced, and those that the socket took.
   int64_t produced() const { return produced_; }
   int64_t sent() const { return sent_; }
+  int64_t received() const { return received_; }
 
  private:
   void OnReadable();
@@ -111,6 +112,7 @@
   std::vector<uint8_t> receive_buffer_;
   int64_t produced_ = 0;
   int64_t sent_ = 0;  // Invariant: produced_ - sent_ == unsent_.size().
+  int64_t received_ = 0;
   bool open_ = false;
   bool lingering_ = false;
   bool closed_ = false;
--- a/azurepass/entry/internal/message_formats.cc
+++ b/azurepass/entry/internal/message_formats.cc
@@ -166,7 +166,7 @@
   static Wire<entry::MemberNews> Read(ObjectReader& reader) {
     entry::MemberNews news;
     news.member = reader.Name<MemberId>("m");
-    news.address = reader.String("a");
+    news.address = reader.String("a", "");
     news.incarnation = Count(reader, "i");
     news.heartbeat = Count(reader, "h");
     news.revision = Revision{Count(reader, "r")};
@@ -180,6 +180,7 @@
         {"m", news.member.value()}, {"a", news.address},
         {"i", news.incarnation},    {"h", news.heartbeat},
         {"r", news.revision.value}, {"c", news.store_contact_age.count()}};
+    if (!news.address.empty()) out["a"] = news.address;
     if (!news.owned.empty()) out["o"] = WriteNames(news.owned);
     return out;
   }
--- /dev/null
+++ b/azurepass/membership/agent.cc
@@ -0,0 +1,452 @@
+// The agent: holds this member's lease, follows the store's list of members and
+// claims, and gossips.
+//
+// The lease. Its validity is counted from the send of the request that granted
+// or renewed it: the store starts counting later, so until then it stands. A
+// renewal whose answer is lost therefore costs validity, never truth. When the
+// store says that the lease is lost, a new one is asked for; what was held
+// under the old one may be somebody else's by then, which is the claims'
+// matter, not the lease's.
+
+#include <algorithm>
+#include <random>
+#include <set>
+#include <utility>
+
+#include "azurepass/follow/follow.h"
+#include "azurepass/membership/membership.h"
+
+namespace azurepass::membership {
+namespace {
+
+MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+
+struct LeaseAnswered {
+  MonotonicTime sent;
+  store::GrantReply reply;
+};
+struct RenewalAnswered {
+  std::string lease;
+  MonotonicTime sent;
+  store::RenewReply reply;
+};
+struct KeyAnswered {
+  std::string lease;
+  store::WriteReply reply;
+};
+struct GossipAnswered {
+  entry::CallResult result;
+};
+using Inner = std::variant<Message, follow::Event, LeaseAnswered,
+                           RenewalAnswered, KeyAnswered, GossipAnswered>;
+
+follow::Options FollowOptionsOf(const Options& options) {
+  return {std::string(kPrefix), options.watch_wait,   options.min_backoff,
+          options.max_backoff,  options.page_entries, options.seed};
+}
+
+entry::MemberNews NewsOf(const MemberRecord& record) {
+  entry::MemberNews news;
+  news.member = record.member;
+  news.address = record.address;
+  news.incarnation = record.incarnation;
+  news.store_contact_age = Duration::max();
+  return news;
+}
+
+// The store's content below kPrefix.
+class Content {
+ public:
+  // What is known of a member key.
+  struct Listed {
+    MemberRecord record;
+    MonotonicTime since;  // When the key was first seen here.
+  };
+
+  void Apply(const follow::Replaced& replaced, MonotonicTime now) {
+    const auto before = std::exchange(members_, {});
+    claims_.clear();
+    for (const store::Entry& entry : replaced.listing.entries) {
+      Put(entry, now);
+    }
+    for (auto& [member, listed] : members_) {
+      auto found = before.find(member);
+      if (found != before.end()) listed.since = found->second.since;
+    }
+    known_ = true;
+  }
+
+  void Apply(const follow::Changed& changed, MonotonicTime now) {
+    for (const store::Change& change : changed.changes.changes) {
+      if (change.entry) {
+        Put(*change.entry, now);
+        continue;
+      }
+      std::erase_if(members_, [&](const auto& item) {
+        return StoreKey(item.first) == change.key;
+      });
+      std::erase_if(claims_, [&](const auto& item) {
+        return StoreKey(item.first) == change.key;
+      });
+    }
+  }
+
+  bool known() const { return known_; }
+  const std::map<MemberId, Listed>& members() const { return members_; }
+  const std::map<PartitionId, Claim>& claims() const { return claims_; }
+
+ private:
+  void Put(const store::Entry& entry, MonotonicTime now) {
+    if (auto member = DecodeMember(entry.value);
+        member && StoreKey(member->member) == entry.key) {
+      const MemberId id = member->member;
+      auto [at, inserted] = members_.try_emplace(id);
+      if (inserted) at->second.since = now;
+      at->second.record = *std::move(member);
+    }
+    auto claim = DecodeClaim(entry.value);
+    if (!claim || StoreKey(claim->partition) != entry.key) return;
+    Claim& held = claims_[claim->partition];
+    if (held.version > entry.version) return;
+    held = {claim->member, "", claim->epoch, entry.version};
+  }
+
+  bool known_ = false;
+  std::map<MemberId, Listed> members_;
+  std::map<PartitionId, Claim> claims_;  // Without addresses.
+};
+
+}  // namespace
+
+class Agent::Impl {
+ public:
+  Impl(task::Loop& loop, Options options, MemberRecord self,
+       std::vector<PartitionId> partitions, task::Address<store::Request> store,
+       task::Address<entry::Call> peers)
+      : options_(options),
+        self_(std::move(self)),
+        partitions_(std::move(partitions)),
+        store_(store),
+        client_(std::move(peers)),
+        table_(NewsOf(self_)),
+        random_(options_.seed),
+        backoff_(options_.min_backoff),
+        lease_timer_(loop),
+        lapse_timer_(loop),
+        gossip_timer_(loop),
+        mailbox_(loop, [this](Inner m) { Handle(std::move(m)); }),
+        follower_(loop, FollowOptionsOf(options_), std::move(store),
+                  mailbox_.address()) {
+    lease_timer_.After(Duration(0), [this] { AskForLease(); });
+    gossip_timer_.After(Jittered(options_.gossip_interval),
+                        [this] { GossipRound(); });
+  }
+
+  task::Address<Message> address() const { return mailbox_.address(); }
+
+ private:
+  void Handle(Inner message) {
+    std::visit(
+        Visitor{[this](Message& m) { HandleMessage(std::move(m)); },
+                [this](const follow::Event& m) { OnStoreEvent(m); },
+                [this](const LeaseAnswered& m) { OnLease(m); },
+                [this](const RenewalAnswered& m) { OnRenewal(m); },
+                [this](const KeyAnswered& m) { OnKeyWritten(m); },
+                [this](const GossipAnswered& m) { OnGossipAnswered(m); }},
+        message);
+  }
+
+  void HandleMessage(Message message) {
+    std::visit(Visitor{[this](Subscribe& m) {
+                         subscribers_.push_back(std::move(m.subscriber));
+                         subscribers_.back().Send(MakeView());
+                       },
+                       [this](const GossipReceived& m) { OnGossip(m); },
+                       [this](SelfChanged& m) { told_ = std::move(m); },
+                       [this](const Drain&) { StartDrain(); },
+                       [this](const Leave& m) { LeaveNow(m); }},
+               message);
+  }
+
+  // --- The lease and the member key
+
+  void AskForLease() {
+    if (left_) return;
+    const MonotonicTime sent = Now();
+    store_.Send(store::GrantLease{
+        options_.lease_ttl, mailbox_.address().Map<store::GrantReply>(
+                                [sent](store::GrantReply reply) {
+                                  return LeaseAnswered{sent, std::move(reply)};
+                                })});
+  }
+
+  void OnLease(const LeaseAnswered& answered) {
+    auto* granted = std::get_if<store::LeaseGranted>(&answered.reply);
+    if (granted == nullptr) return RetryLeaseWork([this] { AskForLease(); });
+    if (left_) return store_.Send(store::RevokeLease{granted->lease});
+    lease_ = granted->lease;
+    OnLeaseStands(answered.sent);
+    WriteKey();
+  }
+
+  void WriteKey() {
+    if (lease_.empty() || left_) return;
+    store_.Send(store::Put{StoreKey(self_.member), Encode(self_), std::nullopt,
+                           lease_,
+                           mailbox_.address().Map<store::WriteReply>(
+                               [lease = lease_](store::WriteReply reply) {
+                                 return KeyAnswered{lease, std::move(reply)};
+                               })});
+  }
+
+  void OnKeyWritten(const KeyAnswered& answered) {
+    if (answered.lease != lease_) return;
+    auto* error = std::get_if<store::Error>(&answered.reply);
+    if (error == nullptr) return RenewLater();
+    if (error->code == store::ErrorCode::kLeaseLost) return OnLeaseLost();
+    // Writing it again does no harm, whatever became of this write.
+    RetryLeaseWork([this] { WriteKey(); });
+  }
+
+  void RenewLater() {
+    backoff_ = options_.min_backoff;
+    lease_timer_.After(Jittered(options_.lease_ttl / 3), [this] { Renew(); });
+  }
+
+  void Renew() {
+    const MonotonicTime sent = Now();
+    store_.Send(store::RenewLease{
+        lease_, mailbox_.address().Map<store::RenewReply>(
+                    [lease = lease_, sent](store::RenewReply reply) {
+                      return RenewalAnswered{lease, sent, std::move(reply)};
+                    })});
+  }
+
+  void OnRenewal(const RenewalAnswered& answered) {
+    if (answered.lease != lease_) return;
+    auto* error = std::get_if<store::Error>(&answered.reply);
+    if (error == nullptr) {
+      OnLeaseStands(answered.sent);
+      return RenewLater();
+    }
+    if (error->code == store::ErrorCode::kLeaseLost) return OnLeaseLost();
+    RetryLeaseWork([this] { Renew(); });
+  }
+
+  void OnLeaseStands(MonotonicTime sent) {
+    lease_valid_until_ = sent + options_.lease_ttl;
+    lapse_timer_.After(std::chrono::ceil<Duration>(lease_valid_until_ - Now()),
+                       [this] { Publish(); });
+    Publish();
+  }
+
+  void OnLeaseLost() {
+    lease_.clear();
+    lease_valid_until_ = MonotonicTime();
+    Publish();
+    AskForLease();
+  }
+
+  void RetryLeaseWork(std::function<void()> work) {
+    lease_timer_.After(Jittered(backoff_), std::move(work));
+    backoff_ = std::min(2 * backoff_, options_.max_backoff);
+  }
+
+  void StartDrain() {
+    if (std::exchange(self_.leaving, true)) return;
+    WriteKey();
+    Publish();
+  }
+
+  void LeaveNow(const Leave& leave) {
+    left_ = true;
+    lease_timer_.Cancel();
+    gossip_timer_.Cancel();
+    if (!lease_.empty()) store_.Send(store::RevokeLease{lease_});
+    lease_.clear();
+    lease_valid_until_ = MonotonicTime();
+    Publish();
+    leave.done.Send(Left{});
+  }
+
+  // --- The store's list
+
+  void OnStoreEvent(const follow::Event& event) {
+    const MonotonicTime now = Now();
+    std::visit(Visitor{[&](const follow::Replaced& replaced) {
+                         content_.Apply(replaced, now);
+                         Publish();
+                       },
+                       [&](const follow::Changed& changed) {
+                         if (changed.changes.changes.empty()) return;
+                         content_.Apply(changed, now);
+                         Publish();
+                       },
+                       [](const follow::Failed& /*failed*/) {}},
+               event);
+  }
+
+  // --- Gossip
+
+  void GossipRound() {
+    table_.Beat(told_.revision, told_.store_contact_age, told_.owned);
+    std::vector<MemberId> candidates;
+    for (const auto& [member, listed] : content_.members()) {
+      if (member != self_.member) candidates.push_back(member);
+    }
+    const std::vector<MemberId> peers = ChooseGossipPeers(
+        std::move(candidates), options_.gossip_fanout, random_());
+    for (const MemberId& peer : peers) {
+      SendGossip(content_.members().at(peer).record.address);
+    }
+    if (SuspicionChanged()) Publish();
+    gossip_timer_.After(Jittered(options_.gossip_interval),
+                        [this] { GossipRound(); });
+  }
+
+  void SendGossip(const std::string& address) {
+    client_.Send({address,
+                  entry::Gossip{
+                      table_.NewsToSend(options_.news_bound, random_(), Now())},
+                  options_.gossip_timeout,
+                  mailbox_.address().Map<entry::CallResult>(
+                      [](entry::CallResult result) {
+                        return GossipAnswered{std::move(result)};
+                      })});
+  }
+
+  // The answer tells of this member alone.
+  void OnGossip(const GossipReceived& received) {
+    const MonotonicTime now = Now();
+    table_.Merge(received.gossip.news, now);
+    received.responder.Answer(
+        entry::Gossip{table_.NewsToSend(1, random_(), now)});
+  }
+
+  void OnGossipAnswered(const GossipAnswered& answered) {
+    auto* response = std::get_if<entry::Response>(&answered.result);
+    if (response == nullptr) return;
+    auto* gossip = std::get_if<entry::Gossip>(response);
+    if (gossip != nullptr) table_.Merge(gossip->news, Now());
+  }
+
+  bool IsSuspected(const MemberId& member, MonotonicTime since,
+                   MonotonicTime now) const {
+    if (member == self_.member) return false;
+    const MonotonicTime heard = table_.HeardAt(member).value_or(since);
+    const auto members = static_cast<int64_t>(content_.members().size());
+    return now - std::max(heard, since) >
+           SuspicionAfter(options_.suspect_after, members);
+  }
+
+  bool SuspicionChanged() const {
+    const MonotonicTime now = Now();
+    return std::any_of(content_.members().begin(), content_.members().end(),
+                       [&](const auto& item) {
+                         return IsSuspected(item.first, item.second.since,
+                                            now) !=
+                                suspected_.contains(item.first);
+                       });
+  }
+
+  // --- Subscribers
+
+  std::vector<PartitionId> Wanted() const {
+    std::vector<PartitionId> wanted;
+    if (self_.leaving || left_) return wanted;
+    std::vector<MemberId> schedulers;
+    for (const auto& [member, listed] : content_.members()) {
+      const bool takes =
+          listed.record.role == Role::kScheduler && !listed.record.leaving;
+      if (takes) schedulers.push_back(member);
+    }
+    for (const auto& [partition, member] :
+         Assign(partitions_, std::move(schedulers))) {
+      if (member == self_.member) wanted.push_back(partition);
+    }
+    return wanted;
+  }
+
+  View MakeView() const {
+    const MonotonicTime now = Now();
+    View view;
+    view.known = content_.known();
+    for (const auto& [member, listed] : content_.members()) {
+      Member& shown = view.members[member];
+      shown.record = listed.record;
+      shown.suspected = IsSuspected(member, listed.since, now);
+      const entry::MemberNews* news = table_.Find(member);
+      if (news != nullptr) shown.news = *news;
+    }
+    view.claims = content_.claims();
+    for (auto& [partition, claim] : view.claims) {
+      auto found = view.members.find(claim.member);
+      if (found != view.members.end()) {
+        claim.address = found->second.record.address;
+      }
+    }
+    view.wanted = Wanted();
+    view.lease_ok = !lease_.empty() && now < lease_valid_until_;
+    view.lease_valid_until = lease_valid_until_;
+    return view;
+  }
+
+  void Publish() {
+    ForgetOthers();
+    const View view = MakeView();
+    suspected_.clear();
+    for (const auto& [member, shown] : view.members) {
+      if (shown.suspected) suspected_.insert(member);
+    }
+    for (const auto& subscriber : subscribers_) subscriber.Send(view);
+  }
+
+  // Drops news of members whose key is gone, so that the table stays bounded.
+  void ForgetOthers() {
+    for (const MemberId& member : table_.members()) {
+      if (!content_.members().contains(member)) table_.Forget(member);
+    }
+  }
+
+  // At random between three quarters and five quarters.
+  Duration Jittered(Duration delay) {
+    std::uniform_int_distribution<int64_t> spread(delay.count() * 3 / 4,
+                                                  delay.count() * 5 / 4);
+    return Duration(spread(random_));
+  }
+
+  const Options options_;
+  MemberRecord self_;
+  const std::vector<PartitionId> partitions_;
+  const task::Address<store::Request> store_;
+  const task::Address<entry::Call> client_;
+  Content content_;
+  Table table_;
+  SelfChanged told_{Revision(), Duration::max(), {}};
+  std::set<MemberId> suspected_;  // As subscribers were last told.
+  std::mt19937_64 random_;
+  Duration backoff_;
+  std::string lease_;  // Empty: none.
+  MonotonicTime lease_valid_until_;
+  bool left_ = false;
+  std::vector<task::Address<View>> subscribers_;
+  task::Timer lease_timer_;
+  task::Timer lapse_timer_;
+  task::Timer gossip_timer_;
+  task::Mailbox<Inner> mailbox_;
+  follow::Follower follower_;
+};
+
+Agent::Agent(task::Loop& loop, Options options, MemberRecord self,
+             std::vector<PartitionId> partitions,
+             task::Address<store::Request> store,
+             task::Address<entry::Call> peers)
+    : impl_(std::make_shared<Impl>(loop, options, std::move(self),
+                                   std::move(partitions), std::move(store),
+                                   std::move(peers))) {}
+
+Agent::~Agent() = default;
+
+task::Address<Message> Agent::address() const { return impl_->address(); }
+
+}  // namespace azurepass::membership
--- /dev/null
+++ b/azurepass/membership/agent_test.cc
@@ -0,0 +1,202 @@
+// Agents on a loop with a fake store and a switchboard instead of sockets: who
+// is a member, who should hold what, the lease, a cut, leaving.
+
+#include <doctest/doctest.h>
+
+#include "azurepass/membership/membership.h"
+#include "azurepass/testing/fake_store.h"
+#include "azurepass/testing/inbox.h"
+
+namespace azurepass::membership {
+namespace {
+
+using testing::FakeStore;
+using testing::Inbox;
+using testing::SetFaults;
+
+Options ShortOptions(int64_t index) {
+  Options options;
+  options.lease_ttl = Duration(400);
+  options.watch_wait = Duration(100);
+  options.gossip_interval = Duration(50);
+  options.suspect_after = Duration(1'000);
+  options.min_backoff = Duration(10);
+  options.max_backoff = Duration(50);
+  options.seed = static_cast<uint64_t>(index) + 1;
+  return options;
+}
+
+MemberRecord RecordOf(int64_t index) {
+  const std::string number = std::to_string(index);
+  return {MemberId("m" + number),
+          "10.0.0." + number + ":1",
+          1,
+          Role::kScheduler,
+          ZoneId("a"),
+          VmId("vm-" + number)};
+}
+
+class Cluster {
+ public:
+  explicit Cluster(int64_t size) : store_(loop_) {
+    std::vector<PartitionId> partitions;
+    for (int64_t i = 0; i < 2 * size; ++i) {
+      partitions.emplace_back("p" + std::to_string(i));
+    }
+    for (int64_t i = 0; i < size; ++i) {
+      inboxes_.push_back(std::make_unique<Inbox<View>>());
+      agents_.push_back(std::make_unique<Agent>(loop_, ShortOptions(i),
+                                                RecordOf(i), partitions,
+                                                store_.Port(i), Switchboard()));
+      agents_[i]->address().Send(Subscribe{inboxes_[i]->address()});
+    }
+    loop_.Start();
+  }
+  ~Cluster() { loop_.Stop(); }
+
+  FakeStore& store() { return store_; }
+  Agent& agent(int64_t index) { return *agents_[index]; }
+  void SetOutage(int64_t port, bool outage) {
+    store_.control().Send(SetFaults{port, {outage, 0, Duration(0)}});
+  }
+  template <class Wanted>
+  View Await(int64_t index, Wanted wanted) {
+    return inboxes_[index]->TakeUntil(wanted);
+  }
+  View AwaitMembers(int64_t index, size_t members, size_t partitions) {
+    return Await(index, [=](const View& view) {
+      return view.known && view.members.size() == members &&
+             view.wanted.size() == partitions;
+    });
+  }
+
+ private:
+  task::Address<entry::Call> Switchboard() {
+    return task::Address<entry::Call>([this](const entry::Call& call) {
+      for (size_t to = 0; to < agents_.size(); ++to) {
+        const MemberRecord record = RecordOf(static_cast<int64_t>(to));
+        if (record.address != call.peer) continue;
+        const auto reply = call.reply_to;
+        agents_[to]->address().Send(
+            GossipReceived{std::get<entry::Gossip>(call.request),
+                           entry::Responder(task::Address<entry::Response>(
+                               [reply](entry::Response response) {
+                                 reply.Send(std::move(response));
+                               }))});
+      }
+    });
+  }
+
+  std::vector<std::unique_ptr<Inbox<View>>> inboxes_;
+  task::Loop loop_;
+  FakeStore store_;
+  std::vector<std::unique_ptr<Agent>> agents_;
+};
+
+TEST_CASE("members find each other and share the partitions") {
+  Cluster cluster(3);
+  for (int64_t i = 0; i < 3; ++i) {
+    const View view = cluster.AwaitMembers(i, 3, 2);
+    CHECK(view.lease_ok);
+    CHECK(view.members.at(MemberId("m0")).record == RecordOf(0));
+  }
+}
+
+TEST_CASE("what a member tells of itself reaches the others") {
+  Cluster cluster(3);
+  cluster.agent(0).address().Send(
+      SelfChanged{Revision{77}, Duration(5), {PartitionId("p0")}});
+  for (int64_t i = 1; i < 3; ++i) {
+    const View view = cluster.Await(i, [](const View& seen) {
+      auto found = seen.members.find(MemberId("m0"));
+      return found != seen.members.end() && found->second.news &&
+             found->second.news->revision == Revision{77};
+    });
+    CHECK_FALSE(view.members.at(MemberId("m0")).suspected);
+  }
+}
+
+TEST_CASE("a member without the store loses its lease and gets it back") {
+  Cluster cluster(2);
+  const View before = cluster.AwaitMembers(0, 2, 2);
+  CHECK(before.lease_ok);
+  cluster.AwaitMembers(1, 2, 2);
+  cluster.SetOutage(0, true);
+  const View lost =
+      cluster.Await(0, [](const View& view) { return !view.lease_ok; });
+  CHECK(lost.lease_valid_until <= std::chrono::steady_clock::now());
+  cluster.AwaitMembers(1, 1, 4);  // The other one wants all.
+  cluster.SetOutage(0, false);
+  cluster.Await(0, [](const View& view) { return view.lease_ok; });
+  cluster.AwaitMembers(1, 2, 2);
+}
+
+TEST_CASE("a lost answer to a renewal costs no lease") {
+  Cluster cluster(1);
+  cluster.AwaitMembers(0, 1, 2);
+  cluster.store().control().Send(SetFaults{0, {false, 1, Duration(0)}});
+  MonotonicTime last;
+  for (int i = 0; i < 4; ++i) {
+    const View view = cluster.Await(0, [&](const View& seen) {
+      CHECK(seen.lease_ok);
+      return seen.lease_valid_until > last;
+    });
+    last = view.lease_valid_until;
+  }
+}
+
+TEST_CASE("an expired lease is replaced by a new one") {
+  Cluster cluster(1);
+  cluster.AwaitMembers(0, 1, 2);
+  cluster.store().control().Send(testing::ExpireLeases{});
+  cluster.Await(0, [](const View& view) { return !view.lease_ok; });
+  cluster.AwaitMembers(0, 1, 2);
+}
+
+TEST_CASE("a leaving member wants nothing, then is gone") {
+  Cluster cluster(2);
+  for (int64_t i = 0; i < 2; ++i) cluster.AwaitMembers(i, 2, 2);
+  cluster.agent(0).address().Send(Drain{});
+  cluster.AwaitMembers(0, 2, 0);
+  CHECK(
+      cluster.AwaitMembers(1, 2, 4).members.at(MemberId("m0")).record.leaving);
+  Inbox<Left> left;
+  cluster.agent(0).address().Send(Leave{left.address()});
+  left.Take();
+  cluster.AwaitMembers(1, 1, 4);
+}
+
+TEST_CASE("claims are shown with their holder, as long as it is there") {
+  Cluster cluster(2);
+  for (int64_t i = 0; i < 2; ++i) cluster.AwaitMembers(i, 2, 2);
+  const ClaimRecord claim{PartitionId("p0"), MemberId("m0"), Epoch{3}};
+  cluster.store().Port(9).Send(store::Put{
+      StoreKey(claim.partition), Encode(claim), store::kAbsent, "", {}});
+  const View held = cluster.Await(
+      1, [](const View& view) { return view.claims.size() == 1; });
+  CHECK(held.claims.at(claim.partition).member == MemberId("m0"));
+  CHECK(held.claims.at(claim.partition).epoch == Epoch{3});
+  CHECK(held.claims.at(claim.partition).address == "10.0.0.0:1");
+  CHECK(held.claims.at(claim.partition).version > 0);
+  cluster.agent(0).address().Send(Leave{});
+  cluster.Await(1, [&](const View& view) {
+    return view.claims.at(claim.partition).address.empty();
+  });
+}
+
+TEST_CASE("a member that is silent for long is suspected") {
+  Cluster cluster(2);
+  cluster.AwaitMembers(0, 2, 2);
+  // A member key without a process behind it.
+  MemberRecord ghost = RecordOf(7);
+  cluster.store().Port(9).Send(
+      store::Put{StoreKey(ghost.member), Encode(ghost), std::nullopt, "", {}});
+  const View view = cluster.Await(0, [&](const View& seen) {
+    auto found = seen.members.find(ghost.member);
+    return found != seen.members.end() && found->second.suspected;
+  });
+  CHECK_FALSE(view.members.at(MemberId("m1")).suspected);
+}
+
+}  // namespace
+}  // namespace azurepass::membership
--- a/azurepass/membership/membership.h
+++ b/azurepass/membership/membership.h
@@ -93,20 +93,23 @@
   // Drops a member.
   void Forget(const MemberId& member);
 
-  // News of this member and of at most `bound` - 1 others: those heard of most
-  // recently, with ties broken by `random`.
+  // News of this member, in full, and the short form of at most `bound` - 1
+  // others: those that were passed on least often since they came, ties broken
+  // by `random`.
   std::vector<entry::MemberNews> NewsToSend(int64_t bound, uint64_t random,
-                                            MonotonicTime now) const;
+                                            MonotonicTime now);
 
-  // Time since the member's heartbeat last grew; empty when never heard of.
-  std::optional<Duration> SilenceOf(const MemberId& member,
-                                    MonotonicTime now) const;
+  // When the member's heartbeat last grew; empty when never heard of.
+  std::optional<MonotonicTime> HeardAt(const MemberId& member) const;
+  // All members heard of.
+  std::vector<MemberId> members() const;
   const entry::MemberNews* Find(const MemberId& member) const;
 
  private:
   struct Heard {
     entry::MemberNews news;
-    MonotonicTime at;
+    MonotonicTime at;    // When it came.
+    int64_t passed = 0;  // Times it was passed on since.
   };
   entry::MemberNews self_;
   std::map<MemberId, Heard> heard_;  // Never holds self_.
@@ -123,25 +126,31 @@
 std::map<PartitionId, MemberId> Assign(std::vector<PartitionId> partitions,
                                        std::vector<MemberId> members);
 
+// Bounded news of n members come round in a time that grows with n. The silence
+// that raises suspicion: `base` up to kSuspicionMembers, in proportion above.
+inline constexpr int64_t kSuspicionMembers = 8;
+Duration SuspicionAfter(Duration base, int64_t members);
+
 // ---------------------------------------------------------------------------
 // The agent
 
 struct Options {
   Duration lease_ttl{3'000};
   Duration watch_wait{1'000};
+  int64_t page_entries = 1'000;  // Of a listing.
   Duration gossip_interval{1'000};
   Duration gossip_timeout{1'000};
-  Duration suspect_after{5'000};  // Of silence.
+  Duration suspect_after{5'000};  // Of silence; see SuspicionAfter.
   Duration min_backoff{100};      // After a failed request, jittered.
   Duration max_backoff{1'000};
   int64_t gossip_fanout = 3;
-  int64_t news_bound = 16;  // Members told of in one message.
-  uint64_t seed = 1;        // Of jitter and of the choice of peers.
+  int64_t news_bound = 8;  // Members told of in one message.
+  uint64_t seed = 1;       // Of jitter and of the choice of peers.
 };
 
 struct Member {
   MemberRecord record;
-  bool suspected = false;  // Not heard of for suspect_after.
+  bool suspected = false;  // Not heard of for SuspicionAfter().
   std::optional<entry::MemberNews> news;
 };
 
--- a/azurepass/testing/fake_store.cc
+++ b/azurepass/testing/fake_store.cc
@@ -153,12 +153,11 @@
   if (auto conflict = Check(put.key, put.expected)) {
     return AnswerWrite<store::WriteReply>(port, put.reply_to, *conflict);
   }
-  auto lease = leases_.find(put.lease);
-  if (!put.lease.empty() && lease == leases_.end()) {
+  if (!put.lease.empty() && !leases_.contains(put.lease)) {
     return Answer<store::WriteReply>(
         port, put.reply_to, store::Error{store::ErrorCode::kLeaseLost, ""});
   }
-  if (lease != leases_.end()) lease->second.keys.push_back(put.key);
+  lease_of_[put.key] = put.lease;
   Record(put.key, store::Entry{put.key, put.value, store::kAbsent});
   AnswerWrite<store::WriteReply>(port, put.reply_to, store::Written{revision_});
 }
@@ -174,7 +173,7 @@
 
 void FakeStore::Serve(int64_t port, const store::GrantLease& grant) {
   const std::string id = "lease-" + std::to_string(next_id_++);
-  leases_[id] = {grant.ttl, Now() + grant.ttl, {}};
+  leases_[id] = {grant.ttl, Now() + grant.ttl};
   Later(grant.ttl, [this] { ExpireOld(); });
   AnswerWrite<store::GrantReply>(port, grant.reply_to, store::LeaseGranted{id});
 }
@@ -234,13 +233,12 @@
 }
 
 void FakeStore::RemoveLease(const std::string& lease) {
-  auto found = leases_.find(lease);
-  if (found == leases_.end()) return;
-  const std::vector<std::string> keys = std::move(found->second.keys);
-  leases_.erase(found);
-  for (const std::string& key : keys) {
-    if (entries_.contains(key)) Record(key, std::nullopt);
+  if (leases_.erase(lease) == 0) return;
+  std::vector<std::string> keys;
+  for (const auto& [key, holder] : lease_of_) {
+    if (holder == lease && entries_.contains(key)) keys.push_back(key);
   }
+  for (const std::string& key : keys) Record(key, std::nullopt);
 }
 
 void FakeStore::ExpireOld() {
--- a/azurepass/testing/fake_store.h
+++ b/azurepass/testing/fake_store.h
@@ -70,7 +70,6 @@
   struct Lease {
     Duration ttl{0};
     MonotonicTime until;
-    std::vector<std::string> keys;
   };
   struct Logged {
     int64_t revision = 0;
@@ -112,6 +111,7 @@
 
   std::map<std::string, store::Entry> entries_;
   std::map<std::string, Lease> leases_;
+  std::map<std::string, std::string> lease_of_;  // By key; the latest write's.
   std::map<int64_t, Waiting> watches_;
   std::vector<Logged> history_;
   int64_t revision_ = 0;
