--- a/azurepass/operators/configuration_writer.cc
+++ b/azurepass/operators/configuration_writer.cc
@@ -226,8 +226,8 @@
           Perform(write, write->settled.On(reply, Now()));
         });
   };
-  const auto written =
-      Continue<store::WriteReply>([this, write](store::WriteReply reply) {
+  const auto written = Continue<store::WriteReply>(
+      [this, write](const store::WriteReply& reply) {
         Perform(write, write->settled.On(reply, Now()));
       });
   std::visit(
--- a/azurepass/routing/dispatcher_test.cc
+++ b/azurepass/routing/dispatcher_test.cc
@@ -170,6 +170,7 @@
 TEST_CASE("answers that cross meet their own requests") {
   auto bench = Bench::Ready();
   std::vector<int64_t> numbers;
+  numbers.reserve(20);
   for (int i = 0; i < 20; ++i) {
     numbers.push_back(bench->Ask(Get("p." + std::to_string(i))));
   }
@@ -373,6 +374,7 @@
   options.retries = {.per_request = 0.1, .per_second = 0, .burst = 10};
   auto bench = Bench::Ready(options);
   std::vector<int64_t> numbers;
+  numbers.reserve(kRequests);
   for (int i = 0; i < kRequests; ++i) {
     numbers.push_back(bench->Ask(Submit(), Duration(300)));
   }
--- a/azurepass/routing/route_test.cc
+++ b/azurepass/routing/route_test.cc
@@ -9,6 +9,7 @@
 
 std::vector<PartitionId> Partitions(int count) {
   std::vector<PartitionId> partitions;
+  partitions.reserve(count);
   for (int i = 0; i < count; ++i) {
     partitions.emplace_back("intake-" + std::to_string(i));
   }
