--- a/azurepass/caller/caller.cc
+++ b/azurepass/caller/caller.cc
@@ -23,13 +23,13 @@
 class Server::Impl {
  public:
   Impl(task::Loop& loop, httpserver::Options options,
-       task::Address<Event> listener);
+       task::Address<Event> listener, std::vector<metrics::Source> sources);
 
   std::string listening_on() const { return server_.listening_on(); }
   void Drain(task::Address<Drained> done) {
     mailbox_.address().Send(StartDrain{std::move(done)});
   }
-  task::Address<metrics::Scrape> metrics() const { return mailbox_.address(); }
+  void Leave() { mailbox_.address().Send(StartLeaving{}); }
 
  private:
   struct Answered {
@@ -39,12 +39,16 @@
   struct StartDrain {
     task::Address<Drained> done;
   };
-  using Message = std::variant<Answered, StartDrain, metrics::Scrape>;
+  struct StartLeaving {};
+  using Message =
+      std::variant<Answered, StartDrain, StartLeaving, metrics::Scrape>;
   struct Open {
     size_t kind = 0;  // Index in Request.
     MonotonicTime since;
   };
 
+  std::vector<metrics::Source> WithSelf(
+      std::vector<metrics::Source> sources) const;
   void Handle(Message message);
   void HandleHttp(httpserver::Event event);
   void Begin(httpserver::Received received);
@@ -58,14 +62,27 @@
   std::array<metrics::Histogram, kKinds> latencies_;
   task::Mailbox<Message> mailbox_;
   httpserver::Server server_;
+  metrics::Endpoint endpoint_;
 };
 
 Server::Impl::Impl(task::Loop& loop, httpserver::Options options,
-                   task::Address<Event> listener)
+                   task::Address<Event> listener,
+                   std::vector<metrics::Source> sources)
     : listener_(std::move(listener)),
       mailbox_(loop, [this](Message m) { Handle(std::move(m)); }),
       server_(loop, std::move(options),
-              [this](httpserver::Event e) { HandleHttp(std::move(e)); }) {}
+              [this](httpserver::Event e) { HandleHttp(std::move(e)); }),
+      endpoint_(loop, WithSelf(std::move(sources)),
+                [this](httpserver::ExchangeId id,
+                       const httpserver::Response& response) {
+                  server_.Answer(id, response);
+                }) {}
+
+std::vector<metrics::Source> Server::Impl::WithSelf(
+    std::vector<metrics::Source> sources) const {
+  sources.push_back({"callers", mailbox_.address()});
+  return sources;
+}
 
 void Server::Impl::Handle(Message message) {
   std::visit(
@@ -74,6 +91,7 @@
           [this](const StartDrain& drain) {
             server_.Drain([done = drain.done] { done.Send(Drained{}); });
           },
+          [this](const StartLeaving&) { endpoint_.Leave(); },
           [this](const metrics::Scrape& scrape) { Report(scrape); }},
       message);
 }
@@ -81,6 +99,7 @@
 void Server::Impl::HandleHttp(httpserver::Event event) {
   std::visit(Visitor{[this](httpserver::Received& r) { Begin(std::move(r)); },
                      [this](const httpserver::Abandoned& a) {
+                       endpoint_.Drop(a.id);
                        ++abandoned_;
                        if (open_.erase(a.id) > 0)
                          listener_.Send(Abandoned{a.id});
@@ -89,6 +108,7 @@
 }
 
 void Server::Impl::Begin(httpserver::Received received) {
+  if (endpoint_.Take(received)) return;
   const RequestNumber number = received.id;
   if (received.request.bearer.empty()) {
     Finish(number, httpserver::ToResponse(
@@ -143,19 +163,18 @@
 }
 
 Server::Server(task::Loop& loop, httpserver::Options options,
-               task::Address<Event> listener)
+               task::Address<Event> listener,
+               std::vector<metrics::Source> sources)
     : impl_(std::make_shared<Impl>(loop, std::move(options),
-                                   std::move(listener))) {}
+                                   std::move(listener), std::move(sources))) {}
 Server::~Server() = default;
 
 std::string Server::listening_on() const { return impl_->listening_on(); }
 
+void Server::Leave() { impl_->Leave(); }
+
 void Server::Drain(task::Address<Drained> done) {
   impl_->Drain(std::move(done));
 }
 
-task::Address<metrics::Scrape> Server::metrics() const {
-  return impl_->metrics();
-}
-
 }  // namespace azurepass::caller
--- a/azurepass/caller/caller.h
+++ b/azurepass/caller/caller.h
@@ -11,7 +11,8 @@
 // Incoming message; all others are refused here. A refusal is JSON: code,
 // effect ("not_run" or "unknown"), message, retry_after_ms, and a Retry-After
 // header where asking again may help. The codes' HTTP statuses are
-// httpserver::StatusOf.
+// httpserver::StatusOf. The same server answers /metrics, /healthz and /readyz,
+// without a key; see metrics.h.
 //
 // Usage: construct a Server with a listener, answer each Incoming through its
 // Responder. An Abandoned tells that nobody waits for that answer any more.
@@ -23,6 +24,7 @@
 #include <memory>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "azurepass/core/core.h"
 #include "azurepass/httpserver/httpserver.h"
@@ -80,7 +82,7 @@
 };
 using Event = std::variant<Incoming, Abandoned>;
 
-// The listener has left the request: no new ones come after Drained.
+// Every request that was taken in is answered.
 struct Drained {};
 
 // Reads a request; the other side is what to answer at once.
@@ -92,8 +94,10 @@
 
 class Server {
  public:
+  // `sources` are the other tasks whose metrics and health are shown.
   Server(task::Loop& loop, httpserver::Options options,
-         task::Address<Event> listener);
+         task::Address<Event> listener,
+         std::vector<metrics::Source> sources = {});
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
@@ -101,13 +105,13 @@
   // "IP:PORT" with the port the kernel chose; empty when listening failed.
   std::string listening_on() const;
 
+  // From now on /readyz says no; all else goes on. Callable from any thread.
+  void Leave();
+
   // Stops listening and tells `done` once every open request is answered.
   // Callable from any thread.
   void Drain(task::Address<Drained> done);
 
-  // Where to ask for this task's metrics.
-  task::Address<metrics::Scrape> metrics() const;
-
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/azurepass/caller/caller_test.cc
+++ b/azurepass/caller/caller_test.cc
@@ -133,6 +133,23 @@
   CHECK(std::get<Explain>(listener.incoming[2].request).job == JobId("p.7"));
 }
 
+TEST_CASE("metrics and health need no key") {
+  task::Loop loop;
+  Listener listener(loop);
+  Server server(loop, TestOptions(), listener.address());
+  const std::string address = server.listening_on();
+  Ask(loop, address, "DELETE /v1/jobs/p.7", "k");
+  const std::string text = Ask(loop, address, "GET /metrics", "");
+  CHECK(
+      text.find("azurepass_caller_latency_seconds_count{kind=\"cancel\"} 1") !=
+      std::string::npos);
+  CHECK(Ask(loop, address, "GET /readyz", "").find("200 OK") !=
+        std::string::npos);
+  server.Leave();
+  CHECK(Ask(loop, address, "GET /readyz", "").find("shutting down") !=
+        std::string::npos);
+}
+
 TEST_CASE("a refusal carries its status and when to ask again") {
   const httpserver::Response response = ToHttp(
       Refusal{RefusalCode::kQueueFull, Effect::kNotRun, "full", Duration(1)});
--- a/azurepass/metrics/exporter.cc
+++ b/azurepass/metrics/exporter.cc
@@ -26,13 +26,20 @@
 
 }  // namespace
 
-class Exporter::Impl {
+class Endpoint::Impl {
  public:
-  Impl(task::Loop& loop, httpserver::Options options,
-       std::vector<Source> sources);
+  using Respond =
+      std::function<void(httpserver::ExchangeId, httpserver::Response)>;
 
-  std::string listening_on() const { return server_.listening_on(); }
-  void Leave() { mailbox_.address().Send(Left{}); }
+  Impl(task::Loop& loop, std::vector<Source> sources, Respond respond)
+      : loop_(loop),
+        sources_(std::move(sources)),
+        respond_(std::move(respond)),
+        mailbox_(loop, [this](Reported r) { OnReported(std::move(r)); }) {}
+
+  bool Take(const httpserver::Received& received);
+  void Drop(httpserver::ExchangeId id) { rounds_.erase(id); }
+  void Leave() { leaving_ = true; }
 
  private:
   // One open request.
@@ -47,11 +54,6 @@
     size_t source = 0;
     Report report;
   };
-  struct Left {};
-  using Message = std::variant<Reported, Left>;
-
-  void Handle(httpserver::Event event);
-  void Begin(const httpserver::Received& received);
   void OnReported(Reported reported);
   void Finish(httpserver::ExchangeId id);
   httpserver::Response Answer(const Round& round) const;
@@ -60,46 +62,16 @@
 
   task::Loop& loop_;
   const std::vector<Source> sources_;
+  const Respond respond_;
   bool leaving_ = false;
   std::map<httpserver::ExchangeId, std::unique_ptr<Round>> rounds_;
-  task::Mailbox<Message> mailbox_;
-  httpserver::Server server_;
+  task::Mailbox<Reported> mailbox_;
 };
 
-Exporter::Impl::Impl(task::Loop& loop, httpserver::Options options,
-                     std::vector<Source> sources)
-    : loop_(loop),
-      sources_(std::move(sources)),
-      mailbox_(loop,
-               [this](Message message) {
-                 std::visit(
-                     Visitor{[this](Reported& r) { OnReported(std::move(r)); },
-                             [this](Left&) { leaving_ = true; }},
-                     message);
-               }),
-      server_(loop, std::move(options),
-              [this](httpserver::Event event) { Handle(std::move(event)); }) {}
-
-void Exporter::Impl::Handle(httpserver::Event event) {
-  std::visit(
-      Visitor{
-          [this](const httpserver::Received& received) { Begin(received); },
-          [this](const httpserver::Abandoned& gone) { rounds_.erase(gone.id); },
-      },
-      event);
-}
-
-void Exporter::Impl::Begin(const httpserver::Received& received) {
+bool Endpoint::Impl::Take(const httpserver::Received& received) {
   const httpserver::ExchangeId id = received.id;
-  std::optional<Question> question = QuestionOf(received.request);
-  if (!question) {
-    server_.Answer(id,
-                   httpserver::ToResponse({RefusalCode::kNotFound,
-                                           Effect::kNotRun,
-                                           "try /metrics, /healthz or /readyz",
-                                           {}}));
-    return;
-  }
+  const std::optional<Question> question = QuestionOf(received.request);
+  if (!question) return false;
   auto round = std::make_unique<Round>(loop_);
   round->question = *question;
   round->timeout.After(sources_.empty() ? Duration(0) : kSourceTimeout,
@@ -108,12 +80,13 @@
   for (size_t i = 0; i < sources_.size(); ++i) {
     sources_[i].address.Send(
         Scrape{mailbox_.address().Map<Report>([id, i](Report report) {
-          return Message(Reported{id, i, std::move(report)});
+          return Reported{id, i, std::move(report)};
         })});
   }
+  return true;
 }
 
-void Exporter::Impl::OnReported(Reported reported) {
+void Endpoint::Impl::OnReported(Reported reported) {
   auto found = rounds_.find(reported.round);
   if (found == rounds_.end()) return;
   Round& round = *found->second;
@@ -121,15 +94,15 @@
   if (round.reports.size() == sources_.size()) Finish(reported.round);
 }
 
-void Exporter::Impl::Finish(httpserver::ExchangeId id) {
+void Endpoint::Impl::Finish(httpserver::ExchangeId id) {
   auto found = rounds_.find(id);
   if (found == rounds_.end()) return;
   const std::unique_ptr<Round> round = std::move(found->second);
   rounds_.erase(found);
-  server_.Answer(id, Answer(*round));
+  respond_(id, Answer(*round));
 }
 
-std::string Exporter::Impl::Complaints(const Round& round) const {
+std::string Endpoint::Impl::Complaints(const Round& round) const {
   std::string complaints;
   const bool readiness = round.question == Question::kReadiness;
   if (readiness && leaving_) complaints += "the process is shutting down\n";
@@ -144,7 +117,7 @@
   return complaints;
 }
 
-httpserver::Response Exporter::Impl::Answer(const Round& round) const {
+httpserver::Response Endpoint::Impl::Answer(const Round& round) const {
   if (round.question != Question::kMetrics) {
     const std::string complaints = Complaints(round);
     return complaints.empty() ? PlainText(200, "ok\n")
@@ -157,6 +130,64 @@
   return response;
 }
 
+Endpoint::Endpoint(
+    task::Loop& loop, std::vector<Source> sources,
+    std::function<void(httpserver::ExchangeId, httpserver::Response)> answer)
+    : impl_(std::make_unique<Impl>(loop, std::move(sources),
+                                   std::move(answer))) {}
+Endpoint::~Endpoint() = default;
+
+bool Endpoint::Take(const httpserver::Received& received) {
+  return impl_->Take(received);
+}
+
+void Endpoint::Drop(httpserver::ExchangeId id) { impl_->Drop(id); }
+
+void Endpoint::Leave() { impl_->Leave(); }
+
+// --- Exporter
+
+class Exporter::Impl {
+ public:
+  Impl(task::Loop& loop, httpserver::Options options,
+       std::vector<Source> sources)
+      : mailbox_(loop, [this](Left) { endpoint_.Leave(); }),
+        server_(loop, std::move(options),
+                [this](httpserver::Event event) { Handle(std::move(event)); }),
+        endpoint_(loop, std::move(sources),
+                  [this](httpserver::ExchangeId id,
+                         const httpserver::Response& response) {
+                    server_.Answer(id, response);
+                  }) {}
+
+  std::string listening_on() const { return server_.listening_on(); }
+  void Leave() { mailbox_.address().Send(Left{}); }
+
+ private:
+  struct Left {};
+
+  void Handle(httpserver::Event event) {
+    std::visit(Visitor{[this](const httpserver::Received& received) {
+                         if (endpoint_.Take(received)) return;
+                         server_.Answer(received.id, NotFound());
+                       },
+                       [this](const httpserver::Abandoned& gone) {
+                         endpoint_.Drop(gone.id);
+                       }},
+               event);
+  }
+  static httpserver::Response NotFound() {
+    return httpserver::ToResponse({RefusalCode::kNotFound,
+                                   Effect::kNotRun,
+                                   "try /metrics, /healthz or /readyz",
+                                   {}});
+  }
+
+  task::Mailbox<Left> mailbox_;
+  httpserver::Server server_;
+  Endpoint endpoint_;
+};
+
 Exporter::Exporter(task::Loop& loop, httpserver::Options options,
                    std::vector<Source> sources)
     : impl_(std::make_shared<Impl>(loop, std::move(options),
--- a/azurepass/metrics/metrics.h
+++ b/azurepass/metrics/metrics.h
@@ -2,7 +2,7 @@
 // (the usual exposition format), and the answers to health checks.
 //
 // Each task keeps its own numbers and renders them when it is asked: a Scrape
-// is a message like any other, so that nothing is shared. An Exporter serves
+// is a message like any other, so that nothing is shared. An Endpoint serves
 //
 //   GET /metrics   the text of all sources,
 //   GET /healthz   200 when every source answered within kSourceTimeout,
@@ -15,6 +15,7 @@
 #define AZUREPASS_METRICS_METRICS_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -96,6 +97,30 @@
   task::Address<Scrape> address;
 };
 
+// Answers the three paths on a server that its owner has for other things too.
+// Part of the task that owns it.
+class Endpoint {
+ public:
+  Endpoint(
+      task::Loop& loop, std::vector<Source> sources,
+      std::function<void(httpserver::ExchangeId, httpserver::Response)> answer);
+  ~Endpoint();
+  Endpoint(const Endpoint&) = delete;
+  Endpoint& operator=(const Endpoint&) = delete;
+
+  // Takes the request over if it is for one of the three paths.
+  bool Take(const httpserver::Received& received);
+  // Its client went away.
+  void Drop(httpserver::ExchangeId id);
+  // From now on /readyz says no, so that the balancer sends nobody here.
+  void Leave();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+// A task with a server for the three paths alone.
 class Exporter {
  public:
   Exporter(task::Loop& loop, httpserver::Options options,
@@ -105,8 +130,7 @@
   Exporter& operator=(const Exporter&) = delete;
 
   std::string listening_on() const;
-  // From now on /readyz says no, so that the balancer sends nobody here.
-  // Callable from any thread.
+  // See Endpoint::Leave. Callable from any thread.
   void Leave();
 
  private:
