--- a/azurepass/daemons/frontend_main.cc
+++ b/azurepass/daemons/frontend_main.cc
@@ -12,7 +12,7 @@
 #include "azurepass/daemons/process.h"
 
 ABSL_FLAG(std::string, cell, "", "the cell's settings file");
-ABSL_FLAG(std::string, process, "", "this process's settings file");
+ABSL_FLAG(std::string, settings, "", "this process's settings file");
 ABSL_FLAG(int64_t, leave_delay_ms, 2'000,
           "at shutdown: milliseconds between the first \"no\" of /readyz and "
           "the end of listening");
@@ -24,7 +24,7 @@
 
 int Run() {
   const auto settings =
-      LoadSettings(absl::GetFlag(FLAGS_cell), absl::GetFlag(FLAGS_process));
+      LoadSettings(absl::GetFlag(FLAGS_cell), absl::GetFlag(FLAGS_settings));
   if (!settings) return settings::kExitBadSettings;
   FrontendOptions options;
   options.leave_delay = Duration(absl::GetFlag(FLAGS_leave_delay_ms));
@@ -37,6 +37,10 @@
             << " callers=" << frontend.callers_on()
             << " operators=" << frontend.operators_on()
             << " entry=" << frontend.entry_on();
+  std::printf("listening caller=%s operator=%s entry=%s\n",
+              frontend.callers_on().c_str(), frontend.operators_on().c_str(),
+              frontend.entry_on().c_str());
+  std::fflush(stdout);
   SignalTask signals(loop,
                      [&] { frontend.Shutdown([&loop] { loop.Quit(); }); });
   loop.Run();
@@ -49,7 +53,7 @@
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage(
       "serves callers and operators of a cell\n"
-      "  azurepass-frontend --cell=cell.json --process=frontend.json\n"
+      "  azurepass-frontend --cell=cell.json --settings=frontend.json\n"
       "Exit codes: 0 after a shutdown, 1 when it can't listen, 2 for bad "
       "settings.");
   absl::ParseCommandLine(argc, argv);
