--- a/azurepass/testing/system/demo_main.cc
+++ b/azurepass/testing/system/demo_main.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <string>
 #include <vector>
@@ -105,17 +106,26 @@
          Fail(job.name + " did not get there: " + job.last.dump());
 }
 
-// The process whose log says that it claimed a partition.
-int OwnerIndex(const Cluster& cluster, int schedulers) {
+// The process whose log has the latest claim of the partition.
+int OwnerIndex(const Cluster& cluster, int schedulers,
+               const PartitionId& partition) {
+  const std::string claim = "claim partition=" + partition.value() + " epoch=";
+  int owner = -1;
+  int64_t latest = 0;
   for (int i = 0; i < schedulers; ++i) {
     std::ifstream log(cluster.folder() + "/scheduler-" + std::to_string(i) +
                       ".log");
     std::string line;
     while (std::getline(log, line)) {
-      if (line.find("claim partition=") != std::string::npos) return i;
+      const size_t found = line.find(claim);
+      if (found == std::string::npos) continue;
+      const int64_t epoch = std::atoll(line.c_str() + found + claim.size());
+      if (epoch <= latest) continue;
+      latest = epoch;
+      owner = i;
     }
   }
-  return -1;
+  return owner;
 }
 
 void Print(Cluster& cluster, const DemoJob& job) {
@@ -199,9 +209,12 @@
   for (size_t i = 0; i < jobs.size(); ++i) {
     if (!Submit(cluster, jobs[i], static_cast<int>(i % 3))) return false;
   }
-  const int owner = OwnerIndex(cluster, options.schedulers);
-  if (owner < 0) return Fail("no scheduler claimed a partition");
-  std::printf("killing scheduler-%d, which owns a partition\n", owner);
+  const PartitionId partition =
+      PartitionOf(JobId(jobs.back().id)).value_or(PartitionId());
+  const int owner = OwnerIndex(cluster, options.schedulers, partition);
+  if (owner < 0) return Fail("no scheduler claimed " + partition.value());
+  std::printf("killing scheduler-%d, which owns %s\n", owner,
+              partition.value().c_str());
   cluster.scheduler(owner).Signal(SIGKILL);
 
   bool good = true;
