--- a/azurepass/placement/internal/fleet.cc
+++ b/azurepass/placement/internal/fleet.cc
@@ -187,9 +187,11 @@
   Reindex(index, /*grew=*/true);
 }
 
-void Fleet::Reserve(Index index, Index job, const Resources& size) {
+void Fleet::Reserve(Index index, Index job, const Resources& size,
+                    bool urgent) {
   Worker& worker = workers_[index];
   worker.reserved_by = job;
+  worker.reserved_for_urgent = urgent;
   worker.reserved += size;
 }
 
--- a/azurepass/placement/internal/fleet.h
+++ b/azurepass/placement/internal/fleet.h
@@ -32,6 +32,7 @@
   std::vector<TaskRef> tasks;
   // Room kept for one job's reservation.
   Index reserved_by = kNone;
+  bool reserved_for_urgent = false;
   Resources reserved;
 };
 
@@ -60,7 +61,7 @@
   void SetZoneInService(Index zone, bool in_service);
   void Take(Index worker, const Resources& size);
   void GiveBack(Index worker, const Resources& size);
-  void Reserve(Index worker, Index job, const Resources& size);
+  void Reserve(Index worker, Index job, const Resources& size, bool urgent);
   void Unreserve(Index worker, const Resources& size);
   // Evidence about the worker; see HealthPolicy.
   void RecordOutcome(Index worker, const Evidence& evidence, MonotonicTime now);
--- a/azurepass/placement/internal/reservations.cc
+++ b/azurepass/placement/internal/reservations.cc
@@ -44,7 +44,7 @@
       all_.begin(), all_.end(),
       [&](const Reservation& held) { return held.job == job_index; });
   for (const PlannedPlace& place : places) {
-    fleet.Reserve(place.worker, job_index, job.spec.task);
+    fleet.Reserve(place.worker, job_index, job.spec.task, job.is_urgent());
     it->due = std::max(it->due, place.at);
     it->workers.push_back(place.worker);
   }
--- a/azurepass/placement/internal/reservations.h
+++ b/azurepass/placement/internal/reservations.h
@@ -37,7 +37,7 @@
 
 class Reservations {
  public:
-  static constexpr size_t kMaxPlanned = 8;
+  static constexpr size_t kMaxPlanned = 1;
   static constexpr size_t kMaxForUrgent = 64;      // Planned ones included.
   static constexpr Duration kReplanAfter{60'000};  // Overdue.
 
--- a/azurepass/placement/internal/search.cc
+++ b/azurepass/placement/internal/search.cc
@@ -45,8 +45,10 @@
                            !job.is_gang() && worker.tasks.empty();
     if (!may_probe) return Resources();
   }
-  const bool reserved =
-      worker.reserved_by != kNone && worker.reserved_by != job_index;
+  // Urgent work is held back by reservations of urgent work only.
+  const bool reserved = worker.reserved_by != kNone &&
+                        worker.reserved_by != job_index &&
+                        (!job.is_urgent() || worker.reserved_for_urgent);
   if (!reserved || MayBackfill(worker, job, now)) return worker.free;
   return worker.free - worker.reserved;
 }
--- a/azurepass/placement/placement_bench.cc
+++ b/azurepass/placement/placement_bench.cc
@@ -27,7 +27,8 @@
 using testing::Deployment;
 using testing::Random;
 
-constexpr int kTasksPerJob = 20;
+constexpr int32_t kTasksPerJob = 20;
+constexpr int64_t kFillQueue = 400;  // Waiting tasks while the cell fills up.
 
 double AllocatedBytes() { return static_cast<double>(mallinfo2().uordblks); }
 
@@ -100,7 +101,7 @@
 
   void Fill() {
     while (static_cast<int64_t>(running_.size()) < Slots()) {
-      Queue(20 * kTasksPerJob);
+      Queue(kFillQueue);
       if (Decide() == 0) break;
     }
   }
