Placement: teams whose jobs are all known to be blocked are skipped

Change: a team keeps the least size of its lanes and the growth log's end up to which all of them are known to be blocked; when no worker that grew since has room for the least size, its turn ends there. What lifts a hold is logged as growth, so a held worker is looked at again only then. Whether others passed a job over is noted by team.

--- a/azurepass/placement/internal/cell_state.cc
+++ b/azurepass/placement/internal/cell_state.cc
@@ -229,19 +229,23 @@
   lane = Lane{};
   lane.team = job.team;
   lane.key = key;
+  Team::Queue& queue = teams[job.team].queue(key.priority);
+  ++queue.unsettled;
+  queue.least = Resources::Min(queue.least, key.size);
   return it->second;
 }
 
 void CellState::Resort(Index index, std::optional<int64_t> first_before) {
   Lane& lane = lanes[index];
   Team& team = teams[lane.team];
-  auto& order = team.order[static_cast<int>(lane.key.priority)];
+  Team::Queue& queue = team.queue(lane.key.priority);
   if (!lane.jobs.empty() && first_before == lane.jobs.begin()->first) return;
-  if (first_before) order.erase({*first_before, index});
+  if (first_before) queue.lanes.erase({*first_before, index});
   if (!lane.jobs.empty()) {
-    order.emplace(lane.jobs.begin()->first, index);
+    queue.lanes.emplace(lane.jobs.begin()->first, index);
     return;
   }
+  Settle(lane, true);
   team.lanes.erase(lane.key);
   free_lanes_.push_back(index);
 }
@@ -273,11 +277,22 @@
   if (job.lane != kNone && !startable) Dequeue(index);
   if (startable && job.lane == kNone) Enqueue(index);
   // What is left of a gang may fit where all of it did not.
-  if (startable && job.is_gang()) lanes[job.lane].checked = GrowthLog::kNever;
+  if (startable && job.is_gang()) Forget(lanes[job.lane]);
+}
+
+void CellState::Settle(Lane& lane, bool settled) {
+  if (lane.settled == settled) return;
+  lane.settled = settled;
+  teams[lane.team].queue(lane.key.priority).unsettled += settled ? -1 : 1;
+}
+
+void CellState::Forget(Lane& lane) {
+  lane.checked = GrowthLog::kNever;
+  Settle(lane, false);
 }
 
 void CellState::Unblock(Team& team) {
-  for (auto& [key, lane] : team.lanes) lanes[lane].checked = GrowthLog::kNever;
+  for (auto& [key, lane] : team.lanes) Forget(lanes[lane]);
 }
 
 void CellState::DropReservation(Index job) {
--- a/azurepass/placement/internal/cell_state.h
+++ b/azurepass/placement/internal/cell_state.h
@@ -71,7 +71,9 @@
   // --- Queues.
   // Puts the job into its team's queue, or takes it out, as it can start.
   void UpdateQueue(Index job);
-  // Forgets what blocked the team's jobs.
+  void Settle(Lane& lane, bool settled);
+  // Forgets what blocked the lane's jobs, or all of the team's.
+  void Forget(Lane& lane);
   void Unblock(Team& team);
   void DropReservation(Index job);
 
@@ -92,11 +94,11 @@
   // Of the passes over the queues, one for each priority in each call.
   int64_t passes = 0;
   int64_t starts = 0;  // Made so far.
-  // Starts made by the end of the latest pass of a priority, and the growth
-  // log's end then.
+  // Starts made by the end of the latest pass of a priority, and when a pass
+  // last looked at all lanes.
   struct PassEnd {
     int64_t starts = 0;
-    GrowthLog::Position growth = GrowthLog::kNever;
+    MonotonicTime full_at;
   };
   PassEnd pass_end[kPriorities];
 
--- a/azurepass/placement/internal/decider.cc
+++ b/azurepass/placement/internal/decider.cc
@@ -11,6 +11,13 @@
 // Urgent tasks for which room is made in one call.
 constexpr int kRoomsPerCall = 32;
 
+// Workers that grew, looked at to settle that a size still has no room.
+constexpr int64_t kMaxGrownLookedAt = 64;
+
+// A pass may skip teams of which all jobs are known to be blocked, but not for
+// longer than this.
+constexpr Duration kTimeBetweenFullPasses{500};
+
 // Reservations planned in one call.
 constexpr int kPlansPerCall = 1;
 
@@ -45,51 +52,66 @@
                    Teams::WeightOf(team);
           },
           [&](const SubmissionOrder&) {
-            const auto& order = team.order[static_cast<int>(priority)];
-            return order.empty() ? 0.0
-                                 : static_cast<double>(order.begin()->first);
+            const auto& lanes = team.queue(priority).lanes;
+            return lanes.empty() ? 0.0
+                                 : static_cast<double>(lanes.begin()->first);
           }},
       state_.options.order);
 }
 
-void Decider::RunPriority(Priority priority) {
-  ++state_.passes;
-  SetGrown(priority);
-  std::vector<std::pair<double, Index>> turns;
+// The teams that have jobs of this priority, as a heap by turn.
+std::vector<Decider::TurnOf> Decider::Turns(Priority priority) {
+  const int64_t starts_before =
+      state_.pass_end[static_cast<int>(priority)].starts;
+  std::vector<TurnOf> turns;
   for (Index t = 0; t < state_.teams.size(); ++t) {
-    const Team& team = state_.teams[t];
-    if (team.order[static_cast<int>(priority)].empty()) continue;
+    Team& team = state_.teams[t];
+    Team::Queue& queue = team.queue(priority);
+    if (queue.lanes.empty()) continue;
+    if (queue.stuck_after < starts_before) queue.passed_pass = state_.passes;
     turns.emplace_back(TurnKey(team, priority), t);
   }
-  const auto later = std::greater<>();
-  std::make_heap(turns.begin(), turns.end(), later);
-  while (!turns.empty()) {
-    std::pop_heap(turns.begin(), turns.end(), later);
+  std::make_heap(turns.begin(), turns.end(), std::greater<>());
+  return turns;
+}
+
+void Decider::RunPriority(Priority priority) {
+  ++state_.passes;
+  CellState::PassEnd& end = state_.pass_end[static_cast<int>(priority)];
+  full_pass_ = state_.now - end.full_at >= kTimeBetweenFullPasses;
+  pass_begin_ = state_.fleet.growth().end();
+  std::vector<TurnOf> turns = Turns(priority);
+  while (!turns.empty() && !has_more_) {
+    std::pop_heap(turns.begin(), turns.end(), std::greater<>());
     const Index index = turns.back().second;
     turns.pop_back();
     const Turn turn = TakeTurn(index, priority);
-    if (turn == Turn::kOutOfBudget) {
-      has_more_ = true;
-      break;
-    }
-    const Team& team = state_.teams[index];
-    const bool waits = !team.order[static_cast<int>(priority)].empty();
-    if (turn == Turn::kStarted && waits) {
-      turns.emplace_back(TurnKey(team, priority), index);
-      std::push_heap(turns.begin(), turns.end(), later);
-    }
+    Team& team = state_.teams[index];
+    Team::Queue& queue = team.queue(priority);
+    has_more_ = turn == Turn::kOutOfBudget;
+    queue.stuck_after = turn == Turn::kStuck ? state_.starts : Team::kNoTurn;
+    if (turn != Turn::kStarted || queue.lanes.empty()) continue;
+    turns.emplace_back(TurnKey(team, priority), index);
+    std::push_heap(turns.begin(), turns.end(), std::greater<>());
   }
-  state_.pass_end[static_cast<int>(priority)] = {
-      .starts = state_.starts, .growth = state_.fleet.growth().end()};
+  end.starts = state_.starts;
+  if (full_pass_ && !has_more_) end.full_at = state_.now;
 }
 
 Decider::Turn Decider::TakeTurn(Index team, Priority priority) {
   if (static_cast<int64_t>(decisions_.size()) >= budget_.starts) {
     return Turn::kOutOfBudget;
   }
-  const auto& order = state_.teams[team].order[static_cast<int>(priority)];
-  for (const auto& [number, index] : order) {
+  Team::Queue& queue = state_.teams[team].queue(priority);
+  if (queue.unsettled == 0 && !full_pass_ &&
+      !MayFitGrown(queue.least, queue.seen)) {
+    queue.seen = pass_begin_;
+    return Turn::kStuck;
+  }
+  Resources least = kUnlimited;
+  for (const auto& [number, index] : queue.lanes) {
     const Lane& lane = state_.lanes[index];
+    least = Resources::Min(least, lane.key.size);
     if (lane.stuck_pass == state_.passes) continue;
     if (IsSurelyBlocked(lane)) {
       NoteBlocked(index);
@@ -98,51 +120,57 @@
     const Turn turn = TryLane(index);  // Invalidates the loop when it started.
     if (turn != Turn::kStuck) return turn;
   }
+  queue.least = least;
+  queue.seen = pass_begin_;
   return Turn::kStuck;
 }
 
 // ---------------------------------------------------------------------------
 // Attempts
 
-void Decider::SetGrown(Priority priority) {
+bool Decider::MayFitGrown(const Resources& size,
+                          GrowthLog::Position since) const {
   const GrowthLog& growth = state_.fleet.growth();
-  const CellState::PassEnd& end = state_.pass_end[static_cast<int>(priority)];
-  grown_ = Resources::Uniform(-1);
-  if (!growth.Covers(end.growth)) {
-    grown_ = kUnlimited;
-    return;
+  if (!growth.Covers(since) || growth.end() - since > kMaxGrownLookedAt) {
+    return true;
   }
-  growth.ForEachSince(end.growth, [&](Index w) {
-    grown_ = Resources::Max(grown_, state_.fleet.worker(w).free);
+  bool fits = false;
+  growth.ForEachSince(since, [&](Index w) {
+    fits |= size.FitsIn(state_.fleet.worker(w).free);
   });
+  return fits;
 }
 
 bool Decider::IsSurelyBlocked(const Lane& lane) const {
-  const CellState::PassEnd& end =
-      state_.pass_end[static_cast<int>(lane.key.priority)];
-  return lane.checked >= end.growth && end.growth >= 0 && lane.held.empty() &&
-         HoldsUp(lane.reason) && !lane.key.size.FitsIn(grown_);
+  if (!lane.settled) return false;
+  const Team::Queue& queue = state_.teams[lane.team].queue(lane.key.priority);
+  return !MayFitGrown(lane.key.size, std::max(lane.checked, queue.seen));
 }
 
 // Notes that the lane's turn came in this pass and found no room.
 void Decider::NoteBlocked(Index index) {
   Lane& lane = state_.lanes[index];
-  const CellState::PassEnd& end =
-      state_.pass_end[static_cast<int>(lane.key.priority)];
-  if (lane.blocked_since && lane.stuck_after < end.starts) {
-    lane.passed_over = true;
-  }
   lane.stuck_pass = state_.passes;
-  lane.stuck_after = state_.starts;
-  lane.checked = state_.fleet.growth().end();
-  if (!lane.blocked_since) lane.blocked_since = state_.now;
-  if (lane.passed_over &&
+  if (lane.checked != GrowthLog::kNever) {
+    lane.checked = state_.fleet.growth().end();
+  }
+  state_.Settle(lane, lane.checked != GrowthLog::kNever && lane.held.empty());
+  if (!lane.blocked_since) {
+    lane.blocked_since = state_.now;
+    lane.blocked_pass = state_.passes;
+  }
+  if (WasPassedOver(lane) &&
       state_.now - *lane.blocked_since >= state_.options.reservation_after) {
     starving_.push_back(index);
   }
   if (lane.key.priority == Priority::kUrgent) stuck_urgent_.push_back(index);
 }
 
+bool Decider::WasPassedOver(const Lane& lane) const {
+  const Team::Queue& queue = state_.teams[lane.team].queue(lane.key.priority);
+  return lane.blocked_since && queue.passed_pass > lane.blocked_pass;
+}
+
 // Takes over what is known of a size that is no larger.
 void Decider::Inherit(Lane& lane, const Job& job) const {
   const KnownFailure* known = state_.known_failures.Find(
@@ -187,24 +215,22 @@
 }
 
 // Keeps what a search in vain found out.
-void Decider::Remember(Lane& lane, Found& found, GrowthLog::Position end) {
-  const bool is_gang = lane.key.gang != 0;
-  const bool tells =
-      !found.zone_held && (is_gang || found.held.size() <= kMaxCandidates);
-  lane.checked = tells ? end : GrowthLog::kNever;
+void Decider::Remember(Lane& lane, Scope scope, Found& found,
+                       GrowthLog::Position end) {
+  lane.checked = found.zone_held ? GrowthLog::kNever : end;
   lane.missing = found.missing;
   lane.gained = 0;
+  std::vector<Index> held = std::move(found.held);
+  std::sort(held.begin(), held.end());
+  held.erase(std::unique(held.begin(), held.end()), held.end());
   lane.held.clear();
-  if (is_gang) return;
-  std::sort(found.held.begin(), found.held.end());
-  found.held.erase(std::unique(found.held.begin(), found.held.end()),
-                   found.held.end());
-  lane.held = std::move(found.held);
-  if (!tells) return;
+  const bool tells =
+      scope == Scope::kAll && !found.zone_held && held.size() <= kMaxCandidates;
+  if (!tells || lane.key.gang != 0) return;
   state_.known_failures.Add({.size = lane.key.size,
                              .zones = state_.teams[lane.team].zones,
                              .at = end,
-                             .held = lane.held});
+                             .held = std::move(held)});
 }
 
 Decider::Turn Decider::TryLane(Index index) {
@@ -212,6 +238,10 @@
   // Jobs past their deadline are the caller's to cancel; they are not started.
   for (const auto& [number, job] : lane.jobs) {
     if (state_.jobs[job].is_expired(state_.now)) continue;
+    if (lane.settled) {
+      const Team& team = state_.teams[lane.team];
+      lane.checked = std::max(lane.checked, team.queue(lane.key.priority).seen);
+    }
     if (!state_.fleet.growth().Covers(lane.checked)) {
       Inherit(lane, state_.jobs[job]);
     }
@@ -228,11 +258,11 @@
   Lane& lane = state_.lanes[index];
   lane.reason = reason;
   lane.stuck_pass = state_.passes;
-  if (!HoldsUp(reason)) return Turn::kStuck;
-  const GrowthLog::Position checked = lane.checked;
-  NoteBlocked(index);
-  // Unless the search could not tell.
-  if (checked == GrowthLog::kNever) lane.checked = checked;
+  if (HoldsUp(reason)) {
+    NoteBlocked(index);
+  } else {
+    state_.Settle(lane, false);
+  }
   return Turn::kStuck;
 }
 
@@ -270,7 +300,7 @@
   }
   if (found.out_of_budget) return Turn::kOutOfBudget;
   const WaitReason reason = ReasonFor(team, found);
-  Remember(state_.lanes[lane_index], found, end);
+  Remember(state_.lanes[lane_index], scope, found, end);
   return Block(lane_index, reason);
 }
 
@@ -329,7 +359,7 @@
   if (job.lane != kNone) {
     Lane& lane = state_.lanes[job.lane];
     lane.blocked_since.reset();
-    lane.passed_over = false;
+    state_.Settle(lane, false);
     lane.reason = WaitReason::kBehindOthers;
   }
   for (const Place& place : found.places) {
@@ -396,7 +426,7 @@
   int plans = 0;
   for (Index index : starving_) {
     const Lane& lane = state_.lanes[index];
-    const bool still_stuck = !lane.jobs.empty() && lane.passed_over;
+    const bool still_stuck = !lane.jobs.empty() && WasPassedOver(lane);
     if (!still_stuck || state_.jobs[lane.jobs.begin()->second].reserved) {
       continue;
     }
--- a/azurepass/placement/internal/decider.h
+++ b/azurepass/placement/internal/decider.h
@@ -43,21 +43,26 @@
   // How much of the fleet the lane's next search has to look at.
   enum class Scope { kNothing, kCandidates, kAll };
 
+  using TurnOf = std::pair<double, Index>;  // Key and team.
+
   void RunPriority(Priority priority);
+  std::vector<TurnOf> Turns(Priority priority);
   double TurnKey(const Team& team, Priority priority) const;
   Turn TakeTurn(Index team, Priority priority);
   Turn TryLane(Index lane);
-  // True when the latest pass found no room and no worker that grew since has
-  // enough: settled by one comparison, without a look at the lane's jobs.
+  // True when the lane found no room before and no worker that grew since has
+  // enough; found without a look at the lane's jobs.
   bool IsSurelyBlocked(const Lane& lane) const;
-  void SetGrown(Priority priority);
+  // False when no worker that grew since has room for `size`.
+  bool MayFitGrown(const Resources& size, GrowthLog::Position since) const;
   void NoteBlocked(Index lane);
+  bool WasPassedOver(const Lane& lane) const;
   void Inherit(Lane& lane, const Job& job) const;
   Turn TryJob(Index lane, Index job, Scope scope);
   // Puts the workers to look at into `candidates_`.
   Scope ScopeOf(Lane& lane);
   Scope ScopeOfGang(Lane& lane) const;
-  void Remember(Lane& lane, Found& found, GrowthLog::Position end);
+  void Remember(Lane& lane, Scope scope, Found& found, GrowthLog::Position end);
   Turn Block(Index lane, WaitReason reason);
   WaitReason ReasonFor(const Team& team, const Found& found) const;
   void StartAll(Index job, const Found& found);
@@ -74,11 +79,10 @@
   Search search_;
   Preemption preemption_;
   std::vector<Decision> decisions_;
-  std::vector<Index> stuck_urgent_;  // Lanes without room.
-  std::vector<Index> starving_;      // Lanes that are due for a reservation.
-  // At least the room of each worker that grew since the latest pass of the
-  // current priority.
-  Resources grown_;
+  std::vector<Index> stuck_urgent_;     // Lanes without room.
+  std::vector<Index> starving_;         // Lanes that are due for a reservation.
+  GrowthLog::Position pass_begin_ = 0;  // End of the growth log at its begin.
+  bool full_pass_ = false;              // This pass looks at all lanes.
   std::vector<Index> candidates_;
   bool has_more_ = false;
 };
--- a/azurepass/placement/internal/teams.h
+++ b/azurepass/placement/internal/teams.h
@@ -41,17 +41,22 @@
   // Waiting jobs by number: the order in which they were accepted.
   std::set<std::pair<int64_t, Index>> jobs;
   // What the latest search left, so that the next one looks only at what has
-  // changed. It found room nowhere when the growth log ended at `checked`,
-  // except on the workers in `held`, which were held back. A gang lacked
-  // `missing` places, and workers that grew since offer at most `gained`.
+  // changed. It found no place when the growth log ended at `checked`; what
+  // lifts a hold on a worker is logged as growth. A verdict taken over from
+  // another lane leaves out the workers in `held`, which were held back from
+  // that one. A gang lacked `missing` places, and workers that grew since offer
+  // at most `gained`.
   int64_t checked = -1;
   std::vector<Index> held;
   int64_t missing = 0;
   int64_t gained = 0;
-  int64_t stuck_pass = 0;    // The pass in which it last could not start,
-  int64_t stuck_after = 0;   // and how many starts the cell had made by then.
-  bool passed_over = false;  // Others started after its turn.
+  // The search found no room and nothing that was held back, so that only
+  // growth can change the verdict.
+  bool settled = false;
+  int64_t stuck_pass = 0;  // The pass in which it last could not start.
+  // When and in which pass it first could not, since its last start.
   std::optional<MonotonicTime> blocked_since;
+  int64_t blocked_pass = 0;
   WaitReason reason = WaitReason::kBehindOthers;
 };
 
@@ -66,10 +71,27 @@
   std::vector<TaskRef> running;
   int64_t waiting = 0;           // Tasks that wait or are delayed.
   bool check_allowance = false;  // Lowered, not yet answered.
-  // Lanes by the number of their first job.
-  std::set<std::pair<int64_t, Index>> order[kPriorities];
+  // By priority.
+  struct Queue {
+    // Lanes by the number of their first job.
+    std::set<std::pair<int64_t, Index>> lanes;
+    int64_t unsettled = 0;         // Lanes that are not settled.
+    Resources least = kUnlimited;  // At most the size of each lane.
+    // No worker had room for a settled lane when the growth log ended here.
+    int64_t seen = -1;
+    // Starts the cell had made when the team's latest turn ended in vain, and
+    // the latest pass that saw others start after such a turn.
+    int64_t stuck_after = kNoTurn;
+    int64_t passed_pass = 0;
+  };
+  static constexpr int64_t kNoTurn = int64_t{1} << 60;
+  Queue queues[kPriorities];
   absl::flat_hash_map<LaneKey, Index> lanes;
 
+  Queue& queue(Priority priority) { return queues[static_cast<int>(priority)]; }
+  const Queue& queue(Priority priority) const {
+    return queues[static_cast<int>(priority)];
+  }
   bool active() const { return waiting > 0 || !running.empty(); }
 };
 
