Placement: turns for reservations, and a bound on backfill

Found by a changed test: while nothing was known of run times a reservation's due time lay 600 s ahead, and backfill by what was learned later kept the gang out until then.

Change: a job that starts before one of its own team accepted earlier counts as passing it over; teams take turns for the reservation by share (start-time fair queueing), within a team the longest blocked first; urgent reservations do not count against the normal one; backfill ends 10 s after the planning at the latest.

--- a/azurepass/placement/cell_test.cc
+++ b/azurepass/placement/cell_test.cc
@@ -234,12 +234,14 @@
   CHECK(f.cell.CommittedOn(vm) == kSmall * 8);
 }
 
-TEST_CASE("a gang is not starved by small tasks that keep coming") {
+// Small tasks of `small_team` keep coming; a gang of team "a" needs all room.
+void CheckGangStarts(const char* small_team) {
   Fixture f({}, 1, 1, 2);
-  f.Job("small", "b", BatchPolicy{}, 1'000, kSmall, Priority::kNormal,
+  f.Job("small", small_team, BatchPolicy{}, 16, kSmall, Priority::kNormal,
         seconds(1));
   auto running = f.Starts();
   f.Job("gang", "a", GangPolicy{}, 16);
+  f.Job("later", small_team, BatchPolicy{}, 1'000);
   bool gang_started = false;
   for (int i = 0; i < 400 && !gang_started; ++i) {
     f.now += milliseconds(100);
@@ -253,6 +255,11 @@
   CHECK(gang_started);
 }
 
+TEST_CASE("a gang is not starved by small tasks that keep coming") {
+  SUBCASE("of another team") { CheckGangStarts("b"); }
+  SUBCASE("of its own team") { CheckGangStarts("a"); }
+}
+
 TEST_CASE("a recorded decision replays, and a doubtful one does not") {
   Fixture f;
   f.Job("j", "a", BatchPolicy{}, 1);
--- a/azurepass/placement/internal/cell_state.h
+++ b/azurepass/placement/internal/cell_state.h
@@ -83,6 +83,7 @@
   std::vector<Job> jobs;  // By slot; a free slot has team kNone.
   std::vector<Lane> lanes;
   Reservations reservations;
+  double reservation_time = 0;  // Virtual time of the latest one planned.
   RunTimes run_times;
   RetryBudget retry_budget;
   DecisionLog log;
--- a/azurepass/placement/internal/decider.cc
+++ b/azurepass/placement/internal/decider.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <tuple>
 
 namespace azurepass::placement::internal {
 namespace {
@@ -18,6 +19,9 @@
 // longer than this.
 constexpr Duration kTimeBetweenFullPasses{500};
 
+// From the planning of a reservation until nothing is backfilled any more.
+constexpr Duration kLongestBackfill{10'000};
+
 // Reservations planned in one call.
 constexpr int kPlansPerCall = 1;
 
@@ -109,16 +113,22 @@
     return Turn::kStuck;
   }
   Resources least = kUnlimited;
+  bool passes_over = false;  // Jobs accepted earlier are blocked.
   for (const auto& [number, index] : queue.lanes) {
     const Lane& lane = state_.lanes[index];
     least = Resources::Min(least, lane.key.size);
-    if (lane.stuck_pass == state_.passes) continue;
-    if (IsSurelyBlocked(lane)) {
-      NoteBlocked(index);
+    const bool tried = lane.stuck_pass == state_.passes;
+    if (tried || IsSurelyBlocked(lane)) {
+      if (!tried) NoteBlocked(index);
+      passes_over = true;
       continue;
     }
     const Turn turn = TryLane(index);  // Invalidates the loop when it started.
+    if (turn == Turn::kStarted && passes_over) {
+      queue.passed_pass = state_.passes;
+    }
     if (turn != Turn::kStuck) return turn;
+    passes_over = true;
   }
   queue.least = least;
   queue.seen = pass_begin_;
@@ -412,17 +422,38 @@
   if (job.reserved) return false;
   const ReservationPlanner planner(state_.fleet, state_.jobs, state_.run_times);
   const int32_t tasks = job.is_gang() ? job.waiting : 1;
-  const std::vector<PlannedPlace> places =
+  std::vector<PlannedPlace> places =
       planner.Plan(state_.teams[job.team], job, tasks, state_.now);
   if (static_cast<int32_t>(places.size()) < tasks) {
     lane.blocked_since = state_.now;  // Tries again after as long.
     return false;
   }
+  // Estimates may be far too long: backfill ends by then in any case.
+  for (PlannedPlace& place : places) {
+    place.at = std::min(place.at, state_.now + kLongestBackfill);
+  }
   state_.reservations.Add(state_.fleet, job, index, places);
+  Team& team = state_.teams[job.team];
+  state_.reservation_time =
+      std::max(state_.reservation_time, team.reservation_tag);
+  team.reservation_tag = state_.reservation_time + 1 / Teams::WeightOf(team);
   return true;
 }
 
+// Urgent jobs first. Teams take turns by share (start-time fair queueing:
+// Goyal, Vin and Cheng, SIGCOMM 1996), so that neither a team above its share
+// starves nor its many jobs keep the others waiting; within a team the job that
+// has been blocked for longest.
 void Decider::PlanReservations() {
+  const auto rank = [&](Index index) {
+    const Lane& lane = state_.lanes[index];
+    return std::tuple(lane.key.priority != Priority::kUrgent,
+                      std::max(state_.teams[lane.team].reservation_tag,
+                               state_.reservation_time),
+                      lane.blocked_since.value_or(state_.now));
+  };
+  std::stable_sort(starving_.begin(), starving_.end(),
+                   [&](Index a, Index b) { return rank(a) < rank(b); });
   int plans = 0;
   for (Index index : starving_) {
     const Lane& lane = state_.lanes[index];
@@ -430,7 +461,9 @@
     if (!still_stuck || state_.jobs[lane.jobs.begin()->second].reserved) {
       continue;
     }
-    if (state_.reservations.all().size() >= Reservations::kMaxPlanned) return;
+    if (state_.reservations.IsFull(lane.key.priority == Priority::kUrgent)) {
+      continue;
+    }
     if (++plans > kPlansPerCall) return;
     Plan(index);
   }
--- a/azurepass/placement/internal/preemption.cc
+++ b/azurepass/placement/internal/preemption.cc
@@ -191,10 +191,8 @@
 
 bool Preemption::MakeRoom(Index job_index, std::vector<Decision>& decisions) {
   Job& job = state_.jobs[job_index];
-  const size_t held = state_.reservations.all().size();
-  if (job.is_gang() || (!job.reserved && held >= Reservations::kMaxForUrgent)) {
-    return false;
-  }
+  const bool full = state_.reservations.IsFull(/*urgent=*/true);
+  if (job.is_gang() || (!job.reserved && full)) return false;
   for (Index team : TeamsAboveShare(job.team)) {
     const std::optional<Eviction> eviction = FindEviction(team, job);
     if (!eviction) continue;
--- a/azurepass/placement/internal/reservations.cc
+++ b/azurepass/placement/internal/reservations.cc
@@ -33,12 +33,23 @@
   return nullptr;
 }
 
+bool Reservations::IsFull(bool urgent) const {
+  if (urgent) return all_.size() >= kMaxForUrgent;
+  const auto normal =
+      std::count_if(all_.begin(), all_.end(),
+                    [](const Reservation& held) { return !held.urgent; });
+  return normal >= static_cast<int64_t>(kMaxPlanned);
+}
+
 void Reservations::Add(Fleet& fleet, Job& job, Index job_index,
                        const std::vector<PlannedPlace>& places) {
   if (places.empty()) return;
   if (!job.reserved) {
     job.reserved = true;
-    all_.push_back({.job = job_index, .due = places[0].at, .workers = {}});
+    all_.push_back({.job = job_index,
+                    .urgent = job.is_urgent(),
+                    .due = places[0].at,
+                    .workers = {}});
   }
   auto it = std::find_if(
       all_.begin(), all_.end(),
--- a/azurepass/placement/internal/reservations.h
+++ b/azurepass/placement/internal/reservations.h
@@ -25,7 +25,8 @@
 // Invariant: workers is not empty; it names a worker once for each task.
 struct Reservation {
   Index job = kNone;
-  MonotonicTime due;  // When all of its room is expected to be free.
+  bool urgent = false;  // The job is.
+  MonotonicTime due;    // When all of its room is expected to be free.
   std::vector<Index> workers;
 };
 
@@ -44,6 +45,9 @@
   const Reservation* Find(Index job) const;
   const std::vector<Reservation>& all() const { return all_; }
 
+  // True when no more may be planned for jobs of this urgency.
+  bool IsFull(bool urgent) const;
+
   // Sets room for the given tasks aside, besides what the job has already.
   void Add(Fleet& fleet, Job& job, Index job_index,
            const std::vector<PlannedPlace>& places);
--- a/azurepass/placement/internal/teams.h
+++ b/azurepass/placement/internal/teams.h
@@ -70,6 +70,7 @@
   Resources preempting;
   std::vector<TaskRef> running;
   int64_t waiting = 0;           // Tasks that wait or are delayed.
+  double reservation_tag = 0;    // When its next turn for a reservation is.
   bool check_allowance = false;  // Lowered, not yet answered.
   // By priority.
   struct Queue {
@@ -80,7 +81,8 @@
     // No worker had room for a settled lane when the growth log ended here.
     int64_t seen = -1;
     // Starts the cell had made when the team's latest turn ended in vain, and
-    // the latest pass that saw others start after such a turn.
+    // the latest pass that saw others start after such a turn, or a job of the
+    // team itself before one accepted earlier.
     int64_t stuck_after = kNoTurn;
     int64_t passed_pass = 0;
   };
