--- a/azurepass/endpoint/client.cc
+++ b/azurepass/endpoint/client.cc
@@ -26,7 +26,6 @@
 
 // The held one, the orders, and a spare for one that is being given up.
 constexpr int kConnectionsPerWorker = 4;
-constexpr int kConnections = 16'384;
 
 // What a result means to the session.
 internal::Event EventOf(Channel channel, const http::Result& result) {
@@ -57,7 +56,7 @@
   Impl(task::Loop& loop, Options options)
       : loop_(loop),
         options_(options),
-        http_(loop, {kConnections, kConnectionsPerWorker}),
+        http_(loop, {kConnectionsPerWorker}),
         mailbox_(loop, [this](Request r) { Handle(std::move(r)); }),
         counters_mailbox_(loop, [this](const task::Address<Counters>& to) {
           to.Send(CurrentCounters());
@@ -177,7 +176,7 @@
 
 Counters Client::Impl::CurrentCounters() const {
   const http::Traffic& traffic = http_.traffic();
-  return {traffic.requests, failures_, traffic.bytes_sent,
+  return {traffic.requests, failures_, traffic.connections, traffic.bytes_sent,
           traffic.bytes_received};
 }
 
--- a/azurepass/endpoint/endpoint.h
+++ b/azurepass/endpoint/endpoint.h
@@ -114,8 +114,9 @@
 
 // What the client did, for metrics.
 struct Counters {
-  int64_t exchanges = 0;  // Ended, with or without an answer.
-  int64_t failures = 0;   // Without an answer.
+  int64_t exchanges = 0;    // Ended, with or without an answer.
+  int64_t failures = 0;     // Without an answer.
+  int64_t connections = 0;  // Opened for them.
   int64_t bytes_sent = 0;
   int64_t bytes_received = 0;
 };
--- a/azurepass/http/client.cc
+++ b/azurepass/http/client.cc
@@ -1,5 +1,14 @@
-// The client half: one SoupSession, made on the loop at the first request,
-// because a session belongs to the context that is its thread's default then.
+// The client half. Sessions are made on the loop at the first request, because
+// a SoupSession belongs to the context that is its thread's default then.
+//
+// Each peer has a SoupSession of its own. A session walks the list of all its
+// requests whenever one of them gets on, so that with hundreds of held requests
+// in one session each step of each costs a pass over all of them. Sessions that
+// have not been used for a while are dropped when another one is made.
+//
+// Every request is declared idempotent, because libsoup opens a new connection
+// for each one that is not, even if it is a POST; that none is repeated is seen
+// to here.
 //
 // Each request is a Call with a cancellable of its own. A timer cancels it when
 // the time is up; the "restarted" signal cancels it when libsoup is about to
@@ -8,6 +17,7 @@
 
 #include <libsoup/soup.h>
 
+#include <map>
 #include <set>
 
 #include "azurepass/http/http.h"
@@ -17,6 +27,8 @@
 
 // Rounds of the context granted to cancelled calls when the loop has stopped.
 constexpr int kMaxDrainRounds = 10'000;
+// A peer's session, and its connections, stay for so long after the last call.
+constexpr std::chrono::seconds kKeepIdlePeer{60};
 
 }  // namespace
 
@@ -46,16 +58,25 @@
   const Traffic& traffic() const { return traffic_; }
 
  private:
+  struct Peer {
+    SoupSession* session = nullptr;
+    int64_t calls = 0;        // In flight.
+    MonotonicTime last_used;  // Last call sent.
+  };
   struct Call {
     Impl* owner;  // Null once the client is gone.
+    std::string address;
     Callback callback;
     SoupMessage* message = nullptr;
     GCancellable* cancellable = nullptr;
     task::Timer timer;
     bool sent = false;
 
-    Call(Impl* impl, Callback done)
-        : owner(impl), callback(std::move(done)), timer(impl->loop_) {}
+    Call(Impl* impl, std::string peer, Callback done)
+        : owner(impl),
+          address(std::move(peer)),
+          callback(std::move(done)),
+          timer(impl->loop_) {}
     ~Call() {
       g_clear_object(&message);
       g_clear_object(&cancellable);
@@ -64,7 +85,9 @@
     Call& operator=(const Call&) = delete;
   };
 
-  void EnsureSession();
+  Peer& PeerOf(const std::string& address);
+  SoupSession* MakeSession() const;
+  void DropIdlePeers(MonotonicTime now);
   void Start(Call* call, const Request& request);
   void Count(const Call& call);
   static void OnDone(GObject* session, GAsyncResult* result, gpointer data);
@@ -74,8 +97,8 @@
   task::Loop& loop_;
   ClientOptions options_;
   Traffic traffic_;
-  SoupSession* session_ = nullptr;
-  std::set<Call*> calls_;  // In flight; freed by OnDone.
+  std::map<std::string, Peer> peers_;  // By address; each has a session.
+  std::set<Call*> calls_;              // In flight; freed by OnDone.
 };
 
 Client::Impl::~Impl() {
@@ -86,7 +109,7 @@
     g_cancellable_cancel(call->cancellable);
   }
   DrainIfStopped();
-  g_clear_object(&session_);
+  for (auto& [address, peer] : peers_) g_object_unref(peer.session);
 }
 
 // When the loop has stopped nobody else would deliver the cancellations.
@@ -104,18 +127,37 @@
   g_main_context_release(context);
 }
 
-void Client::Impl::EnsureSession() {
-  if (session_ != nullptr) return;
-  session_ = soup_session_new_with_options(
-      "max-conns", options_.connections, "max-conns-per-host",
+SoupSession* Client::Impl::MakeSession() const {
+  SoupSession* session = soup_session_new_with_options(
+      "max-conns", options_.connections_per_peer, "max-conns-per-host",
       options_.connections_per_peer, "proxy-resolver", nullptr, nullptr);
   // Saves an Accept-Encoding header in every request.
-  soup_session_remove_feature_by_type(session_, SOUP_TYPE_CONTENT_DECODER);
+  soup_session_remove_feature_by_type(session, SOUP_TYPE_CONTENT_DECODER);
+  return session;
+}
+
+Client::Impl::Peer& Client::Impl::PeerOf(const std::string& address) {
+  const MonotonicTime now = std::chrono::steady_clock::now();
+  if (!peers_.contains(address)) {
+    DropIdlePeers(now);
+    peers_[address].session = MakeSession();
+  }
+  Peer& peer = peers_[address];
+  peer.last_used = now;
+  return peer;
+}
+
+void Client::Impl::DropIdlePeers(MonotonicTime now) {
+  std::erase_if(peers_, [now](const auto& entry) {
+    const Peer& peer = entry.second;
+    if (peer.calls > 0 || now - peer.last_used < kKeepIdlePeer) return false;
+    g_object_unref(peer.session);
+    return true;
+  });
 }
 
 void Client::Impl::Send(const Request& request, Callback callback) {
-  EnsureSession();
-  auto* call = new Call(this, std::move(callback));
+  auto* call = new Call(this, request.address, std::move(callback));
   calls_.insert(call);
   Start(call, request);
 }
@@ -133,9 +175,10 @@
     });
     return;
   }
-  soup_message_set_flags(call->message, static_cast<SoupMessageFlags>(
-                                            SOUP_MESSAGE_NO_REDIRECT |
-                                            SOUP_MESSAGE_COLLECT_METRICS));
+  soup_message_set_flags(
+      call->message, static_cast<SoupMessageFlags>(
+                         SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_IDEMPOTENT |
+                         SOUP_MESSAGE_COLLECT_METRICS));
   if (!request.body.empty()) {
     GBytes* body = g_bytes_new(request.body.data(), request.body.size());
     soup_message_set_request_body_from_bytes(call->message, "application/json",
@@ -154,8 +197,11 @@
       call);
   call->timer.After(request.timeout,
                     [call] { g_cancellable_cancel(call->cancellable); });
-  soup_session_send_and_read_async(session_, call->message, G_PRIORITY_DEFAULT,
-                                   call->cancellable, OnDone, call);
+  Peer& peer = PeerOf(request.address);
+  ++peer.calls;
+  soup_session_send_and_read_async(peer.session, call->message,
+                                   G_PRIORITY_DEFAULT, call->cancellable,
+                                   OnDone, call);
 }
 
 void Client::Impl::OnDone(GObject* session, GAsyncResult* result,
@@ -167,6 +213,7 @@
       soup_session_send_and_read_finish(SOUP_SESSION(session), result, &error);
   if (call->owner != nullptr) {
     call->owner->calls_.erase(call.get());
+    --call->owner->peers_[call->address].calls;
     call->owner->Count(*call);
     call->timer.Cancel();
     call->callback(ResultOf(*call, body, error));
@@ -193,6 +240,9 @@
   ++traffic_.requests;
   SoupMessageMetrics* metrics = soup_message_get_metrics(call.message);
   if (metrics == nullptr) return;
+  if (soup_message_metrics_get_connect_start(metrics) != 0) {
+    ++traffic_.connections;
+  }
   traffic_.bytes_sent += static_cast<int64_t>(
       soup_message_metrics_get_request_header_bytes_sent(metrics) +
       soup_message_metrics_get_request_body_bytes_sent(metrics));
--- a/azurepass/http/http.h
+++ b/azurepass/http/http.h
@@ -67,12 +67,12 @@
 // What went over the wire, headers included.
 struct Traffic {
   int64_t requests = 0;
+  int64_t connections = 0;  // Opened for them.
   int64_t bytes_sent = 0;
   int64_t bytes_received = 0;
 };
 
 struct ClientOptions {
-  int connections = 1'024;
   int connections_per_peer = 16;
 };
 
--- a/azurepass/http/http_test.cc
+++ b/azurepass/http/http_test.cc
@@ -112,6 +112,15 @@
   }
 }
 
+TEST_CASE("requests of every method share a kept connection") {
+  Fixture f;
+  for (const char* method : {"POST", "GET", "PUT", "DELETE", "POST"}) {
+    CHECK(!Kind(f.Send(method, "/x", kLong, "body")).has_value());
+  }
+  CHECK(f.caller.Traffic().requests == 5);
+  CHECK(f.caller.Traffic().connections == 1);
+}
+
 TEST_CASE("an answer to a request whose server was closed goes nowhere") {
   task::Loop loop;
   std::vector<Responder> held;
--- a/azurepass/store/client.cc
+++ b/azurepass/store/client.cc
@@ -233,7 +233,7 @@
  public:
   Impl(task::Loop& loop, Options options)
       : options_(std::move(options)),
-        http_(loop, {kConnections, kConnections}),
+        http_(loop, {kConnections}),
         writes_(loop, options_.writes_per_second),
         reads_(loop, options_.reads_per_second),
         mailbox_(loop, [this](Request r) { Handle(std::move(r)); }),
--- a/azurepass/testing/await.h
+++ b/azurepass/testing/await.h
@@ -37,7 +37,12 @@
 class HttpCaller {
  public:
   explicit HttpCaller(task::Loop& loop)
-      : client_(loop, {}), mailbox_(loop, [this](const Call& call) {
+      : client_(loop, {}),
+        traffic_mailbox_(loop,
+                         [this](const task::Address<http::Traffic>& to) {
+                           to.Send(client_.traffic());
+                         }),
+        mailbox_(loop, [this](const Call& call) {
           client_.Send(call.request, [reply = call.reply_to](http::Result r) {
             reply.Send(std::move(r));
           });
@@ -53,6 +58,11 @@
     return Await(result).value_or(http::Failure{http::FailureKind::kNoAnswer,
                                                 "test ran out of patience"});
   }
+  http::Traffic Traffic() {
+    auto [reply_to, traffic] = Expect<http::Traffic>();
+    traffic_mailbox_.address().Send(reply_to);
+    return Await(traffic).value_or(http::Traffic{});
+  }
 
  private:
   struct Call {
@@ -60,6 +70,7 @@
     task::Address<http::Result> reply_to;
   };
   http::Client client_;
+  task::Mailbox<task::Address<http::Traffic>> traffic_mailbox_;
   task::Mailbox<Call> mailbox_;
 };
 
