--- a/azurepass/http/client.cc
+++ b/azurepass/http/client.cc
@@ -103,6 +103,10 @@
 
 Client::Impl::~Impl() {
   for (Call* call : calls_) {
+    if (call->message == nullptr) {  // Never started; see Start.
+      delete call;
+      continue;
+    }
     call->owner = nullptr;
     call->callback = nullptr;
     call->timer.Cancel();
--- a/azurepass/http/http_test.cc
+++ b/azurepass/http/http_test.cc
@@ -146,7 +146,8 @@
   auto caller = std::make_unique<testing::HttpCaller>(loop);
   loop.Start();
   auto held = caller->Start({"GET", address, "/hang", "", kLong});
-  // Answered after the other has arrived at the peer.
+  auto invalid = caller->Start({"GET", "not an address", "/", "", kLong});
+  // Answered after the others have been sent.
   caller->Send({"GET", address, "/plain", "", kLong});
   loop.Stop();
   caller.reset();
--- a/azurepass/testing/standin/standin_worker_test.cc
+++ b/azurepass/testing/standin/standin_worker_test.cc
@@ -373,5 +373,25 @@
   CHECK(f.History()["former"][0]["attempts"][0]["outcome"] == "stopped");
 }
 
+TEST_CASE("garbage is refused and the worker keeps serving") {
+  Fixture f;
+  const char* const bodies[] = {
+      "",
+      "[]",
+      R"({"epoch": 0, "lease_ms": 1})",
+      R"({"epoch": 1, "lease_ms": -1})",
+      R"({"epoch": 1, "lease_ms": 1, "orders": [{"order": "x"}]})",
+      R"({"epoch": 1, "lease_ms": 1, "unknown": 1})",
+      R"({"epoch": 99999999999999999999, "lease_ms": 1})"};
+  for (const char* body : bodies) {
+    CAPTURE(body);
+    CHECK(f.standin.Status("POST", f.address, "/v1/exchange", body) ==
+          http::kBadRequest);
+  }
+  CHECK(f.standin.Status("POST", f.address, "/v1/exchange",
+                         R"({"epoch": 1, "lease_ms": 1, "token": "x"})") ==
+        http::kOk);
+}
+
 }  // namespace
 }  // namespace azurepass::testing
