--- a/azurepass/http/http_test.cc
+++ b/azurepass/http/http_test.cc
@@ -112,6 +112,15 @@
   }
 }
 
+TEST_CASE("requests of every method share a kept connection") {
+  Fixture f;
+  for (const char* method : {"POST", "GET", "PUT", "DELETE", "POST"}) {
+    CHECK(!Kind(f.Send(method, "/x", kLong, "body")).has_value());
+  }
+  CHECK(f.caller.Traffic().requests == 5);
+  CHECK(f.caller.Traffic().connections == 1);
+}
+
 TEST_CASE("an answer to a request whose server was closed goes nowhere") {
   task::Loop loop;
   std::vector<Responder> held;
@@ -137,7 +146,8 @@
   auto caller = std::make_unique<testing::HttpCaller>(loop);
   loop.Start();
   auto held = caller->Start({"GET", address, "/hang", "", kLong});
-  // Answered after the other has arrived at the peer.
+  auto invalid = caller->Start({"GET", "not an address", "/", "", kLong});
+  // Answered after the others have been sent.
   caller->Send({"GET", address, "/plain", "", kLong});
   loop.Stop();
   caller.reset();
