--- a/azurepass/configuration/configuration.h
+++ b/azurepass/configuration/configuration.h
@@ -153,6 +153,9 @@
 //   * a peer that holds nothing newer was itself confirmed as of t;
 //   * every other member, asked at t or later, had no contact and nothing
 //     newer. Changes are accepted by members only, so nobody had one to know.
+//     A member whose VM is gone counts by what it last said, if it said so
+//     after this one lost contact; that it found the store again, accepted a
+//     change and vanished before it could tell is the case not covered.
 // A change accepted after t is in force here, or starts have stopped here,
 // within max_age of its acceptance. That is the whole promise.
 class Freshness {
--- a/azurepass/configuration/freshness.cc
+++ b/azurepass/configuration/freshness.cc
@@ -102,18 +102,22 @@
 }
 
 // A list of which nobody answered is no evidence: all of it may have been
-// replaced by members that are not known here.
+// replaced by members that are not known here. A member that is gone counts
+// only if it had said, since we ourselves lost contact, that it had none:
+// otherwise it may have had a change accepted that it could tell nobody.
 std::optional<Freshness::Decision> Freshness::DecideByOutage(
     MonotonicTime now) const {
   if (!peers_) return std::nullopt;
   int64_t witnesses = 0;
   MonotonicTime oldest = now;
   for (const Peer& peer : *peers_) {
-    if (peer.gone) continue;
     auto found = witnesses_.find(peer.member);
     if (found == witnesses_.end()) return std::nullopt;
     const Witness& witness = found->second;
     if (witness.in_contact) return std::nullopt;
+    if (peer.gone && (!confirmed_at_ || witness.sent > *confirmed_at_)) {
+      continue;
+    }
     oldest = std::min(oldest, witness.sent);
     ++witnesses;
   }
