--- /dev/null
+++ b/azurepass/journal/internal/record_formats.h
@@ -0,0 +1,30 @@
+// Records, tasks and jobs as documents.
+
+#ifndef AZUREPASS_JOURNAL_INTERNAL_RECORD_FORMATS_H_
+#define AZUREPASS_JOURNAL_INTERNAL_RECORD_FORMATS_H_
+
+#include "azurepass/codec/codec.h"
+#include "azurepass/partition/partition.h"
+
+namespace azurepass::codec {
+
+// A variant is an object whose field "record" names the alternative.
+template <>
+struct Format<partition::Record> {
+  static partition::Record Read(ObjectReader& reader);
+  static Json Write(const partition::Record& value);
+};
+template <>
+struct Format<partition::JobSubmitted> {
+  static partition::JobSubmitted Read(ObjectReader& reader);
+  static Json Write(const partition::JobSubmitted& value);
+};
+template <>
+struct Format<partition::TaskSnapshot> {
+  static partition::TaskSnapshot Read(ObjectReader& reader);
+  static Json Write(const partition::TaskSnapshot& value);
+};
+
+}  // namespace azurepass::codec
+
+#endif  // AZUREPASS_JOURNAL_INTERNAL_RECORD_FORMATS_H_
--- /dev/null
+++ b/azurepass/journal/writer.cc
@@ -0,0 +1,496 @@
+// The task that turns an owner's actions into requests to the store.
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "azurepass/journal/journal.h"
+
+namespace azurepass::journal {
+
+using partition::AppendBatch;
+using partition::AppendFound;
+using partition::AppendUnavailable;
+using partition::AppendUnknown;
+using partition::Batch;
+using partition::LoadJournal;
+using partition::ReadBack;
+using partition::Snapshot;
+using partition::WriteSnapshot;
+
+namespace {
+
+// Runs on the writer's loop when an answer of the store has arrived.
+struct Continuation {
+  std::shared_ptr<std::function<void()>> run;
+};
+using Message = std::variant<Request, Continuation>;
+
+// The value, or nothing when it can't be read.
+template <class T, class Decode>
+std::optional<T> Readable(Decode decode) {
+  auto outcome = codec::Try(decode);
+  if (auto* value = std::get_if<0>(&outcome)) return std::move(*value);
+  return std::nullopt;
+}
+
+std::optional<Batch> ReadableBatch(const std::string& value) {
+  return Readable<Batch>([&] { return DecodeBatch(value); });
+}
+
+}  // namespace
+
+class Writer::Impl {
+ public:
+  Impl(task::Loop& loop, Options options, PartitionId partition,
+       task::Address<store::Request> store,
+       task::Address<partition::Event> owner)
+      : options_(options),
+        partition_(std::move(partition)),
+        store_(std::move(store)),
+        owner_(std::move(owner)),
+        mailbox_(loop, [this](Message m) { Handle(std::move(m)); }) {}
+
+  task::Address<Request> address() const { return mailbox_.address(); }
+
+ private:
+  // A journal being read.
+  struct Load {
+    int64_t serial = 0;  // Tells a later load's answers apart.
+    Epoch epoch;
+    int attempts = 0;
+    store::Version manifest_version = store::kAbsent;
+    std::optional<Manifest> manifest;
+    Snapshot snapshot;
+    int64_t chunks = 0;  // Read so far.
+  };
+  // A snapshot being written.
+  struct Save {
+    Manifest manifest;
+    std::vector<std::string> chunks;
+    size_t written = 0;
+    bool retried = false;
+  };
+
+  void Handle(Message message) {
+    std::visit(Visitor{[this](Request& request) {
+                         std::visit([this](auto& r) { On(std::move(r)); },
+                                    request);
+                       },
+                       [](Continuation& c) { (*c.run)(); }},
+               message);
+  }
+
+  // An address that brings the answer back to this task.
+  template <class Reply>
+  task::Address<Reply> Then(std::function<void(Reply)> next) {
+    return mailbox_.address().Map<Reply>([next](Reply reply) {
+      auto held = std::make_shared<Reply>(std::move(reply));
+      return Message(Continuation{std::make_shared<std::function<void()>>(
+          [next, held] { next(std::move(*held)); })});
+    });
+  }
+  void Get(std::string key, std::function<void(store::GetReply)> next) {
+    store_.Send(
+        store::Get{std::move(key), Then<store::GetReply>(std::move(next))});
+  }
+  void Put(std::string key, std::string value,
+           std::optional<store::Version> expected,
+           std::function<void(store::WriteReply)> next) {
+    store_.Send(store::Put{std::move(key), std::move(value), expected, "",
+                           Then<store::WriteReply>(std::move(next))});
+  }
+
+  // --- Loading
+  void On(LoadJournal request);
+  void StartLoad(Load load);
+  void OnManifest(int64_t serial, const store::GetReply& reply);
+  void ReadChunks();
+  void OnChunk(int64_t serial, const store::GetReply& reply);
+  void ReadBatches();
+  void OnBatches(int64_t serial, const store::ListReply& reply);
+  void Retry();
+  void FailLoad();
+  bool IsCurrent(int64_t serial) const {
+    return load_ && load_->serial == serial;
+  }
+
+  // --- Appending
+  void On(const AppendBatch& request);
+  void On(ReadBack request);
+  void OnAppendReply(const Batch& batch, store::WriteReply reply);
+  void OnReadBack(const ReadBack& request, store::GetReply reply);
+  partition::Event Found(Epoch epoch, int64_t number,
+                         const std::optional<store::Entry>& entry);
+  int64_t SlotOf(int64_t number) const { return number % options_.slots; }
+
+  // --- Snapshots
+  void On(const WriteSnapshot& request);
+  void WriteChunks();
+  void WriteManifest();
+  void OnManifestWritten(store::WriteReply reply);
+  void SettleManifest();
+  void Saved();
+  void RemoveOlderChunks();
+  void FinishSave(bool ok);
+
+  const Options options_;
+  const PartitionId partition_;
+  task::Address<store::Request> store_;
+  task::Address<partition::Event> owner_;
+
+  std::optional<Load> load_;
+  int64_t last_serial_ = 0;
+  std::optional<Save> save_;
+
+  // As seen by the load and by our own writes, never from a conflict: the
+  // version that the slot had when all before was part of our journal.
+  std::map<int64_t, store::Version> slots_;
+  std::optional<Batch> written_;  // The last batch that we tried to append.
+  store::Version manifest_version_ = store::kAbsent;
+  int64_t through_ = 0;  // Of the manifest known to us.
+
+  task::Mailbox<Message> mailbox_;  // Last, so that it ends first.
+};
+
+// ---------------------------------------------------------------------------
+// Loading
+
+void Writer::Impl::On(LoadJournal request) {
+  Load load;
+  load.epoch = request.epoch;
+  save_.reset();
+  StartLoad(std::move(load));
+}
+
+void Writer::Impl::StartLoad(Load load) {
+  load.serial = ++last_serial_;
+  load.manifest.reset();
+  load.snapshot = Snapshot();
+  load.chunks = 0;
+  load_ = std::move(load);
+  Get(ManifestKey(partition_),
+      [this, serial = load_->serial](const store::GetReply& reply) {
+        OnManifest(serial, reply);
+      });
+}
+
+void Writer::Impl::OnManifest(int64_t serial, const store::GetReply& reply) {
+  if (!IsCurrent(serial)) return;
+  const auto* value = std::get_if<store::Value>(&reply);
+  if (value == nullptr) {
+    FailLoad();
+    return;
+  }
+  load_->manifest_version = store::kAbsent;
+  if (value->entry) {
+    load_->manifest_version = value->entry->version;
+    load_->manifest =
+        Readable<Manifest>([&] { return DecodeManifest(value->entry->value); });
+    if (!load_->manifest) {
+      FailLoad();
+      return;
+    }
+    load_->snapshot.through = load_->manifest->through;
+    load_->snapshot.next_job_number = load_->manifest->next_job_number;
+  }
+  ReadChunks();
+}
+
+void Writer::Impl::ReadChunks() {
+  const int64_t chunks = load_->manifest ? load_->manifest->chunks : 0;
+  if (load_->chunks >= chunks) {
+    ReadBatches();
+    return;
+  }
+  const Manifest& manifest = *load_->manifest;
+  Get(ChunkKey(partition_, manifest.epoch, manifest.through, load_->chunks),
+      [this, serial = load_->serial](const store::GetReply& reply) {
+        OnChunk(serial, reply);
+      });
+}
+
+void Writer::Impl::OnChunk(int64_t serial, const store::GetReply& reply) {
+  if (!IsCurrent(serial)) return;
+  const auto* value = std::get_if<store::Value>(&reply);
+  if (value == nullptr) {
+    FailLoad();
+    return;
+  }
+  if (!value->entry) {
+    Retry();  // Replaced by a newer snapshot meanwhile.
+    return;
+  }
+  const auto decoded = Readable<bool>([&]() -> leaf::result<bool> {
+    BOOST_LEAF_CHECK(DecodeChunk(value->entry->value, load_->snapshot));
+    return true;
+  });
+  if (!decoded) {
+    FailLoad();
+    return;
+  }
+  ++load_->chunks;
+  ReadChunks();
+}
+
+void Writer::Impl::ReadBatches() {
+  store_.Send(store::List{
+      BatchPrefix(partition_), "", options_.slots + 1,
+      Then<store::ListReply>(
+          [this, serial = load_->serial](const store::ListReply& reply) {
+            OnBatches(serial, reply);
+          })});
+}
+
+void Writer::Impl::OnBatches(int64_t serial, const store::ListReply& reply) {
+  if (!IsCurrent(serial)) return;
+  const auto* listing = std::get_if<store::Listing>(&reply);
+  if (listing == nullptr) {
+    FailLoad();
+    return;
+  }
+  std::map<int64_t, store::Version> slots;
+  std::map<int64_t, Batch> batches;
+  for (const store::Entry& entry : listing->entries) {
+    std::optional<Batch> batch = ReadableBatch(entry.value);
+    if (!batch) {
+      FailLoad();
+      return;
+    }
+    const int64_t number = batch->number;
+    slots[SlotOf(number)] = entry.version;
+    if (number > load_->snapshot.through) batches[number] = *std::move(batch);
+  }
+  int64_t next = load_->snapshot.through + 1;
+  partition::JournalLoaded loaded{load_->epoch, std::nullopt, {}};
+  for (auto& [number, batch] : batches) {
+    if (number != next++) {
+      Retry();
+      return;
+    }
+    loaded.batches.push_back(std::move(batch));
+  }
+  if (load_->manifest) loaded.snapshot = std::move(load_->snapshot);
+  slots_ = std::move(slots);
+  manifest_version_ = load_->manifest_version;
+  through_ = load_->manifest ? load_->manifest->through : 0;
+  load_.reset();
+  owner_.Send(std::move(loaded));
+}
+
+void Writer::Impl::Retry() {
+  if (++load_->attempts >= options_.load_attempts) {
+    FailLoad();
+    return;
+  }
+  StartLoad(*std::move(load_));
+}
+
+void Writer::Impl::FailLoad() {
+  const Epoch epoch = load_->epoch;
+  load_.reset();
+  owner_.Send(partition::LoadFailed{epoch});
+}
+
+// ---------------------------------------------------------------------------
+// Appending
+
+void Writer::Impl::On(const AppendBatch& request) {
+  const Batch& batch = request.batch;
+  // The batch that this one would replace may be needed for a load.
+  if (batch.number > through_ + options_.slots) {
+    owner_.Send(AppendUnavailable{batch.epoch, batch.number});
+    return;
+  }
+  written_ = batch;
+  const int64_t slot = SlotOf(batch.number);
+  auto known = slots_.find(slot);
+  const store::Version expected =
+      known == slots_.end() ? store::kAbsent : known->second;
+  Put(BatchKey(partition_, slot), EncodeBatch(batch), expected,
+      [this, batch](store::WriteReply reply) {
+        OnAppendReply(batch, std::move(reply));
+      });
+}
+
+void Writer::Impl::OnAppendReply(const Batch& batch, store::WriteReply reply) {
+  std::visit(
+      Visitor{[&](const store::Written& written) {
+                slots_[SlotOf(batch.number)] = written.version;
+                owner_.Send(partition::Appended{batch.epoch, batch.number});
+              },
+              [&](const store::Conflict& conflict) {
+                owner_.Send(Found(batch.epoch, batch.number, conflict.current));
+              },
+              [&](const store::Error& error) {
+                if (error.code == store::ErrorCode::kOutcomeUnknown) {
+                  owner_.Send(AppendUnknown{batch.epoch, batch.number});
+                } else {
+                  owner_.Send(AppendUnavailable{batch.epoch, batch.number});
+                }
+              }},
+      reply);
+}
+
+void Writer::Impl::On(ReadBack request) {
+  Get(BatchKey(partition_, SlotOf(request.number)),
+      [this, request](store::GetReply reply) {
+        OnReadBack(request, std::move(reply));
+      });
+}
+
+void Writer::Impl::OnReadBack(const ReadBack& request, store::GetReply reply) {
+  if (const auto* value = std::get_if<store::Value>(&reply)) {
+    owner_.Send(Found(request.epoch, request.number, value->entry));
+  } else {
+    owner_.Send(AppendUnavailable{request.epoch, request.number});
+  }
+}
+
+// What a slot holds, as an answer about batch `number`. An older batch means
+// that number is not there.
+partition::Event Writer::Impl::Found(Epoch epoch, int64_t number,
+                                     const std::optional<store::Entry>& entry) {
+  if (!entry) return AppendFound{epoch, number, std::nullopt};
+  std::optional<Batch> there = ReadableBatch(entry->value);
+  if (!there) return AppendUnknown{epoch, number};
+  if (there->number < number) return AppendFound{epoch, number, std::nullopt};
+  const bool ours = written_ && there->number == written_->number &&
+                    there->epoch == written_->epoch &&
+                    there->nonce == written_->nonce;
+  // A former owner's last batch, which our fencing append ran into, becomes
+  // part of the journal, and its slot of what we have seen.
+  const bool former = there->number == number && there->epoch < epoch;
+  if (ours || former) slots_[SlotOf(number)] = entry->version;
+  return AppendFound{epoch, number, std::move(there)};
+}
+
+// ---------------------------------------------------------------------------
+// Snapshots
+
+void Writer::Impl::On(const WriteSnapshot& request) {
+  Save save;
+  save.manifest = {request.epoch, request.snapshot.through,
+                   request.snapshot.next_job_number, 0};
+  save.chunks = EncodeChunks(request.snapshot, options_.chunk_bytes);
+  save.manifest.chunks = std::ssize(save.chunks);
+  save_ = std::move(save);
+  WriteChunks();
+}
+
+void Writer::Impl::WriteChunks() {
+  if (save_->written == save_->chunks.size()) {
+    WriteManifest();
+    return;
+  }
+  const Manifest& manifest = save_->manifest;
+  const size_t index = save_->written++;
+  Put(ChunkKey(partition_, manifest.epoch, manifest.through,
+               static_cast<int64_t>(index)),
+      std::move(save_->chunks[index]), std::nullopt,
+      [this, epoch = manifest.epoch](const store::WriteReply& reply) {
+        if (!save_ || save_->manifest.epoch != epoch) return;
+        if (std::holds_alternative<store::Written>(reply)) {
+          WriteChunks();
+        } else {
+          FinishSave(false);
+        }
+      });
+}
+
+void Writer::Impl::WriteManifest() {
+  Put(ManifestKey(partition_), EncodeManifest(save_->manifest),
+      manifest_version_,
+      [this, epoch = save_->manifest.epoch](store::WriteReply reply) {
+        if (save_ && save_->manifest.epoch == epoch) {
+          OnManifestWritten(std::move(reply));
+        }
+      });
+}
+
+void Writer::Impl::OnManifestWritten(store::WriteReply reply) {
+  if (const auto* written = std::get_if<store::Written>(&reply)) {
+    manifest_version_ = written->version;
+    Saved();
+    return;
+  }
+  const auto* error = std::get_if<store::Error>(&reply);
+  if (error != nullptr && error->code != store::ErrorCode::kOutcomeUnknown) {
+    FinishSave(false);
+    return;
+  }
+  SettleManifest();
+}
+
+// Reads what counts now: ours, or a former owner's that may be replaced.
+void Writer::Impl::SettleManifest() {
+  Get(ManifestKey(partition_),
+      [this, epoch = save_->manifest.epoch](const store::GetReply& reply) {
+        if (!save_ || save_->manifest.epoch != epoch) return;
+        const auto* value = std::get_if<store::Value>(&reply);
+        if (value == nullptr || !value->entry) {
+          FinishSave(false);
+          return;
+        }
+        const auto there = Readable<Manifest>(
+            [&] { return DecodeManifest(value->entry->value); });
+        const Manifest& ours = save_->manifest;
+        const bool former = there && there->epoch <= ours.epoch;
+        if (former && there->epoch == ours.epoch &&
+            there->through == ours.through) {
+          manifest_version_ = value->entry->version;
+          Saved();
+        } else if (former && there->through < ours.through && !save_->retried) {
+          save_->retried = true;
+          manifest_version_ = value->entry->version;
+          WriteManifest();
+        } else {
+          FinishSave(false);
+        }
+      });
+}
+
+void Writer::Impl::Saved() {
+  through_ = std::max(through_, save_->manifest.through);
+  RemoveOlderChunks();
+  FinishSave(true);
+}
+
+// Keys sort by epoch, then by reach. A removal that fails is made up for by the
+// next snapshot's.
+void Writer::Impl::RemoveOlderChunks() {
+  const std::string own =
+      ChunkKey(partition_, save_->manifest.epoch, save_->manifest.through, 0);
+  store_.Send(store::List{
+      SnapshotPrefix(partition_), "", 1'000,
+      Then<store::ListReply>([this, own](const store::ListReply& reply) {
+        const auto* listing = std::get_if<store::Listing>(&reply);
+        if (listing == nullptr) return;
+        for (const store::Entry& entry : listing->entries) {
+          if (entry.key < own) {
+            store_.Send(store::Delete{entry.key, std::nullopt, {}});
+          }
+        }
+      })});
+}
+
+void Writer::Impl::FinishSave(bool ok) {
+  const Manifest manifest = save_->manifest;
+  save_.reset();
+  owner_.Send(partition::SnapshotWritten{manifest.epoch, manifest.through, ok});
+}
+
+// ---------------------------------------------------------------------------
+
+Writer::Writer(task::Loop& loop, Options options, PartitionId partition,
+               task::Address<store::Request> store,
+               task::Address<partition::Event> owner)
+    : impl_(std::make_unique<Impl>(loop, options, std::move(partition),
+                                   std::move(store), std::move(owner))) {}
+Writer::~Writer() = default;
+
+task::Address<Request> Writer::address() const { return impl_->address(); }
+
+}  // namespace azurepass::journal
--- /dev/null
+++ b/azurepass/partition/owner_bench.cc
@@ -0,0 +1,188 @@
+// The owner's cost an event and its time to recover, against the number of
+// workers, each with 24 running tasks: 300 workers are a partition at the size
+// to design for.
+
+#include <benchmark/benchmark.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "azurepass/partition/internal/attempt_numbers.h"
+#include "azurepass/partition/partition.h"
+
+namespace azurepass::partition {
+namespace {
+
+constexpr int64_t kTasksPerWorker = 24;
+constexpr int64_t kTailBatches = 200;
+constexpr int64_t kTailRecords = 7;  // In a batch, at 64 starts a second.
+const TeamId kTeam("intake");
+
+VmId Vm(int64_t n) { return VmId("vm-" + std::to_string(n)); }
+
+JobSubmitted Submitted(int64_t number) {
+  JobSubmitted job;
+  job.job = MakeJobId(PartitionId("p"), number);
+  job.team = kTeam;
+  job.request = RequestId("r" + std::to_string(number));
+  job.spec.queue = QueueId("default");
+  job.spec.task = Resources(1, 1, 1'000, 2'048, 0);
+  return job;
+}
+
+// An owner's surroundings, with everything answered at once.
+class Bench {
+ public:
+  explicit Bench(int64_t workers) : workers_(workers) {
+    std::vector<WorkerSpec> specs;
+    VmListChanged list;
+    for (int64_t i = 0; i < workers; ++i) {
+      WorkerSpec spec;
+      spec.vm = Vm(i);
+      spec.zone = ZoneId("zone-" + std::to_string(i % 3));
+      spec.rack = RackId("rack-" + std::to_string(i / 30));
+      spec.capacity = Resources(32, 64, 32'000, 65'536, 0);
+      specs.push_back(spec);
+      list.vms[spec.vm] = VmState::kLive;
+    }
+    Options options;
+    options.kept_after_end = Duration(1'000);
+    options.snapshot_every = int64_t{1} << 40;
+    owner_.emplace(options, PartitionId("p"), specs, 7);
+    auto configuration = std::make_shared<Configuration>();
+    Contract contract;
+    contract.team = kTeam;
+    contract.zones = {ZoneId("zone-0"), ZoneId("zone-1"), ZoneId("zone-2")};
+    contract.queues = {{QueueId("default"), ServiceId("sorting")}};
+    configuration->contracts[kTeam] = contract;
+    Do(ConfigurationChanged{configuration});
+    Do(FreshnessChanged{true});
+    Do(AllowancesChanged{{{kTeam, kUnlimited}}});
+    Do(std::move(list));
+  }
+
+  // The journal with kTasksPerWorker running on each worker.
+  JournalLoaded Journal() const {
+    JournalLoaded loaded{Epoch{2}, Snapshot{}, {}};
+    const int64_t tasks = workers_ * kTasksPerWorker;
+    const int64_t tail = std::min(tasks / 2, kTailBatches * kTailRecords);
+    for (int64_t n = 1; n <= tasks; ++n) {
+      JobSnapshot job{Submitted(n), false, {TaskSnapshot{}}};
+      if (n <= tasks - tail) {
+        job.tasks[0] = {
+            TaskState::kRunning, Vm(n % workers_), 1'025, 1, 0, false, ""};
+      }
+      loaded.snapshot->jobs.push_back(std::move(job));
+    }
+    loaded.snapshot->through = 1;
+    loaded.snapshot->next_job_number = tasks + 1;
+    for (int64_t n = 0; n < tail; ++n) {
+      if (n % kTailRecords == 0) {
+        loaded.batches.push_back(
+            {std::ssize(loaded.batches) + 2, Epoch{1}, 1, {}});
+      }
+      const int64_t number = tasks - n;
+      loaded.batches.back().records.push_back(
+          TaskStarted{{{MakeJobId(PartitionId("p"), number), 0}, 1'025},
+                      Vm(number % workers_)});
+    }
+    return loaded;
+  }
+
+  void Recover(JournalLoaded journal) {
+    const int64_t tasks = workers_ * kTasksPerWorker;
+    Do(ClaimWon{Epoch{2}});
+    Do(std::move(journal));
+    AppendAll();
+    std::vector<std::vector<AttemptId>> running(workers_);
+    for (int64_t n = 1; n <= tasks; ++n) {
+      running[n % workers_].push_back(
+          {{MakeJobId(PartitionId("p"), n), 0}, 1'025});
+    }
+    for (int64_t i = 0; i < workers_; ++i) {
+      Do(WorkerSessionOpened{Vm(i), Epoch{2}, std::move(running[i])});
+    }
+    AppendAll();
+  }
+
+  // One task's life: submitted, started, confirmed, ended. Returns how many
+  // events that took.
+  int64_t OneTask(int64_t number) {
+    events_ = 0;
+    now_ += Duration(10);
+    const JobSubmitted job = Submitted(number);
+    Do(RequestReceived{
+        RequestToken{number},
+        SubmitJob{PartitionId("p"), kTeam, job.request, job.spec, {}},
+        now_ + Duration(5'000)});
+    AppendAll();
+    if (!started_) return events_;
+    const auto [attempt, vm] = *std::exchange(started_, std::nullopt);
+    Do(WorkerReported{
+        vm, Epoch{2}, {{1, attempt, WorkerEventKind::kStarted, ""}}, {}});
+    Do(WorkerReported{
+        vm, Epoch{2}, {{2, attempt, WorkerEventKind::kSucceeded, ""}}, {}});
+    AppendAll();
+    return events_;
+  }
+
+  bool owns() const { return owner_->owns(); }
+
+ private:
+  void Do(Event event) {
+    ++events_;
+    for (Action& action : owner_->Handle(std::move(event), now_)) {
+      if (auto* append = std::get_if<AppendBatch>(&action)) {
+        append_ = append->batch.number;
+      }
+      if (auto* orders = std::get_if<SendOrders>(&action)) {
+        if (auto* start = std::get_if<StartTask>(&orders->orders.back())) {
+          started_ = {start->attempt, orders->vm};
+        }
+      }
+    }
+  }
+  void AppendAll() {
+    while (append_) {
+      Do(Appended{Epoch{2}, *std::exchange(append_, std::nullopt)});
+    }
+  }
+
+  int64_t workers_;
+  std::optional<Owner> owner_;
+  MonotonicTime now_{std::chrono::seconds(1'000)};
+  std::optional<int64_t> append_;
+  std::optional<std::pair<AttemptId, VmId>> started_;
+  int64_t events_ = 0;
+};
+
+void BM_OneTask(benchmark::State& state) {
+  Bench bench(state.range(0));
+  bench.Recover(bench.Journal());
+  int64_t number = state.range(0) * kTasksPerWorker;
+  int64_t events = 0;
+  for (auto _ : state) events += bench.OneTask(++number);
+  state.SetItemsProcessed(events);  // Events a second.
+  state.counters["owns"] = bench.owns() ? 1 : 0;
+}
+BENCHMARK(BM_OneTask)->Arg(35)->Arg(100)->Arg(300)->Arg(600);
+
+void BM_Recovery(benchmark::State& state) {
+  for (auto _ : state) {
+    state.PauseTiming();
+    Bench bench(state.range(0));
+    JournalLoaded journal = bench.Journal();
+    state.ResumeTiming();
+    bench.Recover(std::move(journal));
+  }
+}
+BENCHMARK(BM_Recovery)
+    ->Arg(35)
+    ->Arg(100)
+    ->Arg(300)
+    ->Arg(600)
+    ->Unit(benchmark::kMillisecond);
+
+}  // namespace
+}  // namespace azurepass::partition
