--- a/azurepass/placement/internal/decider.cc
+++ b/azurepass/placement/internal/decider.cc
@@ -11,6 +11,19 @@
 // Urgent tasks for which room is made in one call.
 constexpr int kRoomsPerCall = 32;
 
+// Workers that grew, looked at to settle that a size still has no room.
+constexpr int64_t kMaxGrownLookedAt = 64;
+
+// A pass may skip teams of which all jobs are known to be blocked, but not for
+// longer than this.
+constexpr Duration kTimeBetweenFullPasses{500};
+
+// Reservations planned in one call.
+constexpr int kPlansPerCall = 1;
+
+// Workers looked at one by one before the index is asked instead.
+constexpr size_t kMaxCandidates = 64;
+
 bool HoldsUp(WaitReason reason) {
   return reason == WaitReason::kNoRoom || reason == WaitReason::kGangIncomplete;
 }
@@ -39,66 +52,185 @@
                    Teams::WeightOf(team);
           },
           [&](const SubmissionOrder&) {
-            const auto& order = team.order[static_cast<int>(priority)];
-            return order.empty() ? 0.0
-                                 : static_cast<double>(order.begin()->first);
+            const auto& lanes = team.queue(priority).lanes;
+            return lanes.empty() ? 0.0
+                                 : static_cast<double>(lanes.begin()->first);
           }},
       state_.options.order);
 }
 
-void Decider::RunPriority(Priority priority) {
-  ++pass_;
-  std::vector<std::pair<double, Index>> turns;
+// The teams that have jobs of this priority, as a heap by turn.
+std::vector<Decider::TurnOf> Decider::Turns(Priority priority) {
+  const int64_t starts_before =
+      state_.pass_end[static_cast<int>(priority)].starts;
+  std::vector<TurnOf> turns;
   for (Index t = 0; t < state_.teams.size(); ++t) {
-    const Team& team = state_.teams[t];
-    if (team.order[static_cast<int>(priority)].empty()) continue;
+    Team& team = state_.teams[t];
+    Team::Queue& queue = team.queue(priority);
+    if (queue.lanes.empty()) continue;
+    if (queue.stuck_after < starts_before) queue.passed_pass = state_.passes;
     turns.emplace_back(TurnKey(team, priority), t);
   }
-  const auto later = std::greater<>();
-  std::make_heap(turns.begin(), turns.end(), later);
-  while (!turns.empty()) {
-    std::pop_heap(turns.begin(), turns.end(), later);
+  std::make_heap(turns.begin(), turns.end(), std::greater<>());
+  return turns;
+}
+
+void Decider::RunPriority(Priority priority) {
+  ++state_.passes;
+  CellState::PassEnd& end = state_.pass_end[static_cast<int>(priority)];
+  full_pass_ = state_.now - end.full_at >= kTimeBetweenFullPasses;
+  pass_begin_ = state_.fleet.growth().end();
+  std::vector<TurnOf> turns = Turns(priority);
+  while (!turns.empty() && !has_more_) {
+    std::pop_heap(turns.begin(), turns.end(), std::greater<>());
     const Index index = turns.back().second;
     turns.pop_back();
     const Turn turn = TakeTurn(index, priority);
-    if (turn == Turn::kOutOfBudget) {
-      has_more_ = true;
-      return;
-    }
-    const Team& team = state_.teams[index];
-    const bool waits = !team.order[static_cast<int>(priority)].empty();
-    if (turn == Turn::kStarted && waits) {
-      turns.emplace_back(TurnKey(team, priority), index);
-      std::push_heap(turns.begin(), turns.end(), later);
-    }
+    Team& team = state_.teams[index];
+    Team::Queue& queue = team.queue(priority);
+    has_more_ = turn == Turn::kOutOfBudget;
+    queue.stuck_after = turn == Turn::kStuck ? state_.starts : Team::kNoTurn;
+    if (turn != Turn::kStarted || queue.lanes.empty()) continue;
+    turns.emplace_back(TurnKey(team, priority), index);
+    std::push_heap(turns.begin(), turns.end(), std::greater<>());
   }
+  end.starts = state_.starts;
+  if (full_pass_ && !has_more_) end.full_at = state_.now;
 }
 
 Decider::Turn Decider::TakeTurn(Index team, Priority priority) {
   if (static_cast<int64_t>(decisions_.size()) >= budget_.starts) {
     return Turn::kOutOfBudget;
   }
-  const auto& order = state_.teams[team].order[static_cast<int>(priority)];
-  for (const auto& [number, lane] : order) {
-    if (state_.lanes[lane].stuck_pass == pass_) continue;
-    const Turn turn = TryLane(lane);  // Invalidates the loop when it started.
+  Team::Queue& queue = state_.teams[team].queue(priority);
+  if (queue.unsettled == 0 && !full_pass_ &&
+      !MayFitGrown(queue.least, queue.seen)) {
+    queue.seen = pass_begin_;
+    return Turn::kStuck;
+  }
+  Resources least = kUnlimited;
+  for (const auto& [number, index] : queue.lanes) {
+    const Lane& lane = state_.lanes[index];
+    least = Resources::Min(least, lane.key.size);
+    if (lane.stuck_pass == state_.passes) continue;
+    if (IsSurelyBlocked(lane)) {
+      NoteBlocked(index);
+      continue;
+    }
+    const Turn turn = TryLane(index);  // Invalidates the loop when it started.
     if (turn != Turn::kStuck) return turn;
   }
+  queue.least = least;
+  queue.seen = pass_begin_;
   return Turn::kStuck;
 }
 
 // ---------------------------------------------------------------------------
 // Attempts
 
-bool Decider::MayHaveRoom(const Lane& lane) const {
+bool Decider::MayFitGrown(const Resources& size,
+                          GrowthLog::Position since) const {
   const GrowthLog& growth = state_.fleet.growth();
-  if (!growth.Covers(lane.checked)) return true;
+  if (!growth.Covers(since) || growth.end() - since > kMaxGrownLookedAt) {
+    return true;
+  }
+  bool fits = false;
+  growth.ForEachSince(since, [&](Index w) {
+    fits |= size.FitsIn(state_.fleet.worker(w).free);
+  });
+  return fits;
+}
+
+bool Decider::IsSurelyBlocked(const Lane& lane) const {
+  if (!lane.settled) return false;
+  const Team::Queue& queue = state_.teams[lane.team].queue(lane.key.priority);
+  return !MayFitGrown(lane.key.size, std::max(lane.checked, queue.seen));
+}
+
+// Notes that the lane's turn came in this pass and found no room.
+void Decider::NoteBlocked(Index index) {
+  Lane& lane = state_.lanes[index];
+  lane.stuck_pass = state_.passes;
+  if (lane.checked != GrowthLog::kNever) {
+    lane.checked = state_.fleet.growth().end();
+  }
+  state_.Settle(lane, lane.checked != GrowthLog::kNever && lane.held.empty());
+  if (!lane.blocked_since) {
+    lane.blocked_since = state_.now;
+    lane.blocked_pass = state_.passes;
+  }
+  if (WasPassedOver(lane) &&
+      state_.now - *lane.blocked_since >= state_.options.reservation_after) {
+    starving_.push_back(index);
+  }
+  if (lane.key.priority == Priority::kUrgent) stuck_urgent_.push_back(index);
+}
+
+bool Decider::WasPassedOver(const Lane& lane) const {
+  const Team::Queue& queue = state_.teams[lane.team].queue(lane.key.priority);
+  return lane.blocked_since && queue.passed_pass > lane.blocked_pass;
+}
+
+// Takes over what is known of a size that is no larger.
+void Decider::Inherit(Lane& lane, const Job& job) const {
+  const KnownFailure* known = state_.known_failures.Find(
+      lane.key.size, state_.teams[lane.team].zones, state_.fleet.growth());
+  if (known == nullptr) return;
+  if (job.is_gang() && !known->held.empty()) return;  // Some would fit.
+  lane.checked = known->at;
+  lane.held = known->held;
+  lane.missing = job.waiting;
+  lane.gained = 0;
+  lane.reason = WaitReason::kNoRoom;
+}
+
+// Counts what the gang could gain at most, until that may be enough.
+Decider::Scope Decider::ScopeOfGang(Lane& lane) const {
+  const GrowthLog& growth = state_.fleet.growth();
+  growth.ForEachSince(lane.checked, [&](Index w) {
+    const Worker& worker = state_.fleet.worker(w);
+    if (!state_.fleet.IsOpen(worker)) return;
+    lane.gained += TimesFits(lane.key.size, worker.free, kMaxTasksPerJob);
+  });
+  lane.checked = growth.end();
+  return lane.gained >= lane.missing ? Scope::kAll : Scope::kNothing;
+}
+
+Decider::Scope Decider::ScopeOf(Lane& lane) {
+  const GrowthLog& growth = state_.fleet.growth();
+  if (!growth.Covers(lane.checked)) return Scope::kAll;
+  if (lane.key.gang != 0) return ScopeOfGang(lane);
   const std::vector<Index>& zones = state_.teams[lane.team].zones;
-  return growth.AnySince(lane.checked, [&](Index w) {
+  candidates_ = lane.held;
+  growth.ForEachSince(lane.checked, [&](Index w) {
     const Worker& worker = state_.fleet.worker(w);
-    return lane.key.size.FitsIn(worker.free) && state_.fleet.IsOpen(worker) &&
-           std::find(zones.begin(), zones.end(), worker.zone) != zones.end();
+    if (!lane.key.size.FitsIn(worker.free) || !state_.fleet.IsOpen(worker) ||
+        std::find(zones.begin(), zones.end(), worker.zone) == zones.end()) {
+      return;
+    }
+    candidates_.push_back(w);
   });
+  if (candidates_.size() > kMaxCandidates) return Scope::kAll;
+  return candidates_.empty() ? Scope::kNothing : Scope::kCandidates;
+}
+
+// Keeps what a search in vain found out.
+void Decider::Remember(Lane& lane, Scope scope, Found& found,
+                       GrowthLog::Position end) {
+  lane.checked = found.zone_held ? GrowthLog::kNever : end;
+  lane.missing = found.missing;
+  lane.gained = 0;
+  std::vector<Index> held = std::move(found.held);
+  std::sort(held.begin(), held.end());
+  held.erase(std::unique(held.begin(), held.end()), held.end());
+  lane.held.clear();
+  const bool tells =
+      scope == Scope::kAll && !found.zone_held && held.size() <= kMaxCandidates;
+  if (!tells || lane.key.gang != 0) return;
+  state_.known_failures.Add({.size = lane.key.size,
+                             .zones = state_.teams[lane.team].zones,
+                             .at = end,
+                             .held = std::move(held)});
 }
 
 Decider::Turn Decider::TryLane(Index index) {
@@ -106,24 +238,31 @@
   // Jobs past their deadline are the caller's to cancel; they are not started.
   for (const auto& [number, job] : lane.jobs) {
     if (state_.jobs[job].is_expired(state_.now)) continue;
-    if (MayHaveRoom(lane)) return TryJob(index, job);
-    lane.checked = state_.fleet.growth().end();
-    return Block(index, job, lane.reason);
+    if (lane.settled) {
+      const Team& team = state_.teams[lane.team];
+      lane.checked = std::max(lane.checked, team.queue(lane.key.priority).seen);
+    }
+    if (!state_.fleet.growth().Covers(lane.checked)) {
+      Inherit(lane, state_.jobs[job]);
+    }
+    const Scope scope = ScopeOf(lane);
+    if (scope != Scope::kNothing) return TryJob(index, job, scope);
+    return Block(index,
+                 HoldsUp(lane.reason) ? lane.reason : WaitReason::kNoRoom);
   }
-  lane.stuck_pass = pass_;
+  lane.stuck_pass = state_.passes;
   return Turn::kStuck;
 }
 
-Decider::Turn Decider::Block(Index lane_index, Index job_index,
-                             WaitReason reason) {
-  Lane& lane = state_.lanes[lane_index];
-  Job& job = state_.jobs[job_index];
+Decider::Turn Decider::Block(Index index, WaitReason reason) {
+  Lane& lane = state_.lanes[index];
   lane.reason = reason;
-  lane.stuck_pass = pass_;
-  job.reason = reason;
-  if (!HoldsUp(reason)) return Turn::kStuck;
-  if (!job.blocked_since) job.blocked_since = state_.now;
-  stuck_.push_back({.lane = lane_index, .starts = decisions_.size()});
+  lane.stuck_pass = state_.passes;
+  if (HoldsUp(reason)) {
+    NoteBlocked(index);
+  } else {
+    state_.Settle(lane, false);
+  }
   return Turn::kStuck;
 }
 
@@ -140,7 +279,7 @@
   return WaitReason::kNoRoom;
 }
 
-Decider::Turn Decider::TryJob(Index lane_index, Index job_index) {
+Decider::Turn Decider::TryJob(Index lane_index, Index job_index, Scope scope) {
   Job& job = state_.jobs[job_index];
   const Team& team = state_.teams[job.team];
   const int32_t tasks = job.is_gang() ? job.waiting : 1;
@@ -149,17 +288,20 @@
     return Turn::kOutOfBudget;
   }
   if (!(team.committed + job.spec.task * tasks).FitsIn(team.terms.allowance)) {
-    return Block(lane_index, job_index, WaitReason::kAllowance);
+    return Block(lane_index, WaitReason::kAllowance);
   }
   const GrowthLog::Position end = state_.fleet.growth().end();
-  const Found found = search_.Find(job, job_index, team, state_.now, steps_);
+  Found found =
+      search_.Find(job, job_index, team, state_.now, steps_,
+                   scope == Scope::kCandidates ? &candidates_ : nullptr);
   if (!found.places.empty()) {
     StartAll(job_index, found);
     return Turn::kStarted;
   }
   if (found.out_of_budget) return Turn::kOutOfBudget;
-  if (!found.held_back) state_.lanes[lane_index].checked = end;
-  return Block(lane_index, job_index, ReasonFor(team, found));
+  const WaitReason reason = ReasonFor(team, found);
+  Remember(state_.lanes[lane_index], scope, found, end);
+  return Block(lane_index, reason);
 }
 
 // ---------------------------------------------------------------------------
@@ -206,6 +348,7 @@
                                            .vm = worker.vm,
                                            .score = score,
                                            .considered = found.considered});
+  ++state_.starts;
   state_.fleet.TakeRampToken(worker.zone);
   state_.reservations.OnStarted(state_.fleet, job, job_index, place.worker);
   state_.Commit({.job = job_index, .task = t}, place.worker, state_.now);
@@ -213,9 +356,12 @@
 
 void Decider::StartAll(Index job_index, const Found& found) {
   Job& job = state_.jobs[job_index];
-  job.blocked_since.reset();
-  job.reason = WaitReason::kBehindOthers;
-  if (job.lane != kNone) state_.lanes[job.lane].passed_over = false;
+  if (job.lane != kNone) {
+    Lane& lane = state_.lanes[job.lane];
+    lane.blocked_since.reset();
+    state_.Settle(lane, false);
+    lane.reason = WaitReason::kBehindOthers;
+  }
   for (const Place& place : found.places) {
     for (int32_t i = 0; i < place.tasks; ++i) Start(job_index, place, found);
   }
@@ -226,10 +372,8 @@
 
 void Decider::MakeRoomForUrgent() {
   int rooms = 0;
-  for (const Stuck& stuck : stuck_) {
-    const Lane& lane = state_.lanes[stuck.lane];
-    if (lane.key.priority != Priority::kUrgent) continue;
-    for (const auto& [number, index] : lane.jobs) {
+  for (Index stuck : stuck_urgent_) {
+    for (const auto& [number, index] : state_.lanes[stuck].jobs) {
       const Job& job = state_.jobs[index];
       const Reservation* held = state_.reservations.Find(index);
       auto wanted = static_cast<int64_t>(job.waiting);
@@ -259,36 +403,35 @@
   for (Index job : void_ones) state_.DropReservation(job);
 }
 
-bool Decider::Plan(Index job_index) {
-  Job& job = state_.jobs[job_index];
+// Sets room aside for the lane's first job; false when there is none to set
+// aside, or the job has a reservation already.
+bool Decider::Plan(Index lane_index) {
+  Lane& lane = state_.lanes[lane_index];
+  const Index index = lane.jobs.begin()->second;
+  Job& job = state_.jobs[index];
+  if (job.reserved) return false;
   const ReservationPlanner planner(state_.fleet, state_.jobs, state_.run_times);
   const int32_t tasks = job.is_gang() ? job.waiting : 1;
   const std::vector<PlannedPlace> places =
       planner.Plan(state_.teams[job.team], job, tasks, state_.now);
   if (static_cast<int32_t>(places.size()) < tasks) {
-    job.blocked_since = state_.now;  // Tries again after as long.
+    lane.blocked_since = state_.now;  // Tries again after as long.
     return false;
   }
-  state_.reservations.Add(state_.fleet, job, job_index, places);
+  state_.reservations.Add(state_.fleet, job, index, places);
   return true;
 }
 
 void Decider::PlanReservations() {
-  bool planned = false;
-  for (const Stuck& stuck : stuck_) {
-    Lane& lane = state_.lanes[stuck.lane];
-    if (lane.jobs.empty() || lane.stuck_pass == 0) continue;
-    if (decisions_.size() > stuck.starts) lane.passed_over = true;
-    const Index index = lane.jobs.begin()->second;
-    const Job& job = state_.jobs[index];
-    if (planned || !lane.passed_over || job.reserved || !job.blocked_since) {
-      continue;
-    }
-    if (state_.now - *job.blocked_since < state_.options.reservation_after) {
+  int plans = 0;
+  for (Index index : starving_) {
+    const Lane& lane = state_.lanes[index];
+    const bool still_stuck = !lane.jobs.empty() && WasPassedOver(lane);
+    if (!still_stuck || state_.jobs[lane.jobs.begin()->second].reserved) {
       continue;
     }
     if (state_.reservations.all().size() >= Reservations::kMaxPlanned) return;
-    planned = true;  // One plan a call.
+    if (++plans > kPlansPerCall) return;
     Plan(index);
   }
 }
--- a/azurepass/placement/internal/decider.h
+++ b/azurepass/placement/internal/decider.h
@@ -25,11 +25,10 @@
 
 class Decider {
  public:
-  Decider(CellState& state, const DecideBudget& budget, int64_t& pass)
+  Decider(CellState& state, const DecideBudget& budget)
       : state_(state),
         budget_(budget),
         steps_(budget.candidates),
-        pass_(pass),
         search_(state.fleet, state.reservations, state.run_times),
         preemption_(state) {}
 
@@ -41,19 +40,30 @@
  private:
   enum class Turn { kStarted, kStuck, kOutOfBudget };
 
-  // A lane that could not start its first job, after `starts` decisions.
-  struct Stuck {
-    Index lane = kNone;
-    size_t starts = 0;
-  };
+  // How much of the fleet the lane's next search has to look at.
+  enum class Scope { kNothing, kCandidates, kAll };
+
+  using TurnOf = std::pair<double, Index>;  // Key and team.
 
   void RunPriority(Priority priority);
+  std::vector<TurnOf> Turns(Priority priority);
   double TurnKey(const Team& team, Priority priority) const;
   Turn TakeTurn(Index team, Priority priority);
   Turn TryLane(Index lane);
-  Turn TryJob(Index lane, Index job);
-  bool MayHaveRoom(const Lane& lane) const;
-  Turn Block(Index lane, Index job, WaitReason reason);
+  // True when the lane found no room before and no worker that grew since has
+  // enough; found without a look at the lane's jobs.
+  bool IsSurelyBlocked(const Lane& lane) const;
+  // False when no worker that grew since has room for `size`.
+  bool MayFitGrown(const Resources& size, GrowthLog::Position since) const;
+  void NoteBlocked(Index lane);
+  bool WasPassedOver(const Lane& lane) const;
+  void Inherit(Lane& lane, const Job& job) const;
+  Turn TryJob(Index lane, Index job, Scope scope);
+  // Puts the workers to look at into `candidates_`.
+  Scope ScopeOf(Lane& lane);
+  Scope ScopeOfGang(Lane& lane) const;
+  void Remember(Lane& lane, Scope scope, Found& found, GrowthLog::Position end);
+  Turn Block(Index lane, WaitReason reason);
   WaitReason ReasonFor(const Team& team, const Found& found) const;
   void StartAll(Index job, const Found& found);
   void Start(Index job, const Place& place, const Found& found);
@@ -61,16 +71,19 @@
   void MakeRoomForUrgent();
   void ReviewReservations();
   void PlanReservations();
-  bool Plan(Index job);
+  bool Plan(Index lane);
 
   CellState& state_;
   DecideBudget budget_;
   int64_t steps_;  // Left of the candidates.
-  int64_t& pass_;  // Counts passes over all calls.
   Search search_;
   Preemption preemption_;
   std::vector<Decision> decisions_;
-  std::vector<Stuck> stuck_;
+  std::vector<Index> stuck_urgent_;     // Lanes without room.
+  std::vector<Index> starving_;         // Lanes that are due for a reservation.
+  GrowthLog::Position pass_begin_ = 0;  // End of the growth log at its begin.
+  bool full_pass_ = false;              // This pass looks at all lanes.
+  std::vector<Index> candidates_;
   bool has_more_ = false;
 };
 
--- a/azurepass/placement/internal/fleet.cc
+++ b/azurepass/placement/internal/fleet.cc
@@ -7,6 +7,9 @@
 namespace azurepass::placement::internal {
 namespace {
 
+// Sums of the same numbers in another order differ by less.
+constexpr double kRounding = 1e-9;
+
 // At most this part of the workers is quarantined at once, and one always may
 // be: when more than that fail, the workers are hardly the cause.
 constexpr int64_t kQuarantineDivisor = 5;
@@ -43,6 +46,19 @@
       packing_);
 }
 
+double Fleet::LeastKey(const Resources& size) const {
+  return std::visit(Visitor{[&](const BestFit&) {
+                              double sum = 0;
+                              for (Dimension d : kAllDimensions) {
+                                sum += static_cast<double>(size[d]) /
+                                       static_cast<double>(scale_[d]);
+                              }
+                              return sum - kRounding;
+                            },
+                            [&](const FirstFit&) { return -1.0; }},
+                    packing_);
+}
+
 Index Fleet::InternZone(const ZoneId& zone) {
   const Index index = zone_ids_.Intern(zone);
   if (index == static_cast<Index>(zones_.size())) {
@@ -131,17 +147,22 @@
 }
 
 void Fleet::Unindex(Index index) {
-  if (!fit_.Contains(index)) return;
-  const Worker& worker = workers_[index];
+  Worker& worker = workers_[index];
+  if (!worker.counted) return;
+  worker.counted = false;
   fit_.Erase(worker.zone, index);
   zones_[worker.zone].capacity -= worker.capacity;
   if (zones_[worker.zone].in_service) open_capacity_ -= worker.capacity;
 }
 
 void Fleet::IndexIfOpen(Index index, bool grew) {
-  const Worker& worker = workers_[index];
+  Worker& worker = workers_[index];
   if (!IsOpen(worker)) return;
-  fit_.Insert(worker.zone, index, KeyOf(index), worker.free);
+  worker.counted = true;
+  // Every task takes a slot.
+  if (worker.free[Dimension::kSlots] > 0) {
+    fit_.Insert(worker.zone, index, KeyOf(index), worker.free);
+  }
   zones_[worker.zone].capacity += worker.capacity;
   if (zones_[worker.zone].in_service) open_capacity_ += worker.capacity;
   if (grew) growth_.Add(index);
@@ -166,9 +187,11 @@
   Reindex(index, /*grew=*/true);
 }
 
-void Fleet::Reserve(Index index, Index job, const Resources& size) {
+void Fleet::Reserve(Index index, Index job, const Resources& size,
+                    bool urgent) {
   Worker& worker = workers_[index];
   worker.reserved_by = job;
+  worker.reserved_for_urgent = urgent;
   worker.reserved += size;
 }
 
--- a/azurepass/placement/internal/fleet.h
+++ b/azurepass/placement/internal/fleet.h
@@ -26,11 +26,13 @@
   Resources capacity;
   Resources free;
   WorkerAdmission admission = WorkerAdmission::kClosed;
-  bool known = false;  // False after RemoveWorker.
+  bool known = false;    // False after RemoveWorker.
+  bool counted = false;  // In the open capacity.
   Health health;
   std::vector<TaskRef> tasks;
   // Room kept for one job's reservation.
   Index reserved_by = kNone;
+  bool reserved_for_urgent = false;
   Resources reserved;
 };
 
@@ -59,7 +61,7 @@
   void SetZoneInService(Index zone, bool in_service);
   void Take(Index worker, const Resources& size);
   void GiveBack(Index worker, const Resources& size);
-  void Reserve(Index worker, Index job, const Resources& size);
+  void Reserve(Index worker, Index job, const Resources& size, bool urgent);
   void Unreserve(Index worker, const Resources& size);
   // Evidence about the worker; see HealthPolicy.
   void RecordOutcome(Index worker, const Evidence& evidence, MonotonicTime now);
@@ -99,6 +101,8 @@
   const std::vector<Model>& models() const { return models_; }
   // The packing's order: a lower key is preferred.
   double KeyOf(Index worker) const;
+  // No worker with a lower key has room for `size`.
+  double LeastKey(const Resources& size) const;
 
  private:
   void Unindex(Index worker);
@@ -118,7 +122,7 @@
   std::vector<Worker> workers_;
   std::vector<Zone> zones_;
   std::vector<Model> models_;
-  FitIndex fit_;  // Holds exactly the workers that are IsOpen.
+  FitIndex fit_;  // Of the workers that are IsOpen, those with a free slot.
   GrowthLog growth_;
   Resources open_capacity_;  // Sum over indexed workers of zones in service.
   Resources committed_;      // Sum over all workers.
