--- a/azurepass/journal/writer.cc
+++ b/azurepass/journal/writer.cc
@@ -1,476 +1,494 @@
-// The task that carries out an owner's journal actions.
-//
-// A load runs in steps, each a message to the store: manifest, chunks one by
-// one, then the ring page by page. Appends and snapshots run beside each other;
-// of each kind the owner has one under way at a time.
-
-#include <glog/logging.h>
+// The task that turns an owner's actions into requests to the store.
 
 #include <algorithm>
-#include <cstdio>
-#include <cstdlib>
+#include <functional>
 #include <map>
-#include <set>
+#include <optional>
 #include <utility>
 
-#include "azurepass/codec/codec.h"
-#include "azurepass/journal/internal/formats.h"
 #include "azurepass/journal/journal.h"
 
 namespace azurepass::journal {
-namespace {
-
-using internal::Manifest;
-
-// Values of one page of a listing; a slot may hold some 100 KB.
-constexpr int64_t kPageSlots = 64;
 
-// --- Answers of the store, with what they belong to
+using partition::AppendBatch;
+using partition::AppendFound;
+using partition::AppendUnavailable;
+using partition::AppendUnknown;
+using partition::Batch;
+using partition::LoadJournal;
+using partition::ReadBack;
+using partition::Snapshot;
+using partition::WriteSnapshot;
 
-struct ManifestRead {
-  store::GetReply reply;
-};
-struct ChunkRead {
-  store::GetReply reply;
-};
-struct SlotsListed {
-  store::ListReply reply;
-};
-struct BatchWritten {
-  Epoch epoch;
-  int64_t number = 0;
-  store::WriteReply reply;
-};
-struct SlotRead {
-  Epoch epoch;
-  int64_t number = 0;
-  store::GetReply reply;
-};
-struct ChunkWritten {
-  store::WriteReply reply;
-};
-struct ManifestWritten {
-  Manifest manifest;
-  store::WriteReply reply;
-};
-struct ChunksListed {
-  int64_t epoch = 0;
-  store::ListReply reply;
-};
-using Inbox =
-    std::variant<Request, ManifestRead, ChunkRead, SlotsListed, BatchWritten,
-                 SlotRead, ChunkWritten, ManifestWritten, ChunksListed>;
-
-// A load under way.
-struct Load {
-  Epoch epoch;
-  std::optional<Manifest> manifest;
-  std::vector<std::string> chunks;
-  std::vector<partition::Batch> batches;
-};
+namespace {
 
-// A snapshot under way: chunks are written in order, then the manifest.
-struct Snapshotting {
-  Epoch epoch;
-  Manifest manifest;
-  std::vector<std::string> chunks;
-  size_t written = 0;
+// Runs on the writer's loop when an answer of the store has arrived.
+struct Continuation {
+  std::shared_ptr<std::function<void()>> run;
 };
-
-// A snapshot's id is "THROUGH-EPOCH".
-int64_t EpochOf(const std::string& id) {
-  const size_t dash = id.rfind('-');
-  if (dash == std::string::npos) return 0;
-  return std::strtoll(id.c_str() + dash + 1, nullptr, 10);
+using Message = std::variant<Request, Continuation>;
+
+// The value, or nothing when it can't be read.
+template <class T, class Decode>
+std::optional<T> Readable(Decode decode) {
+  auto outcome = codec::Try(decode);
+  if (auto* value = std::get_if<0>(&outcome)) return std::move(*value);
+  return std::nullopt;
 }
 
-std::string ChunkKey(const PartitionId& partition, const std::string& id,
-                     int64_t chunk) {
-  return SnapshotPrefix(partition) + id + "/" + std::to_string(chunk);
+std::optional<Batch> ReadableBatch(const std::string& value) {
+  return Readable<Batch>([&] { return DecodeBatch(value); });
 }
 
 }  // namespace
 
-std::string SlotPrefix(const PartitionId& partition) {
-  return "journal/" + partition.value() + "/";
-}
-
-std::string SlotKey(const PartitionId& partition, int64_t number) {
-  constexpr int kSlotBytes = 24;
-  char slot[kSlotBytes];
-  std::snprintf(slot, sizeof(slot), "%06lld",
-                static_cast<long long>(number % kSlots));
-  return SlotPrefix(partition) + slot;
-}
-
-std::string SnapshotPrefix(const PartitionId& partition) {
-  return "snapshot/" + partition.value() + "/";
-}
-
-std::string ManifestKey(const PartitionId& partition) {
-  return SnapshotPrefix(partition) + "manifest";
-}
-
 class Writer::Impl {
  public:
-  Impl(task::Loop& loop, PartitionId partition,
+  Impl(task::Loop& loop, Options options, PartitionId partition,
        task::Address<store::Request> store,
        task::Address<partition::Event> owner)
-      : partition_(std::move(partition)),
+      : options_(options),
+        partition_(std::move(partition)),
         store_(std::move(store)),
         owner_(std::move(owner)),
-        mailbox_(loop, [this](Inbox inbox) { Handle(inbox); }) {}
+        mailbox_(loop, [this](Message m) { Handle(std::move(m)); }) {}
 
   task::Address<Request> address() const { return mailbox_.address(); }
 
  private:
-  void Handle(Inbox& inbox) {
-    std::visit([this](auto& message) { On(message); }, inbox);
-  }
-  void On(Request& request) {
-    std::visit([this](auto& r) { Begin(r); }, request);
+  // A journal being read.
+  struct Load {
+    int64_t serial = 0;  // Tells a later load's answers apart.
+    Epoch epoch;
+    int attempts = 0;
+    store::Version manifest_version = store::kAbsent;
+    std::optional<Manifest> manifest;
+    Snapshot snapshot;
+    int64_t chunks = 0;  // Read so far.
+  };
+  // A snapshot being written.
+  struct Save {
+    Manifest manifest;
+    std::vector<std::string> chunks;
+    size_t written = 0;
+    bool retried = false;
+  };
+
+  void Handle(Message message) {
+    std::visit(Visitor{[this](Request& request) {
+                         std::visit([this](auto& r) { On(std::move(r)); },
+                                    request);
+                       },
+                       [](Continuation& c) { (*c.run)(); }},
+               message);
   }
 
-  // An address whose answers come back here, wrapped by `wrap`.
-  template <class Reply, class Wrap>
-  task::Address<Reply> Back(Wrap wrap) {
-    const task::Address<Inbox> inbox = mailbox_.address();
-    return inbox.Map<Reply>([wrap = std::move(wrap)](Reply reply) {
-      return Inbox(wrap(std::move(reply)));
+  // An address that brings the answer back to this task.
+  template <class Reply>
+  task::Address<Reply> Then(std::function<void(Reply)> next) {
+    return mailbox_.address().Map<Reply>([next](Reply reply) {
+      auto held = std::make_shared<Reply>(std::move(reply));
+      return Message(Continuation{std::make_shared<std::function<void()>>(
+          [next, held] { next(std::move(*held)); })});
     });
   }
-
-  // --- Load
-
-  void Begin(const partition::LoadJournal& request) {
-    load_ = Load{request.epoch, std::nullopt, {}, {}};
-    store_.Send(store::Get{ManifestKey(partition_),
-                           Back<store::GetReply>([](store::GetReply r) {
-                             return ManifestRead{std::move(r)};
-                           })});
+  void Get(std::string key, std::function<void(store::GetReply)> next) {
+    store_.Send(
+        store::Get{std::move(key), Then<store::GetReply>(std::move(next))});
   }
-
-  void On(ManifestRead& read) {
-    if (!load_) return;
-    const auto* value = std::get_if<store::Value>(&read.reply);
-    if (value == nullptr) return FailLoad();
-    manifest_version_ = store::kAbsent;
-    if (value->entry) {
-      manifest_version_ = value->entry->version;
-      auto manifest = codec::Try(
-          [&] { return codec::Decode<Manifest>(value->entry->value); });
-      if (!std::holds_alternative<Manifest>(manifest)) return FailLoad();
-      load_->manifest = std::get<Manifest>(std::move(manifest));
-    }
-    ReadNextChunk();
+  void Put(std::string key, std::string value,
+           std::optional<store::Version> expected,
+           std::function<void(store::WriteReply)> next) {
+    store_.Send(store::Put{std::move(key), std::move(value), expected, "",
+                           Then<store::WriteReply>(std::move(next))});
   }
 
-  void ReadNextChunk() {
-    const auto next = static_cast<int64_t>(load_->chunks.size());
-    if (!load_->manifest || next == load_->manifest->chunks) {
-      ListSlots("");
-      return;
-    }
-    store_.Send(store::Get{ChunkKey(partition_, load_->manifest->id, next),
-                           Back<store::GetReply>([](store::GetReply r) {
-                             return ChunkRead{std::move(r)};
-                           })});
+  // --- Loading
+  void On(LoadJournal request);
+  void StartLoad(Load load);
+  void OnManifest(int64_t serial, const store::GetReply& reply);
+  void ReadChunks();
+  void OnChunk(int64_t serial, const store::GetReply& reply);
+  void ReadBatches();
+  void OnBatches(int64_t serial, const store::ListReply& reply);
+  void Retry();
+  void FailLoad();
+  bool IsCurrent(int64_t serial) const {
+    return load_ && load_->serial == serial;
   }
 
-  void On(ChunkRead& read) {
-    if (!load_) return;
-    auto* value = std::get_if<store::Value>(&read.reply);
-    if (value == nullptr || !value->entry) return FailLoad();
-    load_->chunks.push_back(std::move(value->entry->value));
-    ReadNextChunk();
-  }
+  // --- Appending
+  void On(const AppendBatch& request);
+  void On(ReadBack request);
+  void OnAppendReply(const Batch& batch, store::WriteReply reply);
+  void OnReadBack(const ReadBack& request, store::GetReply reply);
+  partition::Event Found(Epoch epoch, int64_t number,
+                         const std::optional<store::Entry>& entry);
+  int64_t SlotOf(int64_t number) const { return number % options_.slots; }
 
-  void ListSlots(const std::string& from) {
-    store::List list{SlotPrefix(partition_), from, kPageSlots, {}};
-    list.reply_to = Back<store::ListReply>(
-        [](store::ListReply r) { return SlotsListed{std::move(r)}; });
-    store_.Send(std::move(list));
-  }
+  // --- Snapshots
+  void On(const WriteSnapshot& request);
+  void WriteChunks();
+  void WriteManifest();
+  void OnManifestWritten(store::WriteReply reply);
+  void SettleManifest();
+  void Saved();
+  void RemoveOlderChunks();
+  void FinishSave(bool ok);
+
+  const Options options_;
+  const PartitionId partition_;
+  task::Address<store::Request> store_;
+  task::Address<partition::Event> owner_;
 
-  void On(SlotsListed& listed) {
-    if (!load_) return;
-    const auto* page = std::get_if<store::Listing>(&listed.reply);
-    if (page == nullptr) return FailLoad();
-    for (const store::Entry& entry : page->entries) {
-      std::optional<partition::Batch> batch = DecodeBatch(entry.value);
-      if (!batch) return FailLoad();
-      versions_[batch->number % kSlots] = entry.version;
-      load_->batches.push_back(*std::move(batch));
-    }
-    if (static_cast<int64_t>(page->entries.size()) < kPageSlots) {
-      FinishLoad();
-      return;
-    }
-    // The least key above the last one.
-    ListSlots(page->entries.back().key + '\0');
-  }
+  std::optional<Load> load_;
+  int64_t last_serial_ = 0;
+  std::optional<Save> save_;
 
-  void FinishLoad() {
-    Load load = *std::exchange(load_, std::nullopt);
-    partition::JournalLoaded loaded{load.epoch, std::nullopt, {}};
-    covered_ = 0;
-    if (load.manifest) {
-      loaded.snapshot = DecodeSnapshot(
-          load.manifest->through, load.manifest->next_job_number, load.chunks);
-      if (!loaded.snapshot) {
-        owner_.Send(partition::LoadFailed{load.epoch});
-        return;
-      }
-      covered_ = load.manifest->through;
-      current_ = load.manifest;
-    }
-    for (partition::Batch& batch : load.batches) {
-      if (batch.number > covered_) loaded.batches.push_back(std::move(batch));
-    }
-    std::sort(loaded.batches.begin(), loaded.batches.end(),
-              [](const auto& a, const auto& b) { return a.number < b.number; });
-    owner_.Send(std::move(loaded));
-  }
+  // As seen by the load and by our own writes, never from a conflict: the
+  // version that the slot had when all before was part of our journal.
+  std::map<int64_t, store::Version> slots_;
+  std::optional<Batch> written_;  // The last batch that we tried to append.
+  store::Version manifest_version_ = store::kAbsent;
+  int64_t through_ = 0;  // Of the manifest known to us.
 
-  void FailLoad() {
-    const Epoch epoch = load_->epoch;
-    load_.reset();
-    owner_.Send(partition::LoadFailed{epoch});
-  }
+  task::Mailbox<Message> mailbox_;  // Last, so that it ends first.
+};
+
+// ---------------------------------------------------------------------------
+// Loading
+
+void Writer::Impl::On(LoadJournal request) {
+  Load load;
+  load.epoch = request.epoch;
+  save_.reset();
+  StartLoad(std::move(load));
+}
 
-  // --- Appends
+void Writer::Impl::StartLoad(Load load) {
+  load.serial = ++last_serial_;
+  load.manifest.reset();
+  load.snapshot = Snapshot();
+  load.chunks = 0;
+  load_ = std::move(load);
+  Get(ManifestKey(partition_),
+      [this, serial = load_->serial](const store::GetReply& reply) {
+        OnManifest(serial, reply);
+      });
+}
 
-  void Begin(const partition::AppendBatch& request) {
-    const partition::Batch& batch = request.batch;
-    if (batch.number - kSlots > covered_) {
-      LOG(WARNING) << "journal full partition=" << partition_.value()
-                   << " number=" << batch.number << " snapshot=" << covered_;
-      owner_.Send(partition::AppendUnavailable{batch.epoch, batch.number});
+void Writer::Impl::OnManifest(int64_t serial, const store::GetReply& reply) {
+  if (!IsCurrent(serial)) return;
+  const auto* value = std::get_if<store::Value>(&reply);
+  if (value == nullptr) {
+    FailLoad();
+    return;
+  }
+  load_->manifest_version = store::kAbsent;
+  if (value->entry) {
+    load_->manifest_version = value->entry->version;
+    load_->manifest =
+        Readable<Manifest>([&] { return DecodeManifest(value->entry->value); });
+    if (!load_->manifest) {
+      FailLoad();
       return;
     }
-    store::Put put;
-    put.key = SlotKey(partition_, batch.number);
-    put.value = EncodeBatch(batch);
-    put.expected = VersionOf(batch.number);
-    put.reply_to = Back<store::WriteReply>(
-        [epoch = batch.epoch, number = batch.number](store::WriteReply r) {
-          return BatchWritten{epoch, number, std::move(r)};
-        });
-    store_.Send(std::move(put));
+    load_->snapshot.through = load_->manifest->through;
+    load_->snapshot.next_job_number = load_->manifest->next_job_number;
   }
+  ReadChunks();
+}
 
-  void On(BatchWritten& written) {
-    std::visit(
-        Visitor{
-            [&](const store::Written& done) {
-              versions_[written.number % kSlots] = done.version;
-              owner_.Send(partition::Appended{written.epoch, written.number});
-            },
-            [&](const store::Conflict& conflict) {
-              Found(written.epoch, written.number, conflict.current);
-            },
-            [&](const store::Error& error) {
-              if (error.code == store::ErrorCode::kOutcomeUnknown) {
-                owner_.Send(
-                    partition::AppendUnknown{written.epoch, written.number});
-              } else {
-                owner_.Send(partition::AppendUnavailable{written.epoch,
-                                                         written.number});
-              }
-            },
-        },
-        written.reply);
+void Writer::Impl::ReadChunks() {
+  const int64_t chunks = load_->manifest ? load_->manifest->chunks : 0;
+  if (load_->chunks >= chunks) {
+    ReadBatches();
+    return;
   }
+  const Manifest& manifest = *load_->manifest;
+  Get(ChunkKey(partition_, manifest.epoch, manifest.through, load_->chunks),
+      [this, serial = load_->serial](const store::GetReply& reply) {
+        OnChunk(serial, reply);
+      });
+}
 
-  void Begin(const partition::ReadBack& request) {
-    store_.Send(store::Get{
-        SlotKey(partition_, request.number),
-        Back<store::GetReply>([epoch = request.epoch,
-                               number = request.number](store::GetReply r) {
-          return SlotRead{epoch, number, std::move(r)};
-        })});
+void Writer::Impl::OnChunk(int64_t serial, const store::GetReply& reply) {
+  if (!IsCurrent(serial)) return;
+  const auto* value = std::get_if<store::Value>(&reply);
+  if (value == nullptr) {
+    FailLoad();
+    return;
   }
-
-  void On(SlotRead& read) {
-    std::visit(Visitor{
-                   [&](const store::Value& value) {
-                     Found(read.epoch, read.number, value.entry);
-                   },
-                   [&](const store::Error&) {
-                     owner_.Send(
-                         partition::AppendUnavailable{read.epoch, read.number});
-                   },
-               },
-               read.reply);
+  if (!value->entry) {
+    Retry();  // Replaced by a newer snapshot meanwhile.
+    return;
   }
-
-  // What the slot of `number` holds. An older batch means that nothing is
-  // there yet: what was in the ring before.
-  void Found(Epoch epoch, int64_t number,
-             const std::optional<store::Entry>& entry) {
-    versions_[number % kSlots] = entry ? entry->version : store::kAbsent;
-    std::optional<partition::Batch> there;
-    if (entry) {
-      there = DecodeBatch(entry->value);
-      if (!there) {
-        owner_.Send(partition::AppendUnavailable{epoch, number});
-        return;
-      }
-      if (there->number < number) there.reset();
-    }
-    owner_.Send(partition::AppendFound{epoch, number, std::move(there)});
-  }
-
-  store::Version VersionOf(int64_t number) const {
-    const auto found = versions_.find(number % kSlots);
-    return found == versions_.end() ? store::kAbsent : found->second;
+  const auto decoded = Readable<bool>([&]() -> leaf::result<bool> {
+    BOOST_LEAF_CHECK(DecodeChunk(value->entry->value, load_->snapshot));
+    return true;
+  });
+  if (!decoded) {
+    FailLoad();
+    return;
   }
+  ++load_->chunks;
+  ReadChunks();
+}
 
-  // --- Snapshots
+void Writer::Impl::ReadBatches() {
+  store_.Send(store::List{
+      BatchPrefix(partition_), "", options_.slots + 1,
+      Then<store::ListReply>(
+          [this, serial = load_->serial](const store::ListReply& reply) {
+            OnBatches(serial, reply);
+          })});
+}
 
-  void Begin(const partition::WriteSnapshot& request) {
-    const partition::Snapshot& snapshot = request.snapshot;
-    Snapshotting job;
-    job.epoch = request.epoch;
-    job.chunks = EncodeSnapshot(snapshot, kMaxChunkBytes);
-    // The same name for each try, so that a try writes over the one before.
-    job.manifest = {snapshot.through, snapshot.next_job_number,
-                    std::to_string(snapshot.through) + "-" +
-                        std::to_string(request.epoch.value),
-                    static_cast<int64_t>(job.chunks.size())};
-    snapshotting_ = std::move(job);
-    WriteNextChunk();
+void Writer::Impl::OnBatches(int64_t serial, const store::ListReply& reply) {
+  if (!IsCurrent(serial)) return;
+  const auto* listing = std::get_if<store::Listing>(&reply);
+  if (listing == nullptr) {
+    FailLoad();
+    return;
   }
-
-  void WriteNextChunk() {
-    Snapshotting& job = *snapshotting_;
-    store::Put put;
-    if (job.written == job.chunks.size()) {
-      put.key = ManifestKey(partition_);
-      put.value = codec::Write(job.manifest).dump();
-      put.expected = manifest_version_;
-      put.reply_to = Back<store::WriteReply>(
-          [manifest = job.manifest](store::WriteReply r) {
-            return ManifestWritten{manifest, std::move(r)};
-          });
-    } else {
-      put.key = ChunkKey(partition_, job.manifest.id,
-                         static_cast<int64_t>(job.written));
-      put.value = job.chunks[job.written];
-      put.reply_to = Back<store::WriteReply>(
-          [](store::WriteReply r) { return ChunkWritten{std::move(r)}; });
+  std::map<int64_t, store::Version> slots;
+  std::map<int64_t, Batch> batches;
+  for (const store::Entry& entry : listing->entries) {
+    std::optional<Batch> batch = ReadableBatch(entry.value);
+    if (!batch) {
+      FailLoad();
+      return;
     }
-    store_.Send(std::move(put));
+    const int64_t number = batch->number;
+    slots[SlotOf(number)] = entry.version;
+    if (number > load_->snapshot.through) batches[number] = *std::move(batch);
   }
-
-  // A chunk whose write is not known to have happened is written again by the
-  // owner's next try, under the same name.
-  void On(ChunkWritten& written) {
-    if (!std::holds_alternative<store::Written>(written.reply)) {
-      FinishSnapshot(false);
+  int64_t next = load_->snapshot.through + 1;
+  partition::JournalLoaded loaded{load_->epoch, std::nullopt, {}};
+  for (auto& [number, batch] : batches) {
+    if (number != next++) {
+      Retry();
       return;
     }
-    ++snapshotting_->written;
-    WriteNextChunk();
+    loaded.batches.push_back(std::move(batch));
   }
+  if (load_->manifest) loaded.snapshot = std::move(load_->snapshot);
+  slots_ = std::move(slots);
+  manifest_version_ = load_->manifest_version;
+  through_ = load_->manifest ? load_->manifest->through : 0;
+  load_.reset();
+  owner_.Send(std::move(loaded));
+}
 
-  void On(ManifestWritten& written) {
-    std::visit(Visitor{
-                   [&](const store::Written& done) {
-                     TakeManifest(written.manifest, done.version);
-                     RemoveOrphans(EpochOf(written.manifest.id));
-                     FinishSnapshot(true);
-                   },
-                   [&](const store::Conflict& conflict) {
-                     FinishSnapshot(IsOurs(conflict, written.manifest));
-                   },
-                   [&](const store::Error&) { FinishSnapshot(false); },
-               },
-               written.reply);
+void Writer::Impl::Retry() {
+  if (++load_->attempts >= options_.load_attempts) {
+    FailLoad();
+    return;
   }
+  StartLoad(*std::move(load_));
+}
 
-  // Whether an earlier try of ours took effect though its answer was lost. A
-  // former owner's manifest is valid too: the next try replaces it. A later
-  // owner's is not ours to replace.
-  bool IsOurs(const store::Conflict& conflict, const Manifest& manifest) {
-    if (!conflict.current) return false;
-    auto there = codec::Try(
-        [&] { return codec::Decode<Manifest>(conflict.current->value); });
-    const auto* decoded = std::get_if<Manifest>(&there);
-    if (decoded == nullptr) return false;
-    if (EpochOf(decoded->id) > EpochOf(manifest.id)) return false;
-    TakeManifest(*decoded, conflict.current->version);
-    return decoded->id == manifest.id;
-  }
+void Writer::Impl::FailLoad() {
+  const Epoch epoch = load_->epoch;
+  load_.reset();
+  owner_.Send(partition::LoadFailed{epoch});
+}
 
-  void TakeManifest(const Manifest& manifest, store::Version version) {
-    manifest_version_ = version;
-    covered_ = std::max(covered_, manifest.through);
-    if (current_ && current_->id != manifest.id) RemoveChunks(*current_);
-    current_ = manifest;
-  }
+// ---------------------------------------------------------------------------
+// Appending
 
-  void FinishSnapshot(bool ok) {
-    const Snapshotting job = *std::exchange(snapshotting_, std::nullopt);
-    owner_.Send(
-        partition::SnapshotWritten{job.epoch, job.manifest.through, ok});
+void Writer::Impl::On(const AppendBatch& request) {
+  const Batch& batch = request.batch;
+  // The batch that this one would replace may be needed for a load.
+  if (batch.number > through_ + options_.slots) {
+    owner_.Send(AppendUnavailable{batch.epoch, batch.number});
+    return;
   }
+  written_ = batch;
+  const int64_t slot = SlotOf(batch.number);
+  auto known = slots_.find(slot);
+  const store::Version expected =
+      known == slots_.end() ? store::kAbsent : known->second;
+  Put(BatchKey(partition_, slot), EncodeBatch(batch), expected,
+      [this, batch](store::WriteReply reply) {
+        OnAppendReply(batch, std::move(reply));
+      });
+}
 
-  void RemoveChunks(const Manifest& manifest) {
-    for (int64_t chunk = 0; chunk < manifest.chunks; ++chunk) {
-      store_.Send(store::Delete{
-          ChunkKey(partition_, manifest.id, chunk), std::nullopt, {}});
-    }
+void Writer::Impl::OnAppendReply(const Batch& batch, store::WriteReply reply) {
+  std::visit(
+      Visitor{[&](const store::Written& written) {
+                slots_[SlotOf(batch.number)] = written.version;
+                owner_.Send(partition::Appended{batch.epoch, batch.number});
+              },
+              [&](const store::Conflict& conflict) {
+                owner_.Send(Found(batch.epoch, batch.number, conflict.current));
+              },
+              [&](const store::Error& error) {
+                if (error.code == store::ErrorCode::kOutcomeUnknown) {
+                  owner_.Send(AppendUnknown{batch.epoch, batch.number});
+                } else {
+                  owner_.Send(AppendUnavailable{batch.epoch, batch.number});
+                }
+              }},
+      reply);
+}
+
+void Writer::Impl::On(ReadBack request) {
+  Get(BatchKey(partition_, SlotOf(request.number)),
+      [this, request](store::GetReply reply) {
+        OnReadBack(request, std::move(reply));
+      });
+}
+
+void Writer::Impl::OnReadBack(const ReadBack& request, store::GetReply reply) {
+  if (const auto* value = std::get_if<store::Value>(&reply)) {
+    owner_.Send(Found(request.epoch, request.number, value->entry));
+  } else {
+    owner_.Send(AppendUnavailable{request.epoch, request.number});
   }
+}
 
-  // --- Chunks that no manifest names
-  //
-  // Once our manifest is in force no former owner can write one any more, so
-  // that chunks of lower epochs beside it are of no use to anybody. Chunks of
-  // higher epochs are left alone: we may have been overtaken.
-
-  void RemoveOrphans(int64_t epoch) {
-    if (orphans_removed_) return;
-    orphans_removed_ = true;
-    store::List list{SnapshotPrefix(partition_), "", kPageSlots, {}};
-    list.reply_to = Back<store::ListReply>([epoch](store::ListReply r) {
-      return ChunksListed{epoch, std::move(r)};
-    });
-    store_.Send(std::move(list));
+// What a slot holds, as an answer about batch `number`. An older batch means
+// that number is not there.
+partition::Event Writer::Impl::Found(Epoch epoch, int64_t number,
+                                     const std::optional<store::Entry>& entry) {
+  if (!entry) return AppendFound{epoch, number, std::nullopt};
+  std::optional<Batch> there = ReadableBatch(entry->value);
+  if (!there) return AppendUnknown{epoch, number};
+  if (there->number < number) return AppendFound{epoch, number, std::nullopt};
+  const bool ours = written_ && there->number == written_->number &&
+                    there->epoch == written_->epoch &&
+                    there->nonce == written_->nonce;
+  // A former owner's last batch, which our fencing append ran into, becomes
+  // part of the journal, and its slot of what we have seen.
+  const bool former = there->number == number && there->epoch < epoch;
+  if (ours || former) slots_[SlotOf(number)] = entry->version;
+  return AppendFound{epoch, number, std::move(there)};
+}
+
+// ---------------------------------------------------------------------------
+// Snapshots
+
+void Writer::Impl::On(const WriteSnapshot& request) {
+  Save save;
+  save.manifest = {request.epoch, request.snapshot.through,
+                   request.snapshot.next_job_number, 0};
+  save.chunks = EncodeChunks(request.snapshot, options_.chunk_bytes);
+  save.manifest.chunks = std::ssize(save.chunks);
+  save_ = std::move(save);
+  WriteChunks();
+}
+
+void Writer::Impl::WriteChunks() {
+  if (save_->written == save_->chunks.size()) {
+    WriteManifest();
+    return;
   }
+  const Manifest& manifest = save_->manifest;
+  const size_t index = save_->written++;
+  Put(ChunkKey(partition_, manifest.epoch, manifest.through,
+               static_cast<int64_t>(index)),
+      std::move(save_->chunks[index]), std::nullopt,
+      [this, epoch = manifest.epoch](const store::WriteReply& reply) {
+        if (!save_ || save_->manifest.epoch != epoch) return;
+        if (std::holds_alternative<store::Written>(reply)) {
+          WriteChunks();
+        } else {
+          FinishSave(false);
+        }
+      });
+}
 
-  void On(ChunksListed& listed) {
-    const auto* page = std::get_if<store::Listing>(&listed.reply);
-    if (page == nullptr) return;
-    const size_t prefix = SnapshotPrefix(partition_).size();
-    for (const store::Entry& entry : page->entries) {
-      const std::string name = entry.key.substr(prefix);
-      const size_t slash = name.find('/');
-      if (slash == std::string::npos) continue;
-      if (EpochOf(name.substr(0, slash)) >= listed.epoch) continue;
-      store_.Send(store::Delete{entry.key, entry.version, {}});
-    }
+void Writer::Impl::WriteManifest() {
+  Put(ManifestKey(partition_), EncodeManifest(save_->manifest),
+      manifest_version_,
+      [this, epoch = save_->manifest.epoch](store::WriteReply reply) {
+        if (save_ && save_->manifest.epoch == epoch) {
+          OnManifestWritten(std::move(reply));
+        }
+      });
+}
+
+void Writer::Impl::OnManifestWritten(store::WriteReply reply) {
+  if (const auto* written = std::get_if<store::Written>(&reply)) {
+    manifest_version_ = written->version;
+    Saved();
+    return;
   }
+  const auto* error = std::get_if<store::Error>(&reply);
+  if (error != nullptr && error->code != store::ErrorCode::kOutcomeUnknown) {
+    FinishSave(false);
+    return;
+  }
+  SettleManifest();
+}
 
-  const PartitionId partition_;
-  const task::Address<store::Request> store_;
-  const task::Address<partition::Event> owner_;
-  std::map<int64_t, store::Version> versions_;  // By slot; absent: no key.
-  store::Version manifest_version_ = store::kAbsent;
-  std::optional<Manifest> current_;  // In force as far as we know.
-  int64_t covered_ = 0;              // Batches up to here are in a snapshot.
-  bool orphans_removed_ = false;
-  std::optional<Load> load_;
-  std::optional<Snapshotting> snapshotting_;
-  task::Mailbox<Inbox> mailbox_;
-};
+// Reads what counts now: ours, or a former owner's that may be replaced.
+void Writer::Impl::SettleManifest() {
+  Get(ManifestKey(partition_),
+      [this, epoch = save_->manifest.epoch](const store::GetReply& reply) {
+        if (!save_ || save_->manifest.epoch != epoch) return;
+        const auto* value = std::get_if<store::Value>(&reply);
+        if (value == nullptr || !value->entry) {
+          FinishSave(false);
+          return;
+        }
+        const auto there = Readable<Manifest>(
+            [&] { return DecodeManifest(value->entry->value); });
+        const Manifest& ours = save_->manifest;
+        const bool former = there && there->epoch <= ours.epoch;
+        if (former && there->epoch == ours.epoch &&
+            there->through == ours.through) {
+          manifest_version_ = value->entry->version;
+          Saved();
+        } else if (former && there->through < ours.through && !save_->retried) {
+          save_->retried = true;
+          manifest_version_ = value->entry->version;
+          WriteManifest();
+        } else {
+          FinishSave(false);
+        }
+      });
+}
+
+void Writer::Impl::Saved() {
+  through_ = std::max(through_, save_->manifest.through);
+  RemoveOlderChunks();
+  FinishSave(true);
+}
 
-Writer::Writer(task::Loop& loop, PartitionId partition,
+// Keys sort by epoch, then by reach. A removal that fails is made up for by the
+// next snapshot's.
+void Writer::Impl::RemoveOlderChunks() {
+  const std::string own =
+      ChunkKey(partition_, save_->manifest.epoch, save_->manifest.through, 0);
+  store_.Send(store::List{
+      SnapshotPrefix(partition_), "", 1'000,
+      Then<store::ListReply>([this, own](const store::ListReply& reply) {
+        const auto* listing = std::get_if<store::Listing>(&reply);
+        if (listing == nullptr) return;
+        for (const store::Entry& entry : listing->entries) {
+          if (entry.key < own) {
+            store_.Send(store::Delete{entry.key, std::nullopt, {}});
+          }
+        }
+      })});
+}
+
+void Writer::Impl::FinishSave(bool ok) {
+  const Manifest manifest = save_->manifest;
+  save_.reset();
+  owner_.Send(partition::SnapshotWritten{manifest.epoch, manifest.through, ok});
+}
+
+// ---------------------------------------------------------------------------
+
+Writer::Writer(task::Loop& loop, Options options, PartitionId partition,
                task::Address<store::Request> store,
                task::Address<partition::Event> owner)
-    : impl_(std::make_shared<Impl>(loop, std::move(partition), std::move(store),
-                                   std::move(owner))) {}
-
+    : impl_(std::make_unique<Impl>(loop, options, std::move(partition),
+                                   std::move(store), std::move(owner))) {}
 Writer::~Writer() = default;
 
 task::Address<Request> Writer::address() const { return impl_->address(); }
--- a/azurepass/scheduling/internal/partition_task.cc
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -105,7 +105,7 @@
   const task::Address<Inbox> inbox = mailbox_.address();
   const Epoch epoch = epoch_;
   writer_ = std::make_unique<journal::Writer>(
-      loop_, options_.partition.id, peers_.store,
+      loop_, journal::Options{}, options_.partition.id, peers_.store,
       inbox.Map<partition::Event>([epoch](partition::Event event) {
         return Inbox(ForOwner{epoch, std::move(event)});
       }));
