Fake store: a use after free when all leases expire; asan build of a test

The address sanitizer found that ExpireLeases passed a key of the map whose entry it erases; the agent's test of an expired lease shows it. g++ 12 under the sanitizers' options also called a variant's move in keeper_test.cc maybe uninitialized; a named address avoids that form.

All six test binaries of entry, configuration and membership now pass under the address and undefined sanitizers, one run each.

--- a/azurepass/configuration/keeper_test.cc
+++ b/azurepass/configuration/keeper_test.cc
@@ -103,7 +103,8 @@
       changed.peers.push_back({MemberId("m" + std::to_string(index)),
                                AddressOf(index), /*gone=*/false});
     }
-    keepers_[to]->address().Send(std::move(changed));
+    const task::Address<PeersChanged> address = keepers_[to]->address();
+    address.Send(std::move(changed));
   }
 
   std::vector<std::unique_ptr<Inbox<Update>>> inboxes_;
--- a/azurepass/testing/fake_store.cc
+++ b/azurepass/testing/fake_store.cc
@@ -83,7 +83,10 @@
                 compacted_ = revision_;
               },
               [this](const ExpireLeases&) {
-                while (!leases_.empty()) RemoveLease(leases_.begin()->first);
+                while (!leases_.empty()) {
+                  const std::string id = leases_.begin()->first;
+                  RemoveLease(id);
+                }
               },
               [this](const CountRequests& c) { c.reply_to.Send(requests_); }},
       control);
--- a/azurepass/testing/fake_store.h
+++ b/azurepass/testing/fake_store.h
@@ -100,6 +100,7 @@
   std::optional<store::Conflict> Check(const std::string& key,
                                        std::optional<store::Version> expected);
   void Record(const std::string& key, std::optional<store::Entry> entry);
+  // `lease` must not be part of leases_: its entry is erased.
   void RemoveLease(const std::string& lease);
   void ExpireOld();
   store::Changes ChangesAfter(const store::Watch& watch) const;
