A session opened during a failing append is proven later

Cause: the write that a new session asks for became one with the batch in flight when that batch was dissolved, so the batch of the number waited for was never written. Change: while sessions are not proven, each commit asks for another write.

--- a/azurepass/partition/owner_journal.cc
+++ b/azurepass/partition/owner_journal.cc
@@ -176,6 +176,9 @@
     SetAdmission(worker);
     it = unproven_.erase(it);
   }
+  // The write that was asked for may have become one with a batch that was
+  // dissolved, so that no other follows by itself.
+  if (!unproven_.empty()) commit_.RequireWrite();
 }
 
 Sequence Owner::Impl::Decide(Record record) {
--- a/azurepass/partition/owner_test.cc
+++ b/azurepass/partition/owner_test.cc
@@ -192,6 +192,23 @@
   CHECK(d.LastRefusal().effect == Effect::kNotRun);
 }
 
+// The proof's own write became one with the batch that was dissolved.
+TEST_CASE("a session opened during a failing append is proven later") {
+  Driver d;
+  d.Own();
+  d.Submit(1, "r1", Spec());
+  const int64_t number = d.Last<AppendBatch>().batch.number;
+  d.Do(WorkerSessionOpened{kVm, Epoch{3}, {}});
+  d.Do(AppendUnavailable{Epoch{3}, number});
+  d.now += seconds(1);
+  d.Do(Tick{});
+  d.Append();
+  CHECK(d.Count<SendOrders>() == 0);
+  CHECK(d.Last<AppendBatch>().batch.number == number + 1);
+  d.Append();
+  CHECK(d.Count<SendOrders>() == 1);
+}
+
 TEST_CASE("a late answer to an earlier ownership settles nothing") {
   Driver d;
   d.Own();
