--- a/azurepass/cli/cli_test.cc
+++ b/azurepass/cli/cli_test.cc
@@ -66,8 +66,8 @@
   std::string err;
 };
 
-Ran RunWith(const std::vector<std::string>& arguments, Options options = {},
-            const std::string& input = "") {
+Ran RunWith(const std::vector<std::string>& arguments,
+            const Options& options = {}, const std::string& input = "") {
   std::istringstream in(input);
   std::ostringstream out;
   std::ostringstream err;
--- a/azurepass/cli/internal/output.h
+++ b/azurepass/cli/internal/output.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "azurepass/cli/cli.h"
@@ -16,7 +17,9 @@
 // elsewhere nothing is cut, and there is one space-separated row a line.
 class Table {
  public:
-  explicit Table(std::vector<std::string> head) { rows_.push_back(head); }
+  explicit Table(std::vector<std::string> head) {
+    rows_.push_back(std::move(head));
+  }
   void Add(std::vector<std::string> row) { rows_.push_back(std::move(row)); }
   // `columns` of the terminal, if it is one.
   std::string ToString(std::optional<int> columns) const;
--- a/azurepass/routing/status_round.cc
+++ b/azurepass/routing/status_round.cc
@@ -46,6 +46,7 @@
   status.leaving = member.record.leaving;
   status.suspected = member.suspected;
   if (member.news) status.revision = member.news->revision;
+  if (status.member == status_.answered_by) status.revision = status_.revision;
   auto heard = heard_.find(status.member);
   if (heard != heard_.end() && heard->second) {
     status.answered = true;
