Meet what owner and endpoint ask of each other; evidence from ended processes

Cause: the owner's safety argument needs of the daemon: a start is not sent once it is older than its validity; no update of a closed session reaches the owner; the VM list says when it was asked for; peers are passed on only once the member list was read. And an outage of the store during which one of our processes dies left no evidence, so that the others stopped work for good. Metrics of the scheduler. Ruled out: counting any silent peer as gone, which a cut would satisfy.

--- a/azurepass/configuration/configuration.h
+++ b/azurepass/configuration/configuration.h
@@ -172,6 +172,9 @@
   void OnPeerAnswered(const PeerAnswer& answer, MonotonicTime sent);
   // All other members, as of some contact with the store.
   void SetPeers(std::vector<Peer> peers);
+  // No process listens at a peer's address, tried at `sent`: the peer counts as
+  // gone for max_age from then.
+  void OnPeerRefused(const MemberId& peer, MonotonicTime sent);
   // A change of this revision is known to be accepted.
   void OnAccepted(Revision revision);
 
@@ -204,8 +207,9 @@
   std::optional<MonotonicTime> confirmed_at_;
   bool last_request_failed_ = false;
   Revision accepted_;
-  std::optional<std::vector<Peer>> peers_;  // Empty until known.
-  std::map<MemberId, Witness> witnesses_;   // The newest answer of each.
+  std::optional<std::vector<Peer>> peers_;     // Empty until known.
+  std::map<MemberId, Witness> witnesses_;      // The newest answer of each.
+  std::map<MemberId, MonotonicTime> refused_;  // Not answered since.
 };
 
 // ---------------------------------------------------------------------------
--- a/azurepass/configuration/freshness.cc
+++ b/azurepass/configuration/freshness.cc
@@ -55,12 +55,17 @@
   OnAccepted(answer.revision);
   Witness& witness = witnesses_[answer.member];
   if (witness.sent > sent) return;
+  refused_.erase(answer.member);
   witness = {sent, answer.in_contact, std::nullopt};
   // Above max_age it confirms nothing, and max() would overflow below.
   if (answer.store_contact_age > max_age_) return;
   witness.confirmed_at = sent - answer.store_contact_age;
 }
 
+void Freshness::OnPeerRefused(const MemberId& peer, MonotonicTime sent) {
+  refused_[peer] = sent;
+}
+
 void Freshness::SetPeers(std::vector<Peer> peers) { peers_ = std::move(peers); }
 
 void Freshness::OnAccepted(Revision revision) {
@@ -104,7 +109,9 @@
 // A list of which nobody answered is no evidence: all of it may have been
 // replaced by members that are not known here. A member that is gone counts
 // only if it had said, since we ourselves lost contact, that it had none:
-// otherwise it may have had a change accepted that it could tell nobody.
+// otherwise it may have had a change accepted that it could tell nobody. A
+// member whose process does not listen is gone as long as that is recent: it
+// may be started again.
 std::optional<Freshness::Decision> Freshness::DecideByOutage(
     MonotonicTime now) const {
   if (!peers_) return std::nullopt;
@@ -115,7 +122,11 @@
     if (found == witnesses_.end()) return std::nullopt;
     const Witness& witness = found->second;
     if (witness.in_contact) return std::nullopt;
-    if (peer.gone && (!confirmed_at_ || witness.sent > *confirmed_at_)) {
+    const bool said = !confirmed_at_ || witness.sent > *confirmed_at_;
+    if (peer.gone && said) continue;
+    const auto refused = refused_.find(peer.member);
+    if (refused != refused_.end() && said) {
+      oldest = std::min(oldest, refused->second);
       continue;
     }
     oldest = std::min(oldest, witness.sent);
--- a/azurepass/configuration/freshness_test.cc
+++ b/azurepass/configuration/freshness_test.cc
@@ -114,6 +114,26 @@
     freshness.OnStoreConfirmed(At(600));
     CHECK(Is<Stale>(freshness, 5, 9'010));
   }
+  SUBCASE("one ended after it had said that it had no contact") {
+    Freshness freshness = with_peers({PeerOf("a"), PeerOf("b")});
+    freshness.OnStoreConfirmed(At(0));
+    freshness.OnPeerAnswered(without("b"), At(500));
+    freshness.OnPeerAnswered(without("a"), At(9'000));
+    CHECK(Is<Stale>(freshness, 5, 9'010));
+    freshness.OnPeerRefused(MemberId("b"), At(8'000));
+    CHECK(Is<OutageEvident>(freshness, 5, 10'999));
+    CHECK(Is<Stale>(freshness, 5, 11'000));  // It may be back by now.
+    freshness.OnPeerAnswered(AnswerOf("b", 5, kMaxAge * 2, true), At(9'500));
+    CHECK(Is<Stale>(freshness, 5, 9'600));
+  }
+  SUBCASE("one ended that had said nothing since we had contact") {
+    Freshness freshness = with_peers({PeerOf("a"), PeerOf("b")});
+    freshness.OnPeerAnswered(without("b"), At(500));
+    freshness.OnStoreConfirmed(At(600));
+    freshness.OnPeerAnswered(without("a"), At(9'000));
+    freshness.OnPeerRefused(MemberId("b"), At(9'000));
+    CHECK(Is<Stale>(freshness, 5, 9'010));
+  }
   SUBCASE("no list, an empty one, or one of which all are gone") {
     Freshness unknown(kMaxAge, kContactLimit);
     unknown.OnPeerAnswered(without("a"), At(0));
--- a/azurepass/configuration/keeper.cc
+++ b/azurepass/configuration/keeper.cc
@@ -120,6 +120,10 @@
   }
 
   void OnPulled(Pulled pulled) {
+    const auto* failure = std::get_if<entry::Failure>(&pulled.result);
+    if (failure != nullptr && failure->refused) {
+      freshness_.OnPeerRefused(pulled.peer, pulled.sent);
+    }
     auto* response = std::get_if<entry::Response>(&pulled.result);
     auto* answer = response == nullptr
                        ? nullptr
--- a/azurepass/daemons/scheduler_main.cc
+++ b/azurepass/daemons/scheduler_main.cc
@@ -11,8 +11,11 @@
 #include <glog/logging.h>
 
 #include <cstdio>
+#include <optional>
+#include <vector>
 
 #include "azurepass/daemons/process.h"
+#include "azurepass/metrics/metrics.h"
 #include "azurepass/scheduling/scheduling.h"
 
 ABSL_FLAG(std::string, settings, "", "JSON file of this process");
@@ -59,6 +62,13 @@
                   agent_.address(), keeper_.address()}),
         vm_list_(control_, VmListOptions(all.cell), manager_.address()) {
     incoming_.Connect(manager_.address());
+    if (!all.process.http_address.empty()) {
+      httpserver::Options http;
+      http.address = all.process.http_address;
+      exporter_.emplace(
+          control_, http,
+          std::vector<metrics::Source>{{"scheduling", manager_.address()}});
+    }
     keeper_.address().Send(configuration::Subscribe{manager_.address()});
     agent_.address().Send(membership::Subscribe{manager_.address()});
   }
@@ -74,6 +84,9 @@
     worker_loop_.Start();
   }
   std::string entry_address() const { return entry_.listening_on(); }
+  std::string http_address() const {
+    return exporter_ ? exporter_->listening_on() : "";
+  }
   task::Address<scheduling::Message> manager() const {
     return manager_.address();
   }
@@ -98,6 +111,7 @@
   escrow::Broker broker_;
   scheduling::Manager manager_;
   vmlist::Poller vm_list_;
+  std::optional<metrics::Exporter> exporter_;
 };
 
 // Hands the partitions over, then ends the loop.
@@ -121,7 +135,8 @@
   const daemons::SignalTask signals(decision,
                                     [&] { ShutDown(scheduler, decision); });
   scheduler.Start();
-  std::printf("listening entry=%s\n", scheduler.entry_address().c_str());
+  std::printf("listening entry=%s http=%s\n", scheduler.entry_address().c_str(),
+              scheduler.http_address().c_str());
   std::fflush(stdout);
   LOG(INFO) << "started member=" << all->process.member.value()
             << " entry=" << scheduler.entry_address();
--- a/azurepass/endpoint/endpoint.h
+++ b/azurepass/endpoint/endpoint.h
@@ -108,7 +108,10 @@
   Duration lease_margin{1'000};  // Added before a lapsed lease is trusted.
   Duration hold{4'000};          // How long a worker holds an empty answer.
   Duration request_timeout{2'000};  // Beyond the hold.
-  Duration retry_delay{250};        // After a failure, doubled up to...
+  // A start that the worker has not taken by then is not sent any more: what
+  // allowed it may have changed. It is never reported.
+  Duration start_validity{2'000};
+  Duration retry_delay{250};  // After a failure, doubled up to...
   Duration retry_delay_max{2'000};
 };
 
--- a/azurepass/endpoint/internal/session.cc
+++ b/azurepass/endpoint/internal/session.cc
@@ -3,7 +3,6 @@
 #include "azurepass/endpoint/internal/session.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace azurepass::endpoint::internal {
@@ -37,8 +36,9 @@
   std::visit(
       Visitor{
           [&](Ordered& ordered) {
-            std::move(ordered.orders.begin(), ordered.orders.end(),
-                      std::back_inserter(orders_));
+            for (Order& order : ordered.orders) {
+              orders_.push_back({std::move(order), now});
+            }
           },
           [&](Answered& answered) { OnAnswered(std::move(answered), now); },
           [&](const FencedBy& fenced) {
@@ -139,17 +139,26 @@
   outputs_.emplace_back(Exchange{Channel::kHeld, std::move(request)});
 }
 
-void Session::SendOrders(MonotonicTime /*now*/) {
-  if (orders_busy_ || orders_waiting_ || orders_.empty()) return;
+void Session::DropLateStarts(MonotonicTime now) {
+  std::erase_if(orders_, [&](const PendingOrder& pending) {
+    return std::holds_alternative<StartTask>(pending.order) &&
+           now - pending.given > options_.start_validity;
+  });
+}
+
+void Session::SendOrders(MonotonicTime now) {
+  if (orders_busy_) return;
+  DropLateStarts(now);
+  if (orders_waiting_ || orders_.empty()) return;
   if (!opened_ || held_failures_ > 0) return;
   orders_sent_ = std::min(orders_.size(), kMaxOrdersPerExchange);
   ExchangeRequest request;
   request.epoch = epoch_;
   request.lease = options_.lease;
   request.token = token_;
-  request.orders.assign(
-      orders_.begin(),
-      orders_.begin() + static_cast<std::ptrdiff_t>(orders_sent_));
+  for (size_t i = 0; i < orders_sent_; ++i) {
+    request.orders.push_back(orders_[i].order);
+  }
   orders_busy_ = true;
   outputs_.emplace_back(Exchange{Channel::kOrders, std::move(request)});
 }
@@ -181,8 +190,8 @@
 
 std::vector<AttemptId> Session::WithPendingStarts(
     std::vector<AttemptId> running) {
-  for (const Order& order : orders_) {
-    const auto* start = std::get_if<StartTask>(&order);
+  for (const PendingOrder& pending : orders_) {
+    const auto* start = std::get_if<StartTask>(&pending.order);
     if (start != nullptr) running.push_back(start->attempt);
   }
   std::sort(running.begin(), running.end());
--- a/azurepass/endpoint/internal/session.h
+++ b/azurepass/endpoint/internal/session.h
@@ -93,6 +93,8 @@
   void Advance(MonotonicTime now);
   void SendHeld(MonotonicTime now);
   void SendOrders(MonotonicTime now);
+  // Drops starts that were given too long ago; no order is under way.
+  void DropLateStarts(MonotonicTime now);
   void TakeToken(ExchangeAnswer& answer, MonotonicTime now);
   void Report(ExchangeAnswer answer);
   std::vector<AttemptId> WithPendingStarts(std::vector<AttemptId> running);
@@ -121,7 +123,11 @@
   bool orders_busy_ = false;
   bool orders_waiting_ = false;
   int orders_failures_ = 0;  // In a row; orders not taken count.
-  std::deque<Order> orders_;
+  struct PendingOrder {
+    Order order;
+    MonotonicTime given;
+  };
+  std::deque<PendingOrder> orders_;
   size_t orders_sent_ = 0;  // Of orders_, the first so many are under way.
 
   std::vector<Output> outputs_;  // Of the event in hand.
--- a/azurepass/endpoint/internal/session_test.cc
+++ b/azurepass/endpoint/internal/session_test.cc
@@ -121,6 +121,19 @@
   CHECK(f.Get<Reachable>(0).running == both);
 }
 
+TEST_CASE("a start that waited too long is not sent, a stop is") {
+  Fixture f;
+  f.Open();
+  CHECK(f.On(Ordered{{Start(1)}}) == "orders-1 ");
+  f.On(Ordered{{Start(2), StopTask{Start(1).attempt, StopKind::kStop}}});
+  f.now += f.options.start_validity;
+  CHECK(f.On(Unanswered{Channel::kOrders}) == "wake ");
+  CHECK(f.On(Woken{Channel::kOrders}) == "orders-3 ");
+  f.now += Duration(1);
+  CHECK(f.On(Unanswered{Channel::kOrders}) == "wake ");
+  CHECK(f.On(Woken{Channel::kOrders}) == "orders-1 ");
+}
+
 TEST_CASE("the end of the lease counts from the receipt of the last token") {
   Fixture f;
   f.Open();
--- a/azurepass/entry/client.cc
+++ b/azurepass/entry/client.cc
@@ -41,11 +41,11 @@
 }
 
 Failure NotSent(std::string message) {
-  return {FailureCode::kNotSent, std::move(message)};
+  return {FailureCode::kNotSent, std::move(message), /*refused=*/false};
 }
 
 Failure NoAnswer(std::string message) {
-  return {FailureCode::kNoAnswer, std::move(message)};
+  return {FailureCode::kNoAnswer, std::move(message), /*refused=*/false};
 }
 
 class ClientConnection {
@@ -125,7 +125,10 @@
     const bool handed =
         call.first_byte.has_value() && *call.first_byte < link_->sent();
     const std::string message = peer_ + ": " + reason;
-    return handed ? NoAnswer(message) : NotSent(message);
+    if (handed) return NoAnswer(message);
+    Failure failure = NotSent(message);
+    failure.refused = refused_;
+    return failure;
   }
 
   void Finish(int32_t stream_id, CallResult result) {
@@ -222,6 +225,7 @@
   const std::string peer_;
   const Listener listener_;
   std::shared_ptr<Link> link_;
+  bool refused_ = false;  // The connection was.
   internal::Source connecting_;
   task::Timer connect_timer_;
   task::Timer deadline_timer_;
@@ -250,6 +254,7 @@
   g_socket_connect(link_->socket(), address.get(), nullptr, &error);
   const bool pending = error == nullptr ||
                        g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING);
+  refused_ = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
   g_clear_error(&error);
   if (!pending) {
     connect_timer_.After(Duration(0),
@@ -266,6 +271,8 @@
   GError* error = nullptr;
   if (g_socket_check_connect_result(link_->socket(), &error) == FALSE) {
     const std::string reason = error->message;
+    refused_ =
+        g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
     g_error_free(error);
     return EndBeforeConnected(reason);
   }
--- a/azurepass/entry/entry.h
+++ b/azurepass/entry/entry.h
@@ -138,6 +138,8 @@
 struct Failure {
   FailureCode code = FailureCode::kNotSent;
   std::string message;
+  // The peer's VM answered that no process listens at the address.
+  bool refused = false;
 };
 using CallResult = std::variant<Response, Failure>;
 
--- a/azurepass/scheduling/internal/partition_task.cc
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -69,7 +69,7 @@
                  [this](ForOwner& event) {
                    if (event.epoch == epoch_) Feed(std::move(event.event));
                  },
-                 [this](endpoint::Update& update) { OnWorker(update); },
+                 [this](FromWorker& from) { OnWorker(from); },
                  [this](const escrow::Granted& granted) { OnGranted(granted); },
              },
              inbox);
@@ -91,7 +91,7 @@
                  },
                  [this](vmlist::Snapshot& snapshot) {
                    vms_ = std::move(snapshot);
-                   Feed(partition::VmListChanged{vms_->vms});
+                   Feed(partition::VmListChanged{vms_->vms, vms_->asked});
                  },
              },
              command);
@@ -112,7 +112,7 @@
   owner_.emplace(options_.owner, options_.partition.id,
                  options_.partition.workers, options_.nonce);
   peers_.broker.Send(escrow::Adopt{options_.partition.id, inbox});
-  if (vms_) Feed(partition::VmListChanged{vms_->vms});
+  if (vms_) Feed(partition::VmListChanged{vms_->vms, vms_->asked});
   TellConfiguration();
   Feed(partition::ClaimWon{epoch_, std::chrono::system_clock::now()});
 }
@@ -127,7 +127,21 @@
   Feed(partition::RequestReceived{token, std::move(job.request), job.deadline});
 }
 
-void PartitionTask::OnWorker(endpoint::Update& update) {
+void PartitionTask::Open(partition::OpenSession& open) {
+  const VmId vm = open.worker.vm;
+  const int64_t session = ++sessions_opened_;
+  sessions_[vm] = session;
+  const task::Address<Inbox> inbox = mailbox_.address();
+  peers_.workers.Send(endpoint::Open{
+      std::move(open.worker), open.epoch,
+      inbox.Map<endpoint::Update>([vm, session](endpoint::Update update) {
+        return Inbox(FromWorker{vm, session, std::move(update)});
+      })});
+}
+
+void PartitionTask::OnWorker(FromWorker& from) {
+  const auto open = sessions_.find(from.vm);
+  if (open == sessions_.end() || open->second != from.session) return;
   std::visit(
       Visitor{
           [this](endpoint::SessionOpened& u) {
@@ -151,7 +165,7 @@
                                                 std::move(u.running)});
           },
       },
-      update);
+      from.update);
 }
 
 void PartitionTask::OnGranted(const escrow::Granted& granted) {
@@ -175,7 +189,10 @@
   const MonotonicTime now = Clock::now();
   TellFreshness(now);
   if (!owner_) return;
-  PerformAll(owner_->Handle(std::move(event), now));
+  std::vector<partition::Action> actions =
+      owner_->Handle(std::move(event), now);
+  handling_.Record(Clock::now() - now);
+  PerformAll(std::move(actions));
 }
 
 void PartitionTask::TellFreshness(MonotonicTime now) {
@@ -200,7 +217,6 @@
 }
 
 void PartitionTask::Perform(partition::Action& action) {
-  const task::Address<Inbox> inbox = mailbox_.address();
   std::visit(
       Visitor{
           [this](partition::LoadJournal& a) { writer_->address().Send(a); },
@@ -211,11 +227,9 @@
           [this](partition::WriteSnapshot& a) {
             writer_->address().Send(std::move(a));
           },
-          [&](partition::OpenSession& a) {
-            peers_.workers.Send(
-                endpoint::Open{std::move(a.worker), a.epoch, inbox});
-          },
+          [this](partition::OpenSession& a) { Open(a); },
           [this](partition::CloseSession& a) {
+            sessions_.erase(a.vm);
             peers_.workers.Send(endpoint::Close{a.vm});
           },
           [this](partition::SendOrders& a) {
@@ -249,7 +263,8 @@
       action);
 }
 
-void PartitionTask::Log(const partition::LogDecision& decision) const {
+void PartitionTask::Log(const partition::LogDecision& decision) {
+  ++decisions_[decision.kind];
   LOG(INFO) << "decision kind=" << decision.kind
             << " partition=" << options_.partition.id.value()
             << " epoch=" << epoch_.value << " task=" << ToString(decision.task)
@@ -290,6 +305,7 @@
   for (const auto& worker : options_.partition.workers) {
     peers_.workers.Send(endpoint::Close{worker.vm});
   }
+  sessions_.clear();
   peers_.broker.Send(escrow::Abandon{options_.partition.id});
   for (auto& [token, responder] : open_requests_) {
     responder.Answer(OwnerLost());
@@ -310,6 +326,9 @@
     notice.owns = owner_->owns();
   }
   notice.status.partition = options_.partition.id;
+  notice.decisions = decisions_;
+  notice.handling_p50 = handling_.Quantile(0.5);
+  notice.handling_p99 = handling_.Quantile(0.99);
   peers_.manager.Send(std::move(notice));
 }
 
--- a/azurepass/scheduling/internal/partition_task.h
+++ b/azurepass/scheduling/internal/partition_task.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -16,6 +17,7 @@
 #include "azurepass/entry/entry.h"
 #include "azurepass/escrow/escrow.h"
 #include "azurepass/journal/journal.h"
+#include "azurepass/metrics/metrics.h"
 #include "azurepass/partition/partition.h"
 #include "azurepass/settings/settings.h"
 #include "azurepass/task/task.h"
@@ -54,6 +56,10 @@
 struct StatusNotice {
   partition::Status status;
   bool owns = false;
+  std::map<std::string, int64_t> decisions;  // Since the start, by kind.
+  // How long the owner took for an event.
+  metrics::Histogram::Elapsed handling_p50{0};
+  metrics::Histogram::Elapsed handling_p99{0};
 };
 using Notice = std::variant<HandedOver, WasDeposed, StatusNotice>;
 
@@ -89,14 +95,21 @@
     Epoch epoch;
     partition::Event event;
   };
-  using Inbox =
-      std::variant<Command, ForOwner, endpoint::Update, escrow::Granted>;
+  // An update of the session with a worker that was the `session`-th opened;
+  // dropped when that one was closed or opened again.
+  struct FromWorker {
+    VmId vm;
+    int64_t session = 0;
+    endpoint::Update update;
+  };
+  using Inbox = std::variant<Command, ForOwner, FromWorker, escrow::Granted>;
 
   void Handle(Inbox inbox);
   void OnCommand(Command& command);
   void OnHold(const Hold& hold);
   void OnJob(JobReceived& job);
-  void OnWorker(endpoint::Update& update);
+  void OnWorker(FromWorker& from);
+  void Open(partition::OpenSession& open);
   void OnGranted(const escrow::Granted& granted);
 
   // Gives the owner an event, after telling it whether starts are permitted at
@@ -106,7 +119,7 @@
   void TellConfiguration();
   void Perform(partition::Action& action);
   void PerformAll(std::vector<partition::Action> actions);
-  void Log(const partition::LogDecision& decision) const;
+  void Log(const partition::LogDecision& decision);
   void Answer(partition::Answer& answer);
   void ReportDemand(const partition::ReportDemand& report);
   // The owner is gone: whoever still waits asks another process.
@@ -126,6 +139,9 @@
   task::Loop& loop_;
   Epoch epoch_;
 
+  std::map<VmId, int64_t> sessions_;  // Open ones, by their numbers.
+  int64_t sessions_opened_ = 0;
+
   std::optional<configuration::Update> configuration_;
   std::optional<vmlist::Snapshot> vms_;
   bool told_may_start_ = false;
@@ -133,6 +149,9 @@
   std::map<TeamId, escrow::Allowance> allowances_;
   std::vector<partition::AllowanceDemand> demands_;
 
+  std::map<std::string, int64_t> decisions_;  // Since the start, by kind.
+  metrics::Histogram handling_;
+
   // Requests not yet answered. A token is never used twice.
   std::map<partition::RequestToken, entry::Responder> open_requests_;
   int64_t next_token_ = 1;
--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -92,8 +92,7 @@
   struct Partition {
     std::unique_ptr<PartitionTask> task;
     Holding holding;
-    partition::Status status;
-    bool owns = false;
+    StatusNotice notice;  // The latest.
   };
 
   void AddPartition(task::Loop& loop,
@@ -130,6 +129,9 @@
                    [this](const vmlist::Update& update) { OnVmList(update); },
                    [this](entry::Incoming& incoming) { OnIncoming(incoming); },
                    [this](const Shutdown& shutdown) { OnShutdown(shutdown); },
+                   [this](const metrics::Scrape& scrape) {
+                     scrape.reply_to.Send(MakeReport());
+                   },
                },
                message);
   }
@@ -287,8 +289,7 @@
                    },
                    [this](const StatusNotice& n) {
                      Partition& partition = partitions_.at(n.status.partition);
-                     partition.status = n.status;
-                     partition.owns = n.owns;
+                     partition.notice = n;
                      TellMembership();
                    },
                },
@@ -346,12 +347,15 @@
       self.store_contact_age = configuration_->store_contact_age;
     }
     for (const auto& [id, partition] : partitions_) {
-      if (partition.owns) self.owned.push_back(id);
+      if (partition.notice.owns) self.owned.push_back(id);
     }
     peers_.membership.Send(std::move(self));
   }
 
+  // Only a list that was read from the store is complete; without one there is
+  // no evidence of an outage.
   void TellKeeperOfPeers() {
+    if (!view_.known) return;
     configuration::PeersChanged changed;
     for (const auto& [id, member] : view_.members) {
       if (id == options_.member) continue;
@@ -417,11 +421,65 @@
       status.revision = configuration_->configuration->revision;
     }
     for (const auto& [id, partition] : partitions_) {
-      if (partition.owns) status.partitions.push_back(partition.status);
+      if (partition.notice.owns)
+        status.partitions.push_back(partition.notice.status);
     }
     return status;
   }
 
+  // --- Metrics
+
+  metrics::Report MakeReport() const {
+    metrics::Text text;
+    Gauges(text, "azurepass_partition_epoch", "epoch of the ownership",
+           [](const StatusNotice& n) { return n.status.epoch.value; });
+    Gauges(text, "azurepass_tasks_queued", "tasks that wait",
+           [](const StatusNotice& n) { return n.status.cell.queued_tasks; });
+    Gauges(text, "azurepass_tasks_committed", "tasks that hold room",
+           [](const StatusNotice& n) { return n.status.cell.committed_tasks; });
+    Gauges(text, "azurepass_workers_open", "workers that take starts",
+           [](const StatusNotice& n) { return n.status.cell.open_workers; });
+    Gauges(text, "azurepass_workers_quarantined", "workers in quarantine",
+           [](const StatusNotice& n) {
+             return n.status.cell.quarantined_workers;
+           });
+    Gauges(text, "azurepass_event_handling_p50_seconds",
+           "time an owner takes for an event, median",
+           [](const StatusNotice& n) { return Seconds(n.handling_p50); });
+    Gauges(text, "azurepass_event_handling_p99_seconds",
+           "time an owner takes for an event, 99th percentile",
+           [](const StatusNotice& n) { return Seconds(n.handling_p99); });
+    Decisions(text);
+    metrics::Report report{text.Take(), std::nullopt};
+    if (!view_.known) report.not_ready = "the store was not read yet";
+    return report;
+  }
+
+  static double Seconds(metrics::Histogram::Elapsed elapsed) {
+    return std::chrono::duration<double>(elapsed).count();
+  }
+
+  // One sample for each partition that this process owns.
+  template <class Value>
+  void Gauges(metrics::Text& text, std::string_view name, std::string_view help,
+              Value value) const {
+    for (const auto& [id, partition] : partitions_) {
+      if (!partition.notice.owns) continue;
+      text.Gauge(name, help, static_cast<double>(value(partition.notice)),
+                 metrics::Label("partition", id.value()));
+    }
+  }
+
+  void Decisions(metrics::Text& text) const {
+    for (const auto& [id, partition] : partitions_) {
+      for (const auto& [kind, count] : partition.notice.decisions) {
+        text.Counter("azurepass_decisions_total", "decisions by kind", count,
+                     metrics::Label("partition", id.value()) + "," +
+                         metrics::Label("kind", kind));
+      }
+    }
+  }
+
   // --- Leaving
 
   void OnShutdown(const Shutdown& shutdown) {
--- a/azurepass/scheduling/scheduling.h
+++ b/azurepass/scheduling/scheduling.h
@@ -29,6 +29,7 @@
 #include "azurepass/entry/entry.h"
 #include "azurepass/escrow/escrow.h"
 #include "azurepass/membership/membership.h"
+#include "azurepass/metrics/metrics.h"
 #include "azurepass/settings/settings.h"
 #include "azurepass/store/store.h"
 #include "azurepass/task/task.h"
@@ -53,8 +54,9 @@
   task::Address<ShutdownDone> done;
 };
 
-using Message = std::variant<membership::View, configuration::Update,
-                             vmlist::Update, entry::Incoming, Shutdown>;
+using Message =
+    std::variant<membership::View, configuration::Update, vmlist::Update,
+                 entry::Incoming, Shutdown, metrics::Scrape>;
 
 struct Options {
   MemberId member;
--- a/azurepass/vmlist/poller.cc
+++ b/azurepass/vmlist/poller.cc
@@ -22,7 +22,7 @@
 
  private:
   void Poll();
-  void Handle(const http::Result& result);
+  void Handle(const http::Result& result, MonotonicTime asked);
   Update UpdateOf(const http::Result& result);
 
   Options options_;
@@ -35,12 +35,16 @@
 void Poller::Impl::Poll() {
   const std::string target =
       "/v1/vms?after=" + std::to_string(latest_.generation);
-  http_.Send({"GET", options_.address, target, "", options_.request_timeout},
-             [this](const http::Result& result) { Handle(result); });
+  const MonotonicTime asked = std::chrono::steady_clock::now();
+  http_.Send(
+      {"GET", options_.address, target, "", options_.request_timeout},
+      [this, asked](const http::Result& result) { Handle(result, asked); });
 }
 
-void Poller::Impl::Handle(const http::Result& result) {
-  listener_.Send(UpdateOf(result));
+void Poller::Impl::Handle(const http::Result& result, MonotonicTime asked) {
+  Update update = UpdateOf(result);
+  if (auto* snapshot = std::get_if<Snapshot>(&update)) snapshot->asked = asked;
+  listener_.Send(std::move(update));
   timer_.After(options_.interval, [this] { Poll(); });
 }
 
--- a/azurepass/vmlist/vmlist.h
+++ b/azurepass/vmlist/vmlist.h
@@ -25,8 +25,10 @@
 };
 
 // The list as of the platform's `generation`, which only grows.
+// `asked` is when the request was sent that brought it, or confirmed it.
 struct Snapshot {
   int64_t generation = 0;
+  MonotonicTime asked{};
   std::map<VmId, VmState> vms;
 };
 struct Unavailable {
