--- a/azurepass/cli/job.cc
+++ b/azurepass/cli/job.cc
@@ -81,8 +81,9 @@
       if (job->value("final", false)) break;
       const std::string known = Show(*job, "version");
       const std::string wait = std::to_string(kHeld.count());
-      latest =
-          context.client.Get(path + "?wait=" + wait + "&known=" + known, kHeld);
+      std::string held = path;
+      held.append("?wait=").append(wait).append("&known=").append(known);
+      latest = context.client.Get(held, kHeld);
       continue;
     }
     const bool may_recover = CodeOf(latest, false) == ExitCode::kUnavailable;
--- a/azurepass/settings/settings.cc
+++ b/azurepass/settings/settings.cc
@@ -7,6 +7,7 @@
 #include "azurepass/settings/settings.h"
 
 #include <algorithm>
+#include <charconv>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -36,6 +37,38 @@
 constexpr Duration kLongest{3'600'000};
 constexpr int64_t kMaxGroup = 10'000;
 constexpr int64_t kMaxPort = 65'535;
+
+// Whether the text is "IP:PORT", with an IPv4 address or an IPv6 one in
+// brackets. What is inside is left to the socket library; this finds the field
+// that was left empty or given a host's name.
+bool IsAddress(std::string_view text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos || colon == 0) return false;
+  const std::string_view ip = text.substr(0, colon);
+  const std::string_view port = text.substr(colon + 1);
+  if (ip.find_first_not_of("0123456789.:[]abcdefABCDEF") != ip.npos) {
+    return false;
+  }
+  int64_t number = -1;
+  const auto [end, error] =
+      std::from_chars(port.data(), port.data() + port.size(), number);
+  return error == std::errc() && end == port.data() + port.size() &&
+         number >= 0 && number <= kMaxPort;
+}
+
+// An address field; `required` ones may not be empty.
+std::string ReadAddress(ObjectReader& reader, std::string_view name,
+                        bool required) {
+  const std::string text =
+      required ? reader.String(name) : reader.String(name, "");
+  if (text.empty() && !required) return text;
+  if (reader.ok() && !IsAddress(text)) {
+    reader.Fail(ErrorCode::kOutOfRange, name,
+                "must be IP:PORT, such as 10.20.0.10:8080");
+  }
+  return text;
+}
+
 }  // namespace
 
 template <>
@@ -155,8 +188,8 @@
 struct Format<settings::CellSettings> {
   static settings::CellSettings Read(ObjectReader& reader) {
     settings::CellSettings cell;
-    cell.store_address = reader.String("store_address");
-    cell.vm_list_address = reader.String("vm_list_address");
+    cell.store_address = ReadAddress(reader, "store_address", true);
+    cell.vm_list_address = ReadAddress(reader, "vm_list_address", true);
     cell.seeds = reader.Strings("seeds", false);
     cell.partitions = reader.Objects<settings::PartitionSettings>("partitions");
     cell.timing = reader.Object<settings::Timing>("timing", settings::Timing{});
@@ -202,6 +235,10 @@
         reader.Fail(ErrorCode::kOutOfRange, path,
                     "address " + worker.address + " appears twice");
       }
+      if (!IsAddress(worker.address)) {
+        reader.Fail(ErrorCode::kOutOfRange, path,
+                    "VM " + worker.vm.value() + " has no IP:PORT as address");
+      }
       if (worker.service != partition.service) {
         reader.Fail(ErrorCode::kOutOfRange, path,
                     "VM " + worker.vm.value() + " is of another service");
@@ -216,9 +253,9 @@
     settings::ProcessSettings process;
     process.member = reader.Name<MemberId>("member");
     process.zone = reader.Name<ZoneId>("zone");
-    process.entry_address = reader.String("entry_address");
-    process.http_address = reader.String("http_address", "");
-    process.operator_address = reader.String("operator_address", "");
+    process.entry_address = ReadAddress(reader, "entry_address", true);
+    process.http_address = ReadAddress(reader, "http_address", false);
+    process.operator_address = ReadAddress(reader, "operator_address", false);
     process.operator_key_sha256 = reader.String("operator_key_sha256", "");
     if (!process.operator_address.empty() &&
         process.operator_key_sha256.size() != kSha256HexLength) {
--- a/azurepass/settings/settings_test.cc
+++ b/azurepass/settings/settings_test.cc
@@ -52,6 +52,11 @@
   };
   const Case cases[] = {
       {"\"store_address\"", "\"stor_address\"", "store_address"},
+      {"127.0.0.1:7001", "", "store_address"},
+      {"127.0.0.1:7001", "store.example:7001", "store_address"},
+      {"127.0.0.1:7002", "127.0.0.1:70020", "vm_list_address"},
+      {"127.0.0.1:7002", "127.0.0.1", "vm_list_address"},
+      {"\"ip\": \"127.0.0.1\"", "\"ip\": \"host\"", "partitions[0]"},
       {"\"count\": 3", "\"count\": \"3\"",
        "partitions[0].worker_groups[0].count"},
       {"\"count\": 3", "\"count\": 0", "partitions[0].worker_groups[0].count"},
