--- a/azurepass/testing/system/cluster.cc
+++ b/azurepass/testing/system/cluster.cc
@@ -7,6 +7,8 @@
 #include <chrono>
 #include <fstream>
 
+#include "azurepass/testing/system/pause.h"
+
 namespace azurepass::testing {
 namespace {
 
@@ -37,25 +39,6 @@
   std::ofstream(path) << content.dump(2) << "\n";
 }
 
-// Lets time pass on this thread without spinning.
-void Pause(Duration time) {
-  GMainContext* context = g_main_context_new();
-  GMainLoop* loop = g_main_loop_new(context, FALSE);
-  GSource* source = g_timeout_source_new(static_cast<guint>(time.count()));
-  g_source_set_callback(
-      source,
-      [](gpointer data) -> gboolean {
-        g_main_loop_quit(static_cast<GMainLoop*>(data));
-        return G_SOURCE_REMOVE;
-      },
-      loop, nullptr);
-  g_source_attach(source, context);
-  g_main_loop_run(loop);
-  g_source_unref(source);
-  g_main_loop_unref(loop);
-  g_main_context_unref(context);
-}
-
 }  // namespace
 
 Cluster::Cluster(ClusterOptions options)
@@ -132,7 +115,8 @@
             {{"store_address", standin_addresses_["store"]},
              {"vm_list_address", standin_addresses_["vmlist"]},
              {"partitions", partitions},
-             {"timing", options_.timing}});
+             {"timing", options_.timing},
+             {"budgets", options_.budgets}});
 }
 
 std::string Cluster::WriteProcess(const std::string& name, bool frontend) {
@@ -177,7 +161,7 @@
   frontend_addresses_.resize(options_.frontends);
   for (int i = 0; i < options_.schedulers; ++i) StartScheduler(i);
   for (int i = 0; i < options_.frontends; ++i) StartFrontend(i);
-  return WaitReady(patience);
+  return options_.frontends == 0 || WaitReady(patience);
 }
 
 bool Cluster::WaitReady(Duration patience) {
@@ -250,4 +234,19 @@
   return http_.Call("GET", standin_addresses_["store"], "/v1/stats").body;
 }
 
+int64_t Cluster::StoreBytes(const std::string& prefix) {
+  int64_t bytes = 0;
+  const HttpAnswer answer = http_.Call("GET", standin_addresses_["store"],
+                                       "/v1/range?prefix=" + prefix);
+  if (!answer.body.is_object()) return 0;
+  for (const Json& entry : answer.body.value("entries", Json::array())) {
+    bytes += static_cast<int64_t>(entry.value("value", "").size());
+  }
+  return bytes;
+}
+
+const std::string& Cluster::worker_address(const VmId& vm) const {
+  return standin_addresses_.at("worker=" + vm.value());
+}
+
 }  // namespace azurepass::testing
--- a/azurepass/testing/system/cluster.h
+++ b/azurepass/testing/system/cluster.h
@@ -26,6 +26,7 @@
   int zones = 3;
   Resources worker_capacity{8, 64, 32'000, 65'536, 0};
   nlohmann::json timing = nlohmann::json::object();  // Of the cell's settings.
+  nlohmann::json budgets = nlohmann::json::object();
 };
 
 // What a worker's history says of one attempt.
@@ -44,12 +45,14 @@
   Cluster(const Cluster&) = delete;
   Cluster& operator=(const Cluster&) = delete;
 
-  // Starts everything and waits until a frontend is ready. False: see logs.
+  // Starts everything and waits until a frontend, if there is one, is ready.
+  // False: see logs.
   bool Start(Duration patience);
 
   // --- Processes, by index. Killing and starting again keeps the settings.
   Process& scheduler(int index) { return *schedulers_[index]; }
   Process& frontend(int index) { return *frontends_[index]; }
+  Process& standin() { return *standin_; }
   void StartScheduler(int index);
   void StartFrontend(int index);
 
@@ -75,8 +78,12 @@
   std::vector<AttemptRun> History();
   // Calls of the store so far, by kind.
   nlohmann::json StoreStats();
+  // Of all values whose keys begin with the prefix.
+  int64_t StoreBytes(const std::string& prefix);
 
   const std::vector<VmId>& vms() const { return vms_; }
+  const std::string& worker_address(const VmId& vm) const;
+  const ClusterOptions& options() const { return options_; }
   std::vector<std::string> zones() const;
   const std::string& folder() const { return folder_; }
 
--- a/azurepass/testing/system/process.cc
+++ b/azurepass/testing/system/process.cc
@@ -71,4 +71,8 @@
          g_subprocess_get_identifier(process_) != nullptr;
 }
 
+std::string Process::id() const {
+  return running() ? g_subprocess_get_identifier(process_) : "";
+}
+
 }  // namespace azurepass::testing
--- a/azurepass/testing/system/process.h
+++ b/azurepass/testing/system/process.h
@@ -32,6 +32,8 @@
   // Waits for the end and returns the exit code, or -1 after a signal.
   int Wait();
   bool running() const;
+  // The process id; empty when it does not run.
+  std::string id() const;
 
  private:
   GSubprocess* process_ = nullptr;
