Measure endpoint clients at more sizes and over several clients

Cause: one client of 800 idle workers used a whole core and its exchanges failed, so the line through 50, 200 and 800 said nothing. Between them the cost grows with the square of the sessions. To tell whether the loop or the client is at fault, 400 workers are now also dealt out to several clients on one loop.

The stored bytes were read without the limit that the store asks for, and came out as 0.

--- a/azurepass/testing/system/cluster.cc
+++ b/azurepass/testing/system/cluster.cc
@@ -18,6 +18,7 @@
 constexpr char kOperatorKey[] = "operators-key-of-the-test-cell";
 constexpr Duration kCallTimeout{30'000};
 constexpr Duration kReadyPoll{50};
+constexpr int kListLimit = 5'000;
 
 std::string Sha256(const std::string& text) {
   char* hash = g_compute_checksum_for_string(G_CHECKSUM_SHA256, text.c_str(),
@@ -60,6 +61,7 @@
 
 std::vector<std::string> Cluster::zones() const {
   std::vector<std::string> zones;
+  zones.reserve(options_.zones);
   for (int z = 0; z < options_.zones; ++z) {
     zones.push_back("zone-" + std::to_string(z));
   }
@@ -72,9 +74,13 @@
     for (int w = 0; w < options_.workers_per_partition; ++w) {
       const std::string zone = std::to_string(w % options_.zones);
       const std::string partition = std::to_string(p);
-      workers.push_back({{"vm", "w-" + partition + "-" + std::to_string(w)},
+      std::string vm = "w-";
+      vm.append(partition).append("-").append(std::to_string(w));
+      std::string rack = "rack-";
+      rack.append(partition).append("-").append(zone);
+      workers.push_back({{"vm", vm},
                          {"zone", "zone-" + zone},
-                         {"rack", "rack-" + partition + "-" + zone},
+                         {"rack", rack},
                          {"service", "intake"},
                          {"address", "127.0.0.1:0"},
                          {"capacity", CapacityJson(options_.worker_capacity)}});
@@ -236,8 +242,10 @@
 
 int64_t Cluster::StoreBytes(const std::string& prefix) {
   int64_t bytes = 0;
-  const HttpAnswer answer = http_.Call("GET", standin_addresses_["store"],
-                                       "/v1/range?prefix=" + prefix);
+  const HttpAnswer answer =
+      http_.Call("GET", standin_addresses_["store"],
+                 "/v1/range?from=&limit=" + std::to_string(kListLimit) +
+                     "&prefix=" + prefix);
   if (!answer.body.is_object()) return 0;
   for (const Json& entry : answer.body.value("entries", Json::array())) {
     bytes += static_cast<int64_t>(entry.value("value", "").size());
--- a/azurepass/testing/system/measure_endpoint.cc
+++ b/azurepass/testing/system/measure_endpoint.cc
@@ -6,6 +6,7 @@
 #include <future>
 #include <memory>
 #include <set>
+#include <vector>
 
 #include "azurepass/endpoint/endpoint.h"
 #include "azurepass/testing/system/pause.h"
@@ -70,9 +71,21 @@
   ProcessUsage workers;
 };
 
-Reading Read(const endpoint::Client& client, Cluster& cluster) {
-  return {Clock::now(), ReadCounters(client), ReadProcessUsage("self"),
-          ReadProcessUsage(cluster.standin().id())};
+using Clients = std::vector<std::unique_ptr<endpoint::Client>>;
+
+Reading Read(const Clients& clients, Cluster& cluster) {
+  Reading reading{Clock::now(),
+                  {},
+                  ReadProcessUsage("self"),
+                  ReadProcessUsage(cluster.standin().id())};
+  for (const auto& client : clients) {
+    const endpoint::Counters counters = ReadCounters(*client);
+    reading.counters.exchanges += counters.exchanges;
+    reading.counters.failures += counters.failures;
+    reading.counters.bytes_sent += counters.bytes_sent;
+    reading.counters.bytes_received += counters.bytes_received;
+  }
+  return reading;
 }
 
 EndpointPoint Compare(const Reading& from, const Reading& to, size_t workers) {
@@ -85,6 +98,7 @@
     return static_cast<double>((b - a).count()) / seconds;
   };
   point.exchanges = each(from.counters.exchanges, to.counters.exchanges);
+  point.failures = each(from.counters.failures, to.counters.failures);
   point.bytes_to_worker =
       each(from.counters.bytes_sent, to.counters.bytes_sent);
   point.bytes_from_worker =
@@ -96,22 +110,28 @@
 
 }  // namespace
 
-EndpointPoint MeasureEndpoint(Cluster& cluster) {
+EndpointPoint MeasureEndpoint(Cluster& cluster, int clients) {
   const ProcessUsage before = ReadProcessUsage("self");
   task::Loop loop;
   OpenCounter counter(loop);
-  endpoint::Client client(loop, endpoint::Options{});
+  Clients sessions;
+  for (int i = 0; i < clients; ++i) {
+    sessions.push_back(
+        std::make_unique<endpoint::Client>(loop, endpoint::Options{}));
+  }
   loop.Start();
+  size_t next = 0;
   for (const VmId& vm : cluster.vms()) {
     WorkerSpec worker;
     worker.vm = vm;
     worker.address = cluster.worker_address(vm);
-    client.address().Send(endpoint::Open{worker, Epoch{1}, counter.updates()});
+    sessions[next++ % sessions.size()]->address().Send(
+        endpoint::Open{worker, Epoch{1}, counter.updates()});
   }
   Pause(kSettle);
-  const Reading begin = Read(client, cluster);
+  const Reading begin = Read(sessions, cluster);
   Pause(kSpan);
-  const Reading end = Read(client, cluster);
+  const Reading end = Read(sessions, cluster);
   EndpointPoint point = Compare(begin, end, cluster.vms().size());
   point.opened = counter.Count();
   point.client_mib =
--- a/azurepass/testing/system/measure_main.cc
+++ b/azurepass/testing/system/measure_main.cc
@@ -193,26 +193,53 @@
   return true;
 }
 
+bool AddEndpointRow(const std::string& binaries, int workers, int clients,
+                    double varied, MeasureTable& table) {
+  ClusterOptions options = Cell(binaries);
+  options.frontends = 0;
+  options.schedulers = 0;
+  options.partitions = 1;
+  options.workers_per_partition = workers;
+  Cluster cluster(options);
+  if (!cluster.Start(Duration(0))) return Failed(cluster);
+  const EndpointPoint point = MeasureEndpoint(cluster, clients);
+  table.rows.push_back({varied, static_cast<double>(point.opened),
+                        point.exchanges, point.failures, point.bytes_to_worker,
+                        point.bytes_from_worker, point.client, point.workers,
+                        point.client_mib});
+  return true;
+}
+
+const std::vector<std::string> kEndpointColumns = {"opened",
+                                                   "exchanges/s a worker",
+                                                   "of them failed",
+                                                   "bytes/s to a worker",
+                                                   "bytes/s from a worker",
+                                                   "client ms CPU/s",
+                                                   "stand-in ms CPU/s",
+                                                   "client MiB grown"};
+
 bool Endpoints(const std::string& binaries) {
+  MeasureTable table{"Control of idle workers by one endpoint client",
+                     Columns("workers", kEndpointColumns),
+                     {}};
+  for (const int workers : {50, 100, 200, 400, 800}) {
+    if (!AddEndpointRow(binaries, workers, 1, workers, table)) return false;
+  }
+  PrintTable(table);
+  return true;
+}
+
+bool EndpointClients(const std::string& binaries) {
+  constexpr int kWorkers = 400;
   MeasureTable table{
-      "Control of idle workers by one endpoint client",
-      {"workers", "opened", "exchanges/s a worker", "bytes/s to a worker",
-       "bytes/s from a worker", "client ms CPU/s", "stand-in ms CPU/s",
-       "client MiB grown"},
+      "Control of 400 idle workers by several clients on one loop",
+      Columns("clients", kEndpointColumns),
       {}};
-  for (const int workers : {50, 200, 800}) {
-    ClusterOptions options = Cell(binaries);
-    options.frontends = 0;
-    options.schedulers = 0;
-    options.partitions = 1;
-    options.workers_per_partition = workers;
-    Cluster cluster(options);
-    if (!cluster.Start(Duration(0))) return Failed(cluster);
-    const EndpointPoint point = MeasureEndpoint(cluster);
-    table.rows.push_back({static_cast<double>(workers),
-                          static_cast<double>(point.opened), point.exchanges,
-                          point.bytes_to_worker, point.bytes_from_worker,
-                          point.client, point.workers, point.client_mib});
+  for (const int clients : {1, 4, 16}) {
+    if (!AddEndpointRow(binaries, kWorkers, clients, clients, table)) {
+      return false;
+    }
   }
   PrintTable(table);
   return true;
@@ -224,6 +251,7 @@
   static const auto* experiments =
       new std::vector<std::pair<std::string, Experiment>>{
           {"endpoints", Endpoints},
+          {"clients", EndpointClients},
           {"workers", IdleByWorkers},
           {"partitions", IdleByPartitions},
           {"processes", IdleAndChangesByProcesses},
@@ -251,10 +279,11 @@
 
 int main(int argc, char** argv) {
   if (argc < 2) {
-    std::fprintf(stderr,
-                 "usage: azurepass-measure FOLDER_OF_BINARIES [EXPERIMENT...]\n"
-                 "EXPERIMENT: endpoints, workers, partitions, processes, load, "
-                 "running\n");
+    std::fprintf(
+        stderr,
+        "usage: azurepass-measure FOLDER_OF_BINARIES [EXPERIMENT...]\n"
+        "EXPERIMENT: endpoints, clients, workers, partitions, processes, load, "
+        "running\n");
     return 2;
   }
   const std::vector<std::string> named(argv + 2, argv + argc);
