--- a/azurepass/testing/system/cluster.cc
+++ b/azurepass/testing/system/cluster.cc
@@ -7,6 +7,8 @@
 #include <chrono>
 #include <fstream>
 
+#include "azurepass/testing/system/pause.h"
+
 namespace azurepass::testing {
 namespace {
 
@@ -16,6 +18,7 @@
 constexpr char kOperatorKey[] = "operators-key-of-the-test-cell";
 constexpr Duration kCallTimeout{30'000};
 constexpr Duration kReadyPoll{50};
+constexpr int kListLimit = 5'000;
 
 std::string Sha256(const std::string& text) {
   char* hash = g_compute_checksum_for_string(G_CHECKSUM_SHA256, text.c_str(),
@@ -37,25 +40,6 @@
   std::ofstream(path) << content.dump(2) << "\n";
 }
 
-// Lets time pass on this thread without spinning.
-void Pause(Duration time) {
-  GMainContext* context = g_main_context_new();
-  GMainLoop* loop = g_main_loop_new(context, FALSE);
-  GSource* source = g_timeout_source_new(static_cast<guint>(time.count()));
-  g_source_set_callback(
-      source,
-      [](gpointer data) -> gboolean {
-        g_main_loop_quit(static_cast<GMainLoop*>(data));
-        return G_SOURCE_REMOVE;
-      },
-      loop, nullptr);
-  g_source_attach(source, context);
-  g_main_loop_run(loop);
-  g_source_unref(source);
-  g_main_loop_unref(loop);
-  g_main_context_unref(context);
-}
-
 }  // namespace
 
 Cluster::Cluster(ClusterOptions options)
@@ -77,6 +61,7 @@
 
 std::vector<std::string> Cluster::zones() const {
   std::vector<std::string> zones;
+  zones.reserve(options_.zones);
   for (int z = 0; z < options_.zones; ++z) {
     zones.push_back("zone-" + std::to_string(z));
   }
@@ -89,9 +74,13 @@
     for (int w = 0; w < options_.workers_per_partition; ++w) {
       const std::string zone = std::to_string(w % options_.zones);
       const std::string partition = std::to_string(p);
-      workers.push_back({{"vm", "w-" + partition + "-" + std::to_string(w)},
+      std::string vm = "w-";
+      vm.append(partition).append("-").append(std::to_string(w));
+      std::string rack = "rack-";
+      rack.append(partition).append("-").append(zone);
+      workers.push_back({{"vm", vm},
                          {"zone", "zone-" + zone},
-                         {"rack", "rack-" + partition + "-" + zone},
+                         {"rack", rack},
                          {"service", "intake"},
                          {"address", "127.0.0.1:0"},
                          {"capacity", CapacityJson(options_.worker_capacity)}});
@@ -132,7 +121,8 @@
             {{"store_address", standin_addresses_["store"]},
              {"vm_list_address", standin_addresses_["vmlist"]},
              {"partitions", partitions},
-             {"timing", options_.timing}});
+             {"timing", options_.timing},
+             {"budgets", options_.budgets}});
 }
 
 std::string Cluster::WriteProcess(const std::string& name, bool frontend) {
@@ -177,7 +167,7 @@
   frontend_addresses_.resize(options_.frontends);
   for (int i = 0; i < options_.schedulers; ++i) StartScheduler(i);
   for (int i = 0; i < options_.frontends; ++i) StartFrontend(i);
-  return WaitReady(patience);
+  return options_.frontends == 0 || WaitReady(patience);
 }
 
 bool Cluster::WaitReady(Duration patience) {
@@ -250,4 +240,21 @@
   return http_.Call("GET", standin_addresses_["store"], "/v1/stats").body;
 }
 
+int64_t Cluster::StoreBytes(const std::string& prefix) {
+  int64_t bytes = 0;
+  const HttpAnswer answer =
+      http_.Call("GET", standin_addresses_["store"],
+                 "/v1/range?from=&limit=" + std::to_string(kListLimit) +
+                     "&prefix=" + prefix);
+  if (!answer.body.is_object()) return 0;
+  for (const Json& entry : answer.body.value("entries", Json::array())) {
+    bytes += static_cast<int64_t>(entry.value("value", "").size());
+  }
+  return bytes;
+}
+
+const std::string& Cluster::worker_address(const VmId& vm) const {
+  return standin_addresses_.at("worker=" + vm.value());
+}
+
 }  // namespace azurepass::testing
