--- a/azurepass/daemons/measure_main.cc
+++ b/azurepass/daemons/measure_endpoints_main.cc
@@ -1,4 +1,4 @@
-// azurepass-measure: what the clients of the platform and of the workers cost
+// azurepass-measure-endpoints: what the clients of the platform and of the workers cost
 // this process, against stand-ins in another one. tools/measure-endpoints runs
 // it.
 //
@@ -287,7 +287,7 @@
     return 0;
   }
   if ((mode != "idle" && mode != "orders") || peers.workers.empty()) {
-    std::fprintf(stderr, "azurepass-measure: unknown mode or no such peer\n");
+    std::fprintf(stderr, "azurepass-measure-endpoints: unknown mode or no such peer\n");
     return kExitUsage;
   }
   task::Loop loop;
--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -22,6 +22,7 @@
 #include <utility>
 
 #include "azurepass/scheduling/internal/partition_task.h"
+#include "azurepass/scheduling/internal/report.h"
 #include "azurepass/scheduling/scheduling.h"
 
 namespace azurepass::scheduling {
@@ -130,7 +131,7 @@
                    [this](entry::Incoming& incoming) { OnIncoming(incoming); },
                    [this](const Shutdown& shutdown) { OnShutdown(shutdown); },
                    [this](const metrics::Scrape& scrape) {
-                     scrape.reply_to.Send(MakeReport());
+                     scrape.reply_to.Send(MakeReport(Notices(), view_.known));
                    },
                },
                message);
@@ -427,57 +428,12 @@
     return status;
   }
 
-  // --- Metrics
-
-  metrics::Report MakeReport() const {
-    metrics::Text text;
-    Gauges(text, "azurepass_partition_epoch", "epoch of the ownership",
-           [](const StatusNotice& n) { return n.status.epoch.value; });
-    Gauges(text, "azurepass_tasks_queued", "tasks that wait",
-           [](const StatusNotice& n) { return n.status.cell.queued_tasks; });
-    Gauges(text, "azurepass_tasks_committed", "tasks that hold room",
-           [](const StatusNotice& n) { return n.status.cell.committed_tasks; });
-    Gauges(text, "azurepass_workers_open", "workers that take starts",
-           [](const StatusNotice& n) { return n.status.cell.open_workers; });
-    Gauges(text, "azurepass_workers_quarantined", "workers in quarantine",
-           [](const StatusNotice& n) {
-             return n.status.cell.quarantined_workers;
-           });
-    Gauges(text, "azurepass_event_handling_p50_seconds",
-           "time an owner takes for an event, median",
-           [](const StatusNotice& n) { return Seconds(n.handling_p50); });
-    Gauges(text, "azurepass_event_handling_p99_seconds",
-           "time an owner takes for an event, 99th percentile",
-           [](const StatusNotice& n) { return Seconds(n.handling_p99); });
-    Decisions(text);
-    metrics::Report report{text.Take(), std::nullopt};
-    if (!view_.known) report.not_ready = "the store was not read yet";
-    return report;
-  }
-
-  static double Seconds(metrics::Histogram::Elapsed elapsed) {
-    return std::chrono::duration<double>(elapsed).count();
-  }
-
-  // One sample for each partition that this process owns.
-  template <class Value>
-  void Gauges(metrics::Text& text, std::string_view name, std::string_view help,
-              Value value) const {
-    for (const auto& [id, partition] : partitions_) {
-      if (!partition.notice.owns) continue;
-      text.Gauge(name, help, static_cast<double>(value(partition.notice)),
-                 metrics::Label("partition", id.value()));
-    }
-  }
-
-  void Decisions(metrics::Text& text) const {
+  std::vector<StatusNotice> Notices() const {
+    std::vector<StatusNotice> notices;
     for (const auto& [id, partition] : partitions_) {
-      for (const auto& [kind, count] : partition.notice.decisions) {
-        text.Counter("azurepass_decisions_total", "decisions by kind", count,
-                     metrics::Label("partition", id.value()) + "," +
-                         metrics::Label("kind", kind));
-      }
+      notices.push_back(partition.notice);
     }
+    return notices;
   }
 
   // --- Leaving
--- a/azurepass/settings/settings.cc
+++ b/azurepass/settings/settings.cc
@@ -59,7 +59,7 @@
 // An address field; `required` ones may not be empty.
 std::string ReadAddress(ObjectReader& reader, std::string_view name,
                         bool required) {
-  const std::string text =
+  std::string text =
       required ? reader.String(name) : reader.String(name, "");
   if (text.empty() && !required) return text;
   if (reader.ok() && !IsAddress(text)) {
