--- a/azurepass/testing/system/checks.cc
+++ b/azurepass/testing/system/checks.cc
@@ -3,6 +3,7 @@
 #include "azurepass/testing/system/checks.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 
 namespace azurepass::testing {
@@ -72,4 +73,30 @@
   return findings;
 }
 
+int PeakRunning(const std::vector<AttemptRun>& history, Duration from) {
+  // Of the same millisecond ends count before starts.
+  std::vector<std::pair<Duration, int>> changes;
+  for (const AttemptRun& run : history) {
+    if (run.ended <= from) continue;
+    changes.emplace_back(std::max(run.started, from), 1);
+    changes.emplace_back(run.ended, -1);
+  }
+  std::sort(changes.begin(), changes.end());
+  int running = 0;
+  int peak = 0;
+  for (const auto& [time, change] : changes) {
+    running += change;
+    peak = std::max(peak, running);
+  }
+  return peak;
+}
+
+std::vector<AttemptRun> Select(
+    const std::vector<AttemptRun>& history,
+    const std::function<bool(const AttemptRun&)>& keep) {
+  std::vector<AttemptRun> kept;
+  std::copy_if(history.begin(), history.end(), std::back_inserter(kept), keep);
+  return kept;
+}
+
 }  // namespace azurepass::testing
--- a/azurepass/testing/system/checks.h
+++ b/azurepass/testing/system/checks.h
@@ -4,6 +4,7 @@
 #ifndef AZUREPASS_TESTING_SYSTEM_CHECKS_H_
 #define AZUREPASS_TESTING_SYSTEM_CHECKS_H_
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,15 @@
 Findings CheckStartedAtMostOnce(const std::vector<AttemptRun>& history,
                                 const JobId& job);
 
+// The most attempts that ran at the same time, from `from` on.
+int PeakRunning(const std::vector<AttemptRun>& history,
+                Duration from = Duration(0));
+
+// The attempts that `keep` selects.
+std::vector<AttemptRun> Select(
+    const std::vector<AttemptRun>& history,
+    const std::function<bool(const AttemptRun&)>& keep);
+
 }  // namespace azurepass::testing
 
 #endif  // AZUREPASS_TESTING_SYSTEM_CHECKS_H_
--- a/azurepass/testing/system/cluster.cc
+++ b/azurepass/testing/system/cluster.cc
@@ -37,7 +37,8 @@
   std::ofstream(path) << content.dump(2) << "\n";
 }
 
-// Lets time pass on this thread without spinning.
+}  // namespace
+
 void Pause(Duration time) {
   GMainContext* context = g_main_context_new();
   GMainLoop* loop = g_main_loop_new(context, FALSE);
@@ -56,8 +57,6 @@
   g_main_context_unref(context);
 }
 
-}  // namespace
-
 Cluster::Cluster(ClusterOptions options)
     : options_(std::move(options)), http_(kCallTimeout) {
   char* folder = g_dir_make_tmp("azurepass-XXXXXX", nullptr);
@@ -77,6 +76,7 @@
 
 std::vector<std::string> Cluster::zones() const {
   std::vector<std::string> zones;
+  zones.reserve(options_.zones);
   for (int z = 0; z < options_.zones; ++z) {
     zones.push_back("zone-" + std::to_string(z));
   }
@@ -89,12 +89,14 @@
     for (int w = 0; w < options_.workers_per_partition; ++w) {
       const std::string zone = std::to_string(w % options_.zones);
       const std::string partition = std::to_string(p);
-      workers.push_back({{"vm", "w-" + partition + "-" + std::to_string(w)},
-                         {"zone", "zone-" + zone},
-                         {"rack", "rack-" + partition + "-" + zone},
-                         {"service", "intake"},
-                         {"address", "127.0.0.1:0"},
-                         {"capacity", CapacityJson(options_.worker_capacity)}});
+      workers.push_back(
+          {{"vm", "w-" + partition + "-" + std::to_string(w)},
+           {"zone", "zone-" + zone},
+           {"rack",
+            std::string("rack-").append(partition).append("-").append(zone)},
+           {"service", "intake"},
+           {"address", "127.0.0.1:0"},
+           {"capacity", CapacityJson(options_.worker_capacity)}});
     }
   }
   return workers;
@@ -246,6 +248,19 @@
   return runs;
 }
 
+std::vector<std::string> Cluster::Violations() {
+  std::vector<std::string> violations;
+  for (const VmId& vm : vms_) {
+    const HttpAnswer answer = http_.Call(
+        "GET", standin_addresses_["worker=" + vm.value()], "/v1/history");
+    if (!answer.body.is_object()) continue;
+    for (const Json& line : answer.body.value("violations", Json::array())) {
+      violations.push_back(vm.value() + ": " + line.get<std::string>());
+    }
+  }
+  return violations;
+}
+
 nlohmann::json Cluster::StoreStats() {
   return http_.Call("GET", standin_addresses_["store"], "/v1/stats").body;
 }
--- a/azurepass/testing/system/cluster.h
+++ b/azurepass/testing/system/cluster.h
@@ -37,6 +37,9 @@
   std::string outcome;
 };
 
+// Lets time pass on this thread without spinning.
+void Pause(Duration time);
+
 class Cluster {
  public:
   explicit Cluster(ClusterOptions options);
@@ -73,6 +76,9 @@
 
   // What all workers ran so far.
   std::vector<AttemptRun> History();
+  // Orders by which an owner broke a promise towards a worker, as the workers
+  // noted them.
+  std::vector<std::string> Violations();
   // Calls of the store so far, by kind.
   nlohmann::json StoreStats();
 
