A worker's own failures no longer pass for its peers'

Cause: promises_worker_test with one worker that fails all it starts ended with 40 of 200 tasks succeeded after 40 s and 339 starts on that worker, which was never quarantined: the failure rate of the job on other workers was taken over all workers, the suspect included, so a worker that fails fast raised the rate it was compared with. Change: outcomes are counted by worker and the suspect's own are left out.

--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -16,6 +16,7 @@
 using internal::Index;
 using internal::Job;
 using internal::kNone;
+using internal::Outcomes;
 using internal::Task;
 using internal::TaskPhase;
 using internal::TaskRef;
@@ -127,16 +128,18 @@
         job.team, job.spec,
         std::chrono::duration_cast<Duration>(now - task.since));
   }
-  if (job.only_worker == kNone) job.only_worker = task.worker;
-  const bool elsewhere = job.many_workers || job.only_worker != task.worker;
+  // The worker's own outcomes are no measure of it: a worker that fails fast
+  // would soon make up most of the job's failures and pass for its peer.
+  Outcomes& here = job.outcomes_by_worker[task.worker];
+  const int32_t elsewhere = job.outcomes.total() - here.total();
   internal::Evidence evidence{
       .failed = failed, .job = ref.job, .peer_rate = std::nullopt};
-  if (elsewhere && job.successes + job.failures > 0) {
-    evidence.peer_rate = static_cast<double>(job.failures) /
-                         static_cast<double>(job.failures + job.successes);
+  if (elsewhere > 0) {
+    evidence.peer_rate =
+        static_cast<double>(job.outcomes.failures - here.failures) / elsewhere;
   }
-  job.many_workers = elsewhere;
-  ++(failed ? job.failures : job.successes);
+  job.outcomes.Count(failed);
+  here.Count(failed);
   state_.fleet.RecordOutcome(task.worker, evidence, now);
 }
 
--- a/azurepass/placement/internal/job.h
+++ b/azurepass/placement/internal/job.h
@@ -53,6 +53,15 @@
   int64_t recorded = 0;  // Number of its input in the decision log.
 };
 
+// How attempts ended by themselves.
+struct Outcomes {
+  int32_t successes = 0;
+  int32_t failures = 0;
+
+  int32_t total() const { return successes + failures; }
+  void Count(bool failed) { ++(failed ? failures : successes); }
+};
+
 // Invariants: waiting, delayed, committed and preempting count the tasks in
 // these phases; tasks before next_fresh were started or cancelled once.
 struct Job {
@@ -73,11 +82,10 @@
   // Where a service's tasks are.
   absl::flat_hash_map<Index, int32_t> in_zone;
   absl::flat_hash_map<Index, int32_t> in_rack;
-  // Outcomes, for the comparison of workers.
-  int32_t successes = 0;
-  int32_t failures = 0;
-  Index only_worker = kNone;  // Where all outcomes were.
-  bool many_workers = false;
+  // For the comparison of workers. Invariant: `outcomes` is the sum of
+  // `outcomes_by_worker`.
+  Outcomes outcomes;
+  absl::flat_hash_map<Index, Outcomes> outcomes_by_worker;
   std::optional<LatestStart> latest;
 
   bool is_service() const {
