--- a/azurepass/daemons/measure_endpoints_main.cc
+++ b/azurepass/daemons/measure_endpoints_main.cc
@@ -1,6 +1,6 @@
-// azurepass-measure-endpoints: what the clients of the platform and of the workers cost
-// this process, against stand-ins in another one. tools/measure-endpoints runs
-// it.
+// azurepass-measure-endpoints: what the clients of the platform and of the
+// workers cost this process, against stand-ins in another one.
+// tools/measure-endpoints runs it.
 //
 // It prints one line of key=value for a run. Bytes are those of HTTP, without
 // the headers of TCP and IP.
@@ -287,7 +287,8 @@
     return 0;
   }
   if ((mode != "idle" && mode != "orders") || peers.workers.empty()) {
-    std::fprintf(stderr, "azurepass-measure-endpoints: unknown mode or no such peer\n");
+    std::fprintf(stderr,
+                 "azurepass-measure-endpoints: unknown mode or no such peer\n");
     return kExitUsage;
   }
   task::Loop loop;
--- a/azurepass/testing/system/cluster.cc
+++ b/azurepass/testing/system/cluster.cc
@@ -236,6 +236,19 @@
   return runs;
 }
 
+std::vector<std::string> Cluster::Violations() {
+  std::vector<std::string> violations;
+  for (const VmId& vm : vms_) {
+    const HttpAnswer answer = http_.Call(
+        "GET", standin_addresses_["worker=" + vm.value()], "/v1/history");
+    if (!answer.body.is_object()) continue;
+    for (const Json& line : answer.body.value("violations", Json::array())) {
+      violations.push_back(vm.value() + ": " + line.get<std::string>());
+    }
+  }
+  return violations;
+}
+
 nlohmann::json Cluster::StoreStats() {
   return http_.Call("GET", standin_addresses_["store"], "/v1/stats").body;
 }
--- a/azurepass/testing/system/cluster.h
+++ b/azurepass/testing/system/cluster.h
@@ -13,6 +13,7 @@
 
 #include "azurepass/core/core.h"
 #include "azurepass/testing/system/http_call.h"
+#include "azurepass/testing/system/pause.h"
 #include "azurepass/testing/system/process.h"
 
 namespace azurepass::testing {
@@ -76,6 +77,9 @@
 
   // What all workers ran so far.
   std::vector<AttemptRun> History();
+  // Orders by which an owner broke a promise towards a worker, as the workers
+  // noted them.
+  std::vector<std::string> Violations();
   // Calls of the store so far, by kind.
   nlohmann::json StoreStats();
   // Of all values whose keys begin with the prefix.
