--- a/azurepass/testing/system/measure_cell.h
+++ b/azurepass/testing/system/measure_cell.h
@@ -66,7 +66,8 @@
   double seconds = 0;  // Of the submissions and the run time of the last.
   double starts_per_second = 0;
   CellRates rates;
-  Duration wait_p50{0};  // Of a task, from acceptance to its start.
+  double scheduler_mib = 0;  // At the end; ended tasks are still kept.
+  Duration wait_p50{0};      // Of a task, from acceptance to its start.
   Duration wait_p99{0};
   Duration submit_p50{0};  // Of the HTTP call.
   Duration submit_p99{0};
--- a/azurepass/testing/system/measure_load.cc
+++ b/azurepass/testing/system/measure_load.cc
@@ -89,6 +89,7 @@
   Pause(Duration(2 * kRunTimeMs));
   const CellSample end = TakeSample(cluster);
   point.rates = RatesBetween(begin, end);
+  point.scheduler_mib = end.scheduler_mib;
   point.seconds = point.rates.seconds;
   point.refused = submitted.refused;
   point.jobs = static_cast<int>(submitted.ids.size());
--- a/azurepass/testing/system/measure_main.cc
+++ b/azurepass/testing/system/measure_main.cc
@@ -151,13 +151,20 @@
                       "store writes/s", "writes a start", "submit p50 ms",
                       "submit p99 ms", "wait p50 ms", "wait p99 ms"},
                      {}};
+  MeasureTable ended{"Tasks that ended and are still kept, in jobs of " +
+                         std::to_string(tasks_per_job),
+                     {"ended tasks", "largest scheduler MiB"},
+                     {}};
   // The first submissions also warm everything up; they are not in the table.
-  MeasureLoad(cluster, key, {1, 1});
+  double tasks = MeasureLoad(cluster, key, {1, 1}).tasks;
   for (const int jobs : jobs_per_second) {
-    table.rows.push_back(
-        LoadRow(MeasureLoad(cluster, key, {jobs, tasks_per_job})));
+    const LoadPoint point = MeasureLoad(cluster, key, {jobs, tasks_per_job});
+    tasks += point.tasks;
+    table.rows.push_back(LoadRow(point));
+    ended.rows.push_back({tasks, point.scheduler_mib});
   }
   PrintTable(table);
+  PrintTable(ended);
   return true;
 }
 
