--- a/azurepass/journal/writer.cc
+++ b/azurepass/journal/writer.cc
@@ -206,8 +206,9 @@
       FinishLoad();
       return;
     }
-    // The least key above the last one.
-    ListSlots(page->entries.back().key + '\0');
+    // Above the last key and below the next: slot keys are digits of one width.
+    // A zero byte would do for any keys, but URIs can't carry one.
+    ListSlots(page->entries.back().key + '0');
   }
 
   void FinishLoad() {
