--- a/azurepass/testing/system/promises_configuration_test.cc
+++ b/azurepass/testing/system/promises_configuration_test.cc
@@ -46,14 +46,15 @@
   std::vector<std::string> jobs;
   for (int i = 0; i < 6; ++i) {
     jobs.push_back(Submit(
-        cluster, key,
-        BatchJob("load-" + std::to_string(i), 800, Duration(300)), kPatience));
+        cluster, key, BatchJob("load-" + std::to_string(i), 800, Duration(300)),
+        kPatience));
     REQUIRE(!jobs.back().empty());
   }
-  REQUIRE(Await(kPatience,
-                [&] { return StartsIn(cluster, "zone-1", 3, Duration(0)) > 9; }));
-  const HttpAnswer out = cluster.Operate(0, "PUT", "/v1/zones/zone-1",
-                                         {{"in_service", false}, {"version", 0}});
+  REQUIRE(Await(kPatience, [&] {
+    return StartsIn(cluster, "zone-1", 3, Duration(0)) > 9;
+  }));
+  const HttpAnswer out = cluster.Operate(
+      0, "PUT", "/v1/zones/zone-1", {{"in_service", false}, {"version", 0}});
   const Duration answered = Now();
   REQUIRE_MESSAGE(out.status / 100 == 2, out.body.dump());
   Pause(kInForce + Duration(3'000));
@@ -85,9 +86,9 @@
   const std::string secret = other.body.value("secret", "");
   REQUIRE(!Submit(cluster, secret, BatchJob("by-0", 1, Duration(50)), kPatience)
                .empty());
-  REQUIRE(!Submit(cluster, secret, BatchJob("by-1", 1, Duration(50)), kPatience,
-                  1)
-               .empty());
+  REQUIRE(
+      !Submit(cluster, secret, BatchJob("by-1", 1, Duration(50)), kPatience, 1)
+           .empty());
   const std::string id = other.body.value("id", other.body.value("key", ""));
   REQUIRE_MESSAGE(!id.empty(), other.body.dump());
   const HttpAnswer gone = cluster.Operate(0, "DELETE", "/v1/keys/" + id);
@@ -102,8 +103,8 @@
                                 Duration(50)))
                  .status == 401;
     }));
-    MESSAGE("frontend ", frontend, " refuses after ms: ",
-            (Now() - answered).count());
+    MESSAGE("frontend ", frontend,
+            " refuses after ms: ", (Now() - answered).count());
   }
   CHECK(!Submit(cluster, key, BatchJob("other", 1, Duration(50)), kPatience)
              .empty());
@@ -121,8 +122,8 @@
                     kPatience)
                  .empty());
   }
-  REQUIRE(Await(kPatience,
-                [&] { return PeakRunning(cluster.History()) >= 10; }));
+  REQUIRE(
+      Await(kPatience, [&] { return PeakRunning(cluster.History()) >= 10; }));
   const int owner = OwnerOf(cluster, "intake-0");
   REQUIRE(owner >= 0);
   cluster.scheduler(owner).Signal(SIGKILL);
@@ -133,8 +134,7 @@
   MESSAGE("peak under the limit of 12: ", PeakRunning(cluster.History()));
   CHECK(PeakRunning(cluster.History()) <= 12);
 
-  const HttpAnswer seen =
-      cluster.Operate(0, "GET", "/v1/contracts/rilapak");
+  const HttpAnswer seen = cluster.Operate(0, "GET", "/v1/contracts/rilapak");
   REQUIRE(seen.status == 200);
   Json contract = seen.body;
   contract["upper_limit"] = {{"slots", 5}};
--- a/azurepass/testing/system/promises_store_test.cc
+++ b/azurepass/testing/system/promises_store_test.cc
@@ -21,7 +21,8 @@
   return options;
 }
 
-TEST_CASE("store outage: running tasks go on, a refusal is true, work resumes") {
+TEST_CASE(
+    "store outage: running tasks go on, a refusal is true, work resumes") {
   Cluster cluster(Options());
   CAPTURE(cluster.folder());
   REQUIRE(cluster.Start(kPatience));
@@ -32,14 +33,14 @@
   const std::string before =
       Submit(cluster, key, BatchJob("before", 96, kRunTime), kPatience);
   REQUIRE(!before.empty());
-  REQUIRE(Await(kPatience,
-                [&] { return PeakRunning(cluster.History()) >= 48; }));
+  REQUIRE(
+      Await(kPatience, [&] { return PeakRunning(cluster.History()) >= 48; }));
 
   constexpr Duration kOutage{8'000};
   const Duration outage = Now();
   REQUIRE(cluster.SetFault("store", {{"fault", "refuse"}}).status == 200);
-  const HttpAnswer refused = cluster.Call(0, "POST", "/v1/jobs", key,
-                                          BatchJob("during", 3, kRunTime));
+  const HttpAnswer refused =
+      cluster.Call(0, "POST", "/v1/jobs", key, BatchJob("during", 3, kRunTime));
   MESSAGE("submission during the outage: ", refused.status, " ",
           refused.body.dump());
   CHECK(refused.status / 100 == 5);
@@ -87,9 +88,9 @@
   const std::string key = cluster.AddTeam("rilapak", nullptr);
   REQUIRE(!key.empty());
   REQUIRE(cluster
-              .SetFault("store", {{"fault", "lose_answer"},
-                                  {"probability", 0.2},
-                                  {"seed", 7}})
+              .SetFault(
+                  "store",
+                  {{"fault", "lose_answer"}, {"probability", 0.2}, {"seed", 7}})
               .status == 200);
   constexpr int kJobs = 12;
   constexpr int kTasks = 4;
@@ -104,7 +105,8 @@
     CHECK(Submit(cluster, key, job, kPatience, (i + 1) % 2) == id);
     ids.push_back(id);
     const std::string team = "team-" + std::to_string(i);
-    const Json contract = {{"team", team}, {"zones", cluster.zones()}, {"queues", Json::array()}};
+    const Json contract = {
+        {"team", team}, {"zones", cluster.zones()}, {"queues", Json::array()}};
     const HttpAnswer put =
         cluster.Operate(i % 2, "PUT", "/v1/contracts/" + team, contract);
     if (put.status / 100 == 2) ++contracts;
--- a/azurepass/testing/system/promises_worker_test.cc
+++ b/azurepass/testing/system/promises_worker_test.cc
@@ -36,9 +36,8 @@
   MESSAGE("final: ", last.value("final", false));
   CHECK(Succeeded(last) == 200);
   const auto history = cluster.History();
-  const auto wasted = Select(history, [&](const AttemptRun& run) {
-    return run.vm.value() == bad;
-  });
+  const auto wasted = Select(
+      history, [&](const AttemptRun& run) { return run.vm.value() == bad; });
   MESSAGE("starts on the failing worker: ", wasted.size());
   CHECK(CheckRanOnce(history, JobId(job), 200) == Findings{});
   CHECK(CheckOnePlace(history) == Findings{});
@@ -54,8 +53,8 @@
   const std::string job =
       Submit(cluster, key, BatchJob("work", 40, Duration(8'000)), kPatience);
   REQUIRE(!job.empty());
-  REQUIRE(Await(kPatience,
-                [&] { return PeakRunning(cluster.History()) == 40; }));
+  REQUIRE(
+      Await(kPatience, [&] { return PeakRunning(cluster.History()) == 40; }));
   const std::string cut = cluster.History().front().vm.value();
   const Duration since = Now();
   REQUIRE(cluster.SetFault(cut, {{"fault", "hang"}}).status == 200);
@@ -63,9 +62,8 @@
   REQUIRE(cluster.SetFault(cut, {{"fault", "none"}}).status == 200);
   CHECK(Succeeded(AwaitFinal(cluster, key, job, kPatience)) == 40);
   const auto history = cluster.History();
-  const auto again = Select(history, [&](const AttemptRun& run) {
-    return run.started > since;
-  });
+  const auto again = Select(
+      history, [&](const AttemptRun& run) { return run.started > since; });
   CHECK(!again.empty());
   for (const AttemptRun& run : again) {
     MESSAGE("started elsewhere after ms: ", (run.started - since).count());
--- a/azurepass/testing/system/scenario.cc
+++ b/azurepass/testing/system/scenario.cc
@@ -52,8 +52,8 @@
                 const std::string& job, Duration patience) {
   Json body;
   Await(patience, [&] {
-    const int64_t known = body.is_object() ? body.value("version", int64_t{0})
-                                           : int64_t{0};
+    const int64_t known =
+        body.is_object() ? body.value("version", int64_t{0}) : int64_t{0};
     const HttpAnswer answer = cluster.Call(
         0, "GET", "/v1/jobs/" + job + "?wait=1&known=" + std::to_string(known),
         key);
