--- a/azurepass/testing/system/promises_ownership_test.cc
+++ b/azurepass/testing/system/promises_ownership_test.cc
@@ -37,9 +37,8 @@
   REQUIRE(!key.empty());
   const std::string repeatable = Submit(
       cluster, key, BatchJob("repeatable", 80, Duration(2'000)), kPatience);
-  const std::string once =
-      Submit(cluster, key, BatchJob("once", 60, Duration(2'000), false),
-             kPatience);
+  const std::string once = Submit(
+      cluster, key, BatchJob("once", 60, Duration(2'000), false), kPatience);
   REQUIRE(!repeatable.empty());
   REQUIRE(!once.empty());
   const int owner = OwnerOf(cluster, "intake-0");
@@ -138,7 +137,8 @@
   // Serves the calls on this thread until all have ended or `end` is reached.
   void Run(Duration end) {
     while (ended_ < std::ssize(messages_) && Now() < end) {
-      g_timeout_add(50, [](gpointer) { return G_SOURCE_REMOVE; }, nullptr);
+      g_timeout_add(
+          50, [](gpointer) { return G_SOURCE_REMOVE; }, nullptr);
       g_main_context_iteration(nullptr, TRUE);
     }
   }
@@ -149,14 +149,15 @@
   static void Done(GObject* source, GAsyncResult* result, gpointer data) {
     auto* self = static_cast<HeldCalls*>(data);
     GError* error = nullptr;
-    GBytes* body = soup_session_send_and_read_finish(SOUP_SESSION(source),
-                                                     result, &error);
-    SoupMessage* message = soup_session_get_async_result_message(
-        SOUP_SESSION(source), result);
+    GBytes* body =
+        soup_session_send_and_read_finish(SOUP_SESSION(source), result, &error);
+    SoupMessage* message =
+        soup_session_get_async_result_message(SOUP_SESSION(source), result);
     ++self->ended_;
     if (error == nullptr && soup_message_get_status(message) == 200) {
       gsize size = 0;
-      const auto* text = static_cast<const char*>(g_bytes_get_data(body, &size));
+      const auto* text =
+          static_cast<const char*>(g_bytes_get_data(body, &size));
       const Json document = Json::parse(text, text + size, nullptr, false);
       if (document.is_object() && document.contains("tasks")) ++self->whole_;
     }
@@ -176,11 +177,11 @@
     CAPTURE(frontend);
     Cluster cluster(Options());
     CAPTURE(cluster.folder());
-  REQUIRE(cluster.Start(kPatience));
+    REQUIRE(cluster.Start(kPatience));
     const std::string key = cluster.AddTeam("rilapak", nullptr);
     REQUIRE(!key.empty());
-    const std::string job = Submit(
-        cluster, key, BatchJob("held", 4, Duration(6'000)), kPatience);
+    const std::string job =
+        Submit(cluster, key, BatchJob("held", 4, Duration(6'000)), kPatience);
     REQUIRE(!job.empty());
     int owner = -1;
     REQUIRE(Await(kPatience, [&] {
