Pages of a listing start above the last key without a zero byte

Cause: a listing's next page was asked for from the last key plus a zero byte, which the store refuses: more than 1,000 contracts, keys and zones could not be read by a follower, nor listed for an operator. Change: store::KeyAfter, used by both; the fake store refuses zero bytes too. Ruled out: longer pages, which only move the bound.

--- a/azurepass/follow/follow.cc
+++ b/azurepass/follow/follow.cc
@@ -82,8 +82,7 @@
         static_cast<int64_t>(page.entries.size()) < options_.page_entries;
     std::move(page.entries.begin(), page.entries.end(),
               std::back_inserter(listing_.entries));
-    // The smallest key above the last one read.
-    if (!last) return ReadPage(listing_.entries.back().key + '\0');
+    if (!last) return ReadPage(store::KeyAfter(listing_.entries.back().key));
     listed_ = true;
     cursor_ = listing_.revision;
     backoff_ = options_.min_backoff;
--- a/azurepass/operators/configuration_writer.cc
+++ b/azurepass/operators/configuration_writer.cc
@@ -191,7 +191,7 @@
     std::function<void(store::ListReply)> then) {
   std::string from;
   if (!so_far.entries.empty()) {
-    from = so_far.entries.back().key + std::string(1, '\0');
+    from = store::KeyAfter(so_far.entries.back().key);
   }
   store_.Send(store::List{
       prefix, from, kPageEntries,
--- a/azurepass/store/store.h
+++ b/azurepass/store/store.h
@@ -35,6 +35,10 @@
 using Version = int64_t;
 inline constexpr Version kAbsent = 0;
 
+// The least key above `key`, from which the next page of a listing is read.
+// Keys hold no control characters, and the store takes no zero byte.
+inline std::string KeyAfter(const std::string& key) { return key + '\x01'; }
+
 struct Entry {
   std::string key;
   std::string value;
--- a/azurepass/testing/fake_store.cc
+++ b/azurepass/testing/fake_store.cc
@@ -119,6 +119,12 @@
 }
 
 void FakeStore::Serve(int64_t port, const store::List& list) {
+  if (list.from.find('\0') != std::string::npos) {
+    Answer<store::ListReply>(
+        port, list.reply_to,
+        store::Error{store::ErrorCode::kRejected, "a zero byte in a key"});
+    return;
+  }
   store::Listing listing{{}, Revision{revision_}};
   const std::string from = std::max(list.prefix, list.from);
   for (auto it = entries_.lower_bound(from);
