Owners go on through an outage of the store

Cause: in an outage no queued task was started, though every member saw the evidence. An owner's authority to send anything to workers ended with its member lease, 2.5 s after the last renewal; the evidence reached it only once its own confirmation of the configuration had aged past 3 s, because the verdict names the best ground alone. By then the partition was given up, and nobody could claim it without the store. Ruled out: the slots freed by ended tasks waiting for an append (the owner frees them at once, the log showed 'authority ended' before any end). Change: the keeper tells, beside the verdict, until when it is evident that no other member has contact; authority lasts as long. Conclusion: promises_store_test now requires starts in the outage, and fails without this change (0 starts); freshness_test has the order of events.

--- a/azurepass/configuration/configuration.h
+++ b/azurepass/configuration/configuration.h
@@ -184,6 +184,9 @@
   };
   // Whether `held` is current at `now`.
   Decision Decide(Revision held, MonotonicTime now) const;
+  // Until when it is evident, whatever the verdict, that no other member has
+  // contact with the store; empty when it is not.
+  std::optional<MonotonicTime> OthersCutUntil(MonotonicTime now) const;
 
   // Whether the store's latest answer is good and recent.
   bool in_contact(MonotonicTime now) const;
@@ -233,12 +236,15 @@
 };
 
 // What subscribers get, first when they subscribe and then on each change of
-// the configuration, the verdict or valid_until.
+// the configuration, the verdict, valid_until or others_cut_until.
 struct Update {
   std::shared_ptr<const Configuration> configuration;
   Verdict verdict;
   MonotonicTime valid_until;      // The verdict holds no longer than this.
   Duration store_contact_age{0};  // Duration::max(): never.
+  // See Freshness::OthersCutUntil: before it nobody else can have changed
+  // anything in the store.
+  std::optional<MonotonicTime> others_cut_until;
 
   bool MayStart(MonotonicTime now) const {
     return configuration::MayStart(verdict) && now < valid_until;
--- a/azurepass/configuration/freshness.cc
+++ b/azurepass/configuration/freshness.cc
@@ -137,6 +137,13 @@
                   oldest + max_age_};
 }
 
+std::optional<MonotonicTime> Freshness::OthersCutUntil(
+    MonotonicTime now) const {
+  const std::optional<Decision> decision = DecideByOutage(now);
+  if (!decision) return std::nullopt;
+  return decision->valid_until;
+}
+
 bool Freshness::in_contact(MonotonicTime now) const {
   return confirmed_at_ && !last_request_failed_ &&
          now < *confirmed_at_ + contact_limit_;
--- a/azurepass/configuration/freshness_test.cc
+++ b/azurepass/configuration/freshness_test.cc
@@ -89,6 +89,17 @@
     CHECK(Is<Stale>(freshness, 5, 3'000));  // The answer of a is too old.
     CHECK(Is<Stale>(freshness, 4, 600));    // A peer holds a newer one.
   }
+  SUBCASE("evidence is there before the own confirmation has aged") {
+    Freshness freshness = with_peers({PeerOf("a"), PeerOf("b")});
+    freshness.OnStoreConfirmed(At(0));
+    freshness.OnPeerAnswered(without("a"), At(500));
+    CHECK_FALSE(freshness.OthersCutUntil(At(700)).has_value());
+    freshness.OnPeerAnswered(without("b"), At(600));
+    CHECK(Is<Confirmed>(freshness, 5, 700));
+    CHECK(freshness.OthersCutUntil(At(700)) == At(500) + kMaxAge);
+    freshness.OnPeerAnswered(AnswerOf("a", 5, kMaxAge * 2, true), At(800));
+    CHECK_FALSE(freshness.OthersCutUntil(At(900)).has_value());
+  }
   SUBCASE("one says that it has contact, one is new") {
     Freshness freshness = with_peers({PeerOf("a")});
     freshness.OnPeerAnswered(without("a"), At(0));
@@ -159,7 +170,7 @@
   for (const auto& c : cases) {
     CHECK(MayStart(c.verdict) == c.may_start);
     CHECK(ToString(c.verdict) == c.text);
-    const Update update{nullptr, c.verdict, At(10), Duration(0)};
+    const Update update{nullptr, c.verdict, At(10), Duration(0), std::nullopt};
     CHECK(update.MayStart(At(9)) == c.may_start);
     CHECK_FALSE(update.MayStart(At(10)));  // Also in a paused process.
   }
--- a/azurepass/configuration/keeper.cc
+++ b/azurepass/configuration/keeper.cc
@@ -159,7 +159,8 @@
   Update MakeUpdate(MonotonicTime now) const {
     Freshness::Decision decision = freshness_.Decide(register_.revision(), now);
     return {register_.configuration(), std::move(decision.verdict),
-            decision.valid_until, freshness_.store_contact_age(now)};
+            decision.valid_until, freshness_.store_contact_age(now),
+            freshness_.OthersCutUntil(now)};
   }
 
   // Tells subscribers what is new, and sets the time to look again.
@@ -175,7 +176,8 @@
     }
     const bool same = update.configuration == told_.configuration &&
                       update.verdict.index() == told_.verdict.index() &&
-                      (!may_start || update.valid_until == told_.valid_until);
+                      (!may_start || update.valid_until == told_.valid_until) &&
+                      update.others_cut_until == told_.others_cut_until;
     if (same) return;
     told_ = update;
     for (const auto& subscriber : subscribers_) subscriber.Send(update);
--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -150,9 +150,8 @@
 
   MonotonicTime AuthorityUntil() const {
     MonotonicTime until = view_.lease_valid_until;
-    if (configuration_ && std::holds_alternative<configuration::OutageEvident>(
-                              configuration_->verdict)) {
-      until = std::max(until, configuration_->valid_until);
+    if (configuration_ && configuration_->others_cut_until) {
+      until = std::max(until, *configuration_->others_cut_until);
     }
     return until;
   }
--- a/azurepass/testing/system/promises_store_test.cc
+++ b/azurepass/testing/system/promises_store_test.cc
@@ -58,6 +58,7 @@
     return run.started > outage + Duration(500);
   });
   MESSAGE("starts in the outage: ", started_in_outage.size());
+  CHECK(!started_in_outage.empty());
   for (const AttemptRun& run : during) {
     const bool ran_on = run.outcome == "succeeded" || run.outcome == "running";
     CHECK_MESSAGE(ran_on, ToString(run.attempt), " ", run.outcome);
