Tests of the mended quarantine; a cut worker's restarts are counted exactly

Change: cell_test drives 200 tasks beside a worker that fails at once: after the first peers have ended it draws probes alone. The system test compares the restarts with what the cut worker's history says it stopped.

--- a/azurepass/placement/cell_test.cc
+++ b/azurepass/placement/cell_test.cc
@@ -224,6 +224,43 @@
   CHECK(f.Starts().size() == 1);
 }
 
+// A worker that fails at once what it is given gets most of the starts, so that
+// most of the job's failures are its own; they must not pass for its peers'.
+TEST_CASE("a worker that fails fast is quarantined however much it draws") {
+  constexpr int kTasks = 200;
+  constexpr int kMaxProbes = 12;
+  constexpr seconds kSettled(3);  // The first peers end after one second.
+  constexpr milliseconds kStep(10);
+  constexpr milliseconds kRunTime(1'000);
+  const VmId bad("z0-w0");
+  Fixture f;
+  f.Job("j", "a", BatchPolicy{}, kTasks);
+  std::map<TaskId, std::pair<VmId, MonotonicTime>> running;
+  int succeeded = 0;
+  int bad_starts = 0;
+  MonotonicTime now = kStart;
+  for (; succeeded < kTasks && now < kStart + seconds(120); now += kStep) {
+    for (const auto& [task, at] : std::map(running)) {
+      const auto& [vm, since] = at;
+      const bool failed = vm == bad;
+      if (!failed && now < since + kRunTime) continue;
+      f.cell.Release(
+          task, failed ? AttemptOutcome::kFailed : AttemptOutcome::kSucceeded,
+          /*requeue=*/failed, now);
+      succeeded += failed ? 0 : 1;
+      running.erase(task);
+    }
+    for (const Decision& decision : f.cell.Decide(now, {})) {
+      const auto* start = std::get_if<Start>(&decision);
+      if (start == nullptr) continue;
+      running[start->task] = {start->vm, now};
+      if (start->vm == bad && now > kStart + kSettled) ++bad_starts;
+    }
+  }
+  CHECK(succeeded == kTasks);
+  CHECK(bad_starts <= kMaxProbes);
+}
+
 TEST_CASE("recovered commitments are refused beyond the capacity") {
   Fixture f;
   f.Job("j", "a", BatchPolicy{}, 9);
--- a/azurepass/testing/system/promises_worker_test.cc
+++ b/azurepass/testing/system/promises_worker_test.cc
@@ -64,7 +64,12 @@
   const auto history = cluster.History();
   const auto again = Select(
       history, [&](const AttemptRun& run) { return run.started > since; });
-  CHECK(!again.empty());
+  // Just what the cut worker had to stop is started again.
+  const auto stopped = Select(history, [&](const AttemptRun& run) {
+    return run.vm == VmId(cut) && run.outcome == "stopped";
+  });
+  CHECK(!stopped.empty());
+  CHECK(again.size() == stopped.size());
   for (const AttemptRun& run : again) {
     MESSAGE("started elsewhere after ms: ", (run.started - since).count());
   }
