--- a/azurepass/testing/standin/standin_store_test.cc
+++ b/azurepass/testing/standin/standin_store_test.cc
@@ -123,10 +123,10 @@
 
 TEST_CASE("a value of 1 MiB is kept, a larger one refused") {
   Fixture f;
-  constexpr size_t mebibyte = size_t{1} << 20;
-  CHECK(VersionOf(f.Put("big", std::string(mebibyte, '\n'))) > 0);
-  CHECK(f.ValueOf("big").size() == mebibyte);
-  CHECK(CodeOf(f.Put("big", std::string(mebibyte + 1, 'x'))) ==
+  constexpr size_t kMebibyte = size_t{1} << 20;
+  CHECK(VersionOf(f.Put("big", std::string(kMebibyte, '\n'))) > 0);
+  CHECK(f.ValueOf("big").size() == kMebibyte);
+  CHECK(CodeOf(f.Put("big", std::string(kMebibyte + 1, 'x'))) ==
         ErrorCode::kRejected);
 }
 
