--- a/azurepass/testing/system/cluster.cc
+++ b/azurepass/testing/system/cluster.cc
@@ -217,6 +217,12 @@
                     "/v1/faults?target=" + target, "", fault.dump());
 }
 
+HttpAnswer Cluster::SetVmState(const VmId& vm, const std::string& state) {
+  std::string target = "/v1/vms?vm=";
+  target.append(vm.value()).append("&state=").append(state);
+  return http_.Call("POST", standin_addresses_["control"], target, "", "{}");
+}
+
 std::vector<AttemptRun> Cluster::History() {
   std::vector<AttemptRun> runs;
   for (const VmId& vm : vms_) {
--- a/azurepass/testing/system/cluster.h
+++ b/azurepass/testing/system/cluster.h
@@ -75,6 +75,9 @@
   // Sets a fault of "store", "vmlist" or a VM at the stand-in.
   HttpAnswer SetFault(const std::string& target, const nlohmann::json& fault);
 
+  // Sets what the VM list says of a VM: "live", "leaving" or "gone".
+  HttpAnswer SetVmState(const VmId& vm, const std::string& state);
+
   // What all workers ran so far.
   std::vector<AttemptRun> History();
   // Orders by which an owner broke a promise towards a worker, as the workers
