Authority on evidence lasts to its end when the store returns

Ruled out: a longer member lease (a takeover would take as much longer). The evidence stays sound to its end: whoever regains contact takes over later than its answer, and waits a margin of at least max_age on top of the lease. Change: authority never shrinks.

--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -11,7 +11,9 @@
 // renew that lease longer than somebody else may have taken over: this process
 // sends nothing to workers once its member lease may have lapsed, unless every
 // other member shows that the store is out for all, so that nobody can have
-// taken anything over. The margin covers the age of that evidence.
+// taken anything over. The margin covers the age of that evidence, so that it
+// holds to its end also when a member regains contact before: without that,
+// every return of the store would depose all owners.
 
 #include <glog/logging.h>
 
@@ -149,7 +151,7 @@
   // --- Authority
 
   MonotonicTime AuthorityUntil() const {
-    MonotonicTime until = view_.lease_valid_until;
+    MonotonicTime until = std::max(authority_until_, view_.lease_valid_until);
     if (configuration_ && configuration_->others_cut_until) {
       until = std::max(until, *configuration_->others_cut_until);
     }
