A new owner takes in what succeeded but was not appended

Workers tell a new epoch of them again. Ruled out: holding back the acknowledgement until the append; a worker keeps its last 1,000 events for a new epoch anyway, and unacknowledged ones would grow without bound in a long outage. Conclusion: shown by owner_test alone; no system test kills an owner in an outage yet.

--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -147,6 +147,7 @@
   }
   for (auto& [vm, worker] : workers_.workers()) {
     for (const WorkerEvent& event : std::exchange(worker.unread, {})) {
+      AdoptSucceeded(vm, event);
       HandleWorkerEvent(worker, event);
     }
   }
@@ -183,6 +184,15 @@
   Log("adopt", task, attempt.attempt, vm, "started by the former owner");
 }
 
+// A worker tells a new owner of ends that the former one had acknowledged but,
+// with the store down, not appended. What succeeded is not run again.
+void Owner::Impl::AdoptSucceeded(const VmId& vm, const WorkerEvent& event) {
+  if (event.kind != WorkerEventKind::kSucceeded) return;
+  const TaskSnapshot* task = live_.FindTask(event.attempt.task);
+  if (task == nullptr || task->state != TaskState::kQueued) return;
+  if (event.attempt.attempt > task->attempt) Adopt(event.attempt, vm);
+}
+
 void Owner::Impl::ReconcileWorker(Worker& worker,
                                   const std::vector<AttemptId>& running) {
   std::set<TaskId> listed;
--- a/azurepass/partition/owner_test.cc
+++ b/azurepass/partition/owner_test.cc
@@ -209,6 +209,31 @@
   CHECK(d.Count<SendOrders>() == 1);
 }
 
+TEST_CASE("what succeeded under a former owner is not run again") {
+  const AttemptId attempt{{JobId("p.1"), 0},
+                          2 * internal::kAttemptsPerEpoch + 1};
+  for (const bool succeeded : {true, false}) {
+    CAPTURE(succeeded);
+    Driver d;
+    d.Do(ClaimWon{Epoch{3}});
+    const JobSubmitted job{JobId("p.1"), kTeam, RequestId("r1"), Spec(), {}};
+    d.Do(JournalLoaded{Epoch{3}, std::nullopt, {{1, Epoch{2}, 9, {job}}}});
+    d.Append();
+    const auto kind =
+        succeeded ? WorkerEventKind::kSucceeded : WorkerEventKind::kStopped;
+    d.Do(WorkerReported{kVm, Epoch{3}, {{1, attempt, kind, ""}}, {}});
+    d.Do(WorkerSessionOpened{kVm, Epoch{3}, {}});
+    d.Append();
+    d.Do(Tick{});
+    CHECK(d.Count<SendOrders>() == (succeeded ? 0 : 1));
+    const auto& records = d.Last<AppendBatch>().batch.records;
+    REQUIRE(!records.empty());
+    const auto* ended = std::get_if<TaskEnded>(&records.back());
+    CHECK((ended != nullptr) == succeeded);
+    if (ended != nullptr) CHECK(ended->state == TaskState::kSucceeded);
+  }
+}
+
 TEST_CASE("a late answer to an earlier ownership settles nothing") {
   Driver d;
   d.Own();
