--- a/azurepass/caller/caller.h
+++ b/azurepass/caller/caller.h
@@ -54,7 +54,29 @@
 struct Explain {
   JobId job;
 };
-using Request = std::variant<Submit, Get, Cancel, Explain>;
+// Where a workflow's request is addressed to: the queue follows from it.
+struct Destination {
+  std::string host;
+  std::string path;
+};
+struct SubmitWorkflow {
+  Destination to;
+  RequestId request;
+  WorkflowSpec spec;  // Its queue is filled in from the destination.
+};
+struct GetWorkflow {
+  Destination to;
+  RequestId request;
+};
+struct CancelWorkflow {
+  Destination to;
+  RequestId request;
+};
+struct CountWaiting {
+  Destination to;
+};
+using Request = std::variant<Submit, Get, Cancel, Explain, SubmitWorkflow,
+                             GetWorkflow, CancelWorkflow, CountWaiting>;
 using Response = partition::JobResponse;
 
 // Answers one request. Copyable; the first answer counts.
@@ -72,7 +94,7 @@
 
 struct Incoming {
   RequestNumber number;
-  std::string key;  // As presented; never empty.
+  std::string key;  // As presented; empty: none.
   Request request;
   Duration time_left{0};  // Answer by then.
   Responder responder;
--- a/azurepass/caller/documents.cc
+++ b/azurepass/caller/documents.cc
@@ -140,6 +140,16 @@
               },
               [](const Refusal& refusal) {
                 return httpserver::ToResponse(refusal);
+              },
+              [](const WorkflowView& workflow) {
+                return httpserver::JsonResponse(
+                    200, {{"request_id", workflow.request.value()},
+                          {"team", workflow.team.value()},
+                          {"state", WorkflowStateName(workflow.state)}});
+              },
+              [](const partition::WaitingCount& count) {
+                return httpserver::JsonResponse(200,
+                                                {{"waiting", count.workflows}});
               }},
       response);
 }
--- a/azurepass/codec/codec.h
+++ b/azurepass/codec/codec.h
@@ -223,6 +223,36 @@
   static Json Write(const JobSpec& value);
 };
 template <>
+struct Format<Constraints> {
+  static Constraints Read(ObjectReader& reader);
+  static Json Write(const Constraints& value);
+};
+template <>
+struct Format<WorkflowStep> {
+  static WorkflowStep Read(ObjectReader& reader);
+  static Json Write(const WorkflowStep& value);
+};
+template <>
+struct Format<WorkflowSpec> {
+  static WorkflowSpec Read(ObjectReader& reader);
+  static Json Write(const WorkflowSpec& value);
+};
+template <>
+struct Format<PermitTerms> {
+  static PermitTerms Read(ObjectReader& reader);
+  static Json Write(const PermitTerms& value);
+};
+template <>
+struct Format<QueueRecord> {
+  static QueueRecord Read(ObjectReader& reader);
+  static Json Write(const QueueRecord& value);
+};
+template <>
+struct Format<ServiceRecord> {
+  static ServiceRecord Read(ObjectReader& reader);
+  static Json Write(const ServiceRecord& value);
+};
+template <>
 struct Format<QueueSpec> {
   static QueueSpec Read(ObjectReader& reader);
   static Json Write(const QueueSpec& value);
--- a/azurepass/codec/core_formats.cc
+++ b/azurepass/codec/core_formats.cc
@@ -33,6 +33,7 @@
     {"unauthenticated", RefusalCode::kUnauthenticated},
     {"forbidden", RefusalCode::kForbidden},
     {"not_found", RefusalCode::kNotFound},
+    {"gone", RefusalCode::kGone},
     {"never_fits", RefusalCode::kNeverFits},
     {"request_conflict", RefusalCode::kRequestConflict},
     {"version_conflict", RefusalCode::kVersionConflict},
@@ -140,6 +141,16 @@
   if (reader.Has("deadline_ms")) {
     spec.deadline = reader.Millis("deadline_ms", Duration(1), kMaxDuration);
   }
+  spec.constraints = reader.Object<Constraints>("constraints", {Constraints{}});
+  spec.max_attempts =
+      static_cast<int32_t>(reader.Int("max_attempts", 1, 1'000, kMaxAttempts));
+  spec.perpetual = reader.Bool("perpetual", false);
+  spec.counts_losses = reader.Bool("counts_losses", true);
+  spec.scavenger = reader.Bool("scavenger", false);
+  spec.checkpoints = reader.Bool("checkpoints", false);
+  if (auto* gang = std::get_if<GangPolicy>(&spec.policy)) {
+    gang->atomic = reader.Bool("atomic", false);
+  }
   return spec;
 }
 
@@ -152,9 +163,165 @@
               {"run_time_ms", value.declared_run_time.count()},
               {"repeatable", value.repeatable}};
   if (value.deadline) out["deadline_ms"] = value.deadline->count();
+  if (value.constraints != Constraints{}) {
+    out["constraints"] = codec::Write(value.constraints);
+  }
+  if (value.max_attempts != kMaxAttempts) {
+    out["max_attempts"] = value.max_attempts;
+  }
+  if (value.perpetual) out["perpetual"] = true;
+  if (!value.counts_losses) out["counts_losses"] = false;
+  if (value.scavenger) out["scavenger"] = true;
+  if (value.checkpoints) out["checkpoints"] = true;
+  const auto* gang = std::get_if<GangPolicy>(&value.policy);
+  if (gang != nullptr && gang->atomic) out["atomic"] = true;
+  return out;
+}
+
+Constraints Format<Constraints>::Read(ObjectReader& reader) {
+  Constraints value;
+  value.label = reader.String("label", "");
+  value.data_rack = reader.Name<RackId>("data_rack", RackId());
+  value.max_per_worker =
+      static_cast<int32_t>(reader.Int("max_per_worker", 0, kMaxTasksPerJob, 0));
+  value.one_rack = reader.Bool("one_rack", false);
+  value.needs_permit = reader.Bool("needs_permit", false);
+  return value;
+}
+
+Json Format<Constraints>::Write(const Constraints& value) {
+  Json out = Json::object();
+  if (!value.label.empty()) out["label"] = value.label;
+  if (!value.data_rack.empty()) out["data_rack"] = value.data_rack.value();
+  if (value.max_per_worker > 0) out["max_per_worker"] = value.max_per_worker;
+  if (value.one_rack) out["one_rack"] = true;
+  if (value.needs_permit) out["needs_permit"] = true;
+  return out;
+}
+
+WorkflowStep Format<WorkflowStep>::Read(ObjectReader& reader) {
+  WorkflowStep step;
+  step.job = reader.Object<JobSpec>("job");
+  const Json& after = reader.Raw("after");
+  if (after.is_null()) return step;
+  if (!after.is_array()) {
+    reader.Fail(ErrorCode::kWrongType, "after", "must be a list");
+    return step;
+  }
+  for (const Json& position : after) {
+    if (!position.is_number_integer() || position.get<int64_t>() < 0 ||
+        position.get<int64_t>() >= kMaxWorkflowSteps) {
+      reader.Fail(ErrorCode::kOutOfRange, "after", "must name earlier steps");
+      return step;
+    }
+    step.after.push_back(position.get<int32_t>());
+  }
+  return step;
+}
+
+Json Format<WorkflowStep>::Write(const WorkflowStep& value) {
+  Json out = {{"job", codec::Write(value.job)}};
+  if (!value.after.empty()) out["after"] = value.after;
+  return out;
+}
+
+WorkflowSpec Format<WorkflowSpec>::Read(ObjectReader& reader) {
+  WorkflowSpec spec;
+  spec.queue = reader.Name<QueueId>("queue");
+  spec.payload = reader.String("payload", "");
+  spec.steps = reader.Objects<WorkflowStep>("steps");
+  spec.occurrences =
+      static_cast<int32_t>(reader.Int("occurrences", 1, kMaxOccurrences, 1));
+  if (reader.Has("first_ms")) {
+    spec.first = WallTime(std::chrono::duration_cast<WallTime::duration>(
+        Duration(reader.Int("first_ms", 0, kMaxInt / 1'000'000))));
+  }
+  spec.interval =
+      reader.Millis("interval_ms", Duration(0), kMaxDuration, Duration(0));
+  return spec;
+}
+
+Json Format<WorkflowSpec>::Write(const WorkflowSpec& value) {
+  Json out = {{"queue", value.queue.value()}, {"steps", WriteAll(value.steps)}};
+  if (!value.payload.empty()) out["payload"] = value.payload;
+  if (value.occurrences != 1) out["occurrences"] = value.occurrences;
+  if (value.first) {
+    out["first_ms"] =
+        std::chrono::duration_cast<Duration>(value.first->time_since_epoch())
+            .count();
+  }
+  if (value.interval > Duration(0)) out["interval_ms"] = value.interval.count();
   return out;
 }
 
+PermitTerms Format<PermitTerms>::Read(ObjectReader& reader) {
+  PermitTerms value;
+  value.per_call =
+      reader.Millis("per_call_ms", Duration(0), kMaxDuration, Duration(0));
+  value.per_worker = std::chrono::microseconds(
+      reader.Int("per_worker_us", 0, kMaxDuration.count(), 0));
+  value.validity = reader.Millis("validity_ms", Duration(0), kMaxDuration);
+  return value;
+}
+
+Json Format<PermitTerms>::Write(const PermitTerms& value) {
+  return {{"per_call_ms", value.per_call.count()},
+          {"per_worker_us", value.per_worker.count()},
+          {"validity_ms", value.validity.count()}};
+}
+
+QueueRecord Format<QueueRecord>::Read(ObjectReader& reader) {
+  constexpr double kMaxStretch = 1e6;
+  QueueRecord queue;
+  queue.queue = reader.Name<QueueId>("queue");
+  queue.service = reader.Name<ServiceId>("service");
+  queue.host = reader.String("host", "");
+  queue.path_prefix = reader.String("path_prefix", "");
+  queue.priority = static_cast<int32_t>(reader.Int("priority", 0, 100, 0));
+  queue.max_attempts =
+      static_cast<int32_t>(reader.Int("max_attempts", 1, 1'000, kMaxAttempts));
+  queue.needs_key = reader.Bool("needs_key", true);
+  queue.stretch = reader.Number("stretch", 0, kMaxStretch, 1);
+  queue.objective =
+      reader.Millis("objective_ms", Duration(0), kMaxDuration, Duration(0));
+  if (reader.Has("permits")) {
+    queue.permits = reader.Object<PermitTerms>("permits");
+  }
+  queue.version = reader.Int("version", 0, kMaxInt, 0);
+  SkipChangeId(reader);
+  return queue;
+}
+
+Json Format<QueueRecord>::Write(const QueueRecord& value) {
+  Json out = {{"queue", value.queue.value()},
+              {"service", value.service.value()},
+              {"host", value.host},
+              {"path_prefix", value.path_prefix},
+              {"priority", value.priority},
+              {"max_attempts", value.max_attempts},
+              {"needs_key", value.needs_key},
+              {"stretch", value.stretch},
+              {"objective_ms", value.objective.count()},
+              {"version", value.version}};
+  if (value.permits) out["permits"] = codec::Write(*value.permits);
+  return out;
+}
+
+ServiceRecord Format<ServiceRecord>::Read(ObjectReader& reader) {
+  ServiceRecord service;
+  service.service = reader.Name<ServiceId>("service");
+  service.standby = reader.Bool("standby", false);
+  service.version = reader.Int("version", 0, kMaxInt, 0);
+  SkipChangeId(reader);
+  return service;
+}
+
+Json Format<ServiceRecord>::Write(const ServiceRecord& value) {
+  return {{"service", value.service.value()},
+          {"standby", value.standby},
+          {"version", value.version}};
+}
+
 QueueSpec Format<QueueSpec>::Read(ObjectReader& reader) {
   QueueSpec queue;
   queue.name = reader.Name<QueueId>("name");
@@ -256,6 +423,15 @@
     const ZoneId id = zone.zone;
     value.zones[id] = std::move(zone);
   }
+  for (QueueRecord& queue : reader.Objects<QueueRecord>("queues", false)) {
+    const QueueId id = queue.queue;
+    value.queues[id] = std::move(queue);
+  }
+  for (ServiceRecord& service :
+       reader.Objects<ServiceRecord>("services", false)) {
+    const ServiceId id = service.service;
+    value.services[id] = std::move(service);
+  }
   return value;
 }
 
@@ -268,10 +444,17 @@
   for (const auto& [id, key] : value.keys) keys.push_back(codec::Write(key));
   Json zones = Json::array();
   for (const auto& [id, z] : value.zones) zones.push_back(codec::Write(z));
-  return {{"revision", value.revision.value},
-          {"contracts", contracts},
-          {"keys", keys},
-          {"zones", zones}};
+  Json out = {{"revision", value.revision.value},
+              {"contracts", contracts},
+              {"keys", keys},
+              {"zones", zones}};
+  for (const auto& [id, queue] : value.queues) {
+    out["queues"].push_back(codec::Write(queue));
+  }
+  for (const auto& [id, service] : value.services) {
+    out["services"].push_back(codec::Write(service));
+  }
+  return out;
 }
 
 WorkerSpec Format<WorkerSpec>::Read(ObjectReader& reader) {
@@ -282,14 +465,17 @@
   worker.service = reader.Name<ServiceId>("service");
   worker.address = reader.String("address");
   worker.capacity = reader.Object<Resources>("capacity");
+  worker.labels = reader.Strings("labels", false);
   return worker;
 }
 
 Json Format<WorkerSpec>::Write(const WorkerSpec& value) {
-  return {
+  Json out = {
       {"vm", value.vm.value()},     {"zone", value.zone.value()},
       {"rack", value.rack.value()}, {"service", value.service.value()},
       {"address", value.address},   {"capacity", codec::Write(value.capacity)}};
+  if (!value.labels.empty()) out["labels"] = value.labels;
+  return out;
 }
 
 TaskView Format<TaskView>::Read(ObjectReader& reader) {
@@ -354,7 +540,8 @@
   const AttemptId attempt = ReadAttemptId(reader, "attempt");
   switch (kind) {
     case OrderKind::kStart: {
-      StartTask start{attempt, {}, {}, Duration(0), false};
+      StartTask start;
+      start.attempt = attempt;
       start.team = reader.Name<TeamId>("team");
       start.size = reader.Object<Resources>("size");
       start.run_time =
--- a/azurepass/configuration/configuration.h
+++ b/azurepass/configuration/configuration.h
@@ -48,11 +48,14 @@
 
 inline constexpr std::string_view kPrefix = "config/";
 
-// "config/contracts/TEAM", "config/keys/ID" and "config/zones/ZONE". The value
+// "config/contracts/TEAM", "config/keys/ID", "config/zones/ZONE",
+// "config/queues/QUEUE" and "config/services/SERVICE". The value
 // is the record's JSON; the version inside it is ignored, the store's counts.
 std::string StoreKey(const TeamId& team);
 std::string StoreKey(const KeyId& key);
 std::string StoreKey(const ZoneId& zone);
+std::string StoreKey(const QueueId& queue);
+std::string StoreKey(const ServiceId& service);
 
 // ---------------------------------------------------------------------------
 // Keys of callers
@@ -65,6 +68,14 @@
 std::optional<KeyRecord> FindKey(const Configuration& configuration,
                                  std::string_view secret);
 
+// ---------------------------------------------------------------------------
+// Queues
+
+// The queue with the longest path prefix that `path` begins with, among those
+// of `host`; null when there is none.
+const QueueRecord* FindQueue(const Configuration& configuration,
+                             std::string_view host, std::string_view path);
+
 // ---------------------------------------------------------------------------
 // Register
 
--- a/azurepass/configuration/internal/records.cc
+++ b/azurepass/configuration/internal/records.cc
@@ -14,6 +14,8 @@
 constexpr std::string_view kContracts = "config/contracts/";
 constexpr std::string_view kKeys = "config/keys/";
 constexpr std::string_view kZones = "config/zones/";
+constexpr std::string_view kQueues = "config/queues/";
+constexpr std::string_view kServices = "config/services/";
 
 template <class IdType>
 std::string Join(std::string_view prefix, const IdType& id) {
@@ -25,6 +27,10 @@
 std::string StoreKey(const TeamId& team) { return Join(kContracts, team); }
 std::string StoreKey(const KeyId& key) { return Join(kKeys, key); }
 std::string StoreKey(const ZoneId& zone) { return Join(kZones, zone); }
+std::string StoreKey(const QueueId& queue) { return Join(kQueues, queue); }
+std::string StoreKey(const ServiceId& service) {
+  return Join(kServices, service);
+}
 
 namespace internal {
 namespace {
@@ -45,6 +51,8 @@
 const TeamId& IdOf(const Contract& contract) { return contract.team; }
 const KeyId& IdOf(const KeyRecord& key) { return key.id; }
 const ZoneId& IdOf(const ZoneRecord& zone) { return zone.zone; }
+const QueueId& IdOf(const QueueRecord& queue) { return queue.queue; }
+const ServiceId& IdOf(const ServiceRecord& service) { return service.service; }
 
 template <class T, class IdType>
 std::optional<Record> DecodeAs(const store::Entry& entry, const IdType& id) {
@@ -63,12 +71,20 @@
 auto& MapOf(Configuration& configuration, const ZoneId& /*id*/) {
   return configuration.zones;
 }
+auto& MapOf(Configuration& configuration, const QueueId& /*id*/) {
+  return configuration.queues;
+}
+auto& MapOf(Configuration& configuration, const ServiceId& /*id*/) {
+  return configuration.services;
+}
 
 }  // namespace
 
 std::optional<RecordId> ParseStoreKey(std::string_view key) {
   if (auto id = Rest<TeamId>(key, kContracts)) return id;
   if (auto id = Rest<KeyId>(key, kKeys)) return id;
+  if (auto id = Rest<QueueId>(key, kQueues)) return id;
+  if (auto id = Rest<ServiceId>(key, kServices)) return id;
   return Rest<ZoneId>(key, kZones);
 }
 
@@ -79,8 +95,12 @@
       Visitor{
           [&](const TeamId& team) { return DecodeAs<Contract>(entry, team); },
           [&](const KeyId& key) { return DecodeAs<KeyRecord>(entry, key); },
-          [&](const ZoneId& zone) {
-            return DecodeAs<ZoneRecord>(entry, zone);
+          [&](const ZoneId& zone) { return DecodeAs<ZoneRecord>(entry, zone); },
+          [&](const QueueId& queue) {
+            return DecodeAs<QueueRecord>(entry, queue);
+          },
+          [&](const ServiceId& service) {
+            return DecodeAs<ServiceRecord>(entry, service);
           }},
       *id);
 }
--- a/azurepass/configuration/internal/records.h
+++ b/azurepass/configuration/internal/records.h
@@ -13,8 +13,9 @@
 
 namespace azurepass::configuration::internal {
 
-using RecordId = std::variant<TeamId, KeyId, ZoneId>;
-using Record = std::variant<Contract, KeyRecord, ZoneRecord>;
+using RecordId = std::variant<TeamId, KeyId, ZoneId, QueueId, ServiceId>;
+using Record =
+    std::variant<Contract, KeyRecord, ZoneRecord, QueueRecord, ServiceRecord>;
 
 // Which record a store key names; empty when it names none.
 std::optional<RecordId> ParseStoreKey(std::string_view key);
--- a/azurepass/configuration/register.cc
+++ b/azurepass/configuration/register.cc
@@ -45,6 +45,8 @@
       RemoveOthers(configuration, configuration.contracts, present, at);
   removed |= RemoveOthers(configuration, configuration.keys, present, at);
   removed |= RemoveOthers(configuration, configuration.zones, present, at);
+  removed |= RemoveOthers(configuration, configuration.queues, present, at);
+  removed |= RemoveOthers(configuration, configuration.services, present, at);
   return removed;
 }
 
@@ -61,6 +63,8 @@
   for (const auto& [id, value] : configuration.contracts) visit(id, value);
   for (const auto& [id, value] : configuration.keys) visit(id, value);
   for (const auto& [id, value] : configuration.zones) visit(id, value);
+  for (const auto& [id, value] : configuration.queues) visit(id, value);
+  for (const auto& [id, value] : configuration.services) visit(id, value);
 }
 
 }  // namespace
@@ -83,6 +87,19 @@
   return std::nullopt;
 }
 
+const QueueRecord* FindQueue(const Configuration& configuration,
+                             std::string_view host, std::string_view path) {
+  const QueueRecord* best = nullptr;
+  for (const auto& [id, queue] : configuration.queues) {
+    if (queue.host != host || !path.starts_with(queue.path_prefix)) continue;
+    if (best == nullptr ||
+        queue.path_prefix.size() > best->path_prefix.size()) {
+      best = &queue;
+    }
+  }
+  return best;
+}
+
 Register::Register() : configuration_(std::make_shared<Configuration>()) {}
 
 bool Register::Replace(const store::Listing& listing) {
@@ -161,6 +178,8 @@
   CopyNewer(configuration_->contracts, after, pulled.configuration.contracts);
   CopyNewer(configuration_->keys, after, pulled.configuration.keys);
   CopyNewer(configuration_->zones, after, pulled.configuration.zones);
+  CopyNewer(configuration_->queues, after, pulled.configuration.queues);
+  CopyNewer(configuration_->services, after, pulled.configuration.services);
   return pulled;
 }
 
--- a/azurepass/core/core.cc
+++ b/azurepass/core/core.cc
@@ -42,6 +42,10 @@
                    *attempt};
 }
 
+PartitionId PartitionOfService(const ServiceId& service) {
+  return PartitionId(service.value());
+}
+
 JobId MakeJobId(const PartitionId& partition, int64_t number) {
   return JobId(partition.value() + "." + std::to_string(number));
 }
@@ -49,11 +53,63 @@
 std::optional<PartitionId> PartitionOf(const JobId& job) {
   const size_t dot = job.value().rfind('.');
   if (dot == std::string::npos || dot == 0) return std::nullopt;
-  const std::string_view number = std::string_view(job.value()).substr(dot + 1);
-  if (!ParseNumber<int64_t>(number)) return std::nullopt;
+  const std::string_view rest = std::string_view(job.value()).substr(dot + 1);
+  if (!ParseNumber<int64_t>(rest) && !StepOf(job)) return std::nullopt;
   return PartitionId(job.value().substr(0, dot));
 }
 
+JobId MakeJobId(const PartitionId& partition, const StepId& step) {
+  return JobId(partition.value() + "." + step.request.value() + ":" +
+               std::to_string(step.occurrence) + ":" +
+               std::to_string(step.step));
+}
+
+std::optional<StepId> StepOf(const JobId& job) {
+  const std::string_view text = job.value();
+  const size_t dot = text.rfind('.');
+  if (dot == std::string_view::npos) return std::nullopt;
+  const size_t first = text.find(':', dot);
+  if (first == std::string_view::npos) return std::nullopt;
+  const size_t second = text.find(':', first + 1);
+  if (second == std::string_view::npos) return std::nullopt;
+  const auto occurrence =
+      ParseNumber<int32_t>(text.substr(first + 1, second - first - 1));
+  const auto step = ParseNumber<int32_t>(text.substr(second + 1));
+  RequestId request(std::string(text.substr(dot + 1, first - dot - 1)));
+  if (!occurrence || !step || !IsWorkflowRequestId(request)) {
+    return std::nullopt;
+  }
+  return StepId{std::move(request), *occurrence, *step};
+}
+
+bool IsWorkflowRequestId(const RequestId& request) {
+  constexpr size_t kMaxChars = 64;
+  const std::string& text = request.value();
+  if (text.empty() || text.size() > kMaxChars) return false;
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
+           (c >= 'A' && c <= 'Z') || c == '-' || c == '_';
+  });
+}
+
+TeamId PublicTeam() { return TeamId("public"); }
+
+std::string_view WorkflowStateName(WorkflowState state) {
+  switch (state) {
+    case WorkflowState::kQueued:
+      return "queued";
+    case WorkflowState::kRunning:
+      return "running";
+    case WorkflowState::kCompleted:
+      return "completed";
+    case WorkflowState::kFailed:
+      return "failed";
+    case WorkflowState::kCancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
 bool IsFinal(TaskState state) {
   switch (state) {
     case TaskState::kQueued:
@@ -110,6 +166,8 @@
       return "unauthenticated";
     case RefusalCode::kForbidden:
       return "forbidden";
+    case RefusalCode::kGone:
+      return "gone";
     case RefusalCode::kNotFound:
       return "not_found";
     case RefusalCode::kNeverFits:
--- a/azurepass/core/core.h
+++ b/azurepass/core/core.h
@@ -76,7 +76,9 @@
 using VmId = Id<struct VmTag>;            // A worker's VM.
 using MemberId = Id<struct MemberTag>;    // One process of ours.
 using RequestId = Id<struct RequestTag>;  // A caller's idempotency token.
-using JobId = Id<struct JobTag>;          // "PARTITION.NUMBER".
+// "PARTITION.NUMBER", or "PARTITION.REQUEST:OCCURRENCE:STEP" for the job that a
+// workflow's step becomes.
+using JobId = Id<struct JobTag>;
 
 // Task `index` of a job; index runs from 0 to the job's task count - 1.
 struct TaskId {
@@ -106,6 +108,9 @@
 std::string ToString(const TaskId& id);
 std::string ToString(const AttemptId& id);
 
+// The partition of a service whose workers are all in one.
+PartitionId PartitionOfService(const ServiceId& service);
+
 // Parses what ToString(AttemptId) wrote; empty when the text has another form.
 std::optional<AttemptId> ParseAttemptId(std::string_view text);
 
@@ -114,6 +119,21 @@
 JobId MakeJobId(const PartitionId& partition, int64_t number);
 std::optional<PartitionId> PartitionOf(const JobId& job);
 
+// Where a job comes from that is a step of a workflow: the workflow's request
+// id, the occurrence (from 0) and the step's position (from 0).
+struct StepId {
+  RequestId request;
+  int32_t occurrence = 0;
+  int32_t step = 0;
+
+  auto operator<=>(const StepId&) const = default;
+};
+JobId MakeJobId(const PartitionId& partition, const StepId& step);
+// Empty when the job is no step of a workflow.
+std::optional<StepId> StepOf(const JobId& job);
+// Letters, digits, '-' and '_' only, 1 to 64 of them: what MakeJobId can take.
+bool IsWorkflowRequestId(const RequestId& request);
+
 // Counts the owners of a partition. A worker refuses orders of an epoch lower
 // than the highest it has seen.
 struct Epoch {
@@ -212,14 +232,31 @@
 struct BatchPolicy {
   bool operator==(const BatchPolicy&) const = default;
 };
-// All tasks start together or none does.
+// All tasks start together or none does. With `atomic` they are one attempt:
+// they have one attempt number, succeed together, and when one of them ends
+// otherwise, all are stopped and started again together.
 struct GangPolicy {
+  bool atomic = false;
   bool operator==(const GangPolicy&) const = default;
 };
 using Policy = std::variant<ServicePolicy, BatchPolicy, GangPolicy>;
 
 enum class Priority { kNormal, kUrgent };
 
+// Where a job's tasks may run, beyond what their size and their team allow.
+struct Constraints {
+  std::string label;           // One that the worker must carry; empty: any.
+  RackId data_rack;            // Where the data lies; empty: nowhere.
+  int32_t max_per_worker = 0;  // Tasks of the job on one worker; 0: no bound.
+  bool one_rack = false;       // Slower when it runs on several racks.
+  // Only workers for which the queue's policy service issued a permit.
+  bool needs_permit = false;
+
+  bool operator==(const Constraints&) const = default;
+};
+
+inline constexpr int32_t kMaxAttempts = 5;  // Starts of one repeatable task.
+
 // What a caller asks for. Invariants once accepted: 1 <= tasks <=
 // kMaxTasksPerJob; task.slots >= 1; every amount >= 0.
 struct JobSpec {
@@ -231,12 +268,19 @@
   Duration declared_run_time{0};     // A hint; 0 when unknown.
   bool repeatable = true;            // False: a task is started at most once.
   std::optional<Duration> deadline;  // From acceptance; then it is not started.
+  Constraints constraints;
+  int32_t max_attempts = kMaxAttempts;  // That may fail, of each task.
+  // Started again however a task ends, until the job is cancelled.
+  bool perpetual = false;
+  bool counts_losses = true;  // A lost attempt counts as a failed one.
+  // Takes the processors that others leave unused: they are not committed.
+  bool scavenger = false;
+  bool checkpoints = false;  // Its tasks keep their progress by themselves.
 
   bool operator==(const JobSpec&) const = default;
 };
 
 inline constexpr int32_t kMaxTasksPerJob = 10'000;
-inline constexpr int32_t kMaxAttempts = 5;  // Starts of one repeatable task.
 
 enum class TaskState {
   kQueued,     // Waits for a worker.
@@ -273,6 +317,47 @@
 // A job is final when each of its tasks is.
 bool IsFinal(const JobView& job);
 
+// One step of a workflow: a job that waits until all tasks of the steps in
+// `after` (positions of earlier steps) have succeeded.
+struct WorkflowStep {
+  JobSpec job;
+  std::vector<int32_t> after;
+  bool operator==(const WorkflowStep&) const = default;
+};
+
+// Steps that one caller submits together, once or repeatedly. Occurrence K is
+// due at first + K * interval. Invariants once accepted: at least one step;
+// `after` names earlier steps only; 1 <= occurrences.
+struct WorkflowSpec {
+  QueueId queue;
+  std::string payload;  // Handed to the worker with each start, unread.
+  std::vector<WorkflowStep> steps;
+  int32_t occurrences = 1;
+  std::optional<WallTime> first;  // Empty: at once.
+  Duration interval{0};
+  bool operator==(const WorkflowSpec&) const = default;
+};
+
+inline constexpr int32_t kMaxWorkflowSteps = 256;
+inline constexpr int32_t kMaxOccurrences = 1'000;
+
+enum class WorkflowState {
+  kQueued,  // No task was started yet.
+  kRunning,
+  kCompleted,  // Final: all tasks succeeded.
+  kFailed,     // Final: a task failed for good.
+  kCancelled,  // Final.
+};
+// "queued", "running", "completed", "failed" or "cancelled".
+std::string_view WorkflowStateName(WorkflowState state);
+
+// What a caller sees of its workflow.
+struct WorkflowView {
+  RequestId request;
+  TeamId team;
+  WorkflowState state = WorkflowState::kQueued;
+};
+
 // ---------------------------------------------------------------------------
 // Contracts and configuration
 
@@ -311,12 +396,51 @@
   bool operator==(const ZoneRecord&) const = default;
 };
 
+// The team to which work of queues without keys is accounted. It has no
+// contract, and so no limit.
+TeamId PublicTeam();
+
+// What a call of the service that issues permits takes, and how long a permit
+// is valid.
+struct PermitTerms {
+  Duration per_call{0};
+  std::chrono::microseconds per_worker{0};
+  Duration validity{0};
+  bool operator==(const PermitTerms&) const = default;
+};
+
+// A queue that is open to all teams, or without `needs_key` to everybody.
+struct QueueRecord {
+  QueueId queue;
+  ServiceId service;
+  std::string host;         // Requests to this host and below this path belong
+  std::string path_prefix;  // to it; the longest prefix wins.
+  int32_t priority = 0;     // 0 comes first.
+  int32_t max_attempts = kMaxAttempts;
+  bool needs_key = true;
+  double stretch = 1;  // A job's objective: `stretch` times its longest chain
+  Duration objective{0};               // of work, and `objective` more.
+  std::optional<PermitTerms> permits;  // Set: starts need permits.
+  int64_t version = 0;
+  bool operator==(const QueueRecord&) const = default;
+};
+
+// A service that operators declared; its workers are found at run time.
+struct ServiceRecord {
+  ServiceId service;
+  bool standby = false;  // Its VMs are off.
+  int64_t version = 0;
+  bool operator==(const ServiceRecord&) const = default;
+};
+
 // All that operators decide, as of one revision.
 struct Configuration {
   Revision revision;
   std::map<TeamId, Contract> contracts;
   std::map<KeyId, KeyRecord> keys;
   std::map<ZoneId, ZoneRecord> zones;  // A zone without a record is in service.
+  std::map<QueueId, QueueRecord> queues;
+  std::map<ServiceId, ServiceRecord> services;
   bool operator==(const Configuration&) const = default;
 };
 
@@ -331,6 +455,7 @@
   ServiceId service;
   std::string address;  // "IP:PORT" of its HTTP interface.
   Resources capacity;
+  std::vector<std::string> labels{};  // See Constraints::label.
   bool operator==(const WorkerSpec&) const = default;
 };
 
@@ -344,6 +469,9 @@
   Resources size;
   Duration run_time{0};  // What a stand-in's task takes; 0: until stopped.
   bool from_checkpoint = false;
+  std::string checkpoint{};  // Names the progress to go on from, if it has one.
+  std::string payload{};     // WorkflowSpec::payload.
+  std::string permit{};      // Empty where none is needed.
 };
 enum class StopKind { kStop, kCheckpoint };
 struct StopTask {
@@ -365,12 +493,14 @@
   kCheckpointed,  // Stopped as ordered, its progress kept by the platform.
 };
 // What a worker reports of an attempt. `number` grows by one with each event of
-// a worker; the worker keeps an event until it is acknowledged.
+// a worker; the worker keeps an event until it is acknowledged. Number 0 is an
+// event that came as the answer to an order and needs no acknowledgement.
 struct WorkerEvent {
   int64_t number = 0;
   AttemptId attempt;
   WorkerEventKind kind = WorkerEventKind::kStarted;
-  std::string detail;
+  std::string detail{};
+  std::string checkpoint{};  // Names the progress that was kept, if it has one.
 };
 // Measured use of one attempt; lags behind the truth.
 struct Usage {
@@ -387,6 +517,7 @@
   kUnauthenticated,     // No key, an unknown one or a withdrawn one.
   kForbidden,           // The key is of another team.
   kNotFound,            // No such job, queue, contract, key or zone.
+  kGone,                // No such workflow: never there, or forgotten.
   kNeverFits,           // No worker could ever run it; the sentence says why.
   kRequestConflict,     // The request id was used with another body.
   kVersionConflict,     // Somebody wrote first; the answer holds what is there.
--- /dev/null
+++ b/azurepass/daemons/node.cc
@@ -0,0 +1,253 @@
+// The wiring. Tasks are members in the order in which they need each other.
+//
+// Shutdown, step by step: readiness says no and the partitions are handed over,
+// while requests are still served and led to the new owners; then the front
+// stops listening and lets open requests end; then the process leaves.
+
+#include "azurepass/daemons/node.h"
+
+#include <glog/logging.h>
+
+#include <optional>
+#include <utility>
+
+#include "azurepass/daemons/process.h"
+#include "azurepass/endpoint/endpoint.h"
+#include "azurepass/entry/entry.h"
+#include "azurepass/escrow/escrow.h"
+#include "azurepass/metrics/metrics.h"
+#include "azurepass/permit/permit.h"
+#include "azurepass/routing/routing.h"
+#include "azurepass/scheduling/scheduling.h"
+#include "platform/platform.h"
+
+namespace azurepass::daemons {
+namespace {
+
+httpserver::Options HttpOptions(const std::string& address) {
+  httpserver::Options options;
+  options.address = address;
+  return options;
+}
+
+entry::ServerOptions EntryOptions(const std::string& address) {
+  entry::ServerOptions options;
+  options.address = address;
+  return options;
+}
+
+endpoint::Options EndpointOptions(const settings::CellSettings& cell) {
+  // A worker that does not answer for so long beyond a hold is asked again.
+  constexpr Duration kAnswerTime{1'000};
+  constexpr Duration kFirstRetry{50};
+  endpoint::Options options;
+  options.lease = cell.timing.worker_lease;
+  options.lease_margin = cell.timing.worker_lease_margin;
+  options.hold = cell.timing.worker_hold;
+  options.request_timeout = kAnswerTime;
+  options.retry_delay = kFirstRetry;
+  return options;
+}
+
+platform::StoreOptions PlatformStore(const settings::NodeSettings& settings) {
+  platform::StoreOptions options;
+  options.address = settings.cell.store_address;
+  options.request_timeout = settings.cell.timing.store_timeout;
+  options.zones = settings.zones;
+  return options;
+}
+
+routing::Options RoutingOptions(const settings::NodeSettings& settings) {
+  routing::Options options;
+  options.member = settings.process.member;
+  options.seed = RandomNumber();
+  return options;
+}
+
+scheduling::Options SchedulingOptions(const settings::NodeSettings& settings) {
+  // A failed task is tried again soon: it is more often the worker's doing, and
+  // its queue bounds the attempts.
+  constexpr Duration kFirstBackoff{10};
+  constexpr Duration kLongestBackoff{1'000};
+  constexpr Duration kNoRamp{0};
+  // Both lists of a worker come in one answer, so that nothing is reported
+  // after it.
+  constexpr Duration kReportGrace{100};
+  scheduling::Options options;
+  options.member = settings.process.member;
+  options.cell = settings.cell;
+  options.partitions_from_configuration = true;
+  options.sticky = true;
+  options.nonce = RandomNumber();
+  options.owner.absent_is_gone = false;
+  options.owner.checkpoint_leaving = false;
+  options.owner.report_grace = kReportGrace;
+  options.owner.placement.first_backoff = kFirstBackoff;
+  options.owner.placement.longest_backoff = kLongestBackoff;
+  options.owner.placement.bound_retries = false;
+  options.owner.placement.preempt_over_allowance = false;
+  options.owner.placement.zone_ramp = kNoRamp;
+  return options;
+}
+
+}  // namespace
+
+class Node::Impl {
+ public:
+  Impl(task::Loop& loop, const settings::NodeSettings& settings);
+
+  std::string not_listening() const;
+  void Shutdown(std::function<void()> done);
+
+ private:
+  using Message = std::variant<configuration::Update, scheduling::ShutdownDone,
+                               platform::Drained>;
+
+  void Handle(const Message& message);
+  void StartDraining();
+  void Finish(const char* reason);
+
+  const settings::NodeSettings settings_;
+  task::Mailbox<Message> mailbox_;
+  task::Timer shutdown_timer_;
+  std::function<void()> done_;
+  bool ready_ = false;
+  bool handed_over_ = false;
+  bool drained_ = false;
+
+  platform::Readiness readiness_;
+  platform::Store store_;
+  platform::Workers worker_calls_;
+  platform::Permits permit_calls_;
+  entry::Client entry_client_;
+  task::Relay<entry::Incoming> incoming_;
+  entry::Server entry_server_;
+  configuration::Keeper keeper_;
+  membership::Agent agent_;
+  endpoint::Client workers_;
+  escrow::Broker escrow_;
+  permit::Broker permits_;
+  scheduling::Manager manager_;
+  platform::Registry registry_;
+  routing::Dispatcher dispatcher_;
+  platform::Front front_;
+  std::optional<metrics::Exporter> exporter_;
+};
+
+Node::Impl::Impl(task::Loop& loop, const settings::NodeSettings& settings)
+    : settings_(settings),
+      mailbox_(loop, [this](const Message& m) { Handle(m); }),
+      shutdown_timer_(loop),
+      readiness_(loop, HttpOptions(settings.ready_address)),
+      store_(loop, PlatformStore(settings)),
+      worker_calls_(loop),
+      permit_calls_(loop, settings.permit_address),
+      entry_client_(loop, entry::ClientOptions{}),
+      incoming_(loop),
+      entry_server_(loop, EntryOptions(settings.process.entry_address),
+                    incoming_.address()),
+      keeper_(loop, KeeperOptions({settings.cell, settings.process}),
+              store_.address(), entry_client_.address()),
+      agent_(loop, MembershipOptions(settings.cell),
+             SelfRecord(settings.process, entry_server_.listening_on(),
+                        membership::Role::kScheduler),
+             {}, store_.address(), entry_client_.address()),
+      workers_(loop, EndpointOptions(settings.cell), worker_calls_.address()),
+      escrow_(loop, escrow::Options{}, store_.address()),
+      permits_(loop, permit::Options{}, permit_calls_.address(),
+               entry_client_.address()),
+      manager_(loop, SchedulingOptions(settings),
+               {store_.address(), workers_.address(), escrow_.address(),
+                agent_.address(), keeper_.address(), permits_.address(),
+                permit_calls_.address()}),
+      registry_(loop, settings.cell.timing.watch_wait, store_.address(),
+                manager_.address()),
+      dispatcher_(loop, RoutingOptions(settings), entry_client_.address()),
+      front_(loop, HttpOptions(settings.process.http_address),
+             dispatcher_.callers()) {
+  incoming_.Connect(manager_.address());
+  keeper_.address().Send(configuration::Subscribe{manager_.address()});
+  keeper_.address().Send(configuration::Subscribe{dispatcher_.updates()});
+  keeper_.address().Send(configuration::Subscribe{mailbox_.address()});
+  agent_.address().Send(membership::Subscribe{manager_.address()});
+  agent_.address().Send(membership::Subscribe{dispatcher_.views()});
+  if (!settings.process.operator_address.empty()) {
+    exporter_.emplace(
+        loop, HttpOptions(settings.process.operator_address),
+        std::vector<metrics::Source>{{"scheduling", manager_.address()},
+                                     {"routing", dispatcher_.metrics()}});
+  }
+}
+
+std::string Node::Impl::not_listening() const {
+  std::string failed;
+  if (readiness_.listening_on().empty())
+    failed += settings_.ready_address + " ";
+  if (front_.listening_on().empty()) {
+    failed += settings_.process.http_address + " ";
+  }
+  if (entry_server_.listening_on().empty()) {
+    failed += settings_.process.entry_address;
+  }
+  return failed;
+}
+
+void Node::Impl::Handle(const Message& message) {
+  std::visit(Visitor{[this](const configuration::Update& update) {
+                       const bool known =
+                           update.configuration != nullptr &&
+                           !update.configuration->services.empty();
+                       if (!known || ready_ || done_) return;
+                       ready_ = true;
+                       LOG(INFO) << "event=ready revision="
+                                 << update.configuration->revision.value;
+                       readiness_.address().Send(true);
+                     },
+                     [this](const scheduling::ShutdownDone&) {
+                       LOG(INFO) << "event=shutdown step=handed_over";
+                       handed_over_ = true;
+                       if (drained_) Finish("all done");
+                     },
+                     [this](const platform::Drained&) {
+                       LOG(INFO) << "event=shutdown step=drained";
+                       drained_ = true;
+                       if (handed_over_) Finish("all done");
+                     }},
+             message);
+}
+
+void Node::Impl::Shutdown(std::function<void()> done) {
+  // Time for the balancer to notice before the front stops listening.
+  constexpr Duration kLeaveDelay{2'200};
+  done_ = std::move(done);
+  LOG(INFO) << "event=shutdown step=leave";
+  readiness_.address().Send(false);
+  manager_.address().Send(scheduling::Shutdown{mailbox_.address()});
+  shutdown_timer_.After(kLeaveDelay, [this] { StartDraining(); });
+}
+
+void Node::Impl::StartDraining() {
+  LOG(INFO) << "event=shutdown step=drain";
+  shutdown_timer_.After(settings_.drain_timeout,
+                        [this] { Finish("drain timeout"); });
+  dispatcher_.hurry().Send(routing::Hurry{});
+  front_.Drain(mailbox_.address());
+}
+
+void Node::Impl::Finish(const char* reason) {
+  if (!done_) return;
+  LOG(INFO) << "event=shutdown step=end reason=\"" << reason << "\"";
+  shutdown_timer_.Cancel();
+  std::exchange(done_, nullptr)();
+}
+
+Node::Node(task::Loop& loop, const settings::NodeSettings& settings)
+    : impl_(std::make_unique<Impl>(loop, settings)) {}
+Node::~Node() = default;
+
+std::string Node::not_listening() const { return impl_->not_listening(); }
+void Node::Shutdown(std::function<void()> done) {
+  impl_->Shutdown(std::move(done));
+}
+
+}  // namespace azurepass::daemons
--- a/azurepass/endpoint/client.cc
+++ b/azurepass/endpoint/client.cc
@@ -9,58 +9,51 @@
 #include <utility>
 
 #include "azurepass/endpoint/endpoint.h"
+#include "azurepass/endpoint/internal/http_carrier.h"
 #include "azurepass/endpoint/internal/session.h"
-#include "azurepass/endpoint/internal/wire.h"
-#include "azurepass/http/http.h"
 
 namespace azurepass::endpoint {
 namespace {
 
 using internal::Answered;
 using internal::Channel;
-using internal::ExchangeAnswer;
-using internal::FencedAnswer;
 using internal::FencedBy;
 using internal::Session;
 using internal::Unanswered;
 
-// The held one, the orders, and a spare for one that is being given up.
-constexpr int kConnectionsPerWorker = 4;
-
 // What a result means to the session.
-internal::Event EventOf(Channel channel, const http::Result& result) {
-  const auto* response = std::get_if<http::Response>(&result);
-  if (response == nullptr) return Unanswered{channel};
-  if (response->status == http::kConflict) {
-    auto fenced = codec::Try([response] {
-      return codec::Decode<FencedAnswer>(response->body,
-                                         internal::kDocumentLimits);
-    });
-    const auto* answer = std::get_if<FencedAnswer>(&fenced);
-    if (answer != nullptr) return FencedBy{answer->epoch};
-  }
-  if (response->status != http::kOk) return Unanswered{channel};
-  auto document = codec::Try([response] {
-    return codec::Decode<ExchangeAnswer>(response->body,
-                                         internal::kDocumentLimits);
-  });
-  auto* answer = std::get_if<ExchangeAnswer>(&document);
-  if (answer == nullptr) return Unanswered{channel};
-  return Answered{channel, std::move(*answer)};
+internal::Event EventOf(Channel channel, ExchangeResult& result) {
+  return std::visit(
+      Visitor{[&](ExchangeAnswer& answer) -> internal::Event {
+                return Answered{channel, std::move(answer)};
+              },
+              [](const ExchangeFenced& fenced) -> internal::Event {
+                return FencedBy{fenced.theirs};
+              },
+              [&](const ExchangeFailed&) -> internal::Event {
+                return Unanswered{channel};
+              }},
+      result);
 }
 
 }  // namespace
 
 class Client::Impl {
  public:
-  Impl(task::Loop& loop, Options options)
+  Impl(task::Loop& loop, Options options, task::Address<Carry> carrier)
       : loop_(loop),
         options_(options),
-        http_(loop, {kConnectionsPerWorker}),
-        mailbox_(loop, [this](Request r) { Handle(std::move(r)); }),
+        carrier_(std::move(carrier)),
+        mailbox_(loop, [this](Inbox m) { Handle(std::move(m)); }),
         counters_mailbox_(loop, [this](const task::Address<Counters>& to) {
           to.Send(CurrentCounters());
         }) {}
+  // Over HTTP.
+  Impl(task::Loop& loop, Options options,
+       std::unique_ptr<internal::HttpCarrier> http)
+      : Impl(loop, options, http->address()) {
+    http_ = std::move(http);
+  }
 
   task::Address<Request> address() const { return mailbox_.address(); }
   task::Address<task::Address<Counters>> counters() const {
@@ -74,13 +67,24 @@
 
     Session session;
     int64_t number = 0;
+    PartitionId partition;
     std::string address;
     task::Address<Update> listener;
     task::Timer held;
     task::Timer orders;
   };
 
-  void Handle(Request request);
+  // The answer to an exchange of the session of this number.
+  struct Carried {
+    VmId vm;
+    int64_t number = 0;
+    Channel channel = Channel::kHeld;
+    ExchangeResult result;
+  };
+  using Inbox = std::variant<Request, Carried>;
+
+  void Handle(Inbox message);
+  void OnRequest(Request request);
   void Begin(const Open& open);
   void Tell(const VmId& vm, int64_t number, internal::Event event);
   void Perform(const VmId& vm, Entry& entry,
@@ -96,12 +100,28 @@
   int64_t failures_ = 0;
   std::optional<MonotonicTime> authorized_until_;
   std::map<VmId, std::unique_ptr<Entry>> entries_;
-  http::Client http_;
-  task::Mailbox<Request> mailbox_;
+  std::unique_ptr<internal::HttpCarrier> http_;  // Null: a carrier was given.
+  task::Address<Carry> carrier_;
+  int64_t exchanges_ = 0;
+  task::Mailbox<Inbox> mailbox_;
   task::Mailbox<task::Address<Counters>> counters_mailbox_;
 };
 
-void Client::Impl::Handle(Request request) {
+void Client::Impl::Handle(Inbox message) {
+  std::visit(
+      Visitor{[this](Request& request) { OnRequest(std::move(request)); },
+              [this](Carried& carried) {
+                ++exchanges_;
+                if (std::holds_alternative<ExchangeFailed>(carried.result)) {
+                  ++failures_;
+                }
+                Tell(carried.vm, carried.number,
+                     EventOf(carried.channel, carried.result));
+              }},
+      message);
+}
+
+void Client::Impl::OnRequest(Request request) {
   std::visit(Visitor{[this](const Open& open) { Begin(open); },
                      [this](endpoint::Send& send) {
                        const auto found = entries_.find(send.vm);
@@ -109,6 +129,12 @@
                        Tell(send.vm, found->second->number,
                             internal::Ordered{std::move(send.orders)});
                      },
+                     [this](const Acknowledge& acknowledge) {
+                       const auto found = entries_.find(acknowledge.vm);
+                       if (found == entries_.end()) return;
+                       Tell(acknowledge.vm, found->second->number,
+                            internal::Recorded{acknowledge.number});
+                     },
                      [this](const Close& close) { entries_.erase(close.vm); },
                      [this](const Authorize& authorize) {
                        authorized_until_ = authorize.until;
@@ -129,6 +155,7 @@
   auto entry = std::make_unique<Entry>(
       loop_, Session(vm, open.epoch, options_, authorized_until_, seed, now));
   entry->number = ++sessions_begun_;
+  entry->partition = open.partition;
   entry->address = open.worker.address;
   entry->listener = open.listener;
   Entry& kept = *(entries_[vm] = std::move(entry));
@@ -164,24 +191,32 @@
 
 void Client::Impl::Send(const VmId& vm, const Entry& entry,
                         const internal::Exchange& exchange) {
-  const http::Request request{"POST", entry.address, "/v1/exchange",
-                              codec::Write(exchange.request).dump(),
-                              exchange.request.hold + options_.request_timeout};
-  http_.Send(request, [this, vm, number = entry.number,
-                       channel = exchange.channel](const http::Result& result) {
-    if (std::holds_alternative<http::Failure>(result)) ++failures_;
-    Tell(vm, number, EventOf(channel, result));
-  });
+  carrier_.Send(
+      {entry.partition, vm, entry.address, exchange.request,
+       exchange.request.hold + options_.request_timeout,
+       mailbox_.address().Map<ExchangeResult>(
+           [vm, number = entry.number,
+            channel = exchange.channel](ExchangeResult result) {
+             return Inbox(Carried{vm, number, channel, std::move(result)});
+           })});
 }
 
 Counters Client::Impl::CurrentCounters() const {
-  const http::Traffic& traffic = http_.traffic();
-  return {traffic.requests, failures_, traffic.connections, traffic.bytes_sent,
-          traffic.bytes_received};
+  Counters counters{exchanges_, failures_, 0, 0, 0};
+  if (http_ == nullptr) return counters;
+  const http::Traffic& traffic = http_->traffic();
+  counters.connections = traffic.connections;
+  counters.bytes_sent = traffic.bytes_sent;
+  counters.bytes_received = traffic.bytes_received;
+  return counters;
 }
 
 Client::Client(task::Loop& loop, Options options)
-    : impl_(std::make_shared<Impl>(loop, options)) {}
+    : impl_(std::make_shared<Impl>(
+          loop, options, std::make_unique<internal::HttpCarrier>(loop))) {}
+
+Client::Client(task::Loop& loop, Options options, task::Address<Carry> carrier)
+    : impl_(std::make_shared<Impl>(loop, options, std::move(carrier))) {}
 
 Client::~Client() = default;
 
--- a/azurepass/endpoint/endpoint.h
+++ b/azurepass/endpoint/endpoint.h
@@ -87,12 +87,19 @@
   WorkerSpec worker;
   Epoch epoch;
   task::Address<Update> listener;
+  PartitionId partition{};  // Told to the carrier of the exchanges.
 };
 // To a session that is open here; otherwise dropped.
 struct Send {
   VmId vm;
   std::vector<Order> orders;  // Repeated until the worker has taken them.
 };
+// All events up to this number are recorded: the worker may forget them. Until
+// then it keeps them, and gives them again to a later owner.
+struct Acknowledge {
+  VmId vm;
+  int64_t number = 0;
+};
 struct Close {
   VmId vm;
 };
@@ -101,7 +108,7 @@
 struct Authorize {
   MonotonicTime until;
 };
-using Request = std::variant<Open, Send, Close, Authorize>;
+using Request = std::variant<Open, Send, Acknowledge, Close, Authorize>;
 
 struct Options {
   Duration lease{15'000};        // A worker keeps running this long unrenewed.
@@ -124,9 +131,58 @@
   int64_t bytes_received = 0;
 };
 
+// --- How exchanges travel
+
+// What an owner says to a worker in one exchange.
+struct ExchangeRequest {
+  Epoch epoch;
+  Duration lease{0};
+  // From the worker's latest answer; without one the lease is not renewed and
+  // no order is taken.
+  std::string token;
+  int64_t acknowledged = 0;  // The last event that the worker may forget.
+  Duration hold{0};
+  // Asks for the list of running attempts. An exchange that neither holds nor
+  // lists is answered without events.
+  bool list = false;
+  std::vector<Order> orders;
+};
+struct ExchangeAnswer {
+  std::string token;
+  // The orders are carried out, or were before.
+  bool taken = false;
+  // The token is of a former life of the worker, which ran nothing of this one.
+  bool restarted = false;
+  // By number, each after `acknowledged`; those of number 0 answer orders.
+  std::vector<WorkerEvent> events;
+  std::vector<Usage> usage;
+  std::vector<AttemptId> running;  // When asked for, or restarted.
+};
+// The worker has seen a higher epoch.
+struct ExchangeFenced {
+  Epoch theirs;
+};
+struct ExchangeFailed {
+  std::string message;
+};
+using ExchangeResult =
+    std::variant<ExchangeAnswer, ExchangeFenced, ExchangeFailed>;
+// Carries one exchange to a worker; answered exactly once.
+struct Carry {
+  PartitionId partition;  // Whose jobs the orders and the answer are about.
+  VmId vm;
+  std::string address;
+  ExchangeRequest request;
+  Duration timeout{0};  // Of the whole, hold included.
+  task::Address<ExchangeResult> reply_to;
+};
+
 class Client {
  public:
+  // Exchanges travel over HTTP and JSON, as described above.
   Client(task::Loop& loop, Options options);
+  // Exchanges are given to `carrier`, for workers that speak otherwise.
+  Client(task::Loop& loop, Options options, task::Address<Carry> carrier);
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
--- a/azurepass/endpoint/internal/session.cc
+++ b/azurepass/endpoint/internal/session.cc
@@ -51,7 +51,8 @@
           [&](const Woken& woken) { OnWoken(woken.channel, now); },
           [&](const Authorized& authorized) {
             authorized_until_ = authorized.until;
-          }},
+          },
+          [&](const Recorded& recorded) { OnRecorded(recorded); }},
       event);
   Advance(now);
   return std::exchange(outputs_, {});
@@ -72,6 +73,7 @@
   if (answer.restarted) {
     opened_ = false;
     delivered_ = 0;
+    acknowledged_ = 0;
     orders_.clear();
     orders_sent_ = 0;
   }
@@ -89,6 +91,7 @@
                   orders_.begin() + static_cast<std::ptrdiff_t>(sent));
   }
   if (!answer.restarted && held_failures_ == 0) TakeToken(answer, now);
+  ReportAnswers(answer);
   if (answer.taken || sent == 0) return;
   // Most likely the token was too old; the answer brought a new one.
   if (++orders_failures_ == 1) return;
@@ -112,7 +115,19 @@
   outputs_.emplace_back(Update(Unreachable{vm_, epoch_, LeaseUntil()}));
 }
 
+void Session::OnRecorded(const Recorded& recorded) {
+  if (recorded.number > delivered_) return;  // Of the worker's former life.
+  acknowledged_ = std::max(acknowledged_, recorded.number);
+  if (awaiting_record_ && acknowledged_ == delivered_) {
+    awaiting_record_ = false;
+    held_waiting_ = false;
+  }
+}
+
 void Session::OnWoken(Channel channel, MonotonicTime /*now*/) {
+  if (channel == Channel::kHeld && std::exchange(awaiting_record_, false)) {
+    record_overdue_ = true;
+  }
   (channel == Channel::kHeld ? held_waiting_ : orders_waiting_) = false;
 }
 
@@ -128,10 +143,21 @@
   request.epoch = epoch_;
   request.lease = options_.lease;
   request.token = token_;
-  request.acknowledged = delivered_;
+  request.acknowledged = acknowledged_;
+  const bool unrecorded = delivered_ > acknowledged_;
+  if (opened_ && held_failures_ == 0 && unrecorded &&
+      !std::exchange(record_overdue_, false)) {
+    awaiting_record_ = true;
+    held_waiting_ = true;
+    outputs_.emplace_back(
+        Wake{Channel::kHeld, options_.lease / kHoldsPerLease});
+    return;
+  }
   if (!opened_ || held_failures_ > 0) {
     if (orders_busy_) return;
     request.list = true;
+  } else if (unrecorded) {
+    request.list = true;
   } else {
     request.hold = std::min(options_.hold, options_.lease / kHoldsPerLease);
   }
@@ -168,6 +194,14 @@
   token_received_ = now;
 }
 
+void Session::ReportAnswers(ExchangeAnswer& answer) {
+  Events events{vm_, epoch_, {}, {}};
+  for (WorkerEvent& event : answer.events) {
+    if (event.number == 0) events.events.push_back(std::move(event));
+  }
+  if (!events.events.empty()) outputs_.emplace_back(Update(std::move(events)));
+}
+
 void Session::Report(ExchangeAnswer answer) {
   Events events{vm_, epoch_, {}, std::move(answer.usage)};
   for (WorkerEvent& event : answer.events) {
--- a/azurepass/endpoint/internal/session.h
+++ b/azurepass/endpoint/internal/session.h
@@ -55,8 +55,12 @@
 struct Authorized {
   MonotonicTime until;
 };
-using Event =
-    std::variant<Ordered, Answered, FencedBy, Unanswered, Woken, Authorized>;
+// The owner has recorded all events up to this number.
+struct Recorded {
+  int64_t number = 0;
+};
+using Event = std::variant<Ordered, Answered, FencedBy, Unanswered, Woken,
+                           Authorized, Recorded>;
 
 // --- Outputs
 
@@ -97,6 +101,9 @@
   void DropLateStarts(MonotonicTime now);
   void TakeToken(ExchangeAnswer& answer, MonotonicTime now);
   void Report(ExchangeAnswer answer);
+  // Passes on the events of number 0.
+  void ReportAnswers(ExchangeAnswer& answer);
+  void OnRecorded(const Recorded& recorded);
   std::vector<AttemptId> WithPendingStarts(std::vector<AttemptId> running);
   bool MaySend(MonotonicTime now) const;
   MonotonicTime LeaseUntil() const;
@@ -114,7 +121,13 @@
   std::string token_;
   // When token_ was received; before there is one, when the session began.
   MonotonicTime token_received_;
-  int64_t delivered_ = 0;  // The last event passed on.
+  int64_t delivered_ = 0;     // The last event passed on.
+  int64_t acknowledged_ = 0;  // The last one recorded; at most delivered_.
+  // The next exchange waits for the record of what was passed on, for the
+  // worker would answer it at once. Past its time it goes out all the same, to
+  // renew the lease.
+  bool awaiting_record_ = false;
+  bool record_overdue_ = false;
 
   // A channel is busy while an exchange is under way, waiting while a Wake is.
   bool held_busy_ = false;
--- a/azurepass/endpoint/internal/wire.h
+++ b/azurepass/endpoint/internal/wire.h
@@ -13,38 +13,17 @@
 
 #include "azurepass/codec/codec.h"
 #include "azurepass/core/core.h"
+#include "azurepass/endpoint/endpoint.h"
 
 namespace azurepass::endpoint::internal {
 
+using endpoint::ExchangeAnswer;
+using endpoint::ExchangeRequest;
+
 // Every kept event and order of a worker fits.
 inline constexpr codec::ParseLimits kDocumentLimits{
     .max_bytes = size_t{16} << 20, .max_depth = 8, .allow_comments = false};
 
-struct ExchangeRequest {
-  Epoch epoch;
-  Duration lease{0};
-  // From the worker's latest answer; without one the lease is not renewed and
-  // no order is taken.
-  std::string token;
-  int64_t acknowledged = 0;  // The last event received.
-  Duration hold{0};
-  // Asks for the list of running attempts. An exchange that neither holds nor
-  // lists is answered without events.
-  bool list = false;
-  std::vector<Order> orders;
-};
-
-struct ExchangeAnswer {
-  std::string token;
-  // The orders are carried out, or were before.
-  bool taken = false;
-  // The token is of a former life of the worker, which ran nothing of this one.
-  bool restarted = false;
-  std::vector<WorkerEvent> events;  // By number, each after `acknowledged`.
-  std::vector<Usage> usage;
-  std::vector<AttemptId> running;  // When asked for, or restarted.
-};
-
 // With status 409.
 struct FencedAnswer {
   Epoch epoch;  // The highest that the worker has seen.
@@ -55,14 +34,14 @@
 namespace azurepass::codec {
 
 template <>
-struct Format<endpoint::internal::ExchangeRequest> {
-  static endpoint::internal::ExchangeRequest Read(ObjectReader& reader);
-  static Json Write(const endpoint::internal::ExchangeRequest& value);
+struct Format<endpoint::ExchangeRequest> {
+  static endpoint::ExchangeRequest Read(ObjectReader& reader);
+  static Json Write(const endpoint::ExchangeRequest& value);
 };
 template <>
-struct Format<endpoint::internal::ExchangeAnswer> {
-  static endpoint::internal::ExchangeAnswer Read(ObjectReader& reader);
-  static Json Write(const endpoint::internal::ExchangeAnswer& value);
+struct Format<endpoint::ExchangeAnswer> {
+  static endpoint::ExchangeAnswer Read(ObjectReader& reader);
+  static Json Write(const endpoint::ExchangeAnswer& value);
 };
 template <>
 struct Format<endpoint::internal::FencedAnswer> {
--- a/azurepass/entry/entry.h
+++ b/azurepass/entry/entry.h
@@ -51,9 +51,18 @@
 struct PullConfiguration {
   Revision after;
 };
+// Asks the peer to put a question to the service that issues permits, which
+// answers each of our VMs in turn.
+struct RelayPermits {
+  JobId job;
+  std::vector<VmId> workers;
+};
 using Request =
     std::variant<partition::SubmitJob, partition::GetJob, partition::CancelJob,
-                 partition::ExplainJob, GetStatus, Gossip, PullConfiguration>;
+                 partition::ExplainJob, GetStatus, Gossip, PullConfiguration,
+                 partition::SubmitWorkflow, partition::GetWorkflow,
+                 partition::CancelWorkflow, partition::CountWaiting,
+                 RelayPermits>;
 
 // --- Responses
 
@@ -72,8 +81,13 @@
   Duration store_contact_age{0};  // Duration::max(): never confirmed.
   bool in_contact = false;  // The peer's latest request to the store succeeded.
 };
+struct PermitsRelayed {
+  std::vector<partition::Permit> permits;
+  Duration validity{0};  // From now.
+};
 using Response = std::variant<JobView, placement::Explanation, Status, Gossip,
-                              ConfigurationPulled, Refusal>;
+                              ConfigurationPulled, Refusal, WorkflowView,
+                              partition::WaitingCount, PermitsRelayed>;
 
 // --- Server
 
--- a/azurepass/entry/internal/message_formats.cc
+++ b/azurepass/entry/internal/message_formats.cc
@@ -6,6 +6,7 @@
 
 #include "azurepass/entry/internal/message_formats.h"
 
+#include <concepts>
 #include <limits>
 #include <utility>
 
@@ -68,6 +69,13 @@
     {"memory_mib", Dimension::kMemoryMib},
     {"accelerators", Dimension::kAccelerators}};
 
+constexpr std::pair<std::string_view, WorkflowState> kWorkflowStates[] = {
+    {"queued", WorkflowState::kQueued},
+    {"running", WorkflowState::kRunning},
+    {"completed", WorkflowState::kCompleted},
+    {"failed", WorkflowState::kFailed},
+    {"cancelled", WorkflowState::kCancelled}};
+
 std::string_view WaitReasonSpelling(placement::WaitReason reason) {
   for (const auto& [spelling, value] : kWaitReasons) {
     if (value == reason) return spelling;
@@ -206,8 +214,121 @@
   }
 };
 
+template <>
+struct Format<Wire<partition::SubmitWorkflow>> {
+  static Wire<partition::SubmitWorkflow> Read(ObjectReader& reader) {
+    partition::SubmitWorkflow submit;
+    submit.partition = reader.Name<PartitionId>("partition");
+    submit.team = reader.Name<TeamId>("team");
+    submit.request = reader.Name<RequestId>("request");
+    submit.spec = reader.Object<WorkflowSpec>("spec");
+    submit.revision = Revision{Count(reader, "revision")};
+    return {submit};
+  }
+  static Json Write(const Wire<partition::SubmitWorkflow>& wire) {
+    const partition::SubmitWorkflow& submit = wire.value;
+    return {{"partition", submit.partition.value()},
+            {"team", submit.team.value()},
+            {"request", submit.request.value()},
+            {"spec", codec::Write(submit.spec)},
+            {"revision", submit.revision.value}};
+  }
+};
+
+// GetWorkflow and CancelWorkflow, which have the same fields.
+template <class Request>
+requires std::same_as<Request, partition::GetWorkflow> ||
+    std::same_as<Request, partition::CancelWorkflow>
+struct Format<Wire<Request>> {
+  static Wire<Request> Read(ObjectReader& reader) {
+    Request request;
+    request.partition = reader.Name<PartitionId>("partition");
+    request.team = reader.Name<TeamId>("team");
+    request.request = reader.Name<RequestId>("request");
+    return {request};
+  }
+  static Json Write(const Wire<Request>& wire) {
+    return {{"partition", wire.value.partition.value()},
+            {"team", wire.value.team.value()},
+            {"request", wire.value.request.value()}};
+  }
+};
+
+template <>
+struct Format<Wire<partition::CountWaiting>> {
+  static Wire<partition::CountWaiting> Read(ObjectReader& reader) {
+    return {
+        {reader.Name<PartitionId>("partition"), reader.Name<QueueId>("queue")}};
+  }
+  static Json Write(const Wire<partition::CountWaiting>& wire) {
+    return {{"partition", wire.value.partition.value()},
+            {"queue", wire.value.queue.value()}};
+  }
+};
+
+template <>
+struct Format<Wire<entry::RelayPermits>> {
+  static Wire<entry::RelayPermits> Read(ObjectReader& reader) {
+    return {{reader.Name<JobId>("job"), reader.Names<VmId>("workers")}};
+  }
+  static Json Write(const Wire<entry::RelayPermits>& wire) {
+    return {{"job", wire.value.job.value()},
+            {"workers", WriteNames(wire.value.workers)}};
+  }
+};
+
 // --- Responses
 
+template <>
+struct Format<Wire<WorkflowView>> {
+  static Wire<WorkflowView> Read(ObjectReader& reader) {
+    WorkflowView view;
+    view.request = reader.Name<RequestId>("request");
+    view.team = reader.Name<TeamId>("team");
+    view.state = reader.Choice("state", kWorkflowStates);
+    return {view};
+  }
+  static Json Write(const Wire<WorkflowView>& wire) {
+    return {{"request", wire.value.request.value()},
+            {"team", wire.value.team.value()},
+            {"state", WorkflowStateName(wire.value.state)}};
+  }
+};
+
+template <>
+struct Format<Wire<partition::WaitingCount>> {
+  static Wire<partition::WaitingCount> Read(ObjectReader& reader) {
+    return {{Count(reader, "workflows")}};
+  }
+  static Json Write(const Wire<partition::WaitingCount>& wire) {
+    return {{"workflows", wire.value.workflows}};
+  }
+};
+
+template <>
+struct Format<Wire<partition::Permit>> {
+  static Wire<partition::Permit> Read(ObjectReader& reader) {
+    return {{reader.Name<VmId>("vm"), reader.String("text")}};
+  }
+  static Json Write(const Wire<partition::Permit>& wire) {
+    return {{"vm", wire.value.vm.value()}, {"text", wire.value.text}};
+  }
+};
+
+template <>
+struct Format<Wire<entry::PermitsRelayed>> {
+  static Wire<entry::PermitsRelayed> Read(ObjectReader& reader) {
+    entry::PermitsRelayed relayed;
+    relayed.permits = ReadWires<partition::Permit>(reader, "permits");
+    relayed.validity = Age(reader, "validity_ms");
+    return {relayed};
+  }
+  static Json Write(const Wire<entry::PermitsRelayed>& wire) {
+    return {{"permits", WriteWires(wire.value.permits)},
+            {"validity_ms", wire.value.validity.count()}};
+  }
+};
+
 template <>
 struct Format<Wire<JobView>> {
   static Wire<JobView> Read(ObjectReader& reader) {
@@ -425,12 +546,17 @@
 // Where each alternative of Request and of Response goes by name. The order is
 // that of the variant.
 constexpr std::string_view kPaths[] = {
-    "/v1/submit", "/v1/get",    "/v1/cancel", "/v1/explain",
-    "/v1/status", "/v1/gossip", "/v1/pull"};
+    "/v1/submit",        "/v1/get",
+    "/v1/cancel",        "/v1/explain",
+    "/v1/status",        "/v1/gossip",
+    "/v1/pull",          "/v1/submit-workflow",
+    "/v1/get-workflow",  "/v1/cancel-workflow",
+    "/v1/count-waiting", "/v1/permits"};
 static_assert(std::size(kPaths) == std::variant_size_v<Request>);
 
-constexpr std::string_view kKinds[] = {"job",    "explanation",   "status",
-                                       "gossip", "configuration", "refusal"};
+constexpr std::string_view kKinds[] = {"job",      "explanation",   "status",
+                                       "gossip",   "configuration", "refusal",
+                                       "workflow", "waiting",       "permits"};
 static_assert(std::size(kKinds) == std::variant_size_v<Response>);
 
 // Reads the alternative of `Sum` whose name stands in `names`.
--- a/azurepass/escrow/settle.cc
+++ b/azurepass/escrow/settle.cc
@@ -24,8 +24,19 @@
   return sum;
 }
 
+// Wants and grants move in steps of a part of the limit, so that a book is
+// written when a want crosses a step and not with every task.
+constexpr int64_t kStepsPerLimit = 8;
+
+int64_t RoundUp(int64_t amount, int64_t limit) {
+  const int64_t step = std::max<int64_t>(1, limit / kStepsPerLimit);
+  return (amount + step - 1) / step * step;
+}
+
 // A quarter on top, so that a growing want does not mean a write a task.
-int64_t WithHeadroom(int64_t wanted) { return wanted + (wanted + 3) / 4; }
+int64_t WithHeadroom(int64_t wanted, int64_t limit) {
+  return RoundUp(wanted + (wanted + 3) / 4, limit);
+}
 
 // The part of the limit that is fair for `partition`, given all wants.
 int64_t FairPart(const Book& book, int64_t limit, Dimension d,
@@ -54,7 +65,7 @@
   const int64_t sum = SumGranted(book, d);
   const bool short_of_limit = SumWanted(book, d) > limit || sum > limit;
 
-  int64_t desired = WithHeadroom(wanted);
+  int64_t desired = WithHeadroom(wanted, limit);
   if (short_of_limit) {
     desired = std::min(wanted, FairPart(book, limit, d, partition));
   } else if (desired < granted && granted <= 2 * desired) {
@@ -108,6 +119,11 @@
   Book settled = book;
   Line& line = settled.lines[partition];
   line.wanted = Resources::Max(need.wanted, need.committed);
+  for (Dimension d : kAllDimensions) {
+    if (!IsUnlimited(limit[d])) {
+      line.wanted[d] = RoundUp(line.wanted[d], limit[d]);
+    }
+  }
   Resources granted;
   for (Dimension d : kAllDimensions) {
     if (IsUnlimited(limit[d])) continue;
--- a/azurepass/follow/follow.cc
+++ b/azurepass/follow/follow.cc
@@ -10,6 +10,10 @@
 namespace azurepass::follow {
 namespace {
 
+// Between a watch whose history is gone and the listing that replaces it, so
+// that a store which keeps no history is not asked without a pause.
+constexpr Duration kRelistPause{10};
+
 MonotonicTime Now() { return std::chrono::steady_clock::now(); }
 
 struct PageRead {
@@ -112,7 +116,11 @@
   }
 
   void OnError(const store::Error& error) {
-    if (error.code == store::ErrorCode::kCompacted) listed_ = false;
+    // The store answered; only the history is gone.
+    if (error.code == store::ErrorCode::kCompacted && listed_) {
+      listed_ = false;
+      return AskAfter(kRelistPause);
+    }
     std::uniform_int_distribution<int64_t> spread(backoff_.count() / 2,
                                                   backoff_.count());
     AskAfter(Duration(spread(random_)));
--- a/azurepass/http/client.cc
+++ b/azurepass/http/client.cc
@@ -189,6 +189,10 @@
                                              body);
     g_bytes_unref(body);
   }
+  SoupMessageHeaders* headers = soup_message_get_request_headers(call->message);
+  for (const auto& [name, value] : request.headers) {
+    soup_message_headers_replace(headers, name.c_str(), value.c_str());
+  }
   g_signal_connect(call->message, "starting",
                    G_CALLBACK(+[](SoupMessage*, gpointer data) {
                      static_cast<Call*>(data)->sent = true;
--- a/azurepass/http/http.h
+++ b/azurepass/http/http.h
@@ -20,7 +20,9 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
+#include <vector>
 
 #include "azurepass/core/core.h"
 #include "azurepass/task/task.h"
@@ -62,6 +64,7 @@
   std::string target;   // Path and query, escaped.
   std::string body;     // JSON, or empty.
   Duration timeout{0};  // From now to the end of the answer.
+  std::vector<std::pair<std::string, std::string>> headers{};
 };
 
 // What went over the wire, headers included.
--- a/azurepass/httpserver/httpserver.cc
+++ b/azurepass/httpserver/httpserver.cc
@@ -364,6 +364,16 @@
   request.path = SplitPath(path);
   request.query = ReadQuery(query);
   request.bearer = ReadBearer(message);
+  request.raw_path = path;
+  soup_message_headers_foreach(
+      soup_server_message_get_request_headers(message),
+      [](const char* name, const char* value, gpointer headers) {
+        char* lower = g_ascii_strdown(name, -1);
+        (*static_cast<std::map<std::string, std::string>*>(headers))[lower] =
+            value;
+        g_free(lower);
+      },
+      &request.headers);
   SoupMessageBody* body = soup_server_message_get_request_body(message);
   if (body->data != nullptr) request.body.assign(body->data, body->length);
 
--- a/azurepass/httpserver/httpserver.h
+++ b/azurepass/httpserver/httpserver.h
@@ -59,7 +59,10 @@
   Method method = Method::kOther;
   std::vector<std::string> path;  // "/v1/jobs/7" is {"v1", "jobs", "7"}.
   std::map<std::string, std::string> query;
-  std::string bearer;  // Of "Authorization: Bearer ..."; else empty.
+  std::string bearer;    // Of "Authorization: Bearer ..."; else empty.
+  std::string raw_path;  // As sent, without the query.
+  // By lower-case name; of a header that came twice, one of them.
+  std::map<std::string, std::string> headers;
   std::string body;
 };
 
--- a/azurepass/httpserver/response.cc
+++ b/azurepass/httpserver/response.cc
@@ -18,6 +18,8 @@
       return 403;
     case RefusalCode::kNotFound:
       return 404;
+    case RefusalCode::kGone:
+      return 410;
     case RefusalCode::kNeverFits:
       return 422;
     case RefusalCode::kRequestConflict:
--- a/azurepass/journal/internal/record_formats.cc
+++ b/azurepass/journal/internal/record_formats.cc
@@ -19,6 +19,10 @@
 using partition::TaskRequeued;
 using partition::TaskSnapshot;
 using partition::TaskStarted;
+using partition::WorkflowCancelled;
+using partition::WorkflowForgotten;
+using partition::WorkflowSnapshot;
+using partition::WorkflowSubmitted;
 using placement::AttemptOutcome;
 
 constexpr int64_t kMaxInt = std::numeric_limits<int64_t>::max();
@@ -43,12 +47,37 @@
   kRequeued,
   kEnded,
   kCancelled,
-  kForgotten
+  kForgotten,
+  kWorkflowSubmitted,
+  kWorkflowCancelled,
+  kWorkflowForgotten
 };
 constexpr std::pair<std::string_view, Kind> kKinds[] = {
-    {"submitted", Kind::kSubmitted}, {"started", Kind::kStarted},
-    {"requeued", Kind::kRequeued},   {"ended", Kind::kEnded},
-    {"cancelled", Kind::kCancelled}, {"forgotten", Kind::kForgotten}};
+    {"submitted", Kind::kSubmitted},
+    {"started", Kind::kStarted},
+    {"requeued", Kind::kRequeued},
+    {"ended", Kind::kEnded},
+    {"cancelled", Kind::kCancelled},
+    {"forgotten", Kind::kForgotten},
+    {"workflow_submitted", Kind::kWorkflowSubmitted},
+    {"workflow_cancelled", Kind::kWorkflowCancelled},
+    {"workflow_forgotten", Kind::kWorkflowForgotten}};
+
+constexpr std::pair<std::string_view, WorkflowState> kWorkflowStates[] = {
+    {"queued", WorkflowState::kQueued},
+    {"running", WorkflowState::kRunning},
+    {"completed", WorkflowState::kCompleted},
+    {"failed", WorkflowState::kFailed},
+    {"cancelled", WorkflowState::kCancelled}};
+
+WallTime ReadWallTime(ObjectReader& reader, std::string_view name) {
+  return WallTime(std::chrono::duration_cast<WallTime::duration>(
+      Duration(reader.Int(name, 0, kMaxInt / 1'000'000, 0))));
+}
+
+int64_t MillisOf(WallTime time) {
+  return std::chrono::duration_cast<Duration>(time.time_since_epoch()).count();
+}
 
 std::string_view OutcomeName(AttemptOutcome outcome) {
   for (const auto& [name, value] : kOutcomes) {
@@ -72,6 +101,7 @@
   requeued.attempt = ReadAttemptId(reader, "attempt");
   requeued.outcome = reader.Choice<AttemptOutcome>("outcome", kOutcomes);
   requeued.from_checkpoint = reader.Bool("from_checkpoint", false);
+  requeued.checkpoint = reader.String("checkpoint", "");
   return requeued;
 }
 
@@ -89,30 +119,63 @@
               {"attempt", ToString(r.attempt)},
               {"outcome", OutcomeName(r.outcome)}};
   if (r.from_checkpoint) out["from_checkpoint"] = true;
+  if (!r.checkpoint.empty()) out["checkpoint"] = r.checkpoint;
   return out;
 }
 
 }  // namespace
 
+WorkflowSubmitted Format<WorkflowSubmitted>::Read(ObjectReader& reader) {
+  WorkflowSubmitted submitted;
+  submitted.partition = reader.Name<PartitionId>("partition");
+  submitted.team = reader.Name<TeamId>("team");
+  submitted.request = reader.Name<RequestId>("request");
+  submitted.spec = reader.Object<WorkflowSpec>("spec");
+  submitted.accepted = ReadWallTime(reader, "accepted_ms");
+  return submitted;
+}
+
+Json Format<WorkflowSubmitted>::Write(const WorkflowSubmitted& value) {
+  return {{"partition", value.partition.value()},
+          {"team", value.team.value()},
+          {"request", value.request.value()},
+          {"spec", codec::Write(value.spec)},
+          {"accepted_ms", MillisOf(value.accepted)}};
+}
+
+WorkflowSnapshot Format<WorkflowSnapshot>::Read(ObjectReader& reader) {
+  WorkflowSnapshot snapshot;
+  snapshot.submitted = reader.Object<WorkflowSubmitted>("submitted");
+  snapshot.cancelled = reader.Bool("cancelled", false);
+  if (reader.Has("ended")) {
+    snapshot.ended = reader.Choice("ended", kWorkflowStates);
+  }
+  return snapshot;
+}
+
+Json Format<WorkflowSnapshot>::Write(const WorkflowSnapshot& value) {
+  Json out = {{"submitted", codec::Write(value.submitted)}};
+  if (value.cancelled) out["cancelled"] = true;
+  if (value.ended) out["ended"] = WorkflowStateName(*value.ended);
+  return out;
+}
+
 JobSubmitted Format<JobSubmitted>::Read(ObjectReader& reader) {
   JobSubmitted submitted;
   submitted.job = reader.Name<JobId>("job");
   submitted.team = reader.Name<TeamId>("team");
   submitted.request = reader.Name<RequestId>("request");
   submitted.spec = reader.Object<JobSpec>("spec");
-  submitted.accepted = WallTime(std::chrono::duration_cast<WallTime::duration>(
-      Duration(reader.Int("accepted_ms", 0, kMaxInt / 1'000'000, 0))));
+  submitted.accepted = ReadWallTime(reader, "accepted_ms");
   return submitted;
 }
 
 Json Format<JobSubmitted>::Write(const JobSubmitted& value) {
-  const auto accepted =
-      std::chrono::duration_cast<Duration>(value.accepted.time_since_epoch());
   return {{"job", value.job.value()},
           {"team", value.team.value()},
           {"request", value.request.value()},
           {"spec", codec::Write(value.spec)},
-          {"accepted_ms", accepted.count()}};
+          {"accepted_ms", MillisOf(value.accepted)}};
 }
 
 TaskSnapshot Format<TaskSnapshot>::Read(ObjectReader& reader) {
@@ -125,6 +188,7 @@
   task.failures =
       static_cast<int32_t>(reader.Int("failures", 0, kMaxAttempt, 0));
   task.from_checkpoint = reader.Bool("from_checkpoint", false);
+  task.checkpoint = reader.String("checkpoint", "");
   task.reason = reader.String("reason", "");
   return task;
 }
@@ -139,6 +203,7 @@
   if (value.attempts != 0) out["attempts"] = value.attempts;
   if (value.failures != 0) out["failures"] = value.failures;
   if (value.from_checkpoint) out["from_checkpoint"] = true;
+  if (!value.checkpoint.empty()) out["checkpoint"] = value.checkpoint;
   if (!value.reason.empty()) {
     out["reason"] = value.reason.substr(0, kMaxReasonBytes);
   }
@@ -161,6 +226,12 @@
       return JobCancelled{reader.Name<JobId>("job")};
     case Kind::kForgotten:
       return JobForgotten{reader.Name<JobId>("job")};
+    case Kind::kWorkflowSubmitted:
+      return Format<WorkflowSubmitted>::Read(reader);
+    case Kind::kWorkflowCancelled:
+      return WorkflowCancelled{reader.Name<RequestId>("request")};
+    case Kind::kWorkflowForgotten:
+      return WorkflowForgotten{reader.Name<RequestId>("request")};
   }
   return JobForgotten{};
 }
@@ -184,6 +255,19 @@
               },
               [](const JobForgotten& r) {
                 return Json{{"record", "forgotten"}, {"job", r.job.value()}};
+              },
+              [](const WorkflowSubmitted& r) {
+                Json out = codec::Write(r);
+                out["record"] = "workflow_submitted";
+                return out;
+              },
+              [](const WorkflowCancelled& r) {
+                return Json{{"record", "workflow_cancelled"},
+                            {"request", r.request.value()}};
+              },
+              [](const WorkflowForgotten& r) {
+                return Json{{"record", "workflow_forgotten"},
+                            {"request", r.request.value()}};
               }},
       value);
 }
--- a/azurepass/journal/internal/record_formats.h
+++ b/azurepass/journal/internal/record_formats.h
@@ -20,6 +20,16 @@
   static Json Write(const partition::JobSubmitted& value);
 };
 template <>
+struct Format<partition::WorkflowSubmitted> {
+  static partition::WorkflowSubmitted Read(ObjectReader& reader);
+  static Json Write(const partition::WorkflowSubmitted& value);
+};
+template <>
+struct Format<partition::WorkflowSnapshot> {
+  static partition::WorkflowSnapshot Read(ObjectReader& reader);
+  static Json Write(const partition::WorkflowSnapshot& value);
+};
+template <>
 struct Format<partition::TaskSnapshot> {
   static partition::TaskSnapshot Read(ObjectReader& reader);
   static Json Write(const partition::TaskSnapshot& value);
--- a/azurepass/journal/values.cc
+++ b/azurepass/journal/values.cc
@@ -1,6 +1,8 @@
 // Keys and values.
 
+#include <algorithm>
 #include <cstdio>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -78,13 +80,19 @@
   }
 };
 
+// Workflows come before the pieces of all jobs.
 struct Chunk {
+  std::vector<partition::WorkflowSnapshot> workflows;
   std::vector<JobPiece> pieces;
 };
 template <>
 struct Format<Chunk> {
   static Chunk Read(ObjectReader& reader) {
-    return {reader.Objects<JobPiece>("jobs")};
+    Chunk chunk;
+    chunk.workflows =
+        reader.Objects<partition::WorkflowSnapshot>("workflows", false);
+    chunk.pieces = reader.Objects<JobPiece>("jobs", false);
+    return chunk;
   }
 };
 
@@ -120,13 +128,22 @@
                                       size_t chunk_bytes) {
   std::vector<std::string> chunks;
   std::string pieces;
+  std::string_view list = "workflows";
+  const auto flush = [&] {
+    if (pieces.empty()) return;
+    chunks.push_back("{\"" + std::string(list) + "\":[" +
+                     std::exchange(pieces, {}) + "]}");
+  };
   const auto add = [&](const Json& piece) {
     const std::string text = piece.dump();
-    if (!pieces.empty() && pieces.size() + text.size() > chunk_bytes) {
-      chunks.push_back("{\"jobs\":[" + std::exchange(pieces, {}) + "]}");
-    }
+    if (pieces.size() + text.size() > chunk_bytes) flush();
     pieces += (pieces.empty() ? "" : ",") + text;
   };
+  for (const partition::WorkflowSnapshot& workflow : snapshot.workflows) {
+    add(codec::Write(workflow));
+  }
+  flush();
+  list = "jobs";
   for (const JobSnapshot& job : snapshot.jobs) {
     for (size_t from = 0; from == 0 || from < job.tasks.size();
          from += kTasksPerPiece) {
@@ -140,13 +157,15 @@
       add(piece);
     }
   }
-  if (!pieces.empty()) chunks.push_back("{\"jobs\":[" + pieces + "]}");
+  flush();
   return chunks;
 }
 
 leaf::result<void> DecodeChunk(std::string_view value, Snapshot& snapshot) {
   BOOST_LEAF_AUTO(
       chunk, codec::Decode<codec::Chunk>(value, {.max_bytes = kMaxValueBytes}));
+  std::move(chunk.workflows.begin(), chunk.workflows.end(),
+            std::back_inserter(snapshot.workflows));
   for (codec::JobPiece& piece : chunk.pieces) {
     if (piece.submitted) {
       snapshot.jobs.push_back(
--- a/azurepass/membership/agent.cc
+++ b/azurepass/membership/agent.cc
@@ -163,6 +163,10 @@
                        },
                        [this](const GossipReceived& m) { OnGossip(m); },
                        [this](SelfChanged& m) { told_ = std::move(m); },
+                       [this](SetPartitions& m) {
+                         partitions_ = std::move(m.partitions);
+                         Publish();
+                       },
                        [this](const Drain&) { StartDrain(); },
                        [this](const Leave& m) { LeaveNow(m); }},
                message);
@@ -417,7 +421,7 @@
 
   const Options options_;
   MemberRecord self_;
-  const std::vector<PartitionId> partitions_;
+  std::vector<PartitionId> partitions_;
   const task::Address<store::Request> store_;
   const task::Address<entry::Call> client_;
   Content content_;
--- a/azurepass/membership/membership.h
+++ b/azurepass/membership/membership.h
@@ -188,6 +188,10 @@
   Duration store_contact_age{0};
   std::vector<PartitionId> owned;
 };
+// The partitions to be dealt out, from now on.
+struct SetPartitions {
+  std::vector<PartitionId> partitions;
+};
 // Asks others to want what this member holds; the lease stays.
 struct Drain {};
 // Gives the lease back; `done` is told when that was tried.
@@ -195,8 +199,8 @@
 struct Leave {
   task::Address<Left> done;
 };
-using Message =
-    std::variant<Subscribe, GossipReceived, SelfChanged, Drain, Leave>;
+using Message = std::variant<Subscribe, GossipReceived, SelfChanged,
+                             SetPartitions, Drain, Leave>;
 
 class Agent {
  public:
--- a/azurepass/partition/internal/job_book.h
+++ b/azurepass/partition/internal/job_book.h
@@ -23,6 +23,8 @@
   std::optional<MonotonicTime> expires;  // Queued tasks are not started then.
   int64_t version = 0;
   std::map<int32_t, Duration> waited;  // Until the latest start, by task.
+  // Known to the cell. A workflow's step is not before its turn.
+  bool released = false;
 };
 
 class JobBook {
@@ -32,7 +34,7 @@
 
   void Add(const JobId& job, MonotonicTime accepted,
            std::optional<Duration> deadline) {
-    JobTimes times{accepted, std::nullopt, first_version_ + 1, {}};
+    JobTimes times{accepted, std::nullopt, first_version_ + 1, {}, false};
     if (deadline) {
       times.expires = accepted + *deadline;
       expiring_.insert({*times.expires, job});
--- a/azurepass/partition/internal/ledger.cc
+++ b/azurepass/partition/internal/ledger.cc
@@ -19,6 +19,12 @@
   return number;
 }
 
+// A final state in which a workflow cannot complete any more.
+bool IsFailure(TaskState state) {
+  return state == TaskState::kFailed || state == TaskState::kExpired ||
+         state == TaskState::kUnknown;
+}
+
 }  // namespace
 
 // A lost attempt of a service is the machine's doing: services outlive many
@@ -26,23 +32,68 @@
 // does not do so for ever.
 bool CountsAsFailure(placement::AttemptOutcome outcome, const JobSpec& spec) {
   if (outcome == placement::AttemptOutcome::kFailed) return true;
-  return outcome == placement::AttemptOutcome::kLost &&
+  return outcome == placement::AttemptOutcome::kLost && spec.counts_losses &&
          !std::holds_alternative<ServicePolicy>(spec.policy);
 }
 
+bool IsFinal(WorkflowState state) {
+  return state != WorkflowState::kQueued && state != WorkflowState::kRunning;
+}
+
+WorkflowState StateOf(const LedgerWorkflow& workflow) {
+  if (workflow.ended) return *workflow.ended;
+  // What has failed is cancelled by its owner, which is no cancellation.
+  if (workflow.failed) return WorkflowState::kFailed;
+  if (workflow.cancelled) return WorkflowState::kCancelled;
+  if (workflow.unfinished_jobs == 0) return WorkflowState::kCompleted;
+  return workflow.started ? WorkflowState::kRunning : WorkflowState::kQueued;
+}
+
 void Ledger::Load(const Snapshot& snapshot) {
   *this = Ledger();
-  for (const JobSnapshot& job : snapshot.jobs) {
-    Add({job.submitted, job.cancelled, job.tasks, 0});
+  for (const WorkflowSnapshot& kept : snapshot.workflows) {
+    LedgerWorkflow& workflow = AddWorkflow(kept.submitted);
+    workflow.cancelled = kept.cancelled;
+    workflow.ended = kept.ended;
+  }
+  for (JobSnapshot job : snapshot.jobs) {
+    const std::optional<StepId> step = StepOf(job.submitted.job);
+    const LedgerWorkflow* workflow = WorkflowOf(job.submitted.job);
+    if (step && workflow != nullptr) {
+      const WorkflowSubmitted& submitted = workflow->submitted;
+      job.submitted.team = submitted.team;
+      job.submitted.accepted = submitted.accepted;
+      job.submitted.spec = submitted.spec.steps.at(step->step).job;
+    }
+    Add({job.submitted, job.cancelled, job.tasks});
   }
   next_job_number_ = std::max(next_job_number_, snapshot.next_job_number);
 }
 
 Snapshot Ledger::Take(int64_t through) const {
-  Snapshot snapshot{through, next_job_number_, {}};
-  snapshot.jobs.reserve(jobs_.size());
+  Snapshot snapshot;
+  snapshot.through = through;
+  snapshot.next_job_number = next_job_number_;
+  for (const auto& [request, workflow] : workflows_) {
+    WorkflowSnapshot kept{workflow.submitted, workflow.cancelled,
+                          workflow.ended};
+    if (workflow.unfinished_jobs == 0) {
+      kept.ended = StateOf(workflow);
+      kept.submitted.spec.payload.clear();
+      kept.submitted.spec.steps.clear();
+    }
+    snapshot.workflows.push_back(std::move(kept));
+  }
   for (const auto& [id, job] : jobs_) {
-    snapshot.jobs.push_back({job.submitted, job.cancelled, job.tasks});
+    const LedgerWorkflow* workflow = WorkflowOf(id);
+    if (workflow == nullptr) {
+      snapshot.jobs.push_back({job.submitted, job.cancelled, job.tasks});
+    } else if (workflow->unfinished_jobs > 0) {
+      JobSubmitted submitted;
+      submitted.job = id;
+      submitted.spec.task[Dimension::kSlots] = 1;  // Else it is not readable.
+      snapshot.jobs.push_back({std::move(submitted), job.cancelled, job.tasks});
+    }
   }
   return snapshot;
 }
@@ -50,12 +101,15 @@
 void Ledger::Apply(const Record& record) {
   std::visit(
       Visitor{[&](const JobSubmitted& r) {
-                Add({r, false, std::vector<TaskSnapshot>(r.spec.tasks), 0});
+                Add({r, false, std::vector<TaskSnapshot>(r.spec.tasks)});
               },
               [&](const TaskStarted& r) {
                 auto [job, task] = Locate(r.attempt.task);
                 if (task == nullptr) return;
                 SetState(*job, *task, TaskState::kRunning);
+                if (LedgerWorkflow* w = MutableWorkflowOf(r.attempt.task.job)) {
+                  w->started = true;
+                }
                 task->vm = r.vm;
                 task->attempt = r.attempt.attempt;
                 ++task->attempts;
@@ -67,6 +121,7 @@
                          job->cancelled ? TaskState::kCancelled
                                         : TaskState::kQueued);
                 task->from_checkpoint = r.from_checkpoint;
+                if (!r.checkpoint.empty()) task->checkpoint = r.checkpoint;
                 if (CountsAsFailure(r.outcome, job->submitted.spec)) {
                   ++task->failures;
                 }
@@ -87,10 +142,67 @@
                 const JobSubmitted& submitted = found->second.submitted;
                 requests_.erase({submitted.team, submitted.request});
                 jobs_.erase(found);
-              }},
+              },
+              [&](const WorkflowSubmitted& r) { AddJobsOf(AddWorkflow(r)); },
+              [&](const WorkflowCancelled& r) {
+                auto found = workflows_.find(r.request);
+                if (found == workflows_.end()) return;
+                found->second.cancelled = true;
+                for (const JobId& id : found->second.jobs) {
+                  auto job = jobs_.find(id);
+                  if (job != jobs_.end()) Cancel(job->second);
+                }
+              },
+              [&](const WorkflowForgotten& r) { Forget(r.request); }},
       record);
 }
 
+LedgerWorkflow& Ledger::AddWorkflow(const WorkflowSubmitted& submitted) {
+  LedgerWorkflow workflow;
+  workflow.submitted = submitted;
+  return workflows_.insert_or_assign(submitted.request, std::move(workflow))
+      .first->second;
+}
+
+// Steps are added in their order, so that the positions in `jobs` are those
+// that LedgerWorkflow promises.
+void Ledger::AddJobsOf(const LedgerWorkflow& workflow) {
+  const WorkflowSubmitted submitted = workflow.submitted;
+  const auto steps = static_cast<int32_t>(submitted.spec.steps.size());
+  for (int32_t k = 0; k < submitted.spec.occurrences; ++k) {
+    for (int32_t s = 0; s < steps; ++s) {
+      const JobSpec& spec = submitted.spec.steps[s].job;
+      JobSubmitted job;
+      job.job = MakeJobId(submitted.partition, {submitted.request, k, s});
+      job.team = submitted.team;
+      job.spec = spec;
+      job.accepted = submitted.accepted;
+      Add({std::move(job), false, std::vector<TaskSnapshot>(spec.tasks)});
+    }
+  }
+}
+
+void Ledger::Forget(const RequestId& request) {
+  auto found = workflows_.find(request);
+  if (found == workflows_.end()) return;
+  for (const JobId& job : found->second.jobs) jobs_.erase(job);
+  workflows_.erase(found);
+}
+
+const LedgerWorkflow* Ledger::FindWorkflow(const RequestId& request) const {
+  auto found = workflows_.find(request);
+  return found == workflows_.end() ? nullptr : &found->second;
+}
+
+const LedgerWorkflow* Ledger::WorkflowOf(const JobId& job) const {
+  const std::optional<StepId> step = StepOf(job);
+  return step ? FindWorkflow(step->request) : nullptr;
+}
+
+LedgerWorkflow* Ledger::MutableWorkflowOf(const JobId& job) {
+  return const_cast<LedgerWorkflow*>(std::as_const(*this).WorkflowOf(job));
+}
+
 void Ledger::Add(LedgerJob job) {
   job.unfinished = static_cast<int32_t>(
       std::count_if(job.tasks.begin(), job.tasks.end(),
@@ -98,12 +210,23 @@
   const int64_t queued = std::count_if(
       job.tasks.begin(), job.tasks.end(),
       [](const auto& task) { return task.state == TaskState::kQueued; });
+  job.queued = static_cast<int32_t>(queued);
   TeamQueue& queue = queues_[job.submitted.team];
   queue.tasks += queued;
   queue.size += job.submitted.spec.task * queued;
   const JobSubmitted& submitted = job.submitted;
   next_job_number_ = std::max(next_job_number_, NumberOf(submitted.job) + 1);
-  requests_[{submitted.team, submitted.request}] = submitted.job;
+  if (!submitted.request.empty()) {
+    requests_[{submitted.team, submitted.request}] = submitted.job;
+  }
+  if (LedgerWorkflow* workflow = MutableWorkflowOf(submitted.job)) {
+    workflow->jobs.push_back(submitted.job);
+    workflow->unfinished_jobs += job.unfinished > 0 ? 1 : 0;
+    for (const TaskSnapshot& task : job.tasks) {
+      workflow->started |= task.attempts > 0;
+      workflow->failed |= IsFailure(task.state);
+    }
+  }
   JobId id = submitted.job;
   jobs_.insert_or_assign(std::move(id), std::move(job));
 }
@@ -118,9 +241,16 @@
 }
 
 void Ledger::SetState(LedgerJob& job, TaskSnapshot& task, TaskState state) {
+  const bool was_unfinished = job.unfinished > 0;
   job.unfinished += (IsFinal(task.state) ? 1 : 0) - (IsFinal(state) ? 1 : 0);
+  if (LedgerWorkflow* workflow = MutableWorkflowOf(job.submitted.job)) {
+    workflow->unfinished_jobs +=
+        (job.unfinished > 0 ? 1 : 0) - (was_unfinished ? 1 : 0);
+    workflow->failed |= IsFailure(state);
+  }
   const int64_t queued = (state == TaskState::kQueued ? 1 : 0) -
                          (task.state == TaskState::kQueued ? 1 : 0);
+  job.queued += static_cast<int32_t>(queued);
   if (queued != 0) {
     TeamQueue& queue = queues_[job.submitted.team];
     queue.tasks += queued;
--- a/azurepass/partition/internal/ledger.h
+++ b/azurepass/partition/internal/ledger.h
@@ -18,6 +18,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -31,12 +32,30 @@
 struct LedgerJob {
   JobSubmitted submitted;
   bool cancelled = false;
-  std::vector<TaskSnapshot> tasks;
+  std::vector<TaskSnapshot> tasks{};
   int32_t unfinished = 0;  // Tasks that are not final.
+  int32_t queued = 0;      // Tasks in kQueued.
 
   bool operator==(const LedgerJob&) const = default;
 };
 
+// Invariants: `jobs` holds occurrence K's step S at K * steps + S;
+// unfinished_jobs counts those with unfinished tasks. A workflow that had ended
+// when a snapshot was taken has `ended` and no jobs.
+struct LedgerWorkflow {
+  WorkflowSubmitted submitted;
+  bool cancelled = false;
+  bool failed = false;   // A task failed for good.
+  bool started = false;  // A task was started.
+  std::optional<WorkflowState> ended;
+  std::vector<JobId> jobs;
+  int32_t unfinished_jobs = 0;
+
+  bool operator==(const LedgerWorkflow&) const = default;
+};
+WorkflowState StateOf(const LedgerWorkflow& workflow);
+bool IsFinal(WorkflowState state);
+
 // What of a team waits.
 struct TeamQueue {
   int64_t tasks = 0;
@@ -50,6 +69,7 @@
 class Ledger {
  public:
   using Jobs = std::map<JobId, LedgerJob>;
+  using Workflows = std::map<RequestId, LedgerWorkflow>;
 
   void Load(const Snapshot& snapshot);
   Snapshot Take(int64_t through) const;
@@ -62,6 +82,10 @@
   const LedgerJob* FindRequest(const TeamId& team,
                                const RequestId& request) const;
   const Jobs& jobs() const { return jobs_; }
+  const LedgerWorkflow* FindWorkflow(const RequestId& request) const;
+  // The workflow that the job is a step of; null when it is none.
+  const LedgerWorkflow* WorkflowOf(const JobId& job) const;
+  const Workflows& workflows() const { return workflows_; }
   TeamQueue QueueOf(const TeamId& team) const;
   // Above the number of every job ever submitted.
   int64_t next_job_number() const { return next_job_number_; }
@@ -70,12 +94,18 @@
 
  private:
   void Add(LedgerJob job);
+  // Adds the workflow without its jobs.
+  LedgerWorkflow& AddWorkflow(const WorkflowSubmitted& submitted);
+  void AddJobsOf(const LedgerWorkflow& workflow);
+  void Forget(const RequestId& request);
+  LedgerWorkflow* MutableWorkflowOf(const JobId& job);
   void Cancel(LedgerJob& job);
   void SetState(LedgerJob& job, TaskSnapshot& task, TaskState state);
   // The job and task that a record speaks of; null when it is forgotten.
   std::pair<LedgerJob*, TaskSnapshot*> Locate(const TaskId& id);
 
   Jobs jobs_;
+  Workflows workflows_;
   std::map<std::pair<TeamId, RequestId>, JobId> requests_;
   std::map<TeamId, TeamQueue> queues_;
   int64_t next_job_number_ = 1;
--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -7,10 +7,13 @@
 //   owner_recovery.cc   sessions, reconciliation with what workers list
 //   owner_requests.cc   requests of callers and their answers
 //   owner_tasks.cc      starts, ends and stops of attempts
+//   owner_workflows.cc  workflows: their requests, the turns of their steps
+//   owner_permits.cc    permits to start tasks of queues that have a policy
 
 #ifndef AZUREPASS_PARTITION_INTERNAL_OWNER_IMPL_H_
 #define AZUREPASS_PARTITION_INTERNAL_OWNER_IMPL_H_
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -50,6 +53,7 @@
   bool may_start = false;
   Allowances allowances;
   std::optional<std::map<VmId, VmState>> vms;
+  std::map<VmId, WorkerSpec> workers;  // That described themselves.
 };
 
 }  // namespace azurepass::partition::internal
@@ -99,6 +103,8 @@
   void LoseOwnership(const std::string& reason, Effect in_flight);
   void FlushOrders();
   void ReportDemands();
+  // One line for all that waits, at most each kWaitingLogInterval.
+  void LogWaiting();
   void ScheduleWake();
   std::optional<MonotonicTime> NextWake() const;
   void ApplyConfiguration();
@@ -124,6 +130,9 @@
   void MaybeSnapshot();
   // Decides a record: it counts at once and is appended soon.
   internal::Sequence Decide(Record record);
+  // Acknowledges the worker's events once all that they led to is appended.
+  void AcknowledgeLater(const VmId& vm, int64_t number);
+  void AcknowledgeAppended();
 
   // --- owner_recovery.cc
   void On(VmListChanged event);
@@ -136,6 +145,13 @@
   void AddRecoveredJob(const JobId& id, const internal::LedgerJob& job);
   void FinishOpening();
   void AdoptListed(const VmId& vm, const std::vector<AttemptId>& running);
+  // Takes in workers that are new or describe themselves differently now.
+  void ApplyWorkerSpecs();
+  void Acknowledge(const internal::Worker& worker,
+                   const std::vector<WorkerEvent>& handled);
+  void OnWorkflowRecovered(const internal::LedgerWorkflow& workflow);
+  // Forgets a worker that is not listed any more and can run nothing.
+  void DropUnlisted();
   void ReconcileWorker(internal::Worker& worker,
                        const std::vector<AttemptId>& running);
   void Adopt(const AttemptId& attempt, const VmId& vm);
@@ -170,7 +186,7 @@
   void AnswerDueAppend(RequestToken token, internal::Sequence sequence,
                        MonotonicTime deadline);
   void AnswerChanged();
-  void AnswerRecord(internal::Sequence sequence, const JobId& job);
+  void AnswerRecord(internal::Sequence sequence);
   void Reply(RequestToken token, JobResponse response);
   void Refuse(RequestToken token, RefusalCode code, Effect effect,
               std::string message,
@@ -180,6 +196,53 @@
                     const internal::JobTimes& times) const;
   bool HeldAnswerReady(const internal::UntilChanged& held) const;
 
+  // --- owner_workflows.cc
+  void DispatchTo(RequestToken token, const SubmitWorkflow& r,
+                  MonotonicTime deadline);
+  void DispatchTo(RequestToken token, const GetWorkflow& r,
+                  MonotonicTime deadline);
+  void DispatchTo(RequestToken token, const CancelWorkflow& r,
+                  MonotonicTime deadline);
+  void DispatchTo(RequestToken token, const CountWaiting& r,
+                  MonotonicTime deadline);
+  std::optional<Refusal> RefuseWorkflow(const SubmitWorkflow& request) const;
+  // The workflow, or a refusal that was answered (null).
+  const internal::LedgerWorkflow* FindFor(RequestToken token,
+                                          const TeamId& team,
+                                          const RequestId& request);
+  WorkflowView ViewWorkflow(const RequestId& request) const;
+  void OnWorkflowSubmitted(const RequestId& request);
+  // Gives the cell the steps whose turn it is.
+  void ReleaseSteps(const RequestId& request);
+  bool IsTurnOf(const internal::LedgerWorkflow& workflow,
+                const StepId& step) const;
+  MonotonicTime DueOf(const internal::LedgerWorkflow& workflow,
+                      int32_t occurrence) const;
+  void ReleaseDueSteps();
+  void ReleaseJob(const JobId& job);
+  // What follows for the workflow when one of its tasks has ended for good.
+  void OnStepTaskEnded(const JobId& job, TaskState state);
+  void CancelWorkflowTasks(const RequestId& request);
+  void NoteStarted(const JobId& job);
+  void ForgetWorkflowLater(const RequestId& request);
+  void ForgetWorkflows();
+
+  // --- owner_permits.cc
+  void On(PermitsIssued event);
+  struct WorkerRoom {
+    const WorkerSpec* spec;
+    Resources free;
+  };
+  using RoomLeft = std::vector<WorkerRoom>;
+  struct JobPermits;
+  // Asks for the permits without which jobs that have room cannot start.
+  void AskForPermits();
+  void TakeTurn(const JobId& job, RoomLeft& room);
+  void Ask(const JobId& job, JobPermits& permits, std::vector<VmId> with_room);
+  bool MayEverRun(const JobSpec& spec, const WorkerSpec& worker) const;
+  // The worker's permit for the job; empty when none is valid.
+  std::string PermitFor(const JobId& job, const VmId& vm) const;
+
   // --- owner_tasks.cc
   void PlaceTasks();
   void JudgeUsage(const std::vector<Usage>& usage);
@@ -194,10 +257,18 @@
   void Finish(const TaskId& task, TaskState state, std::string reason,
               placement::AttemptOutcome outcome);
   void Requeue(const TaskId& task, placement::AttemptOutcome outcome,
-               bool from_checkpoint, const std::string& reason);
+               bool from_checkpoint, const std::string& reason,
+               const std::string& checkpoint = {});
   void Lose(const TaskId& task, const std::string& reason);
   void StopUnsent(const TaskId& task, const std::string& reason);
   void CancelTasks(const JobId& job);
+  // Takes tasks out of the queue, and stops those that run.
+  void StopTasks(const std::vector<TaskId>& tasks);
+  std::vector<TaskId> UnfinishedTasks(const JobId& job) const;
+  // The other tasks of an atomic gang that have an attempt.
+  std::vector<TaskId> OtherMembers(const TaskId& task) const;
+  // Attempts of the task, or of the whole atomic gang, that failed.
+  int32_t FailuresOf(const TaskId& task) const;
   void ExpireJobs();
   void ForgetJobs();
   void OnTaskChanged(const TaskId& task);
@@ -228,6 +299,32 @@
   std::map<internal::Sequence, TaskId> held_;       // Starts that wait.
   std::map<TaskId, internal::Sequence> unsettled_;  // Latest, by task.
   std::set<VmId> unproven_;  // Workers with a session that is not proven.
+  // Acknowledgements that wait for the append of a record, in order.
+  struct WaitingAcknowledgement {
+    internal::Sequence after;
+    AcknowledgeEvents action;
+  };
+  std::deque<WaitingAcknowledgement> acknowledgements_;
+  internal::Sequence last_added_;     // Of all records added.
+  internal::Sequence last_appended_;  // All up to it are settled.
+
+  // Workflows without a start, by queue, but for those due at set times.
+  std::map<QueueId, std::set<RequestId>> unstarted_;
+  std::set<std::pair<MonotonicTime, RequestId>> due_;  // Next occurrences.
+  std::set<std::pair<MonotonicTime, RequestId>> forgetting_;
+
+  // What is known of a job's permits.
+  struct JobPermits {
+    std::map<VmId, std::string> permits;
+    MonotonicTime valid_until{};
+    std::set<VmId> denied;  // For good: the answer does not change.
+    bool asked = false;     // An answer came: all but the denied are granted.
+    bool asking = false;    // A question is under way.
+    MonotonicTime ask_again{};  // Not before.
+  };
+  MonotonicTime next_permit_look_{};
+  std::map<JobId, JobPermits> permits_;
+
   std::set<JobId> changed_;  // Since the last answers.
   std::set<TeamId> teams_;   // Known to the cell.
   int64_t next_job_number_ = 1;
@@ -241,6 +338,7 @@
   bool snapshot_in_flight_ = false;
   MonotonicTime snapshot_retry_{};
   MonotonicTime next_demand_{};
+  MonotonicTime next_waiting_log_{};
   std::map<TeamId, std::pair<Resources, Resources>> reported_;
   std::optional<MonotonicTime> wake_;  // As last emitted.
 };
--- a/azurepass/partition/internal/request_table.cc
+++ b/azurepass/partition/internal/request_table.cc
@@ -4,6 +4,12 @@
 
 namespace azurepass::partition::internal {
 
+int64_t TasksOf(const WorkflowSpec& spec) {
+  int64_t tasks = 0;
+  for (const WorkflowStep& step : spec.steps) tasks += step.job.tasks;
+  return tasks * spec.occurrences;
+}
+
 void RequestTable::Add(RequestToken token, WaitingRequest request,
                        MonotonicTime due) {
   if (const auto* held = std::get_if<UntilChanged>(&request.waits_for)) {
@@ -84,6 +90,13 @@
                 pending_tasks_[r.team] += r.spec.tasks;
               },
               [&](const JobCancelled& r) { cancellations_[r.job] = sequence; },
+              [&](const WorkflowSubmitted& r) {
+                workflow_submissions_[r.request] = sequence;
+                pending_tasks_[r.team] += TasksOf(r.spec);
+              },
+              [&](const WorkflowCancelled& r) {
+                workflow_cancellations_[r.request] = sequence;
+              },
               [](const auto&) {}},
       record);
   records_.insert_or_assign(sequence, PendingRecord{std::move(record), {}});
@@ -105,6 +118,13 @@
                 pending_tasks_[r.team] -= r.spec.tasks;
               },
               [&](const JobCancelled& r) { cancellations_.erase(r.job); },
+              [&](const WorkflowSubmitted& r) {
+                workflow_submissions_.erase(r.request);
+                pending_tasks_[r.team] -= TasksOf(r.spec);
+              },
+              [&](const WorkflowCancelled& r) {
+                workflow_cancellations_.erase(r.request);
+              },
               [](const auto&) {}},
       taken.record);
   return taken;
@@ -123,6 +143,20 @@
   return found->second;
 }
 
+std::optional<Sequence> RequestTable::FindWorkflowSubmission(
+    const RequestId& request) const {
+  auto found = workflow_submissions_.find(request);
+  if (found == workflow_submissions_.end()) return std::nullopt;
+  return found->second;
+}
+
+std::optional<Sequence> RequestTable::FindWorkflowCancellation(
+    const RequestId& request) const {
+  auto found = workflow_cancellations_.find(request);
+  if (found == workflow_cancellations_.end()) return std::nullopt;
+  return found->second;
+}
+
 int64_t RequestTable::PendingTasks(const TeamId& team) const {
   auto found = pending_tasks_.find(team);
   return found == pending_tasks_.end() ? 0 : found->second;
--- a/azurepass/partition/internal/request_table.h
+++ b/azurepass/partition/internal/request_table.h
@@ -19,6 +19,9 @@
 
 namespace azurepass::partition::internal {
 
+// All tasks of all occurrences.
+int64_t TasksOf(const WorkflowSpec& spec);
+
 // Waits for the end of recovery.
 struct UntilOwning {
   JobRequest request;
@@ -73,6 +76,10 @@
   std::optional<Sequence> FindSubmission(const TeamId& team,
                                          const RequestId& request) const;
   std::optional<Sequence> FindCancellation(const JobId& job) const;
+  std::optional<Sequence> FindWorkflowSubmission(
+      const RequestId& request) const;
+  std::optional<Sequence> FindWorkflowCancellation(
+      const RequestId& request) const;
   // Tasks of the team in submissions on their way.
   int64_t PendingTasks(const TeamId& team) const;
   bool has_records() const { return !records_.empty(); }
@@ -89,6 +96,8 @@
   std::map<Sequence, PendingRecord> records_;
   std::map<std::pair<TeamId, RequestId>, Sequence> submissions_;
   std::map<JobId, Sequence> cancellations_;
+  std::map<RequestId, Sequence> workflow_submissions_;
+  std::map<RequestId, Sequence> workflow_cancellations_;
   std::map<TeamId, int64_t> pending_tasks_;
 };
 
--- a/azurepass/partition/internal/worker_book.cc
+++ b/azurepass/partition/internal/worker_book.cc
@@ -40,6 +40,20 @@
   return worker;
 }
 
+Worker& WorkerBook::Describe(const WorkerSpec& spec) {
+  Worker& worker = workers_[spec.vm];
+  worker.spec = spec;
+  worker.configured = true;
+  return worker;
+}
+
+void WorkerBook::Remove(const VmId& vm) {
+  auto found = workers_.find(vm);
+  if (found == workers_.end()) return;
+  SetSession(found->second, SessionGone{});
+  workers_.erase(found);
+}
+
 void WorkerBook::AddAttempt(LiveAttempt attempt) {
   const TaskId task = attempt.id.task;
   if (Worker* worker = Find(attempt.vm)) worker->tasks.insert(task);
--- a/azurepass/partition/internal/worker_book.h
+++ b/azurepass/partition/internal/worker_book.h
@@ -97,6 +97,10 @@
   const Worker* Find(const VmId& vm) const;
   // Adds a worker that only the journal knows.
   Worker& AddUnconfigured(const VmId& vm);
+  // Adds a worker, or replaces what is known of one.
+  Worker& Describe(const WorkerSpec& spec);
+  // Forgets a worker without attempts.
+  void Remove(const VmId& vm);
   std::map<VmId, Worker>& workers() { return workers_; }
   const std::map<VmId, Worker>& workers() const { return workers_; }
 
--- a/azurepass/partition/owner.cc
+++ b/azurepass/partition/owner.cc
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr Duration kHandoverRetryAfter{250};
+constexpr Duration kWaitingLogInterval{1'000};
 
 // Lowers `at` to `other` when that is earlier.
 void Earliest(std::optional<MonotonicTime>& at,
@@ -107,6 +108,7 @@
     FinishOpening();
   }
   if (In<Owning>()) PlaceTasks();
+  if (In<Owning>()) AskForPermits();
   AnswerDue();
   AnswerChanged();
   WriteNext();
@@ -114,6 +116,7 @@
   if (In<Releasing>()) FinishRelease();
   FlushOrders();
   ReportDemands();
+  LogWaiting();
   ScheduleWake();
 }
 
@@ -129,8 +132,11 @@
   LapseWorkers();
   if (In<Opening>()) return;
   LoseMissing();
+  DropUnlisted();
   ExpireJobs();
   ForgetJobs();
+  ForgetWorkflows();
+  ReleaseDueSteps();
 }
 
 void Owner::Impl::FinishRelease() {
@@ -174,12 +180,40 @@
   }
 }
 
+void Owner::Impl::LogWaiting() {
+  if (!In<Owning>() || now_ < next_waiting_log_) return;
+  next_waiting_log_ = now_ + kWaitingLogInterval;
+  const auto waiting = cell_.WaitingByReason();
+  if (waiting.empty()) return;
+  std::string reasons;
+  for (const auto& [reason, tasks] : waiting) {
+    reasons += std::string(placement::WaitReasonName(reason)) + "=" +
+               std::to_string(tasks) + " ";
+  }
+  int64_t unpermitted = 0;
+  for (const auto& [job, permits] : permits_) {
+    if (permits.valid_until <= now_) ++unpermitted;
+  }
+  const placement::CellStatus cell = cell_.Status();
+  reasons += "jobs_without_permit=" + std::to_string(unpermitted) +
+             " open_workers=" + std::to_string(cell.open_workers) +
+             " committed_tasks=" + std::to_string(cell.committed_tasks) +
+             " may_start=" + std::to_string(surroundings_.may_start) +
+             " unsettled=" + std::to_string(commit_.unsettled());
+  Log("waiting", {}, 0, VmId(), std::move(reasons));
+}
+
 void Owner::Impl::ReportDemands() {
   if (!In<Owning>() || now_ < next_demand_) return;
   ReportDemand report;
+  const placement::CellStatus cell = cell_.Status();
+  const Resources spare =
+      Resources::Max(Resources(), cell.capacity - cell.committed);
   for (const TeamId& team : teams_) {
     const Resources committed = cell_.CommittedOf(team);
-    const Resources wanted = committed + live_.QueueOf(team).size;
+    // More than there is room for cannot be used, whoever waits.
+    const Resources wanted =
+        committed + Resources::Min(cell_.QueuedOf(team), spare);
     auto& last = reported_[team];
     if (last == std::pair(committed, wanted)) continue;
     last = {committed, wanted};
@@ -208,7 +242,10 @@
   Earliest(next, workers_.NextWake());
   if (In<Opening>()) return next;
   Earliest(next, jobs_.NextWake());
+  if (!due_.empty()) Earliest(next, due_.begin()->first);
+  if (!forgetting_.empty()) Earliest(next, forgetting_.begin()->first);
   if (!In<Owning>()) return next;
+  if (!permits_.empty()) Earliest(next, std::max(next_permit_look_, now_));
   const bool starts = surroundings_.may_start &&
                       commit_.unsettled() < options_.unjournaled_bound;
   if (starts && place_) Earliest(next, now_);
@@ -220,13 +257,16 @@
 
 void Owner::Impl::ApplyConfiguration() {
   std::set<ZoneId> zones;
-  for (const WorkerSpec& spec : specs_) zones.insert(spec.zone);
+  for (const auto& [vm, worker] : workers_.workers()) {
+    if (worker.configured) zones.insert(worker.spec.zone);
+  }
   for (const ZoneId& zone : zones) {
     cell_.SetZoneInService(zone, ZoneInService(zone));
   }
   for (const auto& [team, contract] : surroundings_.configuration->contracts) {
     teams_.insert(team);
   }
+  teams_.insert(PublicTeam());
   for (const TeamId& team : teams_) SetTeamTerms(team);
   place_ = true;
 }
@@ -246,6 +286,14 @@
                                          ? cell_.CommittedOf(team)
                                          : allowance->second);
   }
+  if (team == PublicTeam()) {
+    std::set<ZoneId> zones;
+    for (const auto& [vm, worker] : workers_.workers()) {
+      zones.insert(worker.spec.zone);
+    }
+    terms.zones.assign(zones.begin(), zones.end());
+    terms.allowance = kUnlimited;
+  }
   cell_.SetTeam(team, terms);
 }
 
--- a/azurepass/partition/owner_journal.cc
+++ b/azurepass/partition/owner_journal.cc
@@ -119,6 +119,10 @@
   for (size_t i = 0; i < committed.sequences.size(); ++i) {
     OnRecordCommitted(committed.sequences[i], committed.batch.records[i]);
   }
+  if (!committed.sequences.empty()) {
+    last_appended_ = committed.sequences.back();
+  }
+  AcknowledgeAppended();
 }
 
 // Before our first append a former owner may still append. Its batches are part
@@ -149,18 +153,26 @@
   std::visit(Visitor{[&](const JobSubmitted& r) {
                        live_.Apply(r);
                        jobs_.Add(r.job, now_, r.spec.deadline);
-                       cell_.AddJob(r.job, r.team, r.spec, now_);
-                       place_ = true;
-                       AnswerRecord(sequence, r.job);
+                       ReleaseJob(r.job);
+                       AnswerRecord(sequence);
                      },
                      [&](const JobCancelled& r) {
                        CancelTasks(r.job);
-                       AnswerRecord(sequence, r.job);
+                       AnswerRecord(sequence);
                      },
                      [&](const TaskStarted& r) {
                        if (held_.erase(sequence) > 0) OnStartCommitted(r);
                      },
                      [&](const TaskEnded& r) { changed_.insert(r.task.job); },
+                     [&](const WorkflowSubmitted& r) {
+                       live_.Apply(r);
+                       OnWorkflowSubmitted(r.request);
+                       AnswerRecord(sequence);
+                     },
+                     [&](const WorkflowCancelled& r) {
+                       CancelWorkflowTasks(r.request);
+                       AnswerRecord(sequence);
+                     },
                      [](const auto&) {}},
              record);
 }
@@ -185,10 +197,27 @@
   live_.Apply(record);
   const std::optional<TaskId> task = TaskOf(record);
   const Sequence sequence = commit_.Add(std::move(record));
+  last_added_ = sequence;
   if (task) unsettled_[*task] = sequence;
   return sequence;
 }
 
+// Records are appended in the order in which they were added, so that the
+// latest one added stands for all that the events led to.
+void Owner::Impl::AcknowledgeLater(const VmId& vm, int64_t number) {
+  acknowledgements_.push_back({last_added_, {vm, number}});
+  AcknowledgeAppended();
+}
+
+void Owner::Impl::AcknowledgeAppended() {
+  while (
+      !acknowledgements_.empty() &&
+      (acknowledgements_.front().after <= last_appended_ || commit_.idle())) {
+    Emit(acknowledgements_.front().action);
+    acknowledgements_.pop_front();
+  }
+}
+
 void Owner::Impl::WriteNext() {
   if (In<Loading>()) return;
   if (std::optional<Action> action = commit_.Next(now_)) {
--- /dev/null
+++ b/azurepass/partition/owner_permits.cc
@@ -0,0 +1,157 @@
+// Permits: some queues let a step run only on workers that a policy service
+// names, and each start there carries the permit that it issued.
+//
+// The service is slow, and a permit lapses within seconds, so a question for a
+// job that cannot start soon is wasted, and with many waiting jobs such
+// questions would take all of the service's time. Therefore a job asks only
+// when there is room for it: the jobs, in the order in which they would start,
+// take room from a copy of the fleet's, and those that got some may ask.
+//
+// Which workers the service names for a job does not change; only the permits
+// lapse. So a job's first question is about all workers that could run it, and
+// the later ones about those among the granted that have room now.
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "azurepass/partition/internal/owner_impl.h"
+
+namespace azurepass::partition {
+
+using internal::LedgerJob;
+
+namespace {
+
+constexpr size_t kMaxWorkersPerQuestion = 100;
+
+bool Carries(const WorkerSpec& worker, const std::string& label) {
+  return label.empty() || std::find(worker.labels.begin(), worker.labels.end(),
+                                    label) != worker.labels.end();
+}
+
+}  // namespace
+
+void Owner::Impl::AskForPermits() {
+  if (permits_.empty() || now_ < next_permit_look_) return;
+  next_permit_look_ = now_ + options_.permit_look_interval;
+  RoomLeft room;
+  for (const auto& [vm, worker] : workers_.workers()) {
+    if (internal::WorkerBook::AdmissionOf(worker) ==
+            placement::WorkerAdmission::kOpen &&
+        ZoneInService(worker.spec.zone)) {
+      room.push_back(
+          {&worker.spec, worker.spec.capacity - cell_.CommittedOn(vm)});
+    }
+  }
+  std::vector<std::tuple<Priority, MonotonicTime, JobId>> order;
+  for (const auto& [id, permits] : permits_) {
+    const LedgerJob* job = live_.Find(id);
+    const internal::JobTimes* times = jobs_.Find(id);
+    if (job == nullptr || times == nullptr || job->queued == 0) continue;
+    order.emplace_back(job->submitted.spec.priority, times->accepted, id);
+  }
+  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+    const auto rank = [](const auto& item) {
+      return std::tuple(std::get<0>(item) != Priority::kUrgent,
+                        std::get<1>(item), std::get<2>(item));
+    };
+    return rank(a) < rank(b);
+  });
+  for (const auto& [priority, accepted, id] : order) TakeTurn(id, room);
+}
+
+// Takes room for the job, and asks if it has no valid permits.
+void Owner::Impl::TakeTurn(const JobId& id, RoomLeft& room) {
+  const LedgerJob& job = *live_.Find(id);
+  const JobSpec& spec = job.submitted.spec;
+  JobPermits& permits = permits_.at(id);
+  Resources size = spec.task;
+  if (spec.scavenger) size[Dimension::kMillicores] = 0;
+  int64_t tasks = job.queued;
+  std::vector<VmId> with_room;
+  for (WorkerRoom& worker : room) {
+    if (tasks == 0) break;
+    if (!MayEverRun(spec, *worker.spec) ||
+        permits.denied.contains(worker.spec->vm) || !size.FitsIn(worker.free)) {
+      continue;
+    }
+    with_room.push_back(worker.spec->vm);
+    // Of a job that never asked nobody knows where it may run.
+    if (!permits.asked) continue;
+    while (tasks > 0 && size.FitsIn(worker.free)) {
+      worker.free -= size;
+      --tasks;
+    }
+  }
+  const bool may_ask = !permits.asking && permits.ask_again <= now_ &&
+                       permits.valid_until <= now_;
+  if (may_ask && !with_room.empty()) Ask(id, permits, std::move(with_room));
+}
+
+bool Owner::Impl::MayEverRun(const JobSpec& spec,
+                             const WorkerSpec& worker) const {
+  return spec.task.FitsIn(worker.capacity) &&
+         Carries(worker, spec.constraints.label);
+}
+
+void Owner::Impl::Ask(const JobId& id, JobPermits& permits,
+                      std::vector<VmId> with_room) {
+  const JobSpec& spec = live_.Find(id)->submitted.spec;
+  auto queue = surroundings_.configuration->queues.find(spec.queue);
+  if (queue == surroundings_.configuration->queues.end() ||
+      !queue->second.permits) {
+    permits.ask_again = now_ + options_.permit_retry;
+    return;
+  }
+  AskPermits question{id, {}, *queue->second.permits};
+  if (permits.asked) {
+    question.workers = std::move(with_room);
+  } else {
+    for (const auto& [vm, worker] : workers_.workers()) {
+      if (worker.configured && worker.listed == VmState::kLive &&
+          MayEverRun(spec, worker.spec)) {
+        question.workers.push_back(vm);
+      }
+    }
+  }
+  if (question.workers.size() > kMaxWorkersPerQuestion) {
+    question.workers.resize(kMaxWorkersPerQuestion);
+  }
+  permits.asking = true;
+  Emit(std::move(question));
+}
+
+void Owner::Impl::On(PermitsIssued event) {
+  auto found = permits_.find(event.job);
+  if (found == permits_.end()) return;
+  JobPermits& permits = found->second;
+  permits.asking = false;
+  if (!event.permits) {
+    permits.ask_again = now_ + options_.permit_retry;
+    return;
+  }
+  permits.asked = true;
+  permits.permits.clear();
+  std::vector<VmId> workers;
+  for (Permit& permit : *event.permits) {
+    workers.push_back(permit.vm);
+    permits.permits[permit.vm] = std::move(permit.text);
+  }
+  for (const VmId& vm : event.asked) {
+    if (!permits.permits.contains(vm)) permits.denied.insert(vm);
+  }
+  permits.valid_until = event.valid_until - options_.permit_margin;
+  if (workers.empty()) permits.ask_again = now_ + options_.permit_retry;
+  cell_.SetPermitted(event.job, workers, permits.valid_until);
+  place_ = true;
+}
+
+std::string Owner::Impl::PermitFor(const JobId& job, const VmId& vm) const {
+  auto found = permits_.find(job);
+  if (found == permits_.end()) return "";
+  auto permit = found->second.permits.find(vm);
+  return permit == found->second.permits.end() ? "" : permit->second;
+}
+
+}  // namespace azurepass::partition
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -60,6 +60,7 @@
   next_job_number_ = live_.next_job_number();
   const MonotonicTime lapses =
       now_ + options_.worker_lease + options_.worker_lease_margin;
+  for (const auto& [vm, spec] : surroundings_.workers) workers_.Describe(spec);
   for (auto& [vm, worker] : workers_.workers()) {
     cell_.AddWorker(worker.spec, placement::WorkerAdmission::kClosed);
     OpenWorker(worker, SessionOpening{lapses});
@@ -67,9 +68,28 @@
   for (const auto& [id, job] : live_.jobs()) teams_.insert(job.submitted.team);
   ApplyConfiguration();
   for (const auto& [id, job] : live_.jobs()) AddRecoveredJob(id, job);
+  for (const auto& [request, workflow] : live_.workflows()) {
+    if (!workflow.ended) OnWorkflowRecovered(workflow);
+    ForgetWorkflowLater(request);
+  }
   ApplyVmList();
 }
 
+void Owner::Impl::OnWorkflowRecovered(
+    const internal::LedgerWorkflow& workflow) {
+  const WorkflowSubmitted& submitted = workflow.submitted;
+  if (!submitted.spec.first && StateOf(workflow) == WorkflowState::kQueued) {
+    unstarted_[submitted.spec.queue].insert(submitted.request);
+  }
+  ReleaseSteps(submitted.request);
+  // The former owner may have died between the record of a failure and that of
+  // the cancellation which follows from it.
+  if (workflow.failed && !workflow.cancelled) {
+    Decide(WorkflowCancelled{submitted.request});
+    CancelWorkflowTasks(submitted.request);
+  }
+}
+
 void Owner::Impl::AddRecoveredJob(const JobId& id,
                                   const internal::LedgerJob& job) {
   const auto age = std::clamp<WallTime::duration>(
@@ -78,11 +98,17 @@
   const MonotonicTime accepted =
       now_ - std::chrono::duration_cast<MonotonicTime::duration>(age);
   jobs_.Add(id, accepted, job.submitted.spec.deadline);
+  const bool is_step = StepOf(id).has_value();
   if (job.unfinished == 0) {
-    jobs_.SetEnded(id, now_ + options_.kept_after_end);
+    if (!is_step) jobs_.SetEnded(id, now_ + options_.kept_after_end);
     return;
   }
-  cell_.AddJob(id, job.submitted.team, job.submitted.spec, accepted);
+  const bool was_started =
+      std::any_of(job.tasks.begin(), job.tasks.end(),
+                  [](const TaskSnapshot& task) { return task.attempts > 0; });
+  if (is_step && !was_started) return;  // ReleaseSteps decides.
+  ReleaseJob(id);
+  jobs_.Find(id)->accepted = accepted;
   for (int32_t index = 0; index < std::ssize(job.tasks); ++index) {
     const TaskSnapshot& task = job.tasks[index];
     const TaskId task_id{id, index};
@@ -146,10 +172,12 @@
     SetAdmission(worker);
   }
   for (auto& [vm, worker] : workers_.workers()) {
-    for (const WorkerEvent& event : std::exchange(worker.unread, {})) {
+    const std::vector<WorkerEvent> unread = std::exchange(worker.unread, {});
+    for (const WorkerEvent& event : unread) {
       AdoptSucceeded(vm, event);
       HandleWorkerEvent(worker, event);
     }
+    Acknowledge(worker, unread);
   }
   ApplyConfiguration();  // Recovered tasks are committed by now.
   for (RequestToken token : requests_.WaitingForOwning()) {
@@ -240,9 +268,17 @@
     return;
   }
   for (const WorkerEvent& e : event.events) HandleWorkerEvent(*worker, e);
+  Acknowledge(*worker, event.events);
   JudgeUsage(event.usage);
 }
 
+void Owner::Impl::Acknowledge(const Worker& worker,
+                              const std::vector<WorkerEvent>& handled) {
+  int64_t last = 0;
+  for (const WorkerEvent& event : handled) last = std::max(last, event.number);
+  if (last > 0) AcknowledgeLater(worker.spec.vm, last);
+}
+
 void Owner::Impl::On(const WorkerFenced& event) {
   if (In<internal::Idle>() || event.theirs <= epoch_) return;
   LoseOwnership("a worker has seen epoch " + std::to_string(event.theirs.value),
@@ -326,8 +362,53 @@
 
 void Owner::Impl::On(VmListChanged event) {
   surroundings_.vms = std::move(event.vms);
-  list_counts_ = loaded() && event.asked > appended_;
-  if (loaded()) ApplyVmList();
+  surroundings_.workers = std::move(event.workers);
+  list_counts_ = loaded() && event.asked > appended_ && options_.absent_is_gone;
+  if (!loaded()) return;
+  ApplyWorkerSpecs();
+  ApplyVmList();
+}
+
+void Owner::Impl::ApplyWorkerSpecs() {
+  bool changed = false;
+  const MonotonicTime lapses =
+      now_ + options_.worker_lease + options_.worker_lease_margin;
+  for (const auto& [vm, spec] : surroundings_.workers) {
+    const Worker* known = workers_.Find(vm);
+    if (known != nullptr && known->configured && known->spec == spec) continue;
+    const bool opens = known == nullptr || !known->configured ||
+                       known->spec.address != spec.address;
+    const bool is_new = known == nullptr;
+    Worker& worker = workers_.Describe(spec);
+    cell_.AddWorker(spec, placement::WorkerAdmission::kClosed);
+    if (opens && is_new) {
+      OpenWorker(worker, SessionOpening{lapses});
+    } else if (opens) {
+      Emit(OpenSession{spec, epoch_});
+    }
+    SetAdmission(worker);
+    changed = true;
+    Log("worker_joined", {}, 0, vm, spec.address);
+  }
+  if (changed) ApplyConfiguration();
+}
+
+void Owner::Impl::DropUnlisted() {
+  if (options_.absent_is_gone || !surroundings_.vms) return;
+  std::vector<VmId> unlisted;
+  for (const auto& [vm, worker] : workers_.workers()) {
+    const bool silent = std::holds_alternative<SessionLapsed>(worker.session);
+    if (silent && worker.tasks.empty() && !surroundings_.vms->contains(vm)) {
+      unlisted.push_back(vm);
+    }
+  }
+  for (const VmId& vm : unlisted) {
+    Log("worker_left", {}, 0, vm, "not listed, and its lease has lapsed");
+    Emit(CloseSession{vm});
+    cell_.RemoveWorker(vm);
+    unproven_.erase(vm);
+    workers_.Remove(vm);
+  }
 }
 
 // A VM that is not in the list is gone, unless it answers: the list lags. It
@@ -357,6 +438,7 @@
 
 // What can go on elsewhere is checkpointed while the VM is still there.
 void Owner::Impl::LeaveWorker(Worker& worker) {
+  if (!options_.checkpoint_leaving) return;
   for (const TaskId& task : std::set<TaskId>(worker.tasks)) {
     const internal::LedgerJob* job = live_.Find(task.job);
     LiveAttempt& attempt = *workers_.FindAttempt(task);
--- a/azurepass/partition/owner_requests.cc
+++ b/azurepass/partition/owner_requests.cc
@@ -113,7 +113,7 @@
   }
   JobSubmitted submitted{MakeJobId(partition_, next_job_number_++), r.team,
                          r.request, r.spec, ToWall(now_)};
-  const Sequence sequence = commit_.Add(submitted);
+  const Sequence sequence = last_added_ = commit_.Add(submitted);
   requests_.AddRecord(sequence, std::move(submitted));
   WaitForAppend(token, sequence, deadline);
 }
@@ -200,7 +200,7 @@
     return;
   }
   if (!sequence) {
-    sequence = commit_.Add(JobCancelled{r.job});
+    sequence = last_added_ = commit_.Add(JobCancelled{r.job});
     requests_.AddRecord(*sequence, JobCancelled{r.job});
   }
   WaitForAppend(token, *sequence, deadline);
@@ -282,11 +282,26 @@
          kBusyRetryAfter);
 }
 
-void Owner::Impl::AnswerRecord(Sequence sequence, const JobId& job) {
-  std::optional<internal::PendingRecord> record =
+void Owner::Impl::AnswerRecord(Sequence sequence) {
+  const std::optional<internal::PendingRecord> pending =
       requests_.TakeRecord(sequence);
-  if (!record) return;
-  for (RequestToken token : record->tokens) Reply(token, View(job));
+  if (!pending) return;
+  const auto response = std::visit(
+      Visitor{[&](const JobSubmitted& r) { return JobResponse(View(r.job)); },
+              [&](const JobCancelled& r) { return JobResponse(View(r.job)); },
+              [&](const WorkflowSubmitted& r) {
+                return JobResponse(ViewWorkflow(r.request));
+              },
+              [&](const WorkflowCancelled& r) {
+                return JobResponse(ViewWorkflow(r.request));
+              },
+              [](const auto&) {
+                return JobResponse(
+                    Refusal{RefusalCode::kInternal, Effect::kUnknown,
+                            "Not a record of a request.", std::nullopt});
+              }},
+      pending->record);
+  for (RequestToken token : pending->tokens) Reply(token, response);
 }
 
 void Owner::Impl::AnswerChanged() {
--- a/azurepass/partition/owner_tasks.cc
+++ b/azurepass/partition/owner_tasks.cc
@@ -69,6 +69,7 @@
         std::chrono::duration_cast<Duration>(now_ - times->accepted);
   }
   const internal::Sequence sequence = Decide(TaskStarted{id, start.vm});
+  NoteStarted(id.task.job);
   workers_.AddAttempt(LiveAttempt(id, start.vm, AttemptStage::kHeld));
   if (record_first && !options_.testing.start_without_append) {
     held_[sequence] = id.task;
@@ -98,9 +99,14 @@
   const JobSpec& spec = job.submitted.spec;
   attempt.stage = AttemptStage::kOrdered;
   workers_.SetLostAt(attempt, now_ + options_.worker_lease);
+  const TaskSnapshot& task = job.tasks[attempt.id.task.index];
+  const internal::LedgerWorkflow* workflow =
+      live_.WorkflowOf(attempt.id.task.job);
   orders_[attempt.vm].push_back(StartTask{
       attempt.id, job.submitted.team, spec.task, spec.declared_run_time,
-      job.tasks[attempt.id.task.index].from_checkpoint});
+      task.from_checkpoint, task.checkpoint,
+      workflow == nullptr ? std::string() : workflow->submitted.spec.payload,
+      PermitFor(attempt.id.task.job, attempt.vm)});
 }
 
 // The start may have become wrong while its record was on the way. It was never
@@ -136,8 +142,10 @@
   if (!started && worker.draining.erase(event.attempt) > 0) {
     SetAdmission(worker);
   }
+  // The answer to an order may come after the end that it led to.
+  const bool late_answer = event.number == 0;
   if (!current) {
-    if (started) StopOrphan(worker, event.attempt);
+    if (started && !late_answer) StopOrphan(worker, event.attempt);
     return;
   }
   if (!started) {
@@ -151,22 +159,31 @@
 
 void Owner::Impl::OnEnd(const TaskId& task, const WorkerEvent& event) {
   const LedgerJob& job = *live_.Find(task.job);
-  if (event.kind == WorkerEventKind::kSucceeded) {
+  const JobSpec& spec = job.submitted.spec;
+  const std::vector<TaskId> members = OtherMembers(task);
+  if (event.kind == WorkerEventKind::kSucceeded && !spec.perpetual) {
     Finish(task, TaskState::kSucceeded, event.detail,
            AttemptOutcome::kSucceeded);
+    for (const TaskId& member : members) {
+      Finish(member, TaskState::kSucceeded, "succeeded with its gang",
+             AttemptOutcome::kSucceeded);
+    }
     return;
   }
+  StopTasks(members);
   const bool failed = event.kind == WorkerEventKind::kFailed;
   const AttemptOutcome outcome =
       failed ? AttemptOutcome::kFailed : AttemptOutcome::kStopped;
   if (job.cancelled) {
     Finish(task, TaskState::kCancelled, "cancelled", outcome);
-  } else if (!job.submitted.spec.repeatable) {
+  } else if (!spec.repeatable) {
     Finish(task, TaskState::kFailed,
            failed ? event.detail : "stopped before it finished", outcome);
   } else {
-    Requeue(task, outcome, event.kind == WorkerEventKind::kCheckpointed,
-            event.detail);
+    Requeue(task, outcome,
+            event.kind == WorkerEventKind::kCheckpointed ||
+                !event.checkpoint.empty(),
+            event.detail, event.checkpoint);
   }
 }
 
@@ -180,14 +197,41 @@
   if (attempt->fits) cell_.Release(task, outcome, /*requeue=*/false, now_);
   workers_.RemoveAttempt(task);
   OnTaskChanged(task);
+  OnStepTaskEnded(task.job, state);
+}
+
+std::vector<TaskId> Owner::Impl::OtherMembers(const TaskId& task) const {
+  const LedgerJob& job = *live_.Find(task.job);
+  const auto* gang = std::get_if<GangPolicy>(&job.submitted.spec.policy);
+  std::vector<TaskId> members;
+  if (gang == nullptr || !gang->atomic) return members;
+  for (int32_t index = 0; index < std::ssize(job.tasks); ++index) {
+    const TaskId member{task.job, index};
+    if (member != task && workers_.FindAttempt(member) != nullptr) {
+      members.push_back(member);
+    }
+  }
+  return members;
+}
+
+int32_t Owner::Impl::FailuresOf(const TaskId& task) const {
+  const LedgerJob& job = *live_.Find(task.job);
+  const auto* gang = std::get_if<GangPolicy>(&job.submitted.spec.policy);
+  if (gang == nullptr || !gang->atomic) return job.tasks[task.index].failures;
+  int32_t failures = 0;
+  for (const TaskSnapshot& member : job.tasks) failures += member.failures;
+  return failures;
 }
 
 void Owner::Impl::Requeue(const TaskId& task, AttemptOutcome outcome,
-                          bool from_checkpoint, const std::string& reason) {
+                          bool from_checkpoint, const std::string& reason,
+                          const std::string& checkpoint) {
   const LedgerJob& job = *live_.Find(task.job);
   const LiveAttempt* attempt = workers_.FindAttempt(task);
   if (attempt == nullptr) return;
-  const bool counts = internal::CountsAsFailure(outcome, job.submitted.spec);
+  const JobSpec& spec = job.submitted.spec;
+  const bool counts =
+      internal::CountsAsFailure(outcome, spec) && !spec.perpetual;
   if (job.cancelled) {
     Finish(task, TaskState::kCancelled, "cancelled", outcome);
   } else if (jobs_.Expired(task.job, now_)) {
@@ -195,11 +239,11 @@
            outcome);
   } else if (!attempt->fits) {
     Finish(task, TaskState::kFailed, "the worker had no room for it", outcome);
-  } else if (counts && job.tasks[task.index].failures + 1 >= kMaxAttempts) {
+  } else if (counts && FailuresOf(task) + 1 >= spec.max_attempts) {
     Finish(task, TaskState::kFailed, "too many attempts: " + reason, outcome);
   } else {
     Log("requeue", task, attempt->id.attempt, attempt->vm, reason);
-    Decide(TaskRequeued{attempt->id, outcome, from_checkpoint});
+    Decide(TaskRequeued{attempt->id, outcome, from_checkpoint, checkpoint});
     cell_.Release(task, outcome, /*requeue=*/true, now_);
     workers_.RemoveAttempt(task);
     OnTaskChanged(task);
@@ -223,24 +267,33 @@
 }
 
 void Owner::Impl::CancelTasks(const JobId& id) {
-  const LedgerJob* job = live_.Find(id);
-  if (job == nullptr) return;
+  const std::vector<TaskId> open = UnfinishedTasks(id);
+  live_.Apply(JobCancelled{id});
+  for (const TaskId& task : open) cell_.CancelTask(task);
+  StopTasks(open);
+}
+
+std::vector<TaskId> Owner::Impl::UnfinishedTasks(const JobId& id) const {
   std::vector<TaskId> open;
+  const LedgerJob* job = live_.Find(id);
+  if (job == nullptr) return open;
   for (int32_t index = 0; index < std::ssize(job->tasks); ++index) {
     if (!IsFinal(job->tasks[index].state)) open.push_back({id, index});
   }
-  live_.Apply(JobCancelled{id});
-  for (const TaskId& task : open) {
-    cell_.CancelTask(task);
+  return open;
+}
+
+void Owner::Impl::StopTasks(const std::vector<TaskId>& tasks) {
+  for (const TaskId& task : tasks) {
     LiveAttempt* attempt = workers_.FindAttempt(task);
     if (attempt == nullptr) continue;
     if (attempt->stage == AttemptStage::kHeld) {
-      StopUnsent(task, "cancelled");
-    } else {
+      StopUnsent(task, "stopped before its order");
+    } else if (!attempt->stopping) {
       OrderStop(*attempt, StopKind::kStop);
     }
   }
-  if (!open.empty()) OnTaskChanged(open.front());
+  if (!tasks.empty()) OnTaskChanged(tasks.front());
 }
 
 void Owner::Impl::ExpireJobs() {
@@ -278,7 +331,7 @@
   changed_.insert(task.job);
   place_ = true;
   const LedgerJob* job = live_.Find(task.job);
-  if (job != nullptr && job->unfinished == 0) {
+  if (job != nullptr && job->unfinished == 0 && !StepOf(task.job)) {
     jobs_.SetEnded(task.job, now_ + options_.kept_after_end);
   }
 }
--- /dev/null
+++ b/azurepass/partition/owner_workflows.cc
@@ -0,0 +1,348 @@
+// Workflows: their requests, and the turns of their steps.
+//
+// A step is a job like any other, which the cell does not know before the
+// step's turn: its occurrence is due, and all tasks of the steps before it have
+// succeeded. That follows from the ledger and the clock alone, so nothing about
+// turns is recorded, and a new owner finds the same steps released.
+//
+// A task that fails for good ends its workflow: the rest is cancelled by a
+// record of the owner's own. The state stays "failed", because a failure that
+// is recorded goes before a cancellation.
+
+#include <algorithm>
+#include <utility>
+
+#include "azurepass/partition/internal/owner_impl.h"
+
+namespace azurepass::partition {
+
+using internal::JobTimes;
+using internal::LedgerJob;
+using internal::LedgerWorkflow;
+using internal::Releasing;
+using internal::Sequence;
+
+namespace {
+
+constexpr Duration kBusyRetryAfter{1'000};
+constexpr Duration kConfigurationRetryAfter{200};
+
+Refusal NotRun(RefusalCode code, std::string message,
+               std::optional<Duration> retry_after = std::nullopt) {
+  return {code, Effect::kNotRun, std::move(message), retry_after};
+}
+
+std::optional<Refusal> RefuseStep(const WorkflowSpec& spec, int32_t position) {
+  const WorkflowStep& step = spec.steps[position];
+  const bool after_earlier =
+      std::all_of(step.after.begin(), step.after.end(),
+                  [&](int32_t s) { return s >= 0 && s < position; });
+  if (!after_earlier) {
+    return NotRun(RefusalCode::kInvalidRequest,
+                  "A step may wait for earlier steps only.");
+  }
+  if (step.job.tasks < 1 || step.job.tasks > kMaxTasksPerJob ||
+      !step.job.task.IsNonNegative()) {
+    return NotRun(RefusalCode::kInvalidRequest,
+                  "A step has between 1 and " +
+                      std::to_string(kMaxTasksPerJob) +
+                      " tasks, and no amount below 0.");
+  }
+  return std::nullopt;
+}
+
+std::optional<Refusal> RefuseShape(const SubmitWorkflow& request) {
+  const WorkflowSpec& spec = request.spec;
+  if (!IsWorkflowRequestId(request.request)) {
+    return NotRun(RefusalCode::kInvalidRequest,
+                  "A workflow's request id has 1 to 64 letters and digits.");
+  }
+  if (spec.steps.empty() || std::ssize(spec.steps) > kMaxWorkflowSteps ||
+      spec.occurrences < 1 || spec.occurrences > kMaxOccurrences) {
+    return NotRun(RefusalCode::kInvalidRequest,
+                  "A workflow has between 1 and " +
+                      std::to_string(kMaxWorkflowSteps) + " steps.");
+  }
+  for (int32_t s = 0; s < std::ssize(spec.steps); ++s) {
+    if (auto refusal = RefuseStep(spec, s)) return refusal;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+// ---------------------------------------------------------------------------
+// Requests
+
+void Owner::Impl::DispatchTo(RequestToken token, const SubmitWorkflow& r,
+                             MonotonicTime deadline) {
+  if (const LedgerWorkflow* workflow = live_.FindWorkflow(r.request)) {
+    if (workflow->submitted.team == r.team) {
+      Reply(token, ViewWorkflow(r.request));
+    } else {
+      Refuse(token, RefusalCode::kRequestConflict, Effect::kNotRun,
+             "The request id was used by another team.");
+    }
+    return;
+  }
+  if (const auto sequence = requests_.FindWorkflowSubmission(r.request)) {
+    return WaitForAppend(token, *sequence, deadline);
+  }
+  if (std::optional<Refusal> refusal = RefuseWorkflow(r)) {
+    Reply(token, *std::move(refusal));
+    return;
+  }
+  WorkflowSubmitted submitted{partition_, r.team, r.request, r.spec,
+                              ToWall(now_)};
+  const Sequence sequence = last_added_ = commit_.Add(submitted);
+  requests_.AddRecord(sequence, std::move(submitted));
+  WaitForAppend(token, sequence, deadline);
+}
+
+std::optional<Refusal> Owner::Impl::RefuseWorkflow(
+    const SubmitWorkflow& request) const {
+  const Configuration& configuration = *surroundings_.configuration;
+  if (In<Releasing>()) {
+    return NotRun(RefusalCode::kShuttingDown, "The owner is shutting down.",
+                  kConfigurationRetryAfter);
+  }
+  if (request.revision > configuration.revision) {
+    return NotRun(RefusalCode::kStaleConfiguration,
+                  "The owner has not seen this configuration yet.",
+                  kConfigurationRetryAfter);
+  }
+  auto queue = configuration.queues.find(request.spec.queue);
+  if (queue == configuration.queues.end()) {
+    return NotRun(RefusalCode::kNotFound, "There is no such queue.");
+  }
+  const bool known = configuration.contracts.contains(request.team);
+  if (queue->second.needs_key && !known) {
+    return NotRun(RefusalCode::kNotFound, "The team has no contract.");
+  }
+  if (auto refusal = RefuseShape(request)) return refusal;
+  const int64_t waiting =
+      live_.QueueOf(request.team).tasks + requests_.PendingTasks(request.team);
+  if (waiting + internal::TasksOf(request.spec) > options_.queue_bound) {
+    return NotRun(RefusalCode::kQueueFull,
+                  "The team has " + std::to_string(waiting) +
+                      " tasks waiting; the bound is " +
+                      std::to_string(options_.queue_bound) + ".",
+                  kBusyRetryAfter);
+  }
+  return std::nullopt;
+}
+
+const LedgerWorkflow* Owner::Impl::FindFor(RequestToken token,
+                                           const TeamId& team,
+                                           const RequestId& request) {
+  const LedgerWorkflow* found = live_.FindWorkflow(request);
+  if (found == nullptr) {
+    Refuse(token, RefusalCode::kGone, Effect::kNotRun,
+           "There is no such workflow, or it ended long ago.");
+    return nullptr;
+  }
+  if (!team.empty() && found->submitted.team != team) {
+    Refuse(token, RefusalCode::kForbidden, Effect::kNotRun,
+           "The workflow belongs to another team.");
+    return nullptr;
+  }
+  return found;
+}
+
+void Owner::Impl::DispatchTo(RequestToken token, const GetWorkflow& r,
+                             MonotonicTime /*deadline*/) {
+  if (FindFor(token, r.team, r.request) == nullptr) return;
+  Reply(token, ViewWorkflow(r.request));
+}
+
+void Owner::Impl::DispatchTo(RequestToken token, const CancelWorkflow& r,
+                             MonotonicTime deadline) {
+  const LedgerWorkflow* workflow = FindFor(token, r.team, r.request);
+  if (workflow == nullptr) return;
+  const bool over = internal::IsFinal(ViewWorkflow(r.request).state);
+  if (workflow->cancelled || over) {
+    Reply(token, ViewWorkflow(r.request));
+    return;
+  }
+  std::optional<Sequence> sequence =
+      requests_.FindWorkflowCancellation(r.request);
+  if (!sequence && In<Releasing>()) {
+    Refuse(token, RefusalCode::kShuttingDown, Effect::kNotRun,
+           "The owner is shutting down.", kConfigurationRetryAfter);
+    return;
+  }
+  if (!sequence) {
+    sequence = last_added_ = commit_.Add(WorkflowCancelled{r.request});
+    requests_.AddRecord(*sequence, WorkflowCancelled{r.request});
+  }
+  WaitForAppend(token, *sequence, deadline);
+}
+
+void Owner::Impl::DispatchTo(RequestToken token, const CountWaiting& r,
+                             MonotonicTime /*deadline*/) {
+  auto found = unstarted_.find(r.queue);
+  Reply(token, WaitingCount{
+                   found == unstarted_.end() ? 0 : std::ssize(found->second)});
+}
+
+// An end is shown once it is appended.
+WorkflowView Owner::Impl::ViewWorkflow(const RequestId& request) const {
+  WorkflowView view;
+  view.request = request;
+  const LedgerWorkflow* live = live_.FindWorkflow(request);
+  const LedgerWorkflow* committed = committed_.FindWorkflow(request);
+  if (live == nullptr || committed == nullptr) return view;
+  view.team = live->submitted.team;
+  view.state = StateOf(*committed);
+  if (!internal::IsFinal(view.state) && live->started) {
+    view.state = WorkflowState::kRunning;
+  }
+  return view;
+}
+
+// ---------------------------------------------------------------------------
+// Turns
+
+void Owner::Impl::OnWorkflowSubmitted(const RequestId& request) {
+  const LedgerWorkflow& workflow = *live_.FindWorkflow(request);
+  for (const JobId& job : workflow.jobs) {
+    jobs_.Add(job, now_, live_.Find(job)->submitted.spec.deadline);
+  }
+  const WorkflowSubmitted& submitted = workflow.submitted;
+  if (!submitted.spec.first && !workflow.started) {
+    unstarted_[submitted.spec.queue].insert(request);
+  }
+  ReleaseSteps(request);
+  Emit(LogDecision{"accept",
+                   {JobId(request.value()), 0},
+                   0,
+                   VmId(),
+                   surroundings_.configuration->revision,
+                   "team " + submitted.team.value() + " queue " +
+                       submitted.spec.queue.value()});
+}
+
+MonotonicTime Owner::Impl::DueOf(const LedgerWorkflow& workflow,
+                                 int32_t occurrence) const {
+  const WorkflowSpec& spec = workflow.submitted.spec;
+  if (!spec.first) return now_;
+  const WallTime due = *spec.first + occurrence * spec.interval;
+  return claimed_ + std::chrono::duration_cast<MonotonicTime::duration>(
+                        due - claimed_wall_);
+}
+
+bool Owner::Impl::IsTurnOf(const LedgerWorkflow& workflow,
+                           const StepId& step) const {
+  const std::vector<WorkflowStep>& steps = workflow.submitted.spec.steps;
+  return std::all_of(
+      steps[step.step].after.begin(), steps[step.step].after.end(),
+      [&](int32_t before) {
+        const LedgerJob* job = live_.Find(
+            workflow.jobs[step.occurrence * std::ssize(steps) + before]);
+        return job != nullptr && job->unfinished == 0;
+      });
+}
+
+void Owner::Impl::ReleaseSteps(const RequestId& request) {
+  const LedgerWorkflow* workflow = live_.FindWorkflow(request);
+  if (workflow == nullptr || workflow->jobs.empty()) return;
+  if (workflow->cancelled || workflow->failed) return;
+  const auto steps =
+      static_cast<int32_t>(workflow->submitted.spec.steps.size());
+  for (int32_t k = 0; k < workflow->submitted.spec.occurrences; ++k) {
+    const MonotonicTime due = DueOf(*workflow, k);
+    if (due > now_) {
+      due_.insert({due, request});
+      return;
+    }
+    for (int32_t s = 0; s < steps; ++s) {
+      const JobId& job = workflow->jobs[k * steps + s];
+      const JobTimes* times = jobs_.Find(job);
+      if (times == nullptr || times->released) continue;
+      if (IsTurnOf(*workflow, {request, k, s})) ReleaseJob(job);
+    }
+  }
+}
+
+void Owner::Impl::ReleaseDueSteps() {
+  while (!due_.empty() && due_.begin()->first <= now_) {
+    const RequestId request = due_.begin()->second;
+    due_.erase(due_.begin());
+    ReleaseSteps(request);
+  }
+}
+
+void Owner::Impl::ReleaseJob(const JobId& id) {
+  JobTimes* times = jobs_.Find(id);
+  const LedgerJob* job = live_.Find(id);
+  if (times == nullptr || job == nullptr || times->released) return;
+  times->released = true;
+  times->accepted = now_;
+  cell_.AddJob(id, job->submitted.team, job->submitted.spec, now_);
+  if (job->submitted.spec.constraints.needs_permit) permits_[id];
+  place_ = true;
+}
+
+void Owner::Impl::NoteStarted(const JobId& job) {
+  const LedgerWorkflow* workflow = live_.WorkflowOf(job);
+  if (workflow == nullptr) return;
+  auto waiting = unstarted_.find(workflow->submitted.spec.queue);
+  if (waiting == unstarted_.end()) return;
+  waiting->second.erase(workflow->submitted.request);
+  if (waiting->second.empty()) unstarted_.erase(waiting);
+}
+
+// ---------------------------------------------------------------------------
+// Ends
+
+void Owner::Impl::OnStepTaskEnded(const JobId& id, TaskState state) {
+  const LedgerWorkflow* workflow = live_.WorkflowOf(id);
+  if (workflow == nullptr) return;
+  const RequestId request = workflow->submitted.request;
+  const LedgerJob* job = live_.Find(id);
+  if (job != nullptr && job->unfinished == 0) permits_.erase(id);
+  if (workflow->failed && !workflow->cancelled) {
+    Decide(WorkflowCancelled{request});
+    CancelWorkflowTasks(request);
+  }
+  if (state == TaskState::kSucceeded) ReleaseSteps(request);
+  ForgetWorkflowLater(request);
+}
+
+void Owner::Impl::CancelWorkflowTasks(const RequestId& request) {
+  const LedgerWorkflow* workflow = live_.FindWorkflow(request);
+  if (workflow == nullptr) return;
+  std::vector<TaskId> open;
+  for (const JobId& job : workflow->jobs) {
+    const std::vector<TaskId> tasks = UnfinishedTasks(job);
+    open.insert(open.end(), tasks.begin(), tasks.end());
+    permits_.erase(job);
+  }
+  if (!workflow->jobs.empty()) NoteStarted(workflow->jobs.front());
+  if (!workflow->cancelled) live_.Apply(WorkflowCancelled{request});
+  for (const TaskId& task : open) cell_.CancelTask(task);
+  StopTasks(open);
+  ForgetWorkflowLater(request);
+}
+
+void Owner::Impl::ForgetWorkflowLater(const RequestId& request) {
+  const LedgerWorkflow* workflow = live_.FindWorkflow(request);
+  if (workflow == nullptr || workflow->unfinished_jobs > 0) return;
+  forgetting_.insert({now_ + options_.kept_after_end, request});
+}
+
+void Owner::Impl::ForgetWorkflows() {
+  while (!forgetting_.empty() && forgetting_.begin()->first <= now_) {
+    const RequestId request = forgetting_.begin()->second;
+    forgetting_.erase(forgetting_.begin());
+    const LedgerWorkflow* workflow = live_.FindWorkflow(request);
+    if (workflow == nullptr || workflow->unfinished_jobs > 0) continue;
+    for (const JobId& job : workflow->jobs) {
+      cell_.RemoveJob(job);
+      jobs_.Remove(job);
+    }
+    Decide(WorkflowForgotten{request});
+  }
+}
+
+}  // namespace azurepass::partition
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -78,8 +78,39 @@
   TeamId team;
   JobId job;
 };
-using JobRequest = std::variant<SubmitJob, GetJob, CancelJob, ExplainJob>;
-using JobResponse = std::variant<JobView, placement::Explanation, Refusal>;
+// Submits a workflow under an id that the caller chose; a repetition of the
+// same id finds the workflow that is there.
+struct SubmitWorkflow {
+  PartitionId partition;
+  TeamId team;
+  RequestId request;
+  WorkflowSpec spec;
+  Revision revision;  // The sender's configuration.
+};
+struct GetWorkflow {
+  PartitionId partition;
+  TeamId team;
+  RequestId request;
+};
+struct CancelWorkflow {
+  PartitionId partition;
+  TeamId team;
+  RequestId request;
+};
+// Asks how many workflows of a queue wait for their first start. Those that are
+// due at set times are not counted.
+struct CountWaiting {
+  PartitionId partition;
+  QueueId queue;
+};
+struct WaitingCount {
+  int64_t workflows = 0;
+};
+using JobRequest =
+    std::variant<SubmitJob, GetJob, CancelJob, ExplainJob, SubmitWorkflow,
+                 GetWorkflow, CancelWorkflow, CountWaiting>;
+using JobResponse = std::variant<JobView, placement::Explanation, Refusal,
+                                 WorkflowView, WaitingCount>;
 
 // Names a request to the owner for as long as it is unanswered.
 struct RequestToken {
@@ -103,6 +134,21 @@
   WallTime accepted{};
   bool operator==(const JobSubmitted&) const = default;
 };
+// Stands for the submission of all jobs that the workflow's steps become.
+struct WorkflowSubmitted {
+  PartitionId partition;
+  TeamId team;
+  RequestId request;
+  WorkflowSpec spec;
+  WallTime accepted{};
+  bool operator==(const WorkflowSubmitted&) const = default;
+};
+struct WorkflowCancelled {
+  RequestId request;
+};
+struct WorkflowForgotten {
+  RequestId request;
+};
 struct TaskStarted {
   AttemptId attempt;
   VmId vm;
@@ -112,6 +158,7 @@
   AttemptId attempt;
   placement::AttemptOutcome outcome = placement::AttemptOutcome::kStopped;
   bool from_checkpoint = false;
+  std::string checkpoint{};  // Where it goes on from; empty: as before.
 };
 // A task's final state.
 struct TaskEnded {
@@ -127,7 +174,8 @@
   JobId job;
 };
 using Record = std::variant<JobSubmitted, TaskStarted, TaskRequeued, TaskEnded,
-                            JobCancelled, JobForgotten>;
+                            JobCancelled, JobForgotten, WorkflowSubmitted,
+                            WorkflowCancelled, WorkflowForgotten>;
 
 // One value of the journal. The pair (epoch, nonce) names its writer.
 struct Batch {
@@ -146,7 +194,8 @@
   int32_t attempts = 0;  // How many there were.
   int32_t failures = 0;  // How many of them count towards kMaxAttempts.
   bool from_checkpoint = false;
-  std::string reason;
+  std::string reason{};
+  std::string checkpoint{};  // Names the progress to go on from.
   bool operator==(const TaskSnapshot&) const = default;
 };
 struct JobSnapshot {
@@ -154,11 +203,20 @@
   bool cancelled = false;
   std::vector<TaskSnapshot> tasks;
 };
-// The journal's content up to and including batch `through`.
+// A workflow in a snapshot. Of one that has ended only `ended` is kept: neither
+// its jobs nor its steps.
+struct WorkflowSnapshot {
+  WorkflowSubmitted submitted;
+  bool cancelled = false;
+  std::optional<WorkflowState> ended;
+};
+// The journal's content up to and including batch `through`. The jobs of a
+// workflow are there without their specs.
 struct Snapshot {
   int64_t through = 0;
   int64_t next_job_number = 1;
-  std::vector<JobSnapshot> jobs;
+  std::vector<JobSnapshot> jobs{};
+  std::vector<WorkflowSnapshot> workflows{};
 };
 
 // ---------------------------------------------------------------------------
@@ -235,9 +293,24 @@
 // append: an older one may lack a VM that the former owner had seen and used.
 // `asked` is the time on the owner's clock; left out, absence proves nothing
 // and leases decide. Lists are sent in the order in which they were answered.
+// `workers` are those of this partition that described themselves to the list,
+// beside those that the settings name.
 struct VmListChanged {
   std::map<VmId, VmState> vms;
   MonotonicTime asked{};
+  std::map<VmId, WorkerSpec> workers{};
+};
+// Answer to AskPermits: the workers on which the job's tasks may be started,
+// each with its permit, valid until then. Empty: the question failed.
+struct Permit {
+  VmId vm;
+  std::string text;
+};
+struct PermitsIssued {
+  JobId job;
+  std::vector<VmId> asked;
+  std::optional<std::vector<Permit>> permits;
+  MonotonicTime valid_until{};
 };
 // The worker accepted the epoch, or answers again after WorkerUnreachable.
 // `running` is all it runs, whoever ordered it.
@@ -275,9 +348,9 @@
     std::variant<ClaimWon, ReleaseWanted, ClaimLost, JournalLoaded, LoadFailed,
                  Appended, AppendFound, AppendUnknown, AppendUnavailable,
                  SnapshotWritten, ConfigurationChanged, FreshnessChanged,
-                 AllowancesChanged, VmListChanged, WorkerSessionOpened,
-                 WorkerReported, WorkerFenced, WorkerUnreachable,
-                 RequestReceived, Tick>;
+                 AllowancesChanged, VmListChanged, PermitsIssued,
+                 WorkerSessionOpened, WorkerReported, WorkerFenced,
+                 WorkerUnreachable, RequestReceived, Tick>;
 
 // ---------------------------------------------------------------------------
 // Actions: what is to be done
@@ -313,6 +386,19 @@
   VmId vm;
   std::vector<Order> orders;
 };
+// All that follows from the worker's events up to this number is appended: it
+// may forget them.
+struct AcknowledgeEvents {
+  VmId vm;
+  int64_t number = 0;
+};
+// Ask the service that issues permits about these workers. Answered by
+// PermitsIssued.
+struct AskPermits {
+  JobId job;
+  std::vector<VmId> workers;
+  PermitTerms terms;
+};
 struct Answer {
   RequestToken token;
   JobResponse response;
@@ -346,9 +432,10 @@
   std::string reason;
 };
 
-using Action = std::variant<LoadJournal, AppendBatch, ReadBack, WriteSnapshot,
-                            OpenSession, CloseSession, SendOrders, Answer,
-                            ReportDemand, Released, Deposed, Wake, LogDecision>;
+using Action =
+    std::variant<LoadJournal, AppendBatch, ReadBack, WriteSnapshot, OpenSession,
+                 CloseSession, SendOrders, AcknowledgeEvents, AskPermits,
+                 Answer, ReportDemand, Released, Deposed, Wake, LogDecision>;
 
 // ---------------------------------------------------------------------------
 // The owner
@@ -371,6 +458,17 @@
   // its end before it counts as lost.
   Duration report_grace{2'000};
   Duration demand_interval{500};  // Between two ReportDemand.
+  // A VM that is missing from the list, and does not answer, is gone. False
+  // where the list forgets VMs that run: then leases alone decide.
+  bool absent_is_gone = true;
+  // Tasks on a leaving VM are checkpointed at once, or else run on.
+  bool checkpoint_leaving = true;
+  // A permit is not used in the last part of its validity: its start has to
+  // reach the worker.
+  Duration permit_margin{300};
+  Duration permit_retry{100};  // After a question that failed.
+  // Between two looks at the jobs that may need one.
+  Duration permit_look_interval{10};
   placement::Options placement;
 
   // Each takes one mechanism out, so that a test can show that it would notice.
--- a/azurepass/partition/testing/oracle.cc
+++ b/azurepass/partition/testing/oracle.cc
@@ -81,49 +81,61 @@
 void Oracle::OnJournal(const Batch& batch) {
   for (const Record& record : batch.records) {
     std::visit(
-        Visitor{[&](const JobSubmitted& r) {
-                  for (const auto& [id, job] : jobs_) {
-                    if (!job.forgotten && job.submitted.team == r.team &&
-                        job.submitted.request == r.request) {
-                      Violation("request recorded twice: " + r.request.value());
-                    }
-                  }
-                  if (jobs_.contains(r.job)) {
-                    Violation("job id used twice: " + r.job.value());
-                  }
-                  jobs_[r.job].submitted = r;
-                },
-                [&](const TaskStarted& r) {
-                  Job& job = jobs_[r.attempt.task.job];
-                  job.ended.erase(r.attempt.task.index);
-                  job.running[r.attempt.task.index] = r.vm;
-                },
-                [&](const TaskRequeued& r) {
-                  Job& job = jobs_[r.attempt.task.job];
-                  job.running.erase(r.attempt.task.index);
-                  if (job.cancelled) {
-                    job.ended[r.attempt.task.index] = TaskState::kCancelled;
-                  }
-                },
-                [&](const TaskEnded& r) {
-                  jobs_[r.task.job].ended[r.task.index] = r.state;
-                },
-                [&](const JobCancelled& r) {
-                  Job& job = jobs_[r.job];
-                  job.cancelled = true;
-                  for (int32_t i = 0; i < job.submitted.spec.tasks; ++i) {
-                    if (!job.running.contains(i)) {
-                      job.ended.try_emplace(i, TaskState::kCancelled);
-                    }
-                  }
-                },
-                [&](const JobForgotten& r) {
-                  Job& job = jobs_[r.job];
-                  if (std::ssize(job.ended) < job.submitted.spec.tasks) {
-                    Violation("forgotten before its end: " + r.job.value());
-                  }
-                  job.forgotten = true;
-                }},
+        Visitor{
+            [&](const JobSubmitted& r) {
+              for (const auto& [id, job] : jobs_) {
+                if (!job.forgotten && job.submitted.team == r.team &&
+                    job.submitted.request == r.request) {
+                  Violation("request recorded twice: " + r.request.value());
+                }
+              }
+              if (jobs_.contains(r.job)) {
+                Violation("job id used twice: " + r.job.value());
+              }
+              jobs_[r.job].submitted = r;
+            },
+            [&](const TaskStarted& r) {
+              Job& job = jobs_[r.attempt.task.job];
+              job.ended.erase(r.attempt.task.index);
+              job.running[r.attempt.task.index] = r.vm;
+            },
+            [&](const TaskRequeued& r) {
+              Job& job = jobs_[r.attempt.task.job];
+              job.running.erase(r.attempt.task.index);
+              if (job.cancelled) {
+                job.ended[r.attempt.task.index] = TaskState::kCancelled;
+              }
+            },
+            [&](const TaskEnded& r) {
+              jobs_[r.task.job].ended[r.task.index] = r.state;
+            },
+            [&](const JobCancelled& r) {
+              Job& job = jobs_[r.job];
+              job.cancelled = true;
+              for (int32_t i = 0; i < job.submitted.spec.tasks; ++i) {
+                if (!job.running.contains(i)) {
+                  job.ended.try_emplace(i, TaskState::kCancelled);
+                }
+              }
+            },
+            [&](const JobForgotten& r) {
+              Job& job = jobs_[r.job];
+              if (std::ssize(job.ended) < job.submitted.spec.tasks) {
+                Violation("forgotten before its end: " + r.job.value());
+              }
+              job.forgotten = true;
+            },
+            // The random worlds submit no workflows; see
+            // owner_workflows_test.
+            [&](const WorkflowSubmitted& r) {
+              Violation("a workflow nobody submitted: " + r.request.value());
+            },
+            [&](const WorkflowCancelled& r) {
+              Violation("a workflow nobody submitted: " + r.request.value());
+            },
+            [&](const WorkflowForgotten& r) {
+              Violation("a workflow nobody submitted: " + r.request.value());
+            }},
         record);
   }
 }
--- a/azurepass/partition/testing/world.cc
+++ b/azurepass/partition/testing/world.cc
@@ -438,6 +438,8 @@
               }
             });
           },
+          // The workers of this world keep all events.
+          [&](const AcknowledgeEvents&) {}, [&](const AskPermits&) {},
           [&](const Answer& a) {
             std::erase(process.open, a.token);
             oracle_.OnAnswer(a.token, a.response,
--- /dev/null
+++ b/azurepass/permit/broker.cc
@@ -0,0 +1,155 @@
+// Spreads questions over the VMs by what is still to be decided at each.
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "azurepass/permit/permit.h"
+
+namespace azurepass::permit {
+namespace {
+
+// The key of this VM among the desks; peers go by their address.
+constexpr char kLocal[] = "";
+
+}  // namespace
+
+class Broker::Impl {
+ public:
+  Impl(task::Loop& loop, Options options, task::Address<Question> service,
+       task::Address<entry::Call> peers)
+      : options_(options),
+        service_(std::move(service)),
+        peers_(std::move(peers)),
+        mailbox_(loop, [this](Inbox m) { Handle(std::move(m)); }) {
+    desks_[kLocal];
+  }
+
+  task::Address<Message> address() const { return mailbox_.address(); }
+
+ private:
+  // Invariant: backlog is the sum of the costs of the questions sent there and
+  // not answered.
+  struct Desk {
+    Duration backlog{0};
+    bool gone = false;  // No member any more; dropped once all is answered.
+  };
+  struct Answered {
+    std::string desk;
+    Duration cost{0};
+    JobId job;
+    task::Address<Answer> reply_to;
+    Answer answer;
+  };
+  using Inbox = std::variant<Message, Answered>;
+
+  void Handle(Inbox message) {
+    std::visit(Visitor{[this](Message& m) { OnMessage(std::move(m)); },
+                       [this](Answered& a) { OnAnswered(a); }},
+               message);
+    Drain();
+  }
+
+  void OnMessage(Message message) {
+    std::visit(Visitor{[this](Ask& ask) {
+                         waiting_.emplace(ask.cost, std::move(ask));
+                       },
+                       [this](const PeersChanged& changed) {
+                         for (auto& [address, desk] : desks_) {
+                           desk.gone = address != kLocal;
+                         }
+                         for (const std::string& address : changed.addresses) {
+                           desks_[address].gone = false;
+                         }
+                         DropIdle();
+                       }},
+               message);
+  }
+
+  void OnAnswered(Answered& answered) {
+    if (const auto* failed = std::get_if<Failed>(&answered.answer)) {
+      LOG(WARNING) << "event=permits_failed job=" << answered.job.value()
+                   << " by=" << answered.desk << " reason=\"" << failed->message
+                   << "\"";
+    }
+    desks_[answered.desk].backlog -= answered.cost;
+    DropIdle();
+    answered.reply_to.Send(std::move(answered.answer));
+  }
+
+  void DropIdle() {
+    std::erase_if(desks_, [](const auto& item) {
+      return item.second.gone && item.second.backlog <= Duration(0);
+    });
+  }
+
+  void Drain() {
+    while (!waiting_.empty()) {
+      const auto least = std::min_element(
+          desks_.begin(), desks_.end(), [](const auto& a, const auto& b) {
+            return std::pair(a.second.gone, a.second.backlog) <
+                   std::pair(b.second.gone, b.second.backlog);
+          });
+      Desk& desk = least->second;
+      const bool full =
+          desk.backlog > Duration(0) &&
+          desk.backlog + waiting_.begin()->first > options_.max_backlog;
+      if (full) return;
+      Ask ask = std::move(waiting_.begin()->second);
+      waiting_.erase(waiting_.begin());
+      desk.backlog += ask.cost;
+      Put(least->first, desk.backlog + options_.slack, std::move(ask));
+    }
+  }
+
+  void Put(const std::string& desk, Duration timeout, Ask ask) {
+    const auto answered = [desk, cost = ask.cost, job = ask.job,
+                           to = ask.reply_to](Answer answer) {
+      return Inbox(Answered{desk, cost, job, to, std::move(answer)});
+    };
+    if (desk == kLocal) {
+      service_.Send({ask.job, std::move(ask.workers), timeout,
+                     mailbox_.address().Map<Answer>(answered)});
+      return;
+    }
+    peers_.Send({desk, entry::RelayPermits{ask.job, std::move(ask.workers)},
+                 timeout,
+                 mailbox_.address().Map<entry::CallResult>(
+                     [answered](entry::CallResult result) {
+                       return answered(AnswerOf(result));
+                     })});
+  }
+
+  static Answer AnswerOf(entry::CallResult& result) {
+    if (const auto* failure = std::get_if<entry::Failure>(&result)) {
+      return Failed{failure->message};
+    }
+    auto& response = std::get<entry::Response>(result);
+    if (auto* relayed = std::get_if<entry::PermitsRelayed>(&response)) {
+      return Issued{std::move(relayed->permits), relayed->validity};
+    }
+    const auto* refusal = std::get_if<Refusal>(&response);
+    return Failed{refusal != nullptr ? refusal->message : "another answer"};
+  }
+
+  const Options options_;
+  const task::Address<Question> service_;
+  const task::Address<entry::Call> peers_;
+  std::map<std::string, Desk> desks_;
+  // Cheap ones first: they are those of small, urgent work.
+  std::multimap<Duration, Ask> waiting_;
+  task::Mailbox<Inbox> mailbox_;
+};
+
+Broker::Broker(task::Loop& loop, Options options,
+               task::Address<Question> service,
+               task::Address<entry::Call> peers)
+    : impl_(std::make_shared<Impl>(loop, options, std::move(service),
+                                   std::move(peers))) {}
+Broker::~Broker() = default;
+
+task::Address<Message> Broker::address() const { return impl_->address(); }
+
+}  // namespace azurepass::permit
--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -24,17 +24,15 @@
 
 namespace {
 
-// Before the n-th retry a task waits kFirstBackoff * 2^(n-1), at most
-// kLongestBackoff, less a random part of up to half.
-constexpr Duration kFirstBackoff{1'000};
-constexpr Duration kLongestBackoff{60'000};
+// Before the n-th retry a task waits first_backoff * 2^(n-1), at most
+// longest_backoff, less a random part of up to half.
 constexpr int kMaxDoublings = 6;
 constexpr uint8_t kMaxCounted = 250;  // Counters stop here.
 
-Duration BackoffOf(int retries, uint64_t random) {
+Duration BackoffOf(const Options& options, int retries, uint64_t random) {
   const int doublings = std::clamp(retries - 1, 0, kMaxDoublings);
-  const Duration full =
-      std::min(kLongestBackoff, kFirstBackoff * (1 << doublings));
+  const Duration full = std::min(options.longest_backoff,
+                                 options.first_backoff * (1 << doublings));
   const double part = 0.5 + 0.5 * internal::UnitInterval(random);
   return Duration(
       static_cast<int64_t>(static_cast<double>(full.count()) * part));
@@ -110,7 +108,7 @@
       task->phase == TaskPhase::kWaiting || task->phase == TaskPhase::kDelayed;
   const internal::Worker& w = state_.fleet.worker(worker);
   const Job& job = state_.jobs[ref.job];
-  if (!waits || !w.known || !job.spec.task.FitsIn(w.free)) return false;
+  if (!waits || !w.known || !job.room().FitsIn(w.free)) return false;
   state_.Commit(ref, worker, std::max(state_.now, job.accepted));
   state_.teams[job.team].check_allowance = true;
   return true;
@@ -167,7 +165,7 @@
                           static_cast<uint64_t>(job.number) << 24 ^
                           static_cast<uint64_t>(ref.task) << 8 ^
                           static_cast<uint64_t>(retries);
-  state_.Delay(ref, now + BackoffOf(retries, random));
+  state_.Delay(ref, now + BackoffOf(state_.options, retries, random));
 }
 
 void Cell::Impl::Release(const TaskId& id, AttemptOutcome outcome, bool requeue,
@@ -275,6 +273,20 @@
   if (index != kNone) impl_->state().RemoveJob(index);
 }
 
+void Cell::SetPermitted(const JobId& id, const std::vector<VmId>& workers,
+                        MonotonicTime until) {
+  internal::CellState& state = impl_->state();
+  const Index index = state.FindJob(id);
+  if (index == kNone) return;
+  Job& job = state.jobs[index];
+  job.permitted.clear();
+  for (const VmId& vm : workers) {
+    const Index worker = state.fleet.Find(vm);
+    if (worker != kNone) job.permitted.push_back(worker);
+  }
+  job.permitted_until = until;
+}
+
 bool Cell::Commit(const TaskId& task, const VmId& vm) {
   return impl_->Commit(task, vm);
 }
@@ -331,6 +343,22 @@
   return status;
 }
 
+std::map<WaitReason, int64_t> Cell::WaitingByReason() const {
+  const internal::CellState& state = impl_->state();
+  std::map<WaitReason, int64_t> waiting;
+  for (const Job& job : state.jobs) {
+    if (job.waiting == 0 || job.lane == kNone) continue;
+    waiting[state.lanes[job.lane].reason] += job.waiting;
+  }
+  return waiting;
+}
+
+Resources Cell::QueuedOf(const TeamId& team) const {
+  const internal::CellState& state = impl_->state();
+  const Index index = state.teams.Find(team);
+  return index == kNone ? Resources() : state.teams[index].queued;
+}
+
 Resources Cell::CommittedOf(const TeamId& team) const {
   const internal::CellState& state = impl_->state();
   const Index index = state.teams.Find(team);
--- a/azurepass/placement/internal/cell_state.cc
+++ b/azurepass/placement/internal/cell_state.cc
@@ -44,6 +44,7 @@
   job.tasks.resize(spec.tasks);
   job.waiting = spec.tasks;
   teams[team].waiting += spec.tasks;
+  teams[team].queued += spec.task * spec.tasks;
   queued += spec.tasks;
   job_ids_.emplace(id, index);
   UpdateQueue(index);
@@ -74,10 +75,12 @@
 }
 
 void CellState::CountSpread(Job& job, Index worker, int32_t tasks) {
-  if (!job.is_service()) return;
+  const bool narrow = job.is_narrow();
+  if (!job.is_service() && !narrow) return;
   const Worker& w = fleet.worker(worker);
   for (auto [counts, key] :
-       {std::pair(&job.in_zone, w.zone), std::pair(&job.in_rack, w.rack)}) {
+       {std::pair(&job.in_zone, w.zone), std::pair(&job.in_rack, w.rack),
+        std::pair(&job.on_workers, worker)}) {
     auto it = counts->try_emplace(key, 0).first;
     it->second += tasks;
     if (it->second <= 0) counts->erase(it);
@@ -100,11 +103,14 @@
   team.running.push_back(ref);
   team.committed += job.spec.task;
   --team.waiting;
+  team.queued -= job.spec.task;
   ++job.committed;
   --queued;
   ++committed;
   CountSpread(job, worker_index, 1);
-  fleet.Take(worker_index, job.spec.task);
+  worker.perpetual += job.spec.perpetual ? 1 : 0;
+  worker.scavengers += job.spec.scavenger ? 1 : 0;
+  fleet.Take(worker_index, job.room());
   UpdateQueue(ref.job);
 }
 
@@ -129,7 +135,10 @@
   --job.committed;
   --committed;
   CountSpread(job, task.worker, -1);
-  fleet.GiveBack(task.worker, job.spec.task);
+  Worker& worker = fleet.worker(task.worker);
+  worker.perpetual -= job.spec.perpetual ? 1 : 0;
+  worker.scavengers -= job.spec.scavenger ? 1 : 0;
+  fleet.GiveBack(task.worker, job.room());
   task.phase = TaskPhase::kDone;
   task.worker = kNone;
   UpdateQueue(ref.job);
@@ -141,6 +150,7 @@
   job.again.push_back(ref.task);
   ++job.waiting;
   ++teams[job.team].waiting;
+  teams[job.team].queued += job.spec.task;
   ++queued;
   UpdateQueue(ref.job);
 }
@@ -152,6 +162,7 @@
   task.since = until;
   ++job.delayed;
   ++teams[job.team].waiting;
+  teams[job.team].queued += job.spec.task;
   ++queued;
   delays_.push({.at = until, .ref = ref, .job_number = job.number});
   UpdateQueue(ref.job);
@@ -166,6 +177,7 @@
   task.phase = TaskPhase::kDone;
   --(waits ? job.waiting : job.delayed);
   --teams[job.team].waiting;
+  teams[job.team].queued -= job.spec.task;
   --queued;
   if (job.waiting + job.delayed == 0) DropReservation(ref.job);
   UpdateQueue(ref.job);
@@ -192,8 +204,9 @@
     if (task.phase != TaskPhase::kDelayed || task.since != due.at) continue;
     --job.delayed;
     --teams[job.team].waiting;
+    teams[job.team].queued -= job.spec.task;
     --queued;
-    task.no_token = !retry_budget.Take(at);
+    task.no_token = options.bound_retries && !retry_budget.Take(at);
     if (task.no_token) {
       Delay(due.ref, at + retry_budget.UntilNext());
     } else {
@@ -215,7 +228,8 @@
                     .size = job.spec.task,
                     .policy = job.spec.policy.index(),
                     .gang = job.is_gang() ? job.number : 0,
-                    .repeatable = job.spec.repeatable};
+                    .repeatable = job.spec.repeatable,
+                    .narrow = job.is_narrow() ? job.number : 0};
   auto [it, added] = teams[job.team].lanes.try_emplace(key, kNone);
   if (!added) return it->second;
   if (free_lanes_.empty()) {
--- a/azurepass/placement/internal/decider.cc
+++ b/azurepass/placement/internal/decider.cc
@@ -169,6 +169,7 @@
     lane.blocked_since = state_.now;
     lane.blocked_pass = state_.passes;
   }
+  if (lane.key.narrow != 0) return;
   if (WasPassedOver(lane) &&
       state_.now - *lane.blocked_since >= state_.options.reservation_after) {
     starving_.push_back(index);
@@ -207,6 +208,7 @@
 }
 
 Decider::Scope Decider::ScopeOf(Lane& lane) {
+  if (lane.key.narrow != 0) return Scope::kAll;
   const GrowthLog& growth = state_.fleet.growth();
   if (!growth.Covers(lane.checked)) return Scope::kAll;
   if (lane.key.gang != 0) return ScopeOfGang(lane);
@@ -227,6 +229,7 @@
 // Keeps what a search in vain found out.
 void Decider::Remember(Lane& lane, Scope scope, Found& found,
                        GrowthLog::Position end) {
+  if (lane.key.narrow != 0) return;
   lane.checked = found.zone_held ? GrowthLog::kNever : end;
   lane.missing = found.missing;
   lane.gained = 0;
@@ -252,7 +255,7 @@
       const Team& team = state_.teams[lane.team];
       lane.checked = std::max(lane.checked, team.queue(lane.key.priority).seen);
     }
-    if (!state_.fleet.growth().Covers(lane.checked)) {
+    if (lane.key.narrow == 0 && !state_.fleet.growth().Covers(lane.checked)) {
       Inherit(lane, state_.jobs[job]);
     }
     const Scope scope = ScopeOf(lane);
@@ -302,8 +305,10 @@
   }
   const GrowthLog::Position end = state_.fleet.growth().end();
   Found found =
-      search_.Find(job, job_index, team, state_.now, steps_,
-                   scope == Scope::kCandidates ? &candidates_ : nullptr);
+      job.is_narrow()
+          ? narrow_.Find(job, job_index, team, state_.now, steps_)
+          : search_.Find(job, job_index, team, state_.now, steps_,
+                         scope == Scope::kCandidates ? &candidates_ : nullptr);
   if (!found.places.empty()) {
     StartAll(job_index, found);
     return Turn::kStarted;
--- a/azurepass/placement/internal/decider.h
+++ b/azurepass/placement/internal/decider.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "azurepass/placement/internal/cell_state.h"
+#include "azurepass/placement/internal/narrow_search.h"
 #include "azurepass/placement/internal/preemption.h"
 #include "azurepass/placement/internal/search.h"
 
@@ -30,6 +31,7 @@
         budget_(budget),
         steps_(budget.candidates),
         search_(state.fleet, state.reservations, state.run_times),
+        narrow_(state.fleet, search_),
         preemption_(state) {}
 
   std::vector<Decision> Run();
@@ -77,6 +79,7 @@
   DecideBudget budget_;
   int64_t steps_;  // Left of the candidates.
   Search search_;
+  NarrowSearch narrow_;
   Preemption preemption_;
   std::vector<Decision> decisions_;
   std::vector<Index> stuck_urgent_;     // Lanes without room.
--- a/azurepass/placement/internal/fleet.cc
+++ b/azurepass/placement/internal/fleet.cc
@@ -100,6 +100,7 @@
   worker.zone = InternZone(spec.zone);
   worker.rack = racks_.Intern(spec.rack);
   worker.capacity = spec.capacity;
+  worker.labels = spec.labels;
   worker.free = spec.capacity - used;
   worker.admission = admission;
   worker.known = true;
--- a/azurepass/placement/internal/fleet.h
+++ b/azurepass/placement/internal/fleet.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -30,6 +31,10 @@
   bool counted = false;  // In the open capacity.
   Health health;
   std::vector<TaskRef> tasks;
+  std::vector<std::string> labels;
+  // Tasks here that last, and that take what others leave unused.
+  int32_t perpetual = 0;
+  int32_t scavengers = 0;
   // Room kept for one job's reservation.
   Index reserved_by = kNone;
   bool reserved_for_urgent = false;
--- a/azurepass/placement/internal/job.h
+++ b/azurepass/placement/internal/job.h
@@ -87,6 +87,11 @@
   Outcomes outcomes;
   absl::flat_hash_map<Index, Outcomes> outcomes_by_worker;
   std::optional<LatestStart> latest;
+  // See Cell::SetPermitted.
+  std::vector<Index> permitted;
+  MonotonicTime permitted_until{};
+  // Tasks on each worker; kept for narrow jobs.
+  absl::flat_hash_map<Index, int32_t> on_workers;
 
   bool is_service() const {
     return std::holds_alternative<ServicePolicy>(spec.policy);
@@ -94,13 +99,32 @@
   bool is_gang() const {
     return std::holds_alternative<GangPolicy>(spec.policy);
   }
+  // One attempt of all tasks together; see GangPolicy::atomic.
+  bool is_atomic() const {
+    const auto* gang = std::get_if<GangPolicy>(&spec.policy);
+    return gang != nullptr && gang->atomic;
+  }
+  // Not every worker with room may take it, so that what is found out about a
+  // size says nothing about it; see narrow_search.h.
+  bool is_narrow() const {
+    return spec.constraints != Constraints{} || spec.scavenger ||
+           spec.perpetual || is_atomic();
+  }
+  // What a task takes of a worker's capacity.
+  Resources room() const {
+    Resources room = spec.task;
+    if (spec.scavenger) room[Dimension::kMillicores] = 0;
+    return room;
+  }
   bool is_urgent() const { return spec.priority == Priority::kUrgent; }
   bool is_expired(MonotonicTime now) const {
     return spec.deadline.has_value() && now >= accepted + *spec.deadline;
   }
-  // A gang starts only when none of its tasks is on its way back.
+  // A gang starts only when none of its tasks is on its way back; an atomic one
+  // only when none is committed either.
   bool is_startable() const {
-    return waiting > 0 && (!is_gang() || (delayed == 0 && preempting == 0));
+    return waiting > 0 && (!is_gang() || (delayed == 0 && preempting == 0)) &&
+           (!is_atomic() || committed == 0);
   }
 };
 
--- a/azurepass/placement/internal/preemption.cc
+++ b/azurepass/placement/internal/preemption.cc
@@ -50,6 +50,7 @@
                                    int64_t starts) {
   for (Index team = 0; team < state_.teams.size(); ++team) {
     if (!state_.teams[team].check_allowance) continue;
+    if (!state_.options.preempt_over_allowance) continue;
     EnforceAllowance(team, decisions, starts);
   }
 }
--- a/azurepass/placement/internal/teams.h
+++ b/azurepass/placement/internal/teams.h
@@ -25,13 +25,14 @@
   size_t policy = 0;  // Alternative of the Policy variant.
   int64_t gang = 0;   // The job's number; 0 unless a gang, which is alone.
   bool repeatable = true;
+  int64_t narrow = 0;  // The job's number; 0 unless narrow, which is alone.
   bool operator==(const LaneKey&) const = default;
   template <class H>
   friend H AbslHashValue(H h, const LaneKey& key) {
     for (Dimension d : kAllDimensions)
       h = H::combine(std::move(h), key.size[d]);
     return H::combine(std::move(h), key.priority, key.policy, key.gang,
-                      key.repeatable);
+                      key.repeatable, key.narrow);
   }
 };
 
@@ -70,6 +71,7 @@
   Resources preempting;
   std::vector<TaskRef> running;
   int64_t waiting = 0;           // Tasks that wait or are delayed.
+  Resources queued;              // The sizes of those.
   double reservation_tag = 0;    // When its next turn for a reservation is.
   bool check_allowance = false;  // Lowered, not yet answered.
   // By priority.
--- a/azurepass/placement/placement.h
+++ b/azurepass/placement/placement.h
@@ -25,6 +25,7 @@
 #define AZUREPASS_PLACEMENT_PLACEMENT_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -92,6 +93,13 @@
   Duration reservation_after{2'000};
   // After it a checkpoint that did not end is followed by a plain stop.
   Duration checkpoint_grace{10'000};
+  // A failed task waits so long before its next attempt, doubled each time.
+  Duration first_backoff{1'000};
+  Duration longest_backoff{60'000};
+  // Bounds the retries to a part of the first starts; see retry_budget.h.
+  bool bound_retries = true;
+  // Tasks above a lowered allowance are stopped, or else run to their end.
+  bool preempt_over_allowance = true;
 };
 
 // What a contract means to this cell.
@@ -270,6 +278,11 @@
   // Forgets a job none of whose tasks waits or is committed.
   void RemoveJob(const JobId& job);
 
+  // A job whose constraints say needs_permit starts on these workers alone, and
+  // before `until`. Replaces what was set before.
+  void SetPermitted(const JobId& job, const std::vector<VmId>& workers,
+                    MonotonicTime until);
+
   // --- Commitments.
   // Takes the decision elsewhere (recovery): the task holds its size on `vm`.
   // Returns false, and changes nothing, when it would not fit.
@@ -297,7 +310,10 @@
                       MonotonicTime now) const;
   WaitReason WaitReasonOf(const TaskId& task) const;
   CellStatus Status() const;
+  // Waiting tasks by reason; looks at all jobs that are waiting.
+  std::map<WaitReason, int64_t> WaitingByReason() const;
   Resources CommittedOf(const TeamId& team) const;
+  Resources QueuedOf(const TeamId& team) const;  // Tasks that wait.
   Resources CommittedOn(const VmId& vm) const;
 
  private:
--- a/azurepass/routing/admission.cc
+++ b/azurepass/routing/admission.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <type_traits>
 
 #include "azurepass/routing/internal/dispatcher_impl.h"
 
@@ -52,24 +53,32 @@
 std::optional<Refusal> Dispatcher::Impl::Admit(const caller::Incoming& incoming,
                                                Pending& pending) const {
   if (std::optional<Refusal> stale = Stale()) return stale;
-  const Configuration& configuration = *update_->configuration;
-  std::optional<KeyRecord> key =
-      configuration::FindKey(configuration, incoming.key);
-  if (!key || !configuration.contracts.contains(key->team)) {
-    return Refuse(RefusalCode::kUnauthenticated,
-                  "the key is unknown or withdrawn");
-  }
-  pending.key = key->id;
-  pending.team = key->team;
-  auto open = open_per_team_.find(key->team);
-  if (open != open_per_team_.end() &&
-      open->second >= options_.max_open_per_team) {
-    return Refuse(RefusalCode::kQueueFull,
-                  "the team has too many requests without an answer",
-                  kRetryAfter);
+  const bool names_queue =
+      std::visit(Visitor{[](const caller::Submit&) { return false; },
+                         [](const caller::Get&) { return false; },
+                         [](const caller::Cancel&) { return false; },
+                         [](const caller::Explain&) { return false; },
+                         [](const auto&) { return true; }},
+                 incoming.request);
+  if (!names_queue) {
+    if (auto refusal = Authenticate(incoming.key, true, pending)) {
+      return refusal;
+    }
   }
   return std::visit(
       Visitor{
+          [&](const caller::SubmitWorkflow& r) {
+            return RouteWorkflow(incoming, r, pending);
+          },
+          [&](const caller::GetWorkflow& r) {
+            return RouteWorkflow(incoming, r, pending);
+          },
+          [&](const caller::CancelWorkflow& r) {
+            return RouteWorkflow(incoming, r, pending);
+          },
+          [&](const caller::CountWaiting& r) {
+            return RouteWorkflow(incoming, r, pending);
+          },
           [&](const caller::Submit& submit) {
             return RouteSubmit(submit, pending);
           },
@@ -90,6 +99,72 @@
       incoming.request);
 }
 
+std::optional<Refusal> Dispatcher::Impl::Authenticate(const std::string& secret,
+                                                      bool needs_key,
+                                                      Pending& pending) const {
+  const Configuration& configuration = *update_->configuration;
+  if (!needs_key) {
+    pending.team = PublicTeam();
+    return std::nullopt;
+  }
+  const std::optional<KeyRecord> key =
+      configuration::FindKey(configuration, secret);
+  if (!key || !configuration.contracts.contains(key->team)) {
+    return Refuse(RefusalCode::kUnauthenticated,
+                  "the key is unknown or withdrawn");
+  }
+  pending.key = key->id;
+  pending.team = key->team;
+  auto open = open_per_team_.find(key->team);
+  if (open != open_per_team_.end() &&
+      open->second >= options_.max_open_per_team) {
+    return Refuse(RefusalCode::kQueueFull,
+                  "the team has too many requests without an answer",
+                  kRetryAfter);
+  }
+  return std::nullopt;
+}
+
+template <class Request>
+std::optional<Refusal> Dispatcher::Impl::RouteWorkflow(
+    const caller::Incoming& incoming, const Request& request,
+    Pending& pending) const {
+  const Configuration& configuration = *update_->configuration;
+  const QueueRecord* queue =
+      configuration::FindQueue(configuration, request.to.host, request.to.path);
+  if (queue == nullptr) {
+    return Refuse(RefusalCode::kNotFound, "there is no such queue");
+  }
+  if (auto refusal = Authenticate(incoming.key, queue->needs_key, pending)) {
+    return refusal;
+  }
+  pending.partition = PartitionOfService(queue->service);
+  pending.queue = queue->queue;
+  if constexpr (std::is_same_v<Request, caller::SubmitWorkflow>) {
+    partition::SubmitWorkflow submit{pending.partition, pending.team,
+                                     request.request, request.spec,
+                                     configuration.revision};
+    submit.spec.queue = queue->queue;
+    for (WorkflowStep& step : submit.spec.steps) {
+      step.job.queue = queue->queue;
+      step.job.max_attempts = queue->max_attempts;
+      step.job.priority =
+          queue->priority == 0 ? Priority::kUrgent : Priority::kNormal;
+      step.job.constraints.needs_permit = queue->permits.has_value();
+    }
+    pending.request = std::move(submit);
+  } else if constexpr (std::is_same_v<Request, caller::GetWorkflow>) {
+    pending.request = partition::GetWorkflow{pending.partition, pending.team,
+                                             request.request};
+  } else if constexpr (std::is_same_v<Request, caller::CancelWorkflow>) {
+    pending.request = partition::CancelWorkflow{pending.partition, pending.team,
+                                                request.request};
+  } else {
+    pending.request = partition::CountWaiting{pending.partition, queue->queue};
+  }
+  return std::nullopt;
+}
+
 std::optional<Refusal> Dispatcher::Impl::RouteSubmit(
     const caller::Submit& submit, Pending& pending) const {
   const Contract& contract = update_->configuration->contracts.at(pending.team);
--- a/azurepass/routing/dispatcher.cc
+++ b/azurepass/routing/dispatcher.cc
@@ -20,7 +20,8 @@
 MonotonicTime Now() { return std::chrono::steady_clock::now(); }
 
 bool ShouldAskAgain(RefusalCode code) {
-  return code == RefusalCode::kNotOwner || code == RefusalCode::kShuttingDown;
+  return code == RefusalCode::kNotOwner || code == RefusalCode::kShuttingDown ||
+         code == RefusalCode::kStaleConfiguration;
 }
 
 }  // namespace
@@ -159,6 +160,12 @@
                             [&](const placement::Explanation& explanation) {
                               Finish(pending, explanation);
                             },
+                            [&](const WorkflowView& workflow) {
+                              Finish(pending, workflow);
+                            },
+                            [&](const partition::WaitingCount& count) {
+                              Finish(pending, count);
+                            },
                             [&](const Refusal& refusal) {
                               OnRefused(pending, refusal);
                             },
--- a/azurepass/routing/internal/dispatcher_impl.h
+++ b/azurepass/routing/internal/dispatcher_impl.h
@@ -59,6 +59,13 @@
   std::optional<Refusal> RouteSubmit(const caller::Submit& submit,
                                      Pending& pending) const;
   std::optional<Refusal> RouteJob(const JobId& job, Pending& pending) const;
+  // Sets the pending's team by the key; a queue without keys needs none.
+  std::optional<Refusal> Authenticate(const std::string& key, bool needs_key,
+                                      Pending& pending) const;
+  template <class Request>
+  std::optional<Refusal> RouteWorkflow(const caller::Incoming& incoming,
+                                       const Request& request,
+                                       Pending& pending) const;
   void BeginStatus(const operators::CellCall& call);
   void FinishStatus(int64_t round);
   void Report(const metrics::Scrape& scrape) const;
--- a/azurepass/routing/internal/pending.h
+++ b/azurepass/routing/internal/pending.h
@@ -48,8 +48,9 @@
   PendingId id;
   Origin origin;
   partition::JobRequest request;
-  TeamId team;  // Empty: an operator's.
-  KeyId key;    // Empty: an operator's.
+  TeamId team;    // Empty: an operator's.
+  KeyId key;      // Empty: an operator's, or of a queue that needs none.
+  QueueId queue;  // Of a workflow's request; else empty.
   PartitionId partition;
   MonotonicTime since;       // When it was taken.
   MonotonicTime deadline;    // Refused then at the latest.
