--- a/azurepass/routing/pending.cc
+++ b/azurepass/routing/pending.cc
@@ -21,13 +21,19 @@
       Visitor{[](const partition::SubmitJob&) { return "submit"; },
               [](const partition::GetJob&) { return "get"; },
               [](const partition::CancelJob&) { return "cancel"; },
-              [](const partition::ExplainJob&) { return "explain"; }},
+              [](const partition::ExplainJob&) { return "explain"; },
+              [](const partition::SubmitWorkflow&) { return "submit"; },
+              [](const partition::GetWorkflow&) { return "get"; },
+              [](const partition::CancelWorkflow&) { return "cancel"; },
+              [](const partition::CountWaiting&) { return "count"; }},
       request);
 }
 
 bool IsRead(const partition::JobRequest& request) {
   return std::holds_alternative<partition::GetJob>(request) ||
-         std::holds_alternative<partition::ExplainJob>(request);
+         std::holds_alternative<partition::ExplainJob>(request) ||
+         std::holds_alternative<partition::GetWorkflow>(request) ||
+         std::holds_alternative<partition::CountWaiting>(request);
 }
 
 std::string SubjectOf(const partition::JobRequest& request) {
@@ -36,6 +42,18 @@
           [](const partition::SubmitJob& submit) {
             return "request=" + Quoted(submit.request.value());
           },
+          [](const partition::SubmitWorkflow& r) {
+            return "request=" + Quoted(r.request.value());
+          },
+          [](const partition::GetWorkflow& r) {
+            return "request=" + Quoted(r.request.value());
+          },
+          [](const partition::CancelWorkflow& r) {
+            return "request=" + Quoted(r.request.value());
+          },
+          [](const partition::CountWaiting& r) {
+            return "queue=" + Quoted(r.queue.value());
+          },
           [](const auto& about) { return "job=" + Quoted(about.job.value()); }},
       request);
 }
@@ -55,6 +73,10 @@
                 submit.revision = revision;
                 return submit;
               },
+              [&](partition::SubmitWorkflow submit) -> entry::Request {
+                submit.revision = revision;
+                return submit;
+              },
               [&](partition::GetJob get) -> entry::Request {
                 get.wait = WaitLeft(pending, now);
                 return get;
@@ -73,22 +95,24 @@
 }
 
 void Answer(const Pending& pending, const partition::JobResponse& response) {
-  std::visit(Visitor{[&](const ToCaller& to) { to.responder.Answer(response); },
-                     [&](const ToOperator& to) {
-                       std::visit(
-                           Visitor{[&](const JobView&) {
-                                     to.reply_to.Send(Refusal{
-                                         RefusalCode::kInternal,
-                                         Effect::kNotRun,
-                                         "the owner answered something else",
-                                         {}});
-                                   },
-                                   [&](const auto& answer) {
-                                     to.reply_to.Send(answer);
-                                   }},
-                           response);
-                     }},
-             pending.origin);
+  std::visit(
+      Visitor{[&](const ToCaller& to) { to.responder.Answer(response); },
+              [&](const ToOperator& to) {
+                const auto* explanation =
+                    std::get_if<placement::Explanation>(&response);
+                const auto* refusal = std::get_if<Refusal>(&response);
+                if (explanation != nullptr) {
+                  to.reply_to.Send(*explanation);
+                } else if (refusal != nullptr) {
+                  to.reply_to.Send(*refusal);
+                } else {
+                  to.reply_to.Send(Refusal{RefusalCode::kInternal,
+                                           Effect::kNotRun,
+                                           "the owner answered something else",
+                                           {}});
+                }
+              }},
+      pending.origin);
 }
 
 }  // namespace azurepass::routing::internal
--- a/azurepass/scheduling/internal/partition_task.cc
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -91,7 +91,7 @@
                  },
                  [this](vmlist::Snapshot& snapshot) {
                    vms_ = std::move(snapshot);
-                   Feed(partition::VmListChanged{vms_->vms, vms_->asked});
+                   TellVmList();
                  },
              },
              command);
@@ -112,11 +112,40 @@
   owner_.emplace(options_.owner, options_.partition.id,
                  options_.partition.workers, options_.nonce);
   peers_.broker.Send(escrow::Adopt{options_.partition.id, inbox});
-  if (vms_) Feed(partition::VmListChanged{vms_->vms, vms_->asked});
+  TellVmList();
   TellConfiguration();
   Feed(partition::ClaimWon{epoch_, std::chrono::system_clock::now()});
 }
 
+void PartitionTask::TellVmList() {
+  if (!vms_ || !owner_) return;
+  partition::VmListChanged changed{vms_->vms, vms_->asked, {}};
+  for (const auto& [vm, worker] : vms_->workers) {
+    if (worker.service == options_.partition.service) {
+      changed.workers.emplace(vm, worker);
+    }
+  }
+  Feed(std::move(changed));
+}
+
+void PartitionTask::AskPermits(partition::AskPermits& ask) {
+  const auto micros = ask.terms.per_worker * std::ssize(ask.workers);
+  const Duration cost =
+      ask.terms.per_call + std::chrono::ceil<Duration>(micros);
+  const task::Address<Inbox> inbox = mailbox_.address();
+  peers_.permits.Send(permit::Ask{
+      ask.job, ask.workers, cost,
+      inbox.Map<permit::Answer>([epoch = epoch_, job = ask.job,
+                                 workers = ask.workers](permit::Answer answer) {
+        partition::PermitsIssued issued{job, workers, std::nullopt, {}};
+        if (auto* granted = std::get_if<permit::Issued>(&answer)) {
+          issued.valid_until = Clock::now() + granted->validity;
+          issued.permits = std::move(granted->permits);
+        }
+        return Inbox(ForOwner{epoch, std::move(issued)});
+      })});
+}
+
 void PartitionTask::OnJob(JobReceived& job) {
   if (!owner_) {
     job.responder.Answer(NotOwner());
@@ -136,7 +165,8 @@
       std::move(open.worker), open.epoch,
       inbox.Map<endpoint::Update>([vm, session](endpoint::Update update) {
         return Inbox(FromWorker{vm, session, std::move(update)});
-      })});
+      }),
+      options_.partition.id});
 }
 
 void PartitionTask::OnWorker(FromWorker& from) {
@@ -235,6 +265,10 @@
           [this](partition::SendOrders& a) {
             peers_.workers.Send(endpoint::Send{a.vm, std::move(a.orders)});
           },
+          [this](const partition::AcknowledgeEvents& a) {
+            peers_.workers.Send(endpoint::Acknowledge{a.vm, a.number});
+          },
+          [this](partition::AskPermits& a) { AskPermits(a); },
           [this](partition::Answer& a) { Answer(a); },
           [this](partition::ReportDemand& a) {
             demands_ = std::move(a.demands);
@@ -302,8 +336,8 @@
 
 void PartitionTask::DropOwner() {
   if (!owner_) return;
-  for (const auto& worker : options_.partition.workers) {
-    peers_.workers.Send(endpoint::Close{worker.vm});
+  for (const auto& [vm, session] : sessions_) {
+    peers_.workers.Send(endpoint::Close{vm});
   }
   sessions_.clear();
   peers_.broker.Send(escrow::Abandon{options_.partition.id});
--- a/azurepass/scheduling/internal/partition_task.h
+++ b/azurepass/scheduling/internal/partition_task.h
@@ -19,6 +19,7 @@
 #include "azurepass/journal/journal.h"
 #include "azurepass/metrics/metrics.h"
 #include "azurepass/partition/partition.h"
+#include "azurepass/permit/permit.h"
 #include "azurepass/settings/settings.h"
 #include "azurepass/task/task.h"
 #include "azurepass/vmlist/vmlist.h"
@@ -74,6 +75,7 @@
   task::Address<store::Request> store;
   task::Address<endpoint::Request> workers;
   task::Address<escrow::Message> broker;
+  task::Address<permit::Message> permits;
   task::Address<Notice> manager;
 };
 
@@ -121,6 +123,8 @@
   void PerformAll(std::vector<partition::Action> actions);
   void Log(const partition::LogDecision& decision);
   void Answer(partition::Answer& answer);
+  void AskPermits(partition::AskPermits& ask);
+  void TellVmList();
   void ReportDemand(const partition::ReportDemand& report);
   // The owner is gone: whoever still waits asks another process.
   void DropOwner();
--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -62,8 +62,9 @@
 };
 using Inbox = std::variant<Message, Notice, ClaimWritten, membership::Left>;
 
-partition::Options OwnerOptions(const settings::CellSettings& cell) {
-  partition::Options options;
+partition::Options OwnerOptions(const Options& manager) {
+  const settings::CellSettings& cell = manager.cell;
+  partition::Options options = manager.owner;
   options.append_spacing = cell.timing.append_spacing;
   options.snapshot_every = cell.budgets.snapshot_every;
   options.queue_bound = cell.budgets.queue_bound;
@@ -78,13 +79,14 @@
 class Manager::Impl {
  public:
   Impl(task::Loop& loop, Options options, Peers peers)
-      : options_(std::move(options)),
+      : loop_(loop),
+        options_(std::move(options)),
         peers_(std::move(peers)),
         mailbox_(loop, [this](Inbox inbox) { Handle(inbox); }),
         claim_timer_(loop),
         authority_timer_(loop) {
     for (const auto& partition : options_.cell.partitions) {
-      AddPartition(loop, partition);
+      AddPartition(partition);
     }
     claim_timer_.Every(kClaimInterval, [this] { Reconsider(); });
   }
@@ -98,17 +100,36 @@
     StatusNotice notice;  // The latest.
   };
 
-  void AddPartition(task::Loop& loop,
-                    const settings::PartitionSettings& settings) {
+  void AddPartition(const settings::PartitionSettings& settings) {
     PartitionTaskOptions options;
     options.partition = settings;
-    options.owner = OwnerOptions(options_.cell);
+    options.owner = OwnerOptions(options_);
     options.nonce = options_.nonce;
     PartitionTaskPeers peers{peers_.store, peers_.workers, peers_.broker,
-                             mailbox_.address()};
+                             peers_.permits, mailbox_.address()};
     Partition& partition = partitions_[settings.id];
     partition.task =
-        std::make_unique<PartitionTask>(loop, std::move(options), peers);
+        std::make_unique<PartitionTask>(loop_, std::move(options), peers);
+    if (configuration_) partition.task->address().Send(*configuration_);
+    if (vms_) partition.task->address().Send(*vms_);
+  }
+
+  void AddDeclaredPartitions() {
+    if (!options_.partitions_from_configuration || !configuration_) return;
+    bool added = false;
+    for (const auto& [service, record] :
+         configuration_->configuration->services) {
+      const PartitionId id = PartitionOfService(service);
+      if (partitions_.contains(id)) continue;
+      AddPartition({id, service, {}});
+      added = true;
+    }
+    if (!added) return;
+    membership::SetPartitions set;
+    for (const auto& [id, partition] : partitions_) {
+      set.partitions.push_back(id);
+    }
+    peers_.membership.Send(std::move(set));
   }
 
   void Handle(Inbox& inbox) {
@@ -144,6 +165,7 @@
   void OnView(membership::View& view) {
     view_ = std::move(view);
     TellKeeperOfPeers();
+    TellPermitPeers();
     UpdateAuthority();
     Reconsider();
   }
@@ -206,7 +228,7 @@
               if (IsTakenOver(id, held.epoch)) {
                 partition.task->address().Send(Lose{});
                 partition.holding = NotHeld{};
-              } else if (!wanted) {
+              } else if (!wanted && (shutdown_ || !options_.sticky)) {
                 partition.task->address().Send(Release{});
                 partition.holding = HandingOver{held.epoch, held.version};
               }
@@ -325,6 +347,7 @@
 
   void OnConfiguration(const configuration::Update& update) {
     configuration_ = update;
+    AddDeclaredPartitions();
     UpdateAuthority();
     for (auto& [id, partition] : partitions_) {
       partition.task->address().Send(update);
@@ -374,108 +397,156 @@
     const MonotonicTime deadline = Clock::now() + incoming.time_left;
     std::visit(Visitor{
                    [&](entry::Gossip& gossip) {
-                     peers_.membership.Send(membership::GossipReceived{
-                         std::move(gossip), incoming.responder});
+      peers_.membership.Send(
+          membership::GossipReceived{std::move(gossip), incoming.responder});
                    },
                    [&](entry::PullConfiguration& pull) {
-                     peers_.configuration.Send(
-                         configuration::AnswerPull{pull, incoming.responder});
+      peers_.configuration.Send(
+          configuration::AnswerPull{pull, incoming.responder});
                    },
                    [&](entry::GetStatus&) {
-                     incoming.responder.Answer(CurrentStatus());
-                   },
-                   [&](partition::SubmitJob& submit) {
-                     const PartitionId id = submit.partition;
-                     Pass(id, std::move(submit), deadline, incoming.responder);
+      incoming.responder.Answer(CurrentStatus());
                    },
-                   [&](auto& about_job) {
-                     const std::optional<PartitionId> id =
-                         PartitionOf(about_job.job);
-                     Pass(id.value_or(PartitionId()), std::move(about_job),
-                          deadline, incoming.responder);
+                   [&](entry::RelayPermits& relay) {
+      RelayPermits(relay, incoming);
                    },
-               },
-               incoming.request);
+                   [&]<class Named>(Named& request) requires requires {
+                     request.partition;
   }
-
-  void Pass(const PartitionId& id, partition::JobRequest request,
-            MonotonicTime deadline, const entry::Responder& responder) {
-    const auto found = partitions_.find(id);
-    if (found == partitions_.end()) {
-      responder.Answer(Refusal{RefusalCode::kNotFound, Effect::kNotRun,
-                               "no partition has this name", std::nullopt});
-      return;
-    }
-    if (std::holds_alternative<NotHeld>(found->second.holding)) {
-      responder.Answer(Refusal{RefusalCode::kNotOwner, Effect::kNotRun,
-                               "this process does not own the partition",
-                               kRetryAfter});
-      return;
-    }
-    found->second.task->address().Send(
-        JobReceived{std::move(request), deadline, responder});
+  {
+    const PartitionId id = request.partition;
+    Pass(id, std::move(request), deadline, incoming.responder);
   }
-
-  entry::Status CurrentStatus() const {
-    entry::Status status;
-    status.member = options_.member;
-    if (configuration_ && configuration_->configuration) {
-      status.revision = configuration_->configuration->revision;
-    }
-    for (const auto& [id, partition] : partitions_) {
-      if (partition.notice.owns)
-        status.partitions.push_back(partition.notice.status);
-    }
-    return status;
+  , [&]<class AboutJob>(AboutJob& about_job) requires requires {
+    about_job.job;
+    about_job.team;
   }
-
-  std::vector<StatusNotice> Notices() const {
-    std::vector<StatusNotice> notices;
-    for (const auto& [id, partition] : partitions_) {
-      notices.push_back(partition.notice);
-    }
-    return notices;
-  }
-
-  // --- Leaving
-
-  void OnShutdown(const Shutdown& shutdown) {
-    shutdown_ = shutdown;
-    peers_.membership.Send(membership::Drain{});
-    Reconsider();
-    FinishShutdown();
-  }
-
-  void FinishShutdown() {
-    if (!shutdown_ || leaving_) return;
-    for (const auto& [id, partition] : partitions_) {
-      if (!std::holds_alternative<NotHeld>(partition.holding)) return;
-    }
-    leaving_ = true;
-    const task::Address<Inbox> inbox = mailbox_.address();
-    peers_.membership.Send(membership::Leave{inbox});
+  {
+    const std::optional<PartitionId> id = PartitionOf(about_job.job);
+    Pass(id.value_or(PartitionId()), std::move(about_job), deadline,
+         incoming.responder);
   }
-
-  const Options options_;
-  const Peers peers_;
-  std::map<PartitionId, Partition> partitions_;
-  membership::View view_;
-  std::optional<configuration::Update> configuration_;
-  std::optional<vmlist::Snapshot> vms_;
-  std::optional<Shutdown> shutdown_;
-  bool leaving_ = false;
-  task::Mailbox<Inbox> mailbox_;
-  task::Timer claim_timer_;
-  task::Timer authority_timer_;
-  MonotonicTime authority_until_;
-};
-
-Manager::Manager(task::Loop& loop, Options options, Peers peers)
-    : impl_(
-          std::make_shared<Impl>(loop, std::move(options), std::move(peers))) {}
-
-Manager::~Manager() = default;
-
-task::Address<Message> Manager::address() const { return impl_->address(); }
-
-}  // namespace azurepass::scheduling
+  ,
+               },
+               incoming.request);
+               }  // namespace azurepass::scheduling
+
+               void RelayPermits(entry::RelayPermits& relay,
+                                 const entry::Incoming& incoming) {
+                 peers_.permit_service.Send(permit::Question{
+                     relay.job, std::move(relay.workers), incoming.time_left,
+                     task::Address<permit::Answer>(
+                         [responder =
+                              incoming.responder](permit::Answer answer) {
+                           if (auto* issued =
+                                   std::get_if<permit::Issued>(&answer)) {
+                             return responder.Answer(entry::PermitsRelayed{
+                                 std::move(issued->permits), issued->validity});
+                           }
+                           responder.Answer(Refusal{
+                               RefusalCode::kUnavailable, Effect::kNotRun,
+                               std::get<permit::Failed>(answer).message,
+                               std::nullopt});
+                         })});
+               }
+
+               void TellPermitPeers() {
+                 permit::PeersChanged changed;
+                 for (const auto& [id, member] : view_.members) {
+                   const bool asks =
+                       id != options_.member && !member.suspected &&
+                       !member.record.leaving &&
+                       member.record.role == membership::Role::kScheduler;
+                   if (asks) changed.addresses.push_back(member.record.address);
+                 }
+                 peers_.permits.Send(std::move(changed));
+               }
+
+               void Pass(const PartitionId& id, partition::JobRequest request,
+                         MonotonicTime deadline,
+                         const entry::Responder& responder) {
+                 const auto found = partitions_.find(id);
+                 if (found == partitions_.end()) {
+                   responder.Answer(
+                       Refusal{RefusalCode::kNotFound, Effect::kNotRun,
+                               "no partition has this name", std::nullopt});
+                   return;
+                 }
+                 if (std::holds_alternative<NotHeld>(found->second.holding)) {
+                   responder.Answer(Refusal{
+                       RefusalCode::kNotOwner, Effect::kNotRun,
+                       "this process does not own the partition", kRetryAfter});
+                   return;
+                 }
+                 found->second.task->address().Send(
+                     JobReceived{std::move(request), deadline, responder});
+               }
+
+               entry::Status CurrentStatus() const {
+                 entry::Status status;
+                 status.member = options_.member;
+                 if (configuration_ && configuration_->configuration) {
+                   status.revision = configuration_->configuration->revision;
+                 }
+                 for (const auto& [id, partition] : partitions_) {
+                   if (partition.notice.owns)
+                     status.partitions.push_back(partition.notice.status);
+                 }
+                 return status;
+               }
+
+               std::vector<StatusNotice> Notices() const {
+                 std::vector<StatusNotice> notices;
+                 for (const auto& [id, partition] : partitions_) {
+                   notices.push_back(partition.notice);
+                 }
+                 return notices;
+               }
+
+               // --- Leaving
+
+               void OnShutdown(const Shutdown& shutdown) {
+                 shutdown_ = shutdown;
+                 peers_.membership.Send(membership::Drain{});
+                 Reconsider();
+                 FinishShutdown();
+               }
+
+               void FinishShutdown() {
+                 if (!shutdown_ || leaving_) return;
+                 for (const auto& [id, partition] : partitions_) {
+                   if (!std::holds_alternative<NotHeld>(partition.holding))
+                     return;
+                 }
+                 leaving_ = true;
+                 const task::Address<Inbox> inbox = mailbox_.address();
+                 peers_.membership.Send(membership::Leave{inbox});
+               }
+
+               task::Loop& loop_;
+               const Options options_;
+               const Peers peers_;
+               std::map<PartitionId, Partition> partitions_;
+               membership::View view_;
+               std::optional<configuration::Update> configuration_;
+               std::optional<vmlist::Snapshot> vms_;
+               std::optional<Shutdown> shutdown_;
+               bool leaving_ = false;
+               task::Mailbox<Inbox> mailbox_;
+               task::Timer claim_timer_;
+               task::Timer authority_timer_;
+               MonotonicTime authority_until_;
+               }
+               ;
+
+               Manager::Manager(task::Loop& loop, Options options, Peers peers)
+                   : impl_(std::make_shared<Impl>(loop, std::move(options),
+                                                  std::move(peers))) {}
+
+               Manager::~Manager() = default;
+
+               task::Address<Message> Manager::address() const {
+                 return impl_->address();
+               }
+
+               }  // namespace azurepass::scheduling
--- a/azurepass/scheduling/scheduling.h
+++ b/azurepass/scheduling/scheduling.h
@@ -30,6 +30,7 @@
 #include "azurepass/escrow/escrow.h"
 #include "azurepass/membership/membership.h"
 #include "azurepass/metrics/metrics.h"
+#include "azurepass/permit/permit.h"
 #include "azurepass/settings/settings.h"
 #include "azurepass/store/store.h"
 #include "azurepass/task/task.h"
@@ -44,6 +45,8 @@
   task::Address<escrow::Message> broker;
   task::Address<membership::Message> membership;
   task::Address<configuration::Message> configuration;
+  task::Address<permit::Message> permits{};
+  task::Address<permit::Question> permit_service{};  // For other members.
 };
 
 // All partitions are given back and the member lease is returned.
@@ -62,6 +65,14 @@
   MemberId member;
   settings::CellSettings cell;
   uint64_t nonce = 0;  // Random; unlike that of any other process.
+  // The partitions follow from the services that the configuration declares,
+  // one for each, beside those that the settings name; their workers are those
+  // that describe themselves to the VM list.
+  bool partitions_from_configuration = false;
+  // A partition stays with its owner as long as that lives, however the members
+  // change; else it moves to whoever should hold it.
+  bool sticky = false;
+  partition::Options owner{};  // What the settings do not say.
 };
 
 class Manager {
--- a/azurepass/settings/settings.cc
+++ b/azurepass/settings/settings.cc
@@ -269,6 +269,28 @@
   static constexpr size_t kSha256HexLength = 64;
 };
 
+template <>
+struct Format<settings::NodeSettings> {
+  static settings::NodeSettings Read(ObjectReader& reader) {
+    settings::NodeSettings node;
+    node.process = reader.Object<settings::ProcessSettings>("process");
+    node.cell.store_address = ReadAddress(reader, "store_address", true);
+    node.cell.timing =
+        reader.Object<settings::Timing>("timing", settings::Timing{});
+    node.cell.budgets =
+        reader.Object<settings::Budgets>("budgets", settings::Budgets{});
+    node.ready_address = ReadAddress(reader, "ready_address", true);
+    node.permit_address = ReadAddress(reader, "permit_address", false);
+    node.zones = reader.Names<ZoneId>("zones");
+    node.drain_timeout = reader.Millis("drain_timeout_ms", Duration(0),
+                                       kLongest, node.drain_timeout);
+    if (reader.ok() && node.zones.empty()) {
+      reader.Fail(ErrorCode::kOutOfRange, "zones", "must name a zone");
+    }
+    return node;
+  }
+};
+
 }  // namespace azurepass::codec
 
 namespace azurepass::settings {
@@ -331,6 +353,15 @@
   return LoadAs<ProcessSettings>(file);
 }
 
+Loaded<NodeSettings> LoadNode(const std::string& file) {
+  return LoadAs<NodeSettings>(file);
+}
+
+Loaded<NodeSettings> ParseNode(const std::string& text,
+                               const std::string& file) {
+  return ParseAs<NodeSettings>(text, file);
+}
+
 Loaded<CellSettings> ParseCell(const std::string& text,
                                const std::string& file) {
   return ParseAs<CellSettings>(text, file);
--- a/azurepass/settings/settings.h
+++ b/azurepass/settings/settings.h
@@ -86,6 +86,17 @@
   std::string operator_key_sha256;  // Of the operators' key; hexadecimal.
 };
 
+// A node: one process that serves callers and owns partitions, on a platform
+// where services, queues and workers are found at run time.
+struct NodeSettings {
+  ProcessSettings process;
+  CellSettings cell;           // Without partitions.
+  std::string ready_address;   // "IP:PORT" for the balancer's probes.
+  std::string permit_address;  // Of the service that issues permits, or empty.
+  std::vector<ZoneId> zones;   // All availability zones.
+  Duration drain_timeout{4'500};  // At shutdown, for what is open.
+};
+
 struct Problem {
   std::string file;
   std::string path;  // Of the field; empty when the file can't be read.
@@ -98,12 +109,15 @@
 
 Loaded<CellSettings> LoadCell(const std::string& file);
 Loaded<ProcessSettings> LoadProcess(const std::string& file);
+Loaded<NodeSettings> LoadNode(const std::string& file);
 
 // The same from text; `file` only names it in a Problem.
 Loaded<CellSettings> ParseCell(const std::string& text,
                                const std::string& file);
 Loaded<ProcessSettings> ParseProcess(const std::string& text,
                                      const std::string& file);
+Loaded<NodeSettings> ParseNode(const std::string& text,
+                               const std::string& file);
 
 }  // namespace azurepass::settings
 
--- a/azurepass/testing/standin/standin_worker_test.cc
+++ b/azurepass/testing/standin/standin_worker_test.cc
@@ -137,7 +137,12 @@
                                         "stopped", "checkpointed"};
     return names[static_cast<int>(kind)];
   }
+  // Records every event at once, as an owner without a journal would.
   void Handle(Update update) {
+    if (const auto* events = std::get_if<endpoint::Events>(&update);
+        events != nullptr && !events->events.empty()) {
+      Send(endpoint::Acknowledge{kVm, events->events.back().number});
+    }
     updates_.push_back(std::move(update));
     Serve();
   }
--- a/azurepass/vmlist/vmlist.h
+++ b/azurepass/vmlist/vmlist.h
@@ -30,6 +30,9 @@
   int64_t generation = 0;
   MonotonicTime asked{};
   std::map<VmId, VmState> vms;
+  // Workers that describe themselves to the list, beside those that the
+  // settings name.
+  std::map<VmId, WorkerSpec> workers{};
 };
 struct Unavailable {
   std::string message;
--- a/cmake/AzurepassTargets.cmake
+++ b/cmake/AzurepassTargets.cmake
@@ -4,7 +4,8 @@
 # g++ 12 reports members of an inactive alternative of a moved std::variant as
 # maybe uninitialized; -Wuninitialized stays on.
 target_compile_options(azurepass_flags INTERFACE
-  -Wall -Wextra -Werror -Wno-maybe-uninitialized)
+  -Wall -Wextra -Wno-maybe-uninitialized
+  $<$<BOOL:${AZUREPASS_WERROR}>:-Werror>)
 target_include_directories(azurepass_flags INTERFACE ${CMAKE_SOURCE_DIR})
 target_link_options(azurepass_flags INTERFACE -fuse-ld=lld)
 
