Takeovers serve again: claims, finished steps, demands, permits

All VMs lost power and came back within their members' leases. Each claim named a member that lived again, so that nobody else could take it, and the member itself did not want it: nobody owned anything (RECOVER, LOST). 2. A new owner released the steps whose tasks had all succeeded once more, and ran them again (TWICE). Found by owner_workflows_test. 3. An owner reported the demands of the teams that had changed, and the books took them for all: a team that only waited lost its want, and with it its allowance, for good. 4. With a backlog every waiting job renewed its permits, so that those for which there was room got none in time. 5.

Ruled out: the store (it answered), the sessions (all workers were open), processor time (0.1 of a core at most).

One line a second tells what waits and why.

The first question of a job names all workers, later ones only those with room: kept.

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -233,7 +233,10 @@
     const WorkerSpec* spec;
     Resources free;
   };
-  using RoomLeft = std::vector<WorkerRoom>;
+  struct RoomLeft {
+    std::vector<WorkerRoom> workers;
+    std::map<TeamId, Resources> allowances;
+  };
   struct JobPermits;
   // Asks for the permits without which jobs that have room cannot start.
   void AskForPermits();
--- a/azurepass/partition/owner.cc
+++ b/azurepass/partition/owner.cc
@@ -191,11 +191,17 @@
                std::to_string(tasks) + " ";
   }
   int64_t unpermitted = 0;
+  int64_t asking = 0;
+  size_t most_denied = 0;
   for (const auto& [job, permits] : permits_) {
     if (permits.valid_until <= now_) ++unpermitted;
+    if (permits.asking) ++asking;
+    most_denied = std::max(most_denied, permits.denied.size());
   }
   const placement::CellStatus cell = cell_.Status();
   reasons += "jobs_without_permit=" + std::to_string(unpermitted) +
+             " asking=" + std::to_string(asking) +
+             " most_denied=" + std::to_string(most_denied) +
              " open_workers=" + std::to_string(cell.open_workers) +
              " committed_tasks=" + std::to_string(cell.committed_tasks) +
              " may_start=" + std::to_string(surroundings_.may_start) +
@@ -206,6 +212,7 @@
 void Owner::Impl::ReportDemands() {
   if (!In<Owning>() || now_ < next_demand_) return;
   ReportDemand report;
+  bool changed = false;
   const placement::CellStatus cell = cell_.Status();
   const Resources spare =
       Resources::Max(Resources(), cell.capacity - cell.committed);
@@ -215,11 +222,11 @@
     const Resources wanted =
         committed + Resources::Min(cell_.QueuedOf(team), spare);
     auto& last = reported_[team];
-    if (last == std::pair(committed, wanted)) continue;
+    changed |= last != std::pair(committed, wanted);
     last = {committed, wanted};
     report.demands.push_back({team, committed, wanted});
   }
-  if (report.demands.empty()) return;
+  if (!changed) return;
   next_demand_ = now_ + options_.demand_interval;
   Emit(std::move(report));
 }
--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -40,7 +40,7 @@
     if (internal::WorkerBook::AdmissionOf(worker) ==
             placement::WorkerAdmission::kOpen &&
         ZoneInService(worker.spec.zone)) {
-      room.push_back(
+      room.workers.push_back(
           {&worker.spec, worker.spec.capacity - cell_.CommittedOn(vm)});
     }
   }
@@ -68,10 +68,15 @@
   JobPermits& permits = permits_.at(id);
   Resources size = spec.task;
   if (spec.scavenger) size[Dimension::kMillicores] = 0;
+  Resources& allowance =
+      room.allowances
+          .try_emplace(job.submitted.team,
+                       cell_.AllowanceLeftOf(job.submitted.team))
+          .first->second;
   int64_t tasks = job.queued;
   std::vector<VmId> with_room;
-  for (WorkerRoom& worker : room) {
-    if (tasks == 0) break;
+  for (WorkerRoom& worker : room.workers) {
+    if (tasks == 0 || !spec.task.FitsIn(allowance)) break;
     if (!MayEverRun(spec, *worker.spec) ||
         permits.denied.contains(worker.spec->vm) || !size.FitsIn(worker.free)) {
       continue;
@@ -79,8 +84,10 @@
     with_room.push_back(worker.spec->vm);
     // Of a job that never asked nobody knows where it may run.
     if (!permits.asked) continue;
-    while (tasks > 0 && size.FitsIn(worker.free)) {
+    while (tasks > 0 && size.FitsIn(worker.free) &&
+           spec.task.FitsIn(allowance)) {
       worker.free -= size;
+      allowance -= spec.task;
       --tasks;
     }
   }
@@ -143,6 +150,13 @@
   }
   permits.valid_until = event.valid_until - options_.permit_margin;
   if (workers.empty()) permits.ask_again = now_ + options_.permit_retry;
+  if (permits.denied.size() >= workers_.workers().size()) {
+    // Nobody may run it, or an answer was wrong: it is asked about anew,
+    // rarely.
+    permits.denied.clear();
+    permits.asked = false;
+    permits.ask_again = now_ + options_.permit_denied_retry;
+  }
   cell_.SetPermitted(event.job, workers, permits.valid_until);
   place_ = true;
 }
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -100,6 +100,7 @@
   jobs_.Add(id, accepted, job.submitted.spec.deadline);
   const bool is_step = StepOf(id).has_value();
   if (job.unfinished == 0) {
+    jobs_.Find(id)->released = true;  // Its turn is over.
     if (!is_step) jobs_.SetEnded(id, now_ + options_.kept_after_end);
     return;
   }
--- /dev/null
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -0,0 +1,477 @@
+// Workflows and permits, event by event.
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+
+#include "azurepass/partition/partition.h"
+
+namespace azurepass::partition {
+namespace {
+
+using std::chrono::seconds;
+
+const TeamId kTeam("intake");
+const PartitionId kPartition("p");
+const QueueId kQueue("grade");
+const RequestId kRequest("5c0e7a21d94b36f8");
+constexpr Duration kPermitValidity{2'000};
+
+WorkerSpec Worker(const std::string& vm) {
+  WorkerSpec spec;
+  spec.vm = VmId(vm);
+  spec.zone = ZoneId("zone-a");
+  spec.rack = RackId("r1");
+  spec.service = ServiceId("p");
+  spec.address = "10.0.0.1:80";
+  spec.capacity = Resources(1'000, 1'000, 8'000, 8'192, 0);
+  return spec;
+}
+
+WorkflowStep Step(int32_t tasks, std::vector<int32_t> after = {}) {
+  WorkflowStep step;
+  step.job.queue = kQueue;
+  step.job.tasks = tasks;
+  step.job.task = Resources(1, 0, 1'000, 512, 0);
+  step.after = std::move(after);
+  return step;
+}
+
+WorkflowSpec TwoSteps() {
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.payload = "text";
+  spec.steps = {Step(2), Step(1, {0})};
+  return spec;
+}
+
+Options ForPlatform() {
+  Options options;
+  options.absent_is_gone = false;
+  return options;
+}
+
+// An owner whose workers describe themselves. Appends are answered by hand.
+class Driver {
+ public:
+  explicit Driver(std::vector<std::string> vms = {"vm-0"}, bool permits = false)
+      : owner_(ForPlatform(), kPartition, {}, 7) {
+    auto configuration = std::make_shared<Configuration>();
+    Contract contract;
+    contract.team = kTeam;
+    contract.zones = {ZoneId("zone-a")};
+    configuration->contracts[kTeam] = contract;
+    QueueRecord queue;
+    queue.queue = kQueue;
+    queue.service = ServiceId("p");
+    if (permits) {
+      queue.permits = PermitTerms{Duration(15), std::chrono::microseconds(210),
+                                  kPermitValidity};
+    }
+    configuration->queues[kQueue] = queue;
+    VmListChanged list;
+    for (const std::string& vm : vms) {
+      list.vms[VmId(vm)] = VmState::kLive;
+      list.workers[VmId(vm)] = Worker(vm);
+    }
+    Do(ConfigurationChanged{configuration});
+    Do(FreshnessChanged{true});
+    Do(AllowancesChanged{{{kTeam, kUnlimited}}});
+    Do(list);
+    Own(1, std::nullopt, {}, {});
+    for (const std::string& vm : vms) Open(vm);
+    AppendAll();
+  }
+
+  void Own(int64_t epoch, std::optional<Snapshot> snapshot,
+           std::vector<Batch> batches, std::vector<std::string> vms) {
+    epoch_ = Epoch{epoch};
+    Do(ClaimWon{epoch_});
+    Do(JournalLoaded{epoch_, std::move(snapshot), std::move(batches)});
+    AppendAll();
+    for (const std::string& vm : vms) Open(vm);
+    AppendAll();
+  }
+  void Open(const std::string& vm, std::vector<AttemptId> running = {}) {
+    Do(WorkerSessionOpened{VmId(vm), epoch_, std::move(running)});
+  }
+  void Do(Event event) {
+    for (Action& action : owner_.Handle(std::move(event), now)) {
+      if (const auto* append = std::get_if<AppendBatch>(&action)) {
+        batches.push_back(append->batch);
+        unanswered_ = append->batch.number;
+      }
+      actions.push_back(std::move(action));
+    }
+  }
+  // Answers appends until none is under way.
+  void AppendAll() {
+    while (unanswered_ > 0) {
+      const int64_t number = std::exchange(unanswered_, 0);
+      Do(Appended{epoch_, number});
+    }
+  }
+  void Submit(int64_t token, const WorkflowSpec& spec,
+              const TeamId& team = kTeam) {
+    Do(RequestReceived{RequestToken{token},
+                       SubmitWorkflow{kPartition, team, kRequest, spec, {}},
+                       now + seconds(10)});
+  }
+  WorkflowState State(const TeamId& team = kTeam) {
+    Do(RequestReceived{RequestToken{++tokens_},
+                       GetWorkflow{kPartition, team, kRequest},
+                       now + seconds(10)});
+    return std::get<WorkflowView>(Last<Answer>().response).state;
+  }
+  int64_t Waiting() {
+    Do(RequestReceived{RequestToken{++tokens_}, CountWaiting{kPartition, kQueue},
+                       now + seconds(10)});
+    return std::get<WaitingCount>(Last<Answer>().response).workflows;
+  }
+  void Report(const std::string& vm, int64_t number, const AttemptId& attempt,
+              WorkerEventKind kind) {
+    WorkerEvent event;
+    event.number = number;
+    event.attempt = attempt;
+    event.kind = kind;
+    Do(WorkerReported{VmId(vm), epoch_, {event}, {}});
+  }
+  // All starts ordered so far, in order.
+  std::vector<std::pair<VmId, StartTask>> Starts() const {
+    std::vector<std::pair<VmId, StartTask>> starts;
+    for (const Action& action : actions) {
+      const auto* sent = std::get_if<SendOrders>(&action);
+      if (sent == nullptr) continue;
+      for (const Order& order : sent->orders) {
+        const auto* start = std::get_if<StartTask>(&order);
+        if (start != nullptr) starts.emplace_back(sent->vm, *start);
+      }
+    }
+    return starts;
+  }
+  template <class T>
+  int Count() const {
+    return static_cast<int>(std::count_if(
+        actions.begin(), actions.end(),
+        [](const Action& a) { return std::holds_alternative<T>(a); }));
+  }
+  template <class T>
+  const T& Last() const {
+    auto found = std::find_if(
+        actions.rbegin(), actions.rend(),
+        [](const Action& a) { return std::holds_alternative<T>(a); });
+    REQUIRE(found != actions.rend());
+    return std::get<T>(*found);
+  }
+
+  MonotonicTime now{seconds(100)};
+  std::vector<Action> actions;
+  std::vector<Batch> batches;
+
+ private:
+  Owner owner_;
+  Epoch epoch_;
+  int64_t unanswered_ = 0;
+  int64_t tokens_ = 1'000;
+};
+
+TEST_CASE("a step starts when all tasks of the steps before it succeeded") {
+  Driver d;
+  d.Submit(1, TwoSteps());
+  CHECK(d.Count<Answer>() == 0);  // Not before its append.
+  d.AppendAll();
+  CHECK(std::get<WorkflowView>(d.Last<Answer>().response).request == kRequest);
+  REQUIRE(d.Starts().size() == 2);
+  const auto first = d.Starts();
+  CHECK(first[0].second.payload == "text");
+  CHECK(StepOf(first[0].second.attempt.task.job)->step == 0);
+  d.Report("vm-0", 1, first[0].second.attempt, WorkerEventKind::kSucceeded);
+  d.AppendAll();
+  CHECK(d.Starts().size() == 2);
+  d.Report("vm-0", 2, first[1].second.attempt, WorkerEventKind::kSucceeded);
+  REQUIRE(d.Starts().size() == 3);
+  CHECK(d.State() == WorkflowState::kRunning);
+  d.AppendAll();
+  d.Report("vm-0", 3, d.Starts()[2].second.attempt,
+           WorkerEventKind::kSucceeded);
+  CHECK(d.State() == WorkflowState::kRunning);  // Its end is not appended yet.
+  d.AppendAll();
+  CHECK(d.State() == WorkflowState::kCompleted);
+}
+
+TEST_CASE("an end is acknowledged once its record is appended") {
+  Driver d;
+  d.Submit(1, TwoSteps());
+  d.AppendAll();
+  d.Report("vm-0", 1, d.Starts()[0].second.attempt,
+           WorkerEventKind::kSucceeded);
+  CHECK(d.Count<AcknowledgeEvents>() == 0);
+  d.AppendAll();
+  CHECK(d.Last<AcknowledgeEvents>().number == 1);
+}
+
+TEST_CASE("the same request again is the same workflow, another team's is not") {
+  Driver d;
+  d.Submit(1, TwoSteps());
+  d.AppendAll();
+  const size_t starts = d.Starts().size();
+  d.Submit(2, TwoSteps());
+  CHECK(std::holds_alternative<WorkflowView>(d.Last<Answer>().response));
+  d.Submit(3, TwoSteps(), TeamId("other"));
+  CHECK(std::get<Refusal>(d.Last<Answer>().response).code ==
+        RefusalCode::kRequestConflict);
+  d.AppendAll();
+  CHECK(d.Starts().size() == starts);
+}
+
+TEST_CASE("a cancelled workflow stops what runs and starts nothing more") {
+  Driver d;
+  d.Submit(1, TwoSteps());
+  d.AppendAll();
+  d.Do(RequestReceived{RequestToken{2},
+                       CancelWorkflow{kPartition, kTeam, kRequest},
+                       d.now + seconds(10)});
+  d.AppendAll();
+  CHECK(std::get<WorkflowView>(d.Last<Answer>().response).state ==
+        WorkflowState::kCancelled);
+  CHECK(std::holds_alternative<StopTask>(d.Last<SendOrders>().orders.front()));
+  for (int64_t i = 0; i < 2; ++i) {
+    d.Report("vm-0", i + 1, d.Starts()[i].second.attempt,
+             WorkerEventKind::kStopped);
+    d.AppendAll();
+  }
+  CHECK(d.Starts().size() == 2);
+  CHECK(d.State() == WorkflowState::kCancelled);
+}
+
+TEST_CASE("a task that fails for good makes its workflow failed, not cancelled") {
+  Driver d;
+  WorkflowSpec spec = TwoSteps();
+  for (WorkflowStep& step : spec.steps) step.job.max_attempts = 1;
+  d.Submit(1, spec);
+  d.AppendAll();
+  d.Report("vm-0", 1, d.Starts()[0].second.attempt, WorkerEventKind::kFailed);
+  d.AppendAll();
+  CHECK(d.State() == WorkflowState::kFailed);
+  d.Report("vm-0", 2, d.Starts()[1].second.attempt, WorkerEventKind::kStopped);
+  d.AppendAll();
+  CHECK(d.State() == WorkflowState::kFailed);
+  CHECK(d.Starts().size() == 2);
+}
+
+TEST_CASE("members of an atomic gang share a number and an end") {
+  Driver d;
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {Step(3)};
+  spec.steps[0].job.policy = GangPolicy{.atomic = true};
+  d.Submit(1, spec);
+  d.AppendAll();
+  auto starts = d.Starts();
+  REQUIRE(starts.size() == 3);
+  CHECK(starts[0].second.attempt.attempt == starts[2].second.attempt.attempt);
+  // One is stopped: the others have to stop, and all start again as one.
+  d.Report("vm-0", 1, starts[0].second.attempt, WorkerEventKind::kStopped);
+  d.AppendAll();
+  CHECK(d.Starts().size() == 3);
+  d.Report("vm-0", 2, starts[1].second.attempt, WorkerEventKind::kStopped);
+  d.Report("vm-0", 3, starts[2].second.attempt, WorkerEventKind::kStopped);
+  d.AppendAll();
+  starts = d.Starts();
+  REQUIRE(starts.size() == 6);
+  CHECK(starts[3].second.attempt.attempt == starts[5].second.attempt.attempt);
+  CHECK(starts[3].second.attempt.attempt > starts[0].second.attempt.attempt);
+  d.Report("vm-0", 4, starts[3].second.attempt, WorkerEventKind::kSucceeded);
+  d.AppendAll();
+  CHECK(d.State() == WorkflowState::kCompleted);
+}
+
+TEST_CASE("a task that lasts is started again however it ends") {
+  Driver d;
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {Step(1)};
+  spec.steps[0].job.policy = ServicePolicy{};
+  spec.steps[0].job.perpetual = true;
+  spec.steps[0].job.max_attempts = 1;
+  d.Submit(1, spec);
+  d.AppendAll();
+  int64_t number = 0;
+  for (const auto kind : {WorkerEventKind::kSucceeded, WorkerEventKind::kFailed,
+                          WorkerEventKind::kStopped}) {
+    d.Report("vm-0", ++number, d.Starts().back().second.attempt, kind);
+    d.AppendAll();
+    d.now += seconds(5);  // Beyond the backoff after a failure.
+    d.Do(Tick{});
+    CHECK(d.Starts().size() == static_cast<size_t>(number) + 1);
+  }
+  CHECK(d.State() == WorkflowState::kRunning);
+}
+
+TEST_CASE("an occurrence starts when it is due, not before") {
+  Driver d;
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {Step(1)};
+  spec.occurrences = 2;
+  spec.first = WallTime(seconds(3));  // The claim was at wall time 0.
+  spec.interval = Duration(2'000);
+  d.Submit(1, spec);
+  d.AppendAll();
+  CHECK(d.Waiting() == 0);  // Those due at set times are not counted.
+  d.now += Duration(2'999);
+  d.Do(Tick{});
+  CHECK(d.Starts().empty());
+  d.now += Duration(1);
+  d.Do(Tick{});
+  CHECK(d.Starts().size() == 1);
+  d.now += Duration(2'000);
+  d.Do(Tick{});
+  CHECK(d.Starts().size() == 2);
+}
+
+TEST_CASE("a queue counts the workflows without a start") {
+  Driver d({"vm-0"}, /*permits=*/true);
+  WorkflowSpec spec = TwoSteps();
+  spec.steps[0].job.constraints.needs_permit = true;
+  d.Submit(1, spec);
+  d.AppendAll();
+  CHECK(d.Waiting() == 1);
+  CHECK(d.State() == WorkflowState::kQueued);
+  const AskPermits& asked = d.Last<AskPermits>();
+  d.Do(PermitsIssued{asked.job, asked.workers,
+                     std::vector<Permit>{{VmId("vm-0"), "t"}},
+                     d.now + kPermitValidity});
+  CHECK(d.Waiting() == 0);
+  CHECK(d.State() == WorkflowState::kRunning);
+}
+
+TEST_CASE("tasks start only on workers with a valid permit, and carry it") {
+  Driver d({"vm-0", "vm-1", "vm-2"}, /*permits=*/true);
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {Step(1)};
+  spec.steps[0].job.constraints.needs_permit = true;
+  d.Submit(1, spec);
+  d.AppendAll();
+  CHECK(d.Starts().empty());
+  const AskPermits asked = d.Last<AskPermits>();
+  CHECK(asked.workers.size() == 3);
+  // It comes too late to be used, and is renewed for what was granted.
+  d.Do(PermitsIssued{asked.job, asked.workers,
+                     std::vector<Permit>{{VmId("vm-1"), "old"}},
+                     d.now + Duration(100)});
+  CHECK(d.Starts().empty());
+  d.now += Duration(200);
+  d.Do(Tick{});
+  const AskPermits again = d.Last<AskPermits>();
+  CHECK(again.workers == std::vector<VmId>{VmId("vm-1")});
+  d.Do(PermitsIssued{again.job, again.workers,
+                     std::vector<Permit>{{VmId("vm-1"), "new"}},
+                     d.now + kPermitValidity});
+  REQUIRE(d.Starts().size() == 1);
+  CHECK(d.Starts()[0].first == VmId("vm-1"));
+  CHECK(d.Starts()[0].second.permit == "new");
+}
+
+// Load: a backlog behind a full fleet. Questions for jobs that cannot start
+// would take all of the service's time, and their permits would lapse.
+TEST_CASE("a job without room for it asks for no permits") {
+  Driver d({"vm-0"}, /*permits=*/true);
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {Step(8)};  // Fills the only worker.
+  spec.steps[0].job.constraints.needs_permit = true;
+  d.Submit(1, spec);
+  d.AppendAll();
+  const AskPermits asked = d.Last<AskPermits>();
+  d.Do(PermitsIssued{asked.job, asked.workers,
+                     std::vector<Permit>{{VmId("vm-0"), "t"}},
+                     d.now + kPermitValidity});
+  d.AppendAll();
+  CHECK(d.Starts().size() == 8);
+  d.Do(RequestReceived{
+      RequestToken{2},
+      SubmitWorkflow{kPartition, kTeam, RequestId("00000000000000aa"), spec,
+                     {}},
+      d.now + seconds(10)});
+  d.AppendAll();
+  d.now += Duration(100);
+  d.Do(Tick{});
+  CHECK(d.Count<AskPermits>() == 1);
+  d.Report("vm-0", 1, d.Starts()[0].second.attempt,
+           WorkerEventKind::kSucceeded);
+  d.AppendAll();
+  d.now += Duration(100);
+  d.Do(Tick{});
+  CHECK(d.Count<AskPermits>() == 2);
+}
+
+TEST_CASE("a new owner finds workflows, their turns and their ends") {
+  Driver d;
+  d.Submit(1, TwoSteps());
+  d.AppendAll();
+  const auto first = d.Starts();
+  d.Report("vm-0", 1, first[0].second.attempt, WorkerEventKind::kSucceeded);
+  d.Report("vm-0", 2, first[1].second.attempt, WorkerEventKind::kSucceeded);
+  d.AppendAll();
+  const AttemptId last = d.Starts()[2].second.attempt;
+  d.actions.clear();
+  const std::vector<Batch> batches = std::exchange(d.batches, {});
+  d.Own(2, std::nullopt, batches, {});
+  d.Open("vm-0", {last});
+  d.AppendAll();
+  CHECK(d.State() == WorkflowState::kRunning);
+  CHECK(d.Starts().empty());  // It still runs.
+  d.Report("vm-0", 3, last, WorkerEventKind::kSucceeded);
+  d.AppendAll();
+  CHECK(d.State() == WorkflowState::kCompleted);
+}
+
+// The books of allowances are settled by what each owner last reported, and a
+// report replaces the one before.
+TEST_CASE("a report of demands holds all teams, not just those that changed") {
+  Driver d;
+  d.Submit(1, TwoSteps());
+  d.AppendAll();
+  d.now += seconds(1);
+  d.Do(Tick{});
+  const size_t teams = d.Last<ReportDemand>().demands.size();
+  d.Report("vm-0", 1, d.Starts()[0].second.attempt,
+           WorkerEventKind::kSucceeded);
+  d.AppendAll();
+  d.now += seconds(1);
+  d.Do(Tick{});
+  CHECK(d.Last<ReportDemand>().demands.size() == teams);
+  CHECK(teams == 2);  // The team, and the public one.
+}
+
+TEST_CASE("a worker that the list forgets keeps its tasks until its lease ends") {
+  Driver d({"vm-0", "vm-1"});
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {Step(1)};
+  d.Submit(1, spec);
+  d.AppendAll();
+  const VmId on = d.Starts()[0].first;
+  VmListChanged list;
+  const VmId other(on == VmId("vm-0") ? "vm-1" : "vm-0");
+  list.vms[other] = VmState::kLive;
+  list.workers[other] = Worker(other.value());
+  list.asked = d.now + Duration(1);
+  d.Do(list);
+  d.Do(WorkerUnreachable{on, Epoch{1}, d.now + seconds(9)});
+  d.AppendAll();
+  CHECK(d.Starts().size() == 1);
+  d.now += seconds(9);
+  d.Do(Tick{});
+  d.AppendAll();
+  d.now += seconds(5);
+  d.Do(Tick{});
+  REQUIRE(d.Starts().size() == 2);
+  CHECK(d.Starts()[1].first == other);
+}
+
+}  // namespace
+}  // namespace azurepass::partition
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -409,6 +409,7 @@
   Resources committed;
   Resources wanted;  // Committed plus what waits and would fit.
 };
+// Of all teams, whenever one of them has changed: it replaces the one before.
 struct ReportDemand {
   std::vector<AllowanceDemand> demands;
 };
@@ -466,7 +467,8 @@
   // A permit is not used in the last part of its validity: its start has to
   // reach the worker.
   Duration permit_margin{300};
-  Duration permit_retry{100};  // After a question that failed.
+  Duration permit_retry{100};           // After a question that failed.
+  Duration permit_denied_retry{3'000};  // After all workers were denied.
   // Between two looks at the jobs that may need one.
   Duration permit_look_interval{10};
   placement::Options placement;
--- /dev/null
+++ b/azurepass/permit/broker_test.cc
@@ -0,0 +1,81 @@
+// The spread of questions over VMs.
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+#include "azurepass/permit/permit.h"
+
+namespace azurepass::permit {
+namespace {
+
+// Collects what the broker sends, and runs its loop by hand.
+struct Fixture {
+  task::Loop loop;
+  std::vector<Question> local;
+  std::vector<entry::Call> relayed;
+  std::vector<Answer> answers;
+  Broker broker{loop, Options{},
+                task::Address<Question>(
+                    [this](Question q) { local.push_back(std::move(q)); }),
+                task::Address<entry::Call>(
+                    [this](entry::Call c) { relayed.push_back(std::move(c)); })};
+
+  void Run() {
+    while (g_main_context_iteration(loop.context(), FALSE)) {
+    }
+  }
+  void Put(const std::string& job, Duration cost) {
+    broker.address().Send(
+        Ask{JobId(job), {VmId("vm")}, cost, task::Address<Answer>([this](Answer a) {
+              answers.push_back(std::move(a));
+            })});
+    Run();
+  }
+};
+
+TEST_CASE("questions go to the VM with the least to decide") {
+  Fixture f;
+  f.broker.address().Send(PeersChanged{{"10.0.0.2:1", "10.0.0.3:1"}});
+  f.Run();
+  for (int i = 0; i < 3; ++i) f.Put("j" + std::to_string(i), Duration(500));
+  CHECK(f.local.size() == 1);
+  REQUIRE(f.relayed.size() == 2);
+  CHECK(f.relayed[0].peer != f.relayed[1].peer);
+}
+
+// Load: small urgent work beside questions that take half a second each.
+TEST_CASE("beyond the backlog questions wait, and the cheapest goes first") {
+  Fixture f;
+  f.Put("slow-1", Duration(560));
+  f.Put("slow-2", Duration(560));
+  f.Put("small", Duration(20));
+  REQUIRE(f.local.size() == 2);  // The small one fits beside the first.
+  CHECK(f.local[1].job == JobId("small"));
+  f.local[0].reply_to.Send(Issued{{{VmId("vm"), "t"}}, Duration(2'000)});
+  f.local[1].reply_to.Send(Failed{"gone"});
+  f.Run();
+  REQUIRE(f.local.size() == 3);
+  CHECK(f.local[2].job == JobId("slow-2"));
+  REQUIRE(f.answers.size() == 2);
+  CHECK(std::get<Issued>(f.answers[0]).permits[0].text == "t");
+  CHECK(std::holds_alternative<Failed>(f.answers[1]));
+}
+
+TEST_CASE("a peer's answer and its failure come back as answers") {
+  Fixture f;
+  f.broker.address().Send(PeersChanged{{"10.0.0.2:1"}});
+  f.Run();
+  f.Put("a", Duration(300));
+  f.Put("b", Duration(300));
+  f.Put("c", Duration(300));
+  REQUIRE(f.relayed.size() >= 1);
+  f.relayed[0].reply_to.Send(entry::CallResult(entry::Response(
+      entry::PermitsRelayed{{{VmId("vm"), "x"}}, Duration(900)})));
+  f.Run();
+  REQUIRE(f.answers.size() == 1);
+  CHECK(std::get<Issued>(f.answers[0]).validity == Duration(900));
+}
+
+}  // namespace
+}  // namespace azurepass::permit
--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -359,6 +359,13 @@
   return index == kNone ? Resources() : state.teams[index].queued;
 }
 
+Resources Cell::AllowanceLeftOf(const TeamId& team) const {
+  const internal::CellState& state = impl_->state();
+  const Index index = state.teams.Find(team);
+  if (index == kNone) return Resources();
+  return state.teams[index].terms.allowance - state.teams[index].committed;
+}
+
 Resources Cell::CommittedOf(const TeamId& team) const {
   const internal::CellState& state = impl_->state();
   const Index index = state.teams.Find(team);
--- a/azurepass/placement/placement.h
+++ b/azurepass/placement/placement.h
@@ -314,6 +314,8 @@
   std::map<WaitReason, int64_t> WaitingByReason() const;
   Resources CommittedOf(const TeamId& team) const;
   Resources QueuedOf(const TeamId& team) const;  // Tasks that wait.
+  // What the team may still commit here; below 0 after a lowered allowance.
+  Resources AllowanceLeftOf(const TeamId& team) const;
   Resources CommittedOn(const VmId& vm) const;
 
  private:
--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -218,8 +218,9 @@
     std::visit(
         Visitor{
             [&](const NotHeld&) {
-              if (wanted && view_.lease_ok && HasAuthority() &&
-                  IsClaimable(id)) {
+              const bool may = view_.lease_ok && HasAuthority();
+              if (may && !shutdown_ &&
+                  ((wanted && IsClaimable(id)) || IsOfFormerStart(id))) {
                 Claim(id, partition);
               }
             },
@@ -252,6 +253,15 @@
            claim->second.member == options_.member;
   }
 
+  // The claim names this process, which does not hold it: it was taken before
+  // the process started anew. Nobody else may claim it while this process
+  // lives, so it takes the claim up again, also to give it back.
+  bool IsOfFormerStart(const PartitionId& id) const {
+    const auto claim = view_.claims.find(id);
+    return claim != view_.claims.end() &&
+           claim->second.member == options_.member;
+  }
+
   bool IsTakenOver(const PartitionId& id, Epoch epoch) const {
     const auto claim = view_.claims.find(id);
     return claim != view_.claims.end() && claim->second.epoch > epoch;
