--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -125,8 +125,8 @@
     return std::get<WorkflowView>(Last<Answer>().response).state;
   }
   int64_t Waiting() {
-    Do(RequestReceived{RequestToken{++tokens_}, CountWaiting{kPartition, kQueue},
-                       now + seconds(10)});
+    Do(RequestReceived{RequestToken{++tokens_},
+                       CountWaiting{kPartition, kQueue}, now + seconds(10)});
     return std::get<WaitingCount>(Last<Answer>().response).workflows;
   }
   void Report(const std::string& vm, int64_t number, const AttemptId& attempt,
@@ -211,7 +211,8 @@
   CHECK(d.Last<AcknowledgeEvents>().number == 1);
 }
 
-TEST_CASE("the same request again is the same workflow, another team's is not") {
+TEST_CASE(
+    "the same request again is the same workflow, another team's is not") {
   Driver d;
   d.Submit(1, TwoSteps());
   d.AppendAll();
@@ -245,7 +246,8 @@
   CHECK(d.State() == WorkflowState::kCancelled);
 }
 
-TEST_CASE("a task that fails for good makes its workflow failed, not cancelled") {
+TEST_CASE(
+    "a task that fails for good makes its workflow failed, not cancelled") {
   Driver d;
   WorkflowSpec spec = TwoSteps();
   for (WorkflowStep& step : spec.steps) step.job.max_attempts = 1;
@@ -393,8 +395,8 @@
   CHECK(d.Starts().size() == 8);
   d.Do(RequestReceived{
       RequestToken{2},
-      SubmitWorkflow{kPartition, kTeam, RequestId("00000000000000aa"), spec,
-                     {}},
+      SubmitWorkflow{
+          kPartition, kTeam, RequestId("00000000000000aa"), spec, {}},
       d.now + seconds(10)});
   d.AppendAll();
   d.now += Duration(100);
@@ -447,7 +449,8 @@
   CHECK(teams == 2);  // The team, and the public one.
 }
 
-TEST_CASE("a worker that the list forgets keeps its tasks until its lease ends") {
+TEST_CASE(
+    "a worker that the list forgets keeps its tasks until its lease ends") {
   Driver d({"vm-0", "vm-1"});
   WorkflowSpec spec;
   spec.queue = kQueue;
--- a/azurepass/permit/broker_test.cc
+++ b/azurepass/permit/broker_test.cc
@@ -15,21 +15,22 @@
   std::vector<Question> local;
   std::vector<entry::Call> relayed;
   std::vector<Answer> answers;
-  Broker broker{loop, Options{},
-                task::Address<Question>(
-                    [this](Question q) { local.push_back(std::move(q)); }),
-                task::Address<entry::Call>(
-                    [this](entry::Call c) { relayed.push_back(std::move(c)); })};
+  Broker broker{loop, Options{}, task::Address<Question>([this](Question q) {
+                  local.push_back(std::move(q));
+                }),
+                task::Address<entry::Call>([this](entry::Call c) {
+                  relayed.push_back(std::move(c));
+                })};
 
   void Run() {
     while (g_main_context_iteration(loop.context(), FALSE)) {
     }
   }
   void Put(const std::string& job, Duration cost) {
-    broker.address().Send(
-        Ask{JobId(job), {VmId("vm")}, cost, task::Address<Answer>([this](Answer a) {
-              answers.push_back(std::move(a));
-            })});
+    broker.address().Send(Ask{
+        JobId(job), {VmId("vm")}, cost, task::Address<Answer>([this](Answer a) {
+          answers.push_back(std::move(a));
+        })});
     Run();
   }
 };
