--- a/azurepass/daemons/node.cc
+++ b/azurepass/daemons/node.cc
@@ -80,6 +80,7 @@
   options.sticky = true;
   options.nonce = RandomNumber();
   options.owner.absent_is_gone = false;
+  options.owner.keep_what_runs = true;
   options.owner.checkpoint_leaving = false;
   options.owner.report_grace = kReportGrace;
   options.owner.placement.first_backoff = kFirstBackoff;
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -117,13 +117,15 @@
     if (task.state != TaskState::kRunning) continue;
     if (workers_.Find(task.vm) == nullptr) {
       Worker& unknown = workers_.AddUnconfigured(task.vm);
+      // Its tasks are counted where nothing else can be placed.
+      cell_.AddWorker(unknown.spec, placement::WorkerAdmission::kClosed);
       workers_.SetSession(unknown,
                           SessionOpening{now_ + options_.worker_lease +
                                          options_.worker_lease_margin});
     }
     LiveAttempt attempt({task_id, task.attempt}, task.vm,
                         AttemptStage::kConfirmed);
-    attempt.fits = cell_.Commit(task_id, task.vm);
+    attempt.fits = cell_.Commit(task_id, task.vm, options_.keep_what_runs);
     if (!attempt.fits) cell_.CancelTask(task_id);
     workers_.AddAttempt(std::move(attempt));
   }
@@ -205,7 +207,7 @@
   }
   if (live_.FindTask(task)->state != TaskState::kQueued) return;
   LiveAttempt adopted(attempt, vm, AttemptStage::kConfirmed);
-  adopted.fits = cell_.Commit(task, vm);
+  adopted.fits = cell_.Commit(task, vm, options_.keep_what_runs);
   if (!adopted.fits) cell_.CancelTask(task);
   Decide(TaskStarted{attempt, vm});
   workers_.AddAttempt(std::move(adopted));
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -462,6 +462,10 @@
   // A VM that is missing from the list, and does not answer, is gone. False
   // where the list forgets VMs that run: then leases alone decide.
   bool absent_is_gone = true;
+  // What is found running goes on, also where by our account there is no room
+  // for it, or the worker is not listed any more. Else it is stopped, and
+  // fails.
+  bool keep_what_runs = false;
   // Tasks on a leaving VM are checkpointed at once, or else run on.
   bool checkpoint_leaving = true;
   // A permit is not used in the last part of its validity: its start has to
--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -70,7 +70,7 @@
   const internal::CellState& state() const { return state_; }
 
   void SetTeam(const TeamId& id, const TeamTerms& terms);
-  bool Commit(const TaskId& id, const VmId& vm);
+  bool Commit(const TaskId& id, const VmId& vm, bool without_room);
   void Release(const TaskId& id, AttemptOutcome outcome, bool requeue,
                MonotonicTime now);
   std::vector<Decision> Decide(MonotonicTime now, const DecideBudget& budget);
@@ -99,7 +99,7 @@
   state_.Unblock(team);
 }
 
-bool Cell::Impl::Commit(const TaskId& id, const VmId& vm) {
+bool Cell::Impl::Commit(const TaskId& id, const VmId& vm, bool without_room) {
   TaskRef ref;
   const Task* task = state_.FindTask(id, &ref);
   const Index worker = state_.fleet.Find(vm);
@@ -108,7 +108,8 @@
       task->phase == TaskPhase::kWaiting || task->phase == TaskPhase::kDelayed;
   const internal::Worker& w = state_.fleet.worker(worker);
   const Job& job = state_.jobs[ref.job];
-  if (!waits || !w.known || !job.room().FitsIn(w.free)) return false;
+  if (!waits || !w.known) return false;
+  if (!without_room && !job.room().FitsIn(w.free)) return false;
   state_.Commit(ref, worker, std::max(state_.now, job.accepted));
   state_.teams[job.team].check_allowance = true;
   return true;
@@ -287,8 +288,8 @@
   job.permitted_until = until;
 }
 
-bool Cell::Commit(const TaskId& task, const VmId& vm) {
-  return impl_->Commit(task, vm);
+bool Cell::Commit(const TaskId& task, const VmId& vm, bool without_room) {
+  return impl_->Commit(task, vm, without_room);
 }
 
 void Cell::Release(const TaskId& task, AttemptOutcome outcome, bool requeue,
--- a/azurepass/placement/placement.h
+++ b/azurepass/placement/placement.h
@@ -285,8 +285,9 @@
 
   // --- Commitments.
   // Takes the decision elsewhere (recovery): the task holds its size on `vm`.
-  // Returns false, and changes nothing, when it would not fit.
-  bool Commit(const TaskId& task, const VmId& vm);
+  // Returns false, and changes nothing, when it would not fit; with
+  // `without_room` it counts all the same, for it runs there.
+  bool Commit(const TaskId& task, const VmId& vm, bool without_room = false);
   // The attempt ended: its size is free again. With `requeue` the task waits
   // again (after a backoff when it failed).
   void Release(const TaskId& task, AttemptOutcome outcome, bool requeue,
