--- a/azurepass/daemons/frontend.cc
+++ b/azurepass/daemons/frontend.cc
@@ -23,18 +23,6 @@
 namespace azurepass::daemons {
 namespace {
 
-httpserver::Options HttpOptions(const std::string& address) {
-  httpserver::Options options;
-  options.address = address;
-  return options;
-}
-
-entry::ServerOptions EntryOptions(const std::string& address) {
-  entry::ServerOptions options;
-  options.address = address;
-  return options;
-}
-
 routing::Options RoutingOptions(const AllSettings& all) {
   routing::Options options;
   options.member = all.process.member;
--- a/azurepass/daemons/node.cc
+++ b/azurepass/daemons/node.cc
@@ -24,18 +24,6 @@
 namespace azurepass::daemons {
 namespace {
 
-httpserver::Options HttpOptions(const std::string& address) {
-  httpserver::Options options;
-  options.address = address;
-  return options;
-}
-
-entry::ServerOptions EntryOptions(const std::string& address) {
-  entry::ServerOptions options;
-  options.address = address;
-  return options;
-}
-
 endpoint::Options EndpointOptions(const settings::CellSettings& cell) {
   // A worker that does not answer for so long beyond a hold is asked again.
   constexpr Duration kAnswerTime{1'000};
--- a/azurepass/daemons/process.cc
+++ b/azurepass/daemons/process.cc
@@ -65,6 +65,18 @@
   return G_SOURCE_CONTINUE;
 }
 
+httpserver::Options HttpOptions(const std::string& address) {
+  httpserver::Options options;
+  options.address = address;
+  return options;
+}
+
+entry::ServerOptions EntryOptions(const std::string& address) {
+  entry::ServerOptions options;
+  options.address = address;
+  return options;
+}
+
 store::Options StoreOptions(const settings::CellSettings& cell) {
   store::Options options;
   options.address = cell.store_address;
--- a/azurepass/daemons/process.h
+++ b/azurepass/daemons/process.h
@@ -11,6 +11,8 @@
 
 #include "azurepass/configuration/configuration.h"
 #include "azurepass/core/core.h"
+#include "azurepass/entry/entry.h"
+#include "azurepass/httpserver/httpserver.h"
 #include "azurepass/membership/membership.h"
 #include "azurepass/settings/settings.h"
 #include "azurepass/store/store.h"
@@ -52,6 +54,9 @@
   bool asked_ = false;
 };
 
+// Of servers that listen on "IP:PORT", with their own bounds.
+httpserver::Options HttpOptions(const std::string& address);
+entry::ServerOptions EntryOptions(const std::string& address);
 store::Options StoreOptions(const settings::CellSettings& cell);
 configuration::Options KeeperOptions(const AllSettings& all);
 membership::Options MembershipOptions(const settings::CellSettings& cell);
