A new owner takes in ends in the order of attempts, also failed ones

The new owner met the success while its ledger still had the first attempt as running, passed it over and acknowledged it; then it met the failure and started the task once more. Failures of attempts that no record told of did not count at all.

Ruled out: an acknowledgement before the append (the worker listed both ends again to the new owner).

Change: at the end of recovery the ends of all workers are taken in by the attempts' numbers, before the lists of what runs; each that is newer than the ledger's is adopted first, so that a success is kept and a failure counts.

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -155,7 +155,8 @@
   void ReconcileWorker(internal::Worker& worker,
                        const std::vector<AttemptId>& running);
   void Adopt(const AttemptId& attempt, const VmId& vm);
-  void AdoptSucceeded(const VmId& vm, const WorkerEvent& event);
+  void TakeUnreadEnds();
+  void AdoptEnded(const VmId& vm, const WorkerEvent& event);
   void StopOrphan(internal::Worker& worker, const AttemptId& attempt);
   void LapseWorkers();
   void LoseMissing();
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -163,6 +163,7 @@
 
 void Owner::Impl::FinishOpening() {
   phase_ = Owning{};
+  TakeUnreadEnds();
   for (auto& [vm, worker] : workers_.workers()) {
     if (IsOpen(worker)) AdoptListed(vm, worker.running);
   }
@@ -174,14 +175,6 @@
     }
     SetAdmission(worker);
   }
-  for (auto& [vm, worker] : workers_.workers()) {
-    const std::vector<WorkerEvent> unread = std::exchange(worker.unread, {});
-    for (const WorkerEvent& event : unread) {
-      AdoptSucceeded(vm, event);
-      HandleWorkerEvent(worker, event);
-    }
-    Acknowledge(worker, unread);
-  }
   ApplyConfiguration();  // Recovered tasks are committed by now.
   for (RequestToken token : requests_.WaitingForOwning()) {
     internal::WaitingRequest waiting = *requests_.Take(token);
@@ -215,12 +208,35 @@
   Log("adopt", task, attempt.attempt, vm, "started by the former owner");
 }
 
-// A worker tells a new owner of ends that the former one had acknowledged but,
-// with the store down, not appended. What succeeded is not run again.
-void Owner::Impl::AdoptSucceeded(const VmId& vm, const WorkerEvent& event) {
-  if (event.kind != WorkerEventKind::kSucceeded) return;
+// Workers tell a new owner of ends that the former one did not append, with the
+// store down for example, nor perhaps the starts before them. They are taken in
+// by the attempts' numbers, over all workers: a task may have failed on one,
+// been started again and succeeded on another, and each failure counts.
+void Owner::Impl::TakeUnreadEnds() {
+  std::vector<std::pair<Worker*, WorkerEvent>> events;
+  for (auto& [vm, worker] : workers_.workers()) {
+    for (const WorkerEvent& event : worker.unread) {
+      events.emplace_back(&worker, event);
+    }
+  }
+  std::stable_sort(events.begin(), events.end(),
+                   [](const auto& a, const auto& b) {
+                     return a.second.attempt.attempt < b.second.attempt.attempt;
+                   });
+  for (const auto& [worker, event] : events) {
+    AdoptEnded(worker->spec.vm, event);
+    HandleWorkerEvent(*worker, event);
+  }
+  for (auto& [vm, worker] : workers_.workers()) {
+    Acknowledge(worker, std::exchange(worker.unread, {}));
+  }
+}
+
+// The attempt is over; it is adopted so that its end counts.
+void Owner::Impl::AdoptEnded(const VmId& vm, const WorkerEvent& event) {
+  if (event.kind == WorkerEventKind::kStarted) return;
   const TaskSnapshot* task = live_.FindTask(event.attempt.task);
-  if (task == nullptr || task->state != TaskState::kQueued) return;
+  if (task == nullptr || IsFinal(task->state)) return;
   if (event.attempt.attempt > task->attempt) Adopt(event.attempt, vm);
 }
 
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -431,6 +431,44 @@
   CHECK(d.State() == WorkflowState::kCompleted);
 }
 
+// Load: the store is down while a task fails, is started again and succeeds;
+// then all VMs are lost. The journal knows of the first start alone.
+TEST_CASE("a new owner takes in ends of attempts that no record tells of") {
+  for (const bool succeeds : {true, false}) {
+    CAPTURE(succeeds);
+    Driver d({"vm-0", "vm-1"});
+    WorkflowSpec spec;
+    spec.queue = kQueue;
+    spec.steps = {Step(1)};
+    spec.steps[0].job.max_attempts = 2;
+    d.Submit(1, spec);
+    d.AppendAll();
+    const auto [vm, start] = d.Starts()[0];
+    const VmId other(vm == VmId("vm-0") ? "vm-1" : "vm-0");
+    d.actions.clear();
+    const std::vector<Batch> batches = std::exchange(d.batches, {});
+    d.Own(2, std::nullopt, batches, {});
+    AttemptId second = start.attempt;
+    ++second.attempt;
+    WorkerEvent failed;
+    failed.number = 1;
+    failed.attempt = start.attempt;
+    failed.kind = WorkerEventKind::kFailed;
+    WorkerEvent end = failed;
+    end.attempt = second;
+    if (succeeds) end.kind = WorkerEventKind::kSucceeded;
+    // In either order of the workers.
+    d.Do(WorkerReported{other, Epoch{2}, {end}, {}});
+    d.Do(WorkerReported{vm, Epoch{2}, {failed}, {}});
+    d.Open("vm-0");
+    d.Open("vm-1");
+    d.AppendAll();
+    CHECK(d.Starts().empty());
+    CHECK(d.State() ==
+          (succeeds ? WorkflowState::kCompleted : WorkflowState::kFailed));
+  }
+}
+
 // The books of allowances are settled by what each owner last reported, and a
 // report replaces the one before.
 TEST_CASE("a report of demands holds all teams, not just those that changed") {
