--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -55,7 +55,8 @@
 // An owner whose workers describe themselves. Appends are answered by hand.
 class Driver {
  public:
-  explicit Driver(std::vector<std::string> vms = {"vm-0"}, bool permits = false)
+  explicit Driver(const std::vector<std::string>& vms = {"vm-0"},
+                  bool permits = false)
       : owner_(ForPlatform(), kPartition, {}, 7) {
     auto configuration = std::make_shared<Configuration>();
     Contract contract;
@@ -85,7 +86,7 @@
   }
 
   void Own(int64_t epoch, std::optional<Snapshot> snapshot,
-           std::vector<Batch> batches, std::vector<std::string> vms) {
+           std::vector<Batch> batches, const std::vector<std::string>& vms) {
     epoch_ = Epoch{epoch};
     Do(ClaimWon{epoch_});
     Do(JournalLoaded{epoch_, std::move(snapshot), std::move(batches)});
