Starts are recorded before they are ordered; submissions are refused at once

Ruled out: waiting less for silent workers (their lease is the only proof), and passing on the revision of the newest record alone (a removal has none).

Change: partition::Options::record_starts_first, refuse_while_stalled and unknown_wait; routing's submit_patience and unknown_patience; the owner compares revisions only where it misses something; MonotonicTime is of BootClock. A held start is ordered only while its permit is valid, a gang whole or not at all. A line for each configuration in force.

Not weighed yet: nothing is started while the store is down for all.

--- a/azurepass/caller/caller.cc
+++ b/azurepass/caller/caller.cc
@@ -122,7 +122,7 @@
     return;
   }
   auto& request = std::get<Request>(outcome);
-  open_[number] = {request.index(), std::chrono::steady_clock::now()};
+  open_[number] = {request.index(), BootClock::now()};
   const Duration time_left = TimeFor(request);
   Responder responder(
       mailbox_.address().Map<Response>([number](Response response) {
@@ -136,7 +136,7 @@
                           const httpserver::Response& response) {
   auto found = open_.find(number);
   if (found != open_.end()) {
-    latencies_[found->second.kind].Record(std::chrono::steady_clock::now() -
+    latencies_[found->second.kind].Record(BootClock::now() -
                                           found->second.since);
     open_.erase(found);
   }
--- a/azurepass/configuration/keeper.cc
+++ b/azurepass/configuration/keeper.cc
@@ -3,6 +3,8 @@
 // Peers are asked only without contact: a few in the first round and while one
 // of them confirms; all of them, for the evidence of an outage, otherwise.
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <random>
 #include <utility>
@@ -13,7 +15,7 @@
 namespace azurepass::configuration {
 namespace {
 
-MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+MonotonicTime Now() { return BootClock::now(); }
 
 struct Pulled {
   MemberId peer;
@@ -179,10 +181,28 @@
                       (!may_start || update.valid_until == told_.valid_until) &&
                       update.others_cut_until == told_.others_cut_until;
     if (same) return;
+    LogChange(update);
     told_ = update;
     for (const auto& subscriber : subscribers_) subscriber.Send(update);
   }
 
+  // A line for a new configuration, and one for each change of the verdict.
+  void LogChange(const Update& update) const {
+    const Configuration& now = *update.configuration;
+    if (update.configuration != told_.configuration) {
+      LOG(INFO) << "event=configuration revision=" << now.revision.value
+                << " contracts=" << now.contracts.size()
+                << " keys=" << now.keys.size()
+                << " queues=" << now.queues.size()
+                << " services=" << now.services.size()
+                << " zones=" << now.zones.size();
+    }
+    if (update.verdict.index() != told_.verdict.index()) {
+      LOG(INFO) << "event=freshness revision=" << now.revision.value
+                << " verdict=\"" << ToString(update.verdict) << "\"";
+    }
+  }
+
   const Options options_;
   const task::Address<entry::Call> client_;
   Register register_;
--- a/azurepass/core/core.h
+++ b/azurepass/core/core.h
@@ -1,10 +1,11 @@
 // The vocabulary of azurepass: identifiers, resources, jobs, contracts and
-// refusals. Every other package speaks in these types. Nothing here does I/O,
-// reads a clock or knows an encoding.
+// refusals. Every other package speaks in these types. Nothing here does I/O or
+// knows an encoding; BootClock is read by tasks, never by decisions.
 //
 // Times. A deadline or an age inside one process is a MonotonicTime; it never
-// leaves the process. What crosses a process boundary is a Duration ("so much
-// is left") or a WallTime that is only shown to people.
+// leaves the process, and it counts the time in which the VM was suspended.
+// What crosses a process boundary is a Duration ("so much is left") or a
+// WallTime that is only shown to people.
 
 #ifndef AZUREPASS_CORE_CORE_H_
 #define AZUREPASS_CORE_CORE_H_
@@ -26,7 +27,20 @@
 // ---------------------------------------------------------------------------
 // Time
 
-using MonotonicTime = std::chrono::steady_clock::time_point;
+// Never set back, and runs on while the VM is suspended: std::steady_clock
+// stands still then, and a lease judged by it would outlive its real end.
+class BootClock {
+ public:
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  static constexpr bool is_steady = true;
+
+  static time_point now() noexcept;
+};
+
+using MonotonicTime = BootClock::time_point;
 using WallTime = std::chrono::system_clock::time_point;
 using Duration = std::chrono::milliseconds;
 
--- a/azurepass/daemons/measure_endpoints_main.cc
+++ b/azurepass/daemons/measure_endpoints_main.cc
@@ -118,7 +118,7 @@
   Sample Now() const {
     auto [to, counters] = Expect<endpoint::Counters>();
     client_.counters().Send(to);
-    return {ProcessorTime(), std::chrono::steady_clock::now(),
+    return {ProcessorTime(), BootClock::now(),
             Await(counters).value_or(endpoint::Counters{})};
   }
   void StartSoon(int count) { starts_.address().Send(count); }
--- a/azurepass/daemons/node.cc
+++ b/azurepass/daemons/node.cc
@@ -47,8 +47,16 @@
 
 routing::Options RoutingOptions(const settings::NodeSettings& settings) {
   routing::Options options;
+  // Callers are worth the most when they are served within a second or two, and
+  // come back by themselves.
+  constexpr Duration kAttemptTimeout{800};
+  constexpr Duration kSubmitPatience{300};
+  constexpr Duration kUnknownPatience{1'200};
   options.member = settings.process.member;
   options.seed = RandomNumber();
+  options.attempt_timeout = kAttemptTimeout;
+  options.submit_patience = kSubmitPatience;
+  options.unknown_patience = kUnknownPatience;
   return options;
 }
 
@@ -61,6 +69,9 @@
   // Both lists of a worker come in one answer, so that nothing is reported
   // after it.
   constexpr Duration kReportGrace{100};
+  // A submission waits for the store no longer than a caller would.
+  constexpr Duration kAppendWait{300};
+  constexpr Duration kUnknownWait{700};
   scheduling::Options options;
   options.member = settings.process.member;
   options.cell = settings.cell;
@@ -71,6 +82,10 @@
   options.owner.keep_what_runs = true;
   options.owner.checkpoint_leaving = false;
   options.owner.report_grace = kReportGrace;
+  options.owner.record_starts_first = true;
+  options.owner.refuse_while_stalled = true;
+  options.owner.append_wait = kAppendWait;
+  options.owner.unknown_wait = kUnknownWait;
   options.owner.placement.first_backoff = kFirstBackoff;
   options.owner.placement.longest_backoff = kLongestBackoff;
   options.owner.placement.bound_retries = false;
--- a/azurepass/endpoint/client.cc
+++ b/azurepass/endpoint/client.cc
@@ -92,7 +92,7 @@
   void Send(const VmId& vm, const Entry& entry,
             const internal::Exchange& exchange);
   Counters CurrentCounters() const;
-  static MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+  static MonotonicTime Now() { return BootClock::now(); }
 
   task::Loop& loop_;
   Options options_;
--- a/azurepass/entry/client.cc
+++ b/azurepass/entry/client.cc
@@ -33,7 +33,7 @@
 // Until the peer has told its bound; more could be refused by it.
 constexpr uint32_t kStreamsBeforeSettings = 1;
 
-MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+MonotonicTime Now() { return BootClock::now(); }
 
 // Rounded up, so that a timer does not fire early.
 Duration Until(MonotonicTime when) {
--- a/azurepass/escrow/broker.cc
+++ b/azurepass/escrow/broker.cc
@@ -57,7 +57,7 @@
 namespace azurepass::escrow {
 namespace {
 
-using Clock = std::chrono::steady_clock;
+using Clock = BootClock;
 
 struct BookRead {
   TeamId team;
--- a/azurepass/follow/follow.cc
+++ b/azurepass/follow/follow.cc
@@ -14,7 +14,7 @@
 // that a store which keeps no history is not asked without a pause.
 constexpr Duration kRelistPause{10};
 
-MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+MonotonicTime Now() { return BootClock::now(); }
 
 struct PageRead {
   store::ListReply reply;
--- a/azurepass/http/client.cc
+++ b/azurepass/http/client.cc
@@ -141,7 +141,7 @@
 }
 
 Client::Impl::Peer& Client::Impl::PeerOf(const std::string& address) {
-  const MonotonicTime now = std::chrono::steady_clock::now();
+  const MonotonicTime now = BootClock::now();
   if (!peers_.contains(address)) {
     DropIdlePeers(now);
     peers_[address].session = MakeSession();
--- a/azurepass/httpserver/testing/turn.h
+++ b/azurepass/httpserver/testing/turn.h
@@ -14,12 +14,11 @@
 // Runs the loop on this thread until `done`; false after 30 seconds.
 template <class Done>
 bool TurnUntil(task::Loop& loop, Done done) {
-  const auto until =
-      std::chrono::steady_clock::now() + std::chrono::seconds(30);
+  const auto until = BootClock::now() + std::chrono::seconds(30);
   task::Timer tick(loop);
   tick.Every(Duration(2), [] {});
   g_main_context_push_thread_default(loop.context());
-  while (!done() && std::chrono::steady_clock::now() < until) {
+  while (!done() && BootClock::now() < until) {
     g_main_context_iteration(loop.context(), TRUE);
   }
   g_main_context_pop_thread_default(loop.context());
--- a/azurepass/membership/agent.cc
+++ b/azurepass/membership/agent.cc
@@ -19,7 +19,7 @@
 namespace azurepass::membership {
 namespace {
 
-MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+MonotonicTime Now() { return BootClock::now(); }
 
 struct LeaseAnswered {
   MonotonicTime sent;
--- a/azurepass/membership/agent_test.cc
+++ b/azurepass/membership/agent_test.cc
@@ -124,7 +124,7 @@
   cluster.SetOutage(0, true);
   const View lost =
       cluster.Await(0, [](const View& view) { return !view.lease_ok; });
-  CHECK(lost.lease_valid_until <= std::chrono::steady_clock::now());
+  CHECK(lost.lease_valid_until <= BootClock::now());
   cluster.AwaitMembers(1, 1, 4);  // The other one wants all.
   cluster.SetOutage(0, false);
   cluster.Await(0, [](const View& view) { return view.lease_ok; });
--- a/azurepass/operators/configuration_writer.cc
+++ b/azurepass/operators/configuration_writer.cc
@@ -25,7 +25,7 @@
 constexpr Duration kAnswerMargin{1'000};
 constexpr Duration kRetryAfter{1'000};
 
-MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+MonotonicTime Now() { return BootClock::now(); }
 
 Refusal Refuse(RefusalCode code, std::string message) {
   return {code, Effect::kNotRun, std::move(message), std::nullopt};
--- a/azurepass/operators/server.cc
+++ b/azurepass/operators/server.cc
@@ -86,7 +86,7 @@
 
 void Server::Impl::Begin(const httpserver::Received& received) {
   const httpserver::ExchangeId id = received.id;
-  since_[id] = std::chrono::steady_clock::now();
+  since_[id] = BootClock::now();
   if (!IsOperator(received.request.bearer)) {
     Finish(id, httpserver::ToResponse(
                    {RefusalCode::kUnauthenticated, Effect::kNotRun,
@@ -116,7 +116,7 @@
                           const httpserver::Response& response) {
   auto since = since_.find(id);
   if (since != since_.end()) {
-    latency_.Record(std::chrono::steady_clock::now() - since->second);
+    latency_.Record(BootClock::now() - since->second);
     since_.erase(since);
   }
   ++answers_by_status_[response.status];
--- a/azurepass/partition/internal/group_commit.h
+++ b/azurepass/partition/internal/group_commit.h
@@ -83,6 +83,10 @@
   // after this call.
   int64_t RequireWrite();
 
+  // True when the latest write or read failed, so that nobody can say when a
+  // record added now would be appended.
+  bool stalled() const { return failures_ > 0; }
+
   // True when all that was added is settled.
   bool idle() const;
   // Records added and not settled.
--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -181,6 +181,7 @@
   // The job, or a refusal that was answered (null).
   const internal::LedgerJob* FindFor(RequestToken token, const TeamId& team,
                                      const JobId& job);
+  bool RefuseWhileStalled(RequestToken token);
   void WaitForAppend(RequestToken token, internal::Sequence sequence,
                      MonotonicTime deadline);
   void AnswerDue();
@@ -254,7 +255,11 @@
   void Carry(const placement::Start& start);
   void Carry(const placement::Preempt& preempt);
   void OrderStart(internal::LiveAttempt& attempt);
-  void OnStartCommitted(const TaskStarted& started);
+  // Orders the held starts whose records have just been appended.
+  void OrderRecorded();
+  bool IsHeldBack(const internal::LiveAttempt& attempt) const;
+  bool MayOrder(const internal::LiveAttempt& attempt) const;
+  void OrderOrStop(const TaskId& task, bool order);
   void OrderStop(internal::LiveAttempt& attempt, StopKind kind);
   void HandleWorkerEvent(internal::Worker& worker, const WorkerEvent& event);
   void OnEnd(const TaskId& task, const WorkerEvent& event);
@@ -301,6 +306,7 @@
   internal::JobBook jobs_;
   placement::Cell cell_;
   std::map<internal::Sequence, TaskId> held_;       // Starts that wait.
+  std::vector<AttemptId> recorded_;                 // Held until now.
   std::map<TaskId, internal::Sequence> unsettled_;  // Latest, by task.
   std::set<VmId> unproven_;  // Workers with a session that is not proven.
   // Acknowledgements that wait for the append of a record, in order.
--- a/azurepass/partition/internal/request_table.cc
+++ b/azurepass/partition/internal/request_table.cc
@@ -24,6 +24,7 @@
   if (found == requests_.end()) return;
   due_.erase({found->second.due, token});
   found->second.due = due;
+  found->second.request.deadline = due;
   due_.insert({due, token});
 }
 
--- a/azurepass/partition/internal/request_table.h
+++ b/azurepass/partition/internal/request_table.h
@@ -53,7 +53,7 @@
  public:
   // `due` is when the token is to be looked at again, at most the deadline.
   void Add(RequestToken token, WaitingRequest request, MonotonicTime due);
-  // Replaces the time at which a token is to be looked at.
+  // Sets the token's deadline, at which it is looked at again.
   void Reschedule(RequestToken token, MonotonicTime due);
   // Empty when the token is unknown: answered already.
   std::optional<WaitingRequest> Take(RequestToken token);
--- a/azurepass/partition/owner.cc
+++ b/azurepass/partition/owner.cc
@@ -103,8 +103,8 @@
 void Owner::Impl::Advance() {
   if (In<Idle>()) return;
   AdvanceTimers();
-  if (In<Opening>() &&
-      (workers_.AllSettled() || options_.testing.skip_session_barrier)) {
+  if (In<Opening>() && (workers_.AllSettled() || options_.record_starts_first ||
+                        options_.testing.skip_session_barrier)) {
     FinishOpening();
   }
   if (In<Owning>()) PlaceTasks();
--- a/azurepass/partition/owner_journal.cc
+++ b/azurepass/partition/owner_journal.cc
@@ -119,6 +119,7 @@
   for (size_t i = 0; i < committed.sequences.size(); ++i) {
     OnRecordCommitted(committed.sequences[i], committed.batch.records[i]);
   }
+  OrderRecorded();
   if (!committed.sequences.empty()) {
     last_appended_ = committed.sequences.back();
   }
@@ -161,7 +162,9 @@
                        AnswerRecord(sequence);
                      },
                      [&](const TaskStarted& r) {
-                       if (held_.erase(sequence) > 0) OnStartCommitted(r);
+                       if (held_.erase(sequence) > 0) {
+                         recorded_.push_back(r.attempt);
+                       }
                      },
                      [&](const TaskEnded& r) { changed_.insert(r.task.job); },
                      [&](const WorkflowSubmitted& r) {
--- /dev/null
+++ b/azurepass/partition/owner_recording_test.cc
@@ -0,0 +1,126 @@
+// Starts recorded first: what is ordered is in the journal, a new owner waits
+// for no worker that is silent, and submissions are refused while the store
+// takes no records.
+
+#include <doctest/doctest.h>
+
+#include "azurepass/partition/testing/driver.h"
+
+namespace azurepass::partition {
+namespace {
+
+using namespace testing;  // NOLINT(google-build-using-namespace)
+using std::chrono::seconds;
+
+Options RecordingFirst() {
+  Options options = ForPlatform();
+  options.record_starts_first = true;
+  options.refuse_while_stalled = true;
+  return options;
+}
+
+WorkflowSpec OneStep(int32_t tasks) {
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {Step(tasks)};
+  return spec;
+}
+
+WorkflowSpec Gang(int32_t tasks) {
+  WorkflowSpec spec = OneStep(tasks);
+  spec.steps[0].job.policy = GangPolicy{.atomic = true};
+  return spec;
+}
+
+TEST_CASE("a start is ordered once its record is appended") {
+  Driver d({"vm-0"}, false, RecordingFirst());
+  d.Submit(1, OneStep(2));
+  d.AppendOne();  // The submission.
+  CHECK(d.Starts().empty());
+  d.AppendAll();
+  CHECK(d.Starts().size() == 2);
+}
+
+TEST_CASE("a new owner starts what waits while a worker is silent") {
+  Driver d({"vm-0", "vm-1"}, false, RecordingFirst());
+  d.Submit(1, OneStep(12));  // More than one worker takes.
+  d.AppendAll();
+  CHECK(d.Starts().size() == 12);
+  const std::vector<Batch> journal = d.batches;
+  d.actions.clear();
+  d.Own(2, std::nullopt, journal, {"vm-0"});
+  // What runs on the silent worker is not started elsewhere, also when there
+  // is room.
+  d.Submit(2, OneStep(1), kTeam, RequestId("00000000000000aa"));
+  d.AppendAll();
+  for (const auto& [vm, start] : d.Starts()) CHECK(vm == VmId("vm-0"));
+  CHECK(std::holds_alternative<WorkflowView>(d.Last<Answer>().response));
+}
+
+TEST_CASE("what ran on a worker that stays silent starts after its lease") {
+  Driver d({"vm-0", "vm-1"}, false, RecordingFirst());
+  d.Submit(1, OneStep(1));
+  d.AppendAll();
+  REQUIRE(d.Starts().size() == 1);
+  const VmId was = d.Starts()[0].first;
+  const std::string other = was == VmId("vm-0") ? "vm-1" : "vm-0";
+  const std::vector<Batch> journal = d.batches;
+  d.actions.clear();
+  d.Own(2, std::nullopt, journal, {other});
+  CHECK(d.Starts().empty());
+  d.now += RecordingFirst().worker_lease + RecordingFirst().worker_lease_margin;
+  d.Do(Tick{});
+  d.AppendAll();
+  REQUIRE(d.Starts().size() == 1);
+  CHECK(d.Starts()[0].first == VmId(other));
+}
+
+TEST_CASE("an atomic gang is ordered whole or not at all") {
+  Driver d({"vm-0", "vm-1"}, false, RecordingFirst());
+  d.Submit(1, Gang(12));
+  d.AppendOne();
+  // Both workers have tasks of it; one goes silent before the append.
+  d.Do(WorkerUnreachable{VmId("vm-1"), Epoch{1}, d.now + seconds(5)});
+  d.AppendAll();
+  CHECK(d.Starts().empty());
+  d.Open("vm-1");
+  d.AppendAll();
+  CHECK(d.Starts().size() == 12);
+}
+
+TEST_CASE("submissions are refused as not run while the store fails") {
+  Driver d({"vm-0"}, false, RecordingFirst());
+  d.Submit(1, OneStep(1));
+  d.FailAppend();
+  d.Submit(2, OneStep(1), kTeam, RequestId("00000000000000aa"));
+  const auto& refusal = std::get<Refusal>(d.Last<Answer>().response);
+  CHECK(refusal.code == RefusalCode::kStoreUnavailable);
+  CHECK(refusal.effect == Effect::kNotRun);
+  CHECK(refusal.retry_after.has_value());
+  d.now += seconds(1);
+  d.Do(Tick{});
+  d.AppendAll();
+  CHECK(d.Starts().size() == 1);
+}
+
+TEST_CASE("an owner that has all it needs takes requests of any revision") {
+  Driver d({"vm-0"}, false, RecordingFirst());
+  d.Do(RequestReceived{
+      RequestToken{1},
+      SubmitWorkflow{kPartition, kTeam, kRequest, OneStep(1), Revision{1'000}},
+      d.now + seconds(10)});
+  d.AppendAll();
+  CHECK(std::holds_alternative<WorkflowView>(d.Last<Answer>().response));
+  WorkflowSpec unknown = OneStep(1);
+  unknown.queue = QueueId("new");
+  d.Do(RequestReceived{
+      RequestToken{2},
+      SubmitWorkflow{kPartition, kTeam, RequestId("00000000000000ab"), unknown,
+                     Revision{1'000}},
+      d.now + seconds(10)});
+  CHECK(std::get<Refusal>(d.Last<Answer>().response).code ==
+        RefusalCode::kStaleConfiguration);
+}
+
+}  // namespace
+}  // namespace azurepass::partition
--- a/azurepass/partition/owner_requests.cc
+++ b/azurepass/partition/owner_requests.cc
@@ -111,6 +111,7 @@
     Reply(token, *std::move(refusal));
     return;
   }
+  if (RefuseWhileStalled(token)) return;
   JobSubmitted submitted{MakeJobId(partition_, next_job_number_++), r.team,
                          r.request, r.spec, ToWall(now_)};
   const Sequence sequence = last_added_ = commit_.Add(submitted);
@@ -213,6 +214,14 @@
         cell_.Explain(r.job, surroundings_.configuration->revision, now_));
 }
 
+// A submission that nobody can say when to accept is not kept waiting.
+bool Owner::Impl::RefuseWhileStalled(RequestToken token) {
+  if (!options_.refuse_while_stalled || !commit_.stalled()) return false;
+  Refuse(token, RefusalCode::kStoreUnavailable, Effect::kNotRun,
+         "The store takes no records at the moment.", kBusyRetryAfter);
+  return true;
+}
+
 void Owner::Impl::WaitForAppend(RequestToken token, Sequence sequence,
                                 MonotonicTime deadline) {
   const auto& record = requests_.FindRecord(sequence)->record;
@@ -271,7 +280,8 @@
     return;
   }
   if (!over && !options_.testing.refuse_in_flight_as_not_run) {
-    requests_.Reschedule(token, deadline);
+    requests_.Reschedule(token,
+                         std::min(deadline, now_ + options_.unknown_wait));
     return;
   }
   requests_.FindRecord(sequence)->tokens.erase(token);
--- a/azurepass/partition/owner_tasks.cc
+++ b/azurepass/partition/owner_tasks.cc
@@ -1,5 +1,6 @@
 // Starts, ends and stops of attempts.
 
+#include <algorithm>
 #include <utility>
 
 #include "azurepass/partition/internal/attempt_numbers.h"
@@ -25,6 +26,7 @@
     return;
   }
   if (commit_.unsettled() >= options_.unjournaled_bound) return;
+  if (options_.record_starts_first && commit_.stalled()) return;
   const std::optional<MonotonicTime> wake = cell_.NextWake();
   if (!place_ && !(wake && *wake <= now_)) return;
   const placement::DecideBudget budget;
@@ -62,7 +64,8 @@
   const LedgerJob& job = *live_.Find(start.task.job);
   const TaskSnapshot& task = job.tasks[start.task.index];
   const AttemptId id{start.task, internal::NextAttempt(epoch_, task.attempt)};
-  const bool record_first = !job.submitted.spec.repeatable ||
+  const bool record_first = options_.record_starts_first ||
+                            !job.submitted.spec.repeatable ||
                             internal::NeedsRecordFirst(epoch_, id.attempt);
   if (internal::JobTimes* times = jobs_.Find(id.task.job)) {
     times->waited[id.task.index] =
@@ -110,20 +113,57 @@
 }
 
 // The start may have become wrong while its record was on the way. It was never
-// ordered, so the task can wait again even when it must not be repeated.
-void Owner::Impl::OnStartCommitted(const TaskStarted& started) {
-  LiveAttempt* attempt = workers_.FindAttempt(started.attempt.task);
-  if (attempt == nullptr || attempt->id != started.attempt) return;
-  const Worker& worker = *workers_.Find(attempt->vm);
+// ordered, so the task can wait again even when it must not be repeated. The
+// tasks of an atomic gang are ordered together or not at all.
+void Owner::Impl::OrderRecorded() {
+  for (const AttemptId& id : std::exchange(recorded_, {})) {
+    LiveAttempt* attempt = workers_.FindAttempt(id.task);
+    if (attempt == nullptr || attempt->id != id ||
+        attempt->stage != AttemptStage::kHeld) {
+      continue;
+    }
+    const std::vector<TaskId> members = OtherMembers(id.task);
+    bool allowed = MayOrder(*attempt);
+    bool complete = true;
+    for (const TaskId& member : members) {
+      const LiveAttempt& other = *workers_.FindAttempt(member);
+      allowed = allowed && MayOrder(other);
+      complete = complete && !IsHeldBack(other);
+    }
+    // The record of another member is not appended yet; it comes here last.
+    if (allowed && !complete) continue;
+    for (const TaskId& member : members) OrderOrStop(member, allowed);
+    OrderOrStop(id.task, allowed);
+  }
+}
+
+// A held start whose record is not appended.
+bool Owner::Impl::IsHeldBack(const LiveAttempt& attempt) const {
+  return attempt.stage == AttemptStage::kHeld &&
+         std::any_of(held_.begin(), held_.end(), [&](const auto& held) {
+           return held.second == attempt.id.task;
+         });
+}
+
+bool Owner::Impl::MayOrder(const LiveAttempt& attempt) const {
+  const JobId& job = attempt.id.task.job;
+  const Worker& worker = *workers_.Find(attempt.vm);
   const bool reachable = internal::WorkerBook::AdmissionOf(worker) ==
                          placement::WorkerAdmission::kOpen;
-  const bool wanted = In<Owning>() && surroundings_.may_start &&
-                      ZoneInService(worker.spec.zone) &&
-                      !jobs_.Expired(started.attempt.task.job, now_);
-  if (reachable && wanted) {
+  const auto permits = permits_.find(job);
+  const bool permitted =
+      permits == permits_.end() || now_ < permits->second.valid_until;
+  return reachable && permitted && In<Owning>() && surroundings_.may_start &&
+         ZoneInService(worker.spec.zone) && !jobs_.Expired(job, now_);
+}
+
+void Owner::Impl::OrderOrStop(const TaskId& task, bool order) {
+  LiveAttempt* attempt = workers_.FindAttempt(task);
+  if (attempt == nullptr || attempt->stage != AttemptStage::kHeld) return;
+  if (order) {
     OrderStart(*attempt);
   } else {
-    StopUnsent(started.attempt.task, "not ordered: no longer allowed");
+    StopUnsent(task, "not ordered: no longer allowed");
   }
 }
 
--- a/azurepass/partition/owner_workflows.cc
+++ b/azurepass/partition/owner_workflows.cc
@@ -92,6 +92,7 @@
     Reply(token, *std::move(refusal));
     return;
   }
+  if (RefuseWhileStalled(token)) return;
   WorkflowSubmitted submitted{partition_, r.team, r.request, r.spec,
                               ToWall(now_)};
   const Sequence sequence = last_added_ = commit_.Add(submitted);
@@ -106,18 +107,20 @@
     return NotRun(RefusalCode::kShuttingDown, "The owner is shutting down.",
                   kConfigurationRetryAfter);
   }
-  if (request.revision > configuration.revision) {
+  // Revisions tell nothing as long as the owner finds what it needs: they are
+  // the store's, and grow without any change of the configuration.
+  auto queue = configuration.queues.find(request.spec.queue);
+  const bool known = queue != configuration.queues.end() &&
+                     (!queue->second.needs_key ||
+                      configuration.contracts.contains(request.team));
+  if (!known && request.revision > configuration.revision) {
     return NotRun(RefusalCode::kStaleConfiguration,
                   "The owner has not seen this configuration yet.",
                   kConfigurationRetryAfter);
   }
-  auto queue = configuration.queues.find(request.spec.queue);
-  if (queue == configuration.queues.end()) {
-    return NotRun(RefusalCode::kNotFound, "There is no such queue.");
-  }
-  const bool known = configuration.contracts.contains(request.team);
-  if (queue->second.needs_key && !known) {
-    return NotRun(RefusalCode::kNotFound, "The team has no contract.");
+  if (!known) {
+    return NotRun(RefusalCode::kNotFound,
+                  "There is no such queue, or the team has no contract.");
   }
   if (auto refusal = RefuseShape(request)) return refusal;
   const int64_t waiting =
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -453,6 +453,15 @@
   // How long a submission or cancellation waits for the store before it is
   // refused as not run, if it can be.
   Duration append_wait{5'000};
+  // Refuses submissions at once while the store fails, instead of waiting.
+  bool refuse_while_stalled = false;
+  // How long it waits for a write whose outcome is not known.
+  Duration unknown_wait{60'000};
+  // Every start is ordered after its record is appended, so that the journal
+  // names each worker on which a task may run. A new owner then need not wait
+  // for workers that do not answer, but for what the journal has running there;
+  // nothing is started while the store takes no records.
+  bool record_starts_first = false;
   // With so many records not yet appended nothing more is started.
   int64_t unjournaled_bound = 5'000;
   // What a worker should run but does not list is given this time to report
--- a/azurepass/placement/placement_bench.cc
+++ b/azurepass/placement/placement_bench.cc
@@ -85,9 +85,9 @@
   // Returns the number of starts.
   int64_t Decide() {
     now_ += std::chrono::microseconds(50);
-    const auto begin = std::chrono::steady_clock::now();
+    const auto begin = BootClock::now();
     const std::vector<Decision> decisions = cell_.Decide(now_, {});
-    times_.push_back(std::chrono::steady_clock::now() - begin);
+    times_.push_back(BootClock::now() - begin);
     int64_t starts = 0;
     for (const Decision& decision : decisions) {
       const auto* start = std::get_if<Start>(&decision);
@@ -136,7 +136,7 @@
   int64_t jobs_ = 0;
   int64_t waiting_ = 0;
   std::vector<TaskId> running_;
-  std::vector<std::chrono::steady_clock::duration> times_;
+  std::vector<BootClock::duration> times_;
 };
 
 void Report(benchmark::State& state, Load& load, int64_t starts) {
--- a/azurepass/routing/admission.cc
+++ b/azurepass/routing/admission.cc
@@ -12,7 +12,7 @@
 
 constexpr Duration kRetryAfter{1'000};
 
-MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+MonotonicTime Now() { return BootClock::now(); }
 
 Refusal Refuse(RefusalCode code, std::string message,
                std::optional<Duration> retry_after = std::nullopt) {
--- a/azurepass/routing/dispatcher.cc
+++ b/azurepass/routing/dispatcher.cc
@@ -17,7 +17,7 @@
 // Requests that waited for an owner are spread over this time when it comes.
 constexpr Duration kOwnerSpread{100};
 
-MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+MonotonicTime Now() { return BootClock::now(); }
 
 bool ShouldAskAgain(RefusalCode code) {
   return code == RefusalCode::kNotOwner || code == RefusalCode::kShuttingDown ||
@@ -100,7 +100,7 @@
               << " team=" << pending.team.value()
               << " partition=" << pending.partition.value();
     pending.waiting = internal::ForOwner{};
-    SetAlarm(pending, pending.deadline);
+    SetAlarm(pending, GiveUpAt(pending));
     return;
   }
   Send(pending, *claim);
@@ -110,7 +110,7 @@
   const MonotonicTime now = Now();
   const int64_t attempt = ++pending.attempts;
   pending.waiting = internal::ForAnswer{claim.member, claim.epoch};
-  SetAlarm(pending, pending.deadline);
+  SetAlarm(pending, GiveUpAt(pending));
   LogRoute(pending, claim, attempt == 1 ? "owner" : "retry");
   const Duration left = std::chrono::ceil<Duration>(pending.deadline - now);
   const Duration timeout = std::min(
@@ -204,7 +204,17 @@
 
 void Dispatcher::Impl::Wait(Pending& pending, MonotonicTime until) {
   pending.waiting = internal::ForBackoff{until};
-  SetAlarm(pending, std::min(until, pending.deadline));
+  SetAlarm(pending, std::min(until, GiveUpAt(pending)));
+}
+
+MonotonicTime Dispatcher::Impl::GiveUpAt(const Pending& pending) const {
+  if (!internal::IsSubmission(pending.request)) return pending.deadline;
+  const bool may_have_run =
+      pending.may_have_run ||
+      std::holds_alternative<internal::ForAnswer>(pending.waiting);
+  return std::min(pending.deadline,
+                  pending.since + (may_have_run ? options_.unknown_patience
+                                                : options_.submit_patience));
 }
 
 Duration Dispatcher::Impl::Jitter(Duration most) {
@@ -247,7 +257,7 @@
 // request.
 void Dispatcher::Impl::OnAlarm(Pending& pending) {
   const MonotonicTime now = Now();
-  if (now >= pending.deadline) {
+  if (now >= GiveUpAt(pending)) {
     const bool sent =
         std::holds_alternative<internal::ForAnswer>(pending.waiting);
     if (sent) pending.may_have_run = true;
--- a/azurepass/routing/dispatcher_test.cc
+++ b/azurepass/routing/dispatcher_test.cc
@@ -16,7 +16,7 @@
 constexpr char kSecret[] = "secret";
 constexpr Duration kLong{60'000};
 
-MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+MonotonicTime Now() { return BootClock::now(); }
 
 Options TestOptions() {
   Options options;
@@ -434,5 +434,30 @@
   CHECK_FALSE(status.partitions[0].answered);
 }
 
+TEST_CASE("a submission without an owner is refused while it can come back") {
+  Options options = TestOptions();
+  options.submit_patience = Duration(50);
+  Bench bench(options);
+  bench.Update(TestConfiguration());
+  bench.Own("", 1);
+  const MonotonicTime asked = BootClock::now();
+  const int64_t number = bench.Ask(Submit());
+  const Refusal refusal = bench.Refused(number);
+  CHECK(BootClock::now() - asked < kLong / 2);
+  CHECK(refusal.effect == Effect::kNotRun);
+  CHECK(refusal.retry_after.has_value());
+}
+
+TEST_CASE("a submission that may have run is given up after another time") {
+  Options options = TestOptions();
+  options.submit_patience = Duration(20);
+  options.unknown_patience = Duration(150);
+  auto bench = Bench::Ready(options);
+  const int64_t number = bench->Ask(Submit());
+  REQUIRE(bench->WaitForCalls(1));
+  const Refusal refusal = bench->Refused(number);
+  CHECK(refusal.effect == Effect::kUnknown);
+}
+
 }  // namespace
 }  // namespace azurepass::routing
--- a/azurepass/routing/internal/dispatcher_impl.h
+++ b/azurepass/routing/internal/dispatcher_impl.h
@@ -91,6 +91,8 @@
   void OnView(membership::View view);
   void OnHurry();
   const membership::Claim* OwnerOf(const PartitionId& partition) const;
+  // When the request is refused if it is not answered before.
+  MonotonicTime GiveUpAt(const Pending& pending) const;
   Duration Jitter(Duration most);
   void LogRoute(const Pending& pending, const membership::Claim& claim,
                 std::string_view reason) const;
--- a/azurepass/routing/internal/pending.h
+++ b/azurepass/routing/internal/pending.h
@@ -71,6 +71,8 @@
 // Gets and explains change nothing.
 bool IsRead(const partition::JobRequest& request);
 
+bool IsSubmission(const partition::JobRequest& request);
+
 // The request's own id or its job's, quoted for a log line.
 std::string SubjectOf(const partition::JobRequest& request);
 
--- a/azurepass/routing/pending.cc
+++ b/azurepass/routing/pending.cc
@@ -36,6 +36,11 @@
          std::holds_alternative<partition::CountWaiting>(request);
 }
 
+bool IsSubmission(const partition::JobRequest& request) {
+  return std::holds_alternative<partition::SubmitJob>(request) ||
+         std::holds_alternative<partition::SubmitWorkflow>(request);
+}
+
 std::string SubjectOf(const partition::JobRequest& request) {
   return std::visit(
       Visitor{
--- a/azurepass/routing/routing.h
+++ b/azurepass/routing/routing.h
@@ -82,7 +82,11 @@
   MemberId member;  // This process.
   std::vector<Partition> partitions;
   Duration attempt_timeout{3'000};  // Of one call, beyond what it is held.
-  Duration min_backoff{20};         // Doubles, jittered.
+  // A submission that no owner has got is refused after this time, so that the
+  // caller can come back in time; one that may have run, after the second.
+  Duration submit_patience{60'000};
+  Duration unknown_patience{60'000};
+  Duration min_backoff{20};  // Doubles, jittered.
   Duration max_backoff{1'000};
   Duration status_timeout{1'500};  // Of the calls behind a status.
   // Requests of a team without an answer; more are refused.
--- a/azurepass/scheduling/internal/partition_task.cc
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -16,7 +16,7 @@
 namespace azurepass::scheduling {
 namespace {
 
-using Clock = std::chrono::steady_clock;
+using Clock = BootClock;
 
 // Whoever asked should find the new owner soon.
 constexpr Duration kAskNewOwnerAfter{200};
--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -30,7 +30,7 @@
 namespace azurepass::scheduling {
 namespace {
 
-using Clock = std::chrono::steady_clock;
+using Clock = BootClock;
 
 constexpr Duration kRetryAfter{200};
 // A held claim is written at most this often, so that a store that refuses
--- a/azurepass/store/client.cc
+++ b/azurepass/store/client.cc
@@ -250,8 +250,7 @@
   // Calls that wait for their budget, in the order of their turn.
   struct Line {
     Line(task::Loop& loop, double rate)
-        : bucket(rate, std::max(1.0, rate * kBurstSeconds),
-                 std::chrono::steady_clock::now()),
+        : bucket(rate, std::max(1.0, rate * kBurstSeconds), BootClock::now()),
           timer(loop) {}
     std::deque<Call> calls;
     TokenBucket bucket;
@@ -286,7 +285,7 @@
       std::move(request));
   call.request.address = options_.address;
   call.request.timeout += options_.request_timeout;
-  call.give_up = std::chrono::steady_clock::now() + options_.request_timeout;
+  call.give_up = BootClock::now() + options_.request_timeout;
   Enqueue(std::move(call));
 }
 
@@ -304,7 +303,7 @@
 }
 
 void Client::Impl::Drain(Line& line) {
-  const MonotonicTime now = std::chrono::steady_clock::now();
+  const MonotonicTime now = BootClock::now();
   Expire(line, now);
   while (!line.calls.empty() && line.bucket.TryTake(now)) {
     Call call = std::move(line.calls.front());
--- a/azurepass/testing/fake_store.cc
+++ b/azurepass/testing/fake_store.cc
@@ -9,7 +9,7 @@
 namespace azurepass::testing {
 namespace {
 
-MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+MonotonicTime Now() { return BootClock::now(); }
 
 template <class Reply>
 void SendUnavailable(const task::Address<Reply>& to) {
--- a/azurepass/testing/standin/internal/store_task.cc
+++ b/azurepass/testing/standin/internal/store_task.cc
@@ -17,7 +17,7 @@
 constexpr int64_t kMaxLimit = 10'000;
 constexpr Duration kMaxHold{60'000};
 
-MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+MonotonicTime Now() { return BootClock::now(); }
 
 // A whole number of a query, or empty.
 std::optional<int64_t> Number(const std::string& text) {
--- a/azurepass/testing/standin/internal/vm_list_task.cc
+++ b/azurepass/testing/standin/internal/vm_list_task.cc
@@ -9,7 +9,7 @@
 namespace azurepass::testing::internal {
 namespace {
 
-MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+MonotonicTime Now() { return BootClock::now(); }
 
 std::optional<int64_t> Number(const std::string& text) {
   int64_t value = 0;
--- a/azurepass/testing/standin/internal/worker_task.cc
+++ b/azurepass/testing/standin/internal/worker_task.cc
@@ -10,7 +10,7 @@
 using endpoint::internal::FencedAnswer;
 using endpoint::internal::kDocumentLimits;
 
-MonotonicTime Now() { return std::chrono::steady_clock::now(); }
+MonotonicTime Now() { return BootClock::now(); }
 
 // Differs between two lives on one machine, which cannot begin at one moment.
 int64_t NewLife() {
--- a/azurepass/testing/standin/standin_worker_test.cc
+++ b/azurepass/testing/standin/standin_worker_test.cc
@@ -280,9 +280,8 @@
 void WaitUntil(MonotonicTime time) {
   task::Loop loop;
   task::Timer timer(loop);
-  timer.After(
-      std::chrono::ceil<Duration>(time - std::chrono::steady_clock::now()),
-      [&loop] { loop.Quit(); });
+  timer.After(std::chrono::ceil<Duration>(time - BootClock::now()),
+              [&loop] { loop.Quit(); });
   loop.Run();
 }
 
@@ -352,14 +351,13 @@
   owner.Next<SessionOpened>();
   owner.Order({Start(0)});
   CHECK(owner.NextEvents(1) == "0:started ");
-  owner.Send(endpoint::Authorize{std::chrono::steady_clock::now()});
+  owner.Send(endpoint::Authorize{BootClock::now()});
   owner.Order({Start(1)});
   // Only a later permission lets the client ask again.
-  WaitUntil(std::chrono::steady_clock::now() + QuickOptions().lease);
+  WaitUntil(BootClock::now() + QuickOptions().lease);
   CHECK(f.History()["attempts"][0]["outcome"] == "stopped");
   CHECK(f.Starts() == 1);
-  owner.Send(endpoint::Authorize{std::chrono::steady_clock::now() +
-                                 std::chrono::hours(1)});
+  owner.Send(endpoint::Authorize{BootClock::now() + std::chrono::hours(1)});
   // The start has waited longer than it is valid: it is never sent.
   CHECK(owner.NextEvents(1) == "0:stopped ");
   owner.Order({Start(2)});
--- a/azurepass/testing/system/cluster.cc
+++ b/azurepass/testing/system/cluster.cc
@@ -13,7 +13,7 @@
 namespace {
 
 using Json = nlohmann::json;
-using Clock = std::chrono::steady_clock;
+using Clock = BootClock;
 
 constexpr char kOperatorKey[] = "operators-key-of-the-test-cell";
 constexpr Duration kCallTimeout{30'000};
--- a/azurepass/testing/system/measure_cell.cc
+++ b/azurepass/testing/system/measure_cell.cc
@@ -13,7 +13,7 @@
 namespace {
 
 using Json = nlohmann::json;
-using Clock = std::chrono::steady_clock;
+using Clock = BootClock;
 
 constexpr Duration kPatience{60'000};
 constexpr Duration kStatusPoll{100};
--- a/azurepass/testing/system/measure_endpoint.cc
+++ b/azurepass/testing/system/measure_endpoint.cc
@@ -15,7 +15,7 @@
 namespace azurepass::testing {
 namespace {
 
-using Clock = std::chrono::steady_clock;
+using Clock = BootClock;
 
 constexpr Duration kSettle{6'000};
 constexpr Duration kSpan{16'000};  // Four times what an answer is held.
--- a/azurepass/testing/system/measure_load.cc
+++ b/azurepass/testing/system/measure_load.cc
@@ -12,7 +12,7 @@
 namespace {
 
 using Json = nlohmann::json;
-using Clock = std::chrono::steady_clock;
+using Clock = BootClock;
 
 constexpr std::chrono::seconds kSubmitSpan{6};
 constexpr int kRunTimeMs = 200;
--- a/azurepass/vmlist/poller.cc
+++ b/azurepass/vmlist/poller.cc
@@ -35,7 +35,7 @@
 void Poller::Impl::Poll() {
   const std::string target =
       "/v1/vms?after=" + std::to_string(latest_.generation);
-  const MonotonicTime asked = std::chrono::steady_clock::now();
+  const MonotonicTime asked = BootClock::now();
   http_.Send(
       {"GET", options_.address, target, "", options_.request_timeout},
       [this, asked](const http::Result& result) { Handle(result, asked); });
