Urgent work first by its objective, at the cost of work that keeps its progress

Urgent narrow jobs never made room by preemption, nor took their own team's allowance back from less urgent work: waits of 3.8 s with low-priority tasks at work. And callers ask for a state just as the last task ends, some 10 ms before its end was known here, and then come back 250 ms later.

Change: jobs start by the time until which they can still be on time (a queue's stretch, objective and declared run times), late ones after them, overdue ones last; three priorities; room and allowance for urgent narrow jobs from tasks that keep their progress; the first question for an urgent job's permits at once; a question after a workflow of which nothing waits is answered at its end when that comes within 250 ms.

Ruled out: giving up overdue jobs; they are accepted and have to end.

--- a/azurepass/codec/core_formats.cc
+++ b/azurepass/codec/core_formats.cc
@@ -11,7 +11,9 @@
 constexpr Duration kMaxDuration{int64_t{366} * 24 * 3'600 * 1'000};
 
 constexpr std::pair<std::string_view, Priority> kPriorities[] = {
-    {"normal", Priority::kNormal}, {"urgent", Priority::kUrgent}};
+    {"normal", Priority::kNormal},
+    {"urgent", Priority::kUrgent},
+    {"low", Priority::kLow}};
 
 enum class PolicyKind { kService, kBatch, kGang };
 constexpr std::pair<std::string_view, PolicyKind> kPolicies[] = {
--- a/azurepass/core/core.h
+++ b/azurepass/core/core.h
@@ -255,7 +255,8 @@
 };
 using Policy = std::variant<ServicePolicy, BatchPolicy, GangPolicy>;
 
-enum class Priority { kNormal, kUrgent };
+// Urgent work comes first, then normal, then low.
+enum class Priority { kNormal, kUrgent, kLow };
 
 // Where a job's tasks may run, beyond what their size and their team allow.
 struct Constraints {
--- a/azurepass/daemons/node.cc
+++ b/azurepass/daemons/node.cc
@@ -51,7 +51,7 @@
   // come back by themselves.
   constexpr Duration kAttemptTimeout{800};
   constexpr Duration kSubmitPatience{300};
-  constexpr Duration kUnknownPatience{1'200};
+  constexpr Duration kUnknownPatience{2'700};
   options.member = settings.process.member;
   options.seed = RandomNumber();
   options.attempt_timeout = kAttemptTimeout;
@@ -71,7 +71,9 @@
   constexpr Duration kReportGrace{100};
   // A submission waits for the store no longer than a caller would.
   constexpr Duration kAppendWait{300};
-  constexpr Duration kUnknownWait{700};
+  constexpr Duration kUnknownWait{2'500};
+  // The worker's answer, the append and the way back, some times over.
+  constexpr Duration kNearEndWait{250};
   scheduling::Options options;
   options.member = settings.process.member;
   options.cell = settings.cell;
@@ -86,6 +88,7 @@
   options.owner.refuse_while_stalled = true;
   options.owner.append_wait = kAppendWait;
   options.owner.unknown_wait = kUnknownWait;
+  options.owner.near_end_wait = kNearEndWait;
   options.owner.placement.first_backoff = kFirstBackoff;
   options.owner.placement.longest_backoff = kLongestBackoff;
   options.owner.placement.bound_retries = false;
--- /dev/null
+++ b/azurepass/partition/internal/objective.cc
@@ -0,0 +1,45 @@
+// See objective.h.
+
+#include "azurepass/partition/internal/objective.h"
+
+#include <algorithm>
+
+namespace azurepass::partition::internal {
+namespace {
+
+// A result is late up to so many times the objective (the users' rules).
+constexpr int kLateFactor = 3;
+// Kept back of the objective, for the way to the worker and back.
+constexpr Duration kOnTheWay{100};
+
+}  // namespace
+
+std::vector<Duration> ChainsOf(const WorkflowSpec& spec) {
+  // Steps wait for earlier ones only, so that one pass from the end does.
+  std::vector<Duration> chains(spec.steps.size(), Duration(0));
+  for (auto s = std::ssize(spec.steps) - 1; s >= 0; --s) {
+    chains[s] += spec.steps[s].job.declared_run_time;
+    for (const int32_t before : spec.steps[s].after) {
+      chains[before] = std::max(chains[before], chains[s]);
+    }
+  }
+  return chains;
+}
+
+std::optional<placement::StartBy> StartByOf(const WorkflowSpec& spec,
+                                            const QueueRecord& queue,
+                                            int32_t step,
+                                            MonotonicTime origin) {
+  if (spec.steps[step].job.perpetual) return std::nullopt;
+  const std::vector<Duration> chains = ChainsOf(spec);
+  const Duration chain = *std::max_element(chains.begin(), chains.end());
+  const Duration objective =
+      queue.objective +
+      Duration(static_cast<int64_t>(queue.stretch *
+                                    static_cast<double>(chain.count())));
+  const Duration left = chains[step] + kOnTheWay;
+  return placement::StartBy{origin + objective - left,
+                            origin + kLateFactor * objective - left};
+}
+
+}  // namespace azurepass::partition::internal
--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -112,6 +112,7 @@
   bool ZoneInService(const ZoneId& zone) const;
   void Emit(Action action) { actions_.push_back(std::move(action)); }
   WallTime ToWall(MonotonicTime at) const;
+  MonotonicTime ToMonotonic(WallTime at) const;
 
   // --- owner_journal.cc
   void On(JournalLoaded event);
@@ -213,6 +214,8 @@
                                           const TeamId& team,
                                           const RequestId& request);
   WorkflowView ViewWorkflow(const RequestId& request) const;
+  bool IsNearEnd(const internal::LedgerWorkflow& workflow) const;
+  void AnswerEnded(const RequestId& request);
   void OnWorkflowSubmitted(const RequestId& request);
   // Gives the cell the steps whose turn it is.
   void ReleaseSteps(const RequestId& request);
@@ -221,6 +224,7 @@
   MonotonicTime DueOf(const internal::LedgerWorkflow& workflow,
                       int32_t occurrence) const;
   void ReleaseDueSteps();
+  std::optional<placement::StartBy> StartByOf(const JobId& job) const;
   void ReleaseJob(const JobId& job);
   // What follows for the workflow when one of its tasks has ended for good.
   void OnStepTaskEnded(const JobId& job, TaskState state);
--- a/azurepass/partition/internal/request_table.cc
+++ b/azurepass/partition/internal/request_table.cc
@@ -15,6 +15,9 @@
   if (const auto* held = std::get_if<UntilChanged>(&request.waits_for)) {
     by_job_[held->job].insert(token);
   }
+  if (const auto* held = std::get_if<UntilEnded>(&request.waits_for)) {
+    by_workflow_[held->request].insert(token);
+  }
   due_.insert({due, token});
   requests_.insert_or_assign(token, Entry{std::move(request), due});
 }
@@ -39,6 +42,11 @@
     tokens->second.erase(token);
     if (tokens->second.empty()) by_job_.erase(tokens);
   }
+  if (const auto* held = std::get_if<UntilEnded>(&request.waits_for)) {
+    auto tokens = by_workflow_.find(held->request);
+    tokens->second.erase(token);
+    if (tokens->second.empty()) by_workflow_.erase(tokens);
+  }
   return request;
 }
 
@@ -67,6 +75,13 @@
   return {found->second.begin(), found->second.end()};
 }
 
+std::vector<RequestToken> RequestTable::WaitingForWorkflow(
+    const RequestId& request) const {
+  auto found = by_workflow_.find(request);
+  if (found == by_workflow_.end()) return {};
+  return {found->second.begin(), found->second.end()};
+}
+
 std::vector<RequestToken> RequestTable::All() const {
   std::vector<RequestToken> tokens;
   tokens.reserve(requests_.size());
--- a/azurepass/partition/internal/request_table.h
+++ b/azurepass/partition/internal/request_table.h
@@ -35,7 +35,12 @@
   JobId job;
   int64_t known = 0;
 };
-using WaitsFor = std::variant<UntilOwning, UntilAppended, UntilChanged>;
+// Waits for the end of a workflow, which is near.
+struct UntilEnded {
+  RequestId request;
+};
+using WaitsFor =
+    std::variant<UntilOwning, UntilAppended, UntilChanged, UntilEnded>;
 
 struct WaitingRequest {
   WaitsFor waits_for;
@@ -65,6 +70,8 @@
 
   // Tokens that wait for a change of the job.
   std::vector<RequestToken> WaitingForJob(const JobId& job) const;
+  // Tokens that wait for the end of the workflow.
+  std::vector<RequestToken> WaitingForWorkflow(const RequestId& request) const;
   std::vector<RequestToken> All() const;
   std::vector<RequestToken> WaitingForOwning() const;
   int64_t size() const { return std::ssize(requests_); }
@@ -93,6 +100,7 @@
   std::map<RequestToken, Entry> requests_;
   std::set<std::pair<MonotonicTime, RequestToken>> due_;  // Of all requests_.
   std::map<JobId, std::set<RequestToken>> by_job_;        // UntilChanged.
+  std::map<RequestId, std::set<RequestToken>> by_workflow_;  // UntilEnded.
   std::map<Sequence, PendingRecord> records_;
   std::map<std::pair<TeamId, RequestId>, Sequence> submissions_;
   std::map<JobId, Sequence> cancellations_;
--- a/azurepass/partition/owner.cc
+++ b/azurepass/partition/owner.cc
@@ -147,6 +147,10 @@
             std::get_if<internal::UntilChanged>(&waiting->waits_for)) {
       Reply(token, View(held->job));
     }
+    if (const auto* held =
+            std::get_if<internal::UntilEnded>(&waiting->waits_for)) {
+      Reply(token, ViewWorkflow(held->request));
+    }
   }
   for (const auto& [vm, worker] : workers_.workers()) {
     if (worker.configured) Emit(CloseSession{vm});
@@ -315,6 +319,11 @@
          std::chrono::duration_cast<WallTime::duration>(at - claimed_);
 }
 
+MonotonicTime Owner::Impl::ToMonotonic(WallTime at) const {
+  return claimed_ + std::chrono::duration_cast<MonotonicTime::duration>(
+                        at - claimed_wall_);
+}
+
 bool Owner::Impl::owns() const { return In<Owning>() || In<Releasing>(); }
 
 Status Owner::Impl::status() const {
--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -44,21 +44,14 @@
           {&worker.spec, worker.spec.capacity - cell_.CommittedOn(vm)});
     }
   }
-  std::vector<std::tuple<Priority, MonotonicTime, JobId>> order;
+  std::vector<std::pair<placement::WaitingRank, JobId>> order;
   for (const auto& [id, permits] : permits_) {
     const LedgerJob* job = live_.Find(id);
-    const internal::JobTimes* times = jobs_.Find(id);
-    if (job == nullptr || times == nullptr || job->queued == 0) continue;
-    order.emplace_back(job->submitted.spec.priority, times->accepted, id);
+    if (job == nullptr || job->queued == 0) continue;
+    order.emplace_back(cell_.RankOf(id), id);
   }
-  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
-    const auto rank = [](const auto& item) {
-      return std::tuple(std::get<0>(item) != Priority::kUrgent,
-                        std::get<1>(item), std::get<2>(item));
-    };
-    return rank(a) < rank(b);
-  });
-  for (const auto& [priority, accepted, id] : order) TakeTurn(id, room);
+  std::sort(order.begin(), order.end());
+  for (const auto& [rank, id] : order) TakeTurn(id, room);
 }
 
 // Takes room for the job, and asks if it has no valid permits.
@@ -93,7 +86,11 @@
   }
   const bool may_ask = !permits.asking && permits.ask_again <= now_ &&
                        permits.valid_until <= now_;
-  if (may_ask && !with_room.empty()) Ask(id, permits, std::move(with_room));
+  // An urgent job's first question is about all workers, and need not wait.
+  const bool first = !permits.asked && spec.priority == Priority::kUrgent;
+  if (may_ask && (first || !with_room.empty())) {
+    Ask(id, permits, std::move(with_room));
+  }
 }
 
 bool Owner::Impl::MayEverRun(const JobSpec& spec,
--- a/azurepass/partition/owner_requests.cc
+++ b/azurepass/partition/owner_requests.cc
@@ -254,6 +254,9 @@
                          } else {
                            Reply(token, View(w.job));
                          }
+                       },
+                       [&](const internal::UntilEnded& w) {
+                         Reply(token, ViewWorkflow(w.request));
                        }},
                waiting.waits_for);
   }
@@ -323,6 +326,9 @@
         Reply(token, View(job));
       }
     }
+    if (const std::optional<StepId> step = StepOf(job)) {
+      AnswerEnded(step->request);
+    }
   }
 }
 
--- a/azurepass/partition/owner_workflows.cc
+++ b/azurepass/partition/owner_workflows.cc
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "azurepass/partition/internal/objective.h"
 #include "azurepass/partition/internal/owner_impl.h"
 
 namespace azurepass::partition {
@@ -152,10 +153,45 @@
   return found;
 }
 
+// Callers often ask just when the last task has ended, before its worker has
+// told us and the end is appended. They learn of the end at once when the
+// question waits for it.
 void Owner::Impl::DispatchTo(RequestToken token, const GetWorkflow& r,
-                             MonotonicTime /*deadline*/) {
-  if (FindFor(token, r.team, r.request) == nullptr) return;
-  Reply(token, ViewWorkflow(r.request));
+                             MonotonicTime deadline) {
+  const LedgerWorkflow* workflow = FindFor(token, r.team, r.request);
+  if (workflow == nullptr) return;
+  const bool waits = options_.near_end_wait > Duration(0) && !In<Releasing>() &&
+                     IsNearEnd(*workflow);
+  if (!waits) {
+    Reply(token, ViewWorkflow(r.request));
+    return;
+  }
+  requests_.Add(token, {internal::UntilEnded{r.request}, deadline},
+                std::min(deadline, now_ + options_.near_end_wait));
+}
+
+// True when all that is left is running, or ended and not yet appended.
+bool Owner::Impl::IsNearEnd(const LedgerWorkflow& workflow) const {
+  if (!workflow.started || workflow.cancelled || workflow.failed ||
+      internal::IsFinal(ViewWorkflow(workflow.submitted.request).state)) {
+    return false;
+  }
+  return std::all_of(
+      workflow.jobs.begin(), workflow.jobs.end(), [&](const JobId& id) {
+        const LedgerJob* job = live_.Find(id);
+        const JobTimes* times = jobs_.Find(id);
+        return job != nullptr && times != nullptr && times->released &&
+               job->queued == 0 && !job->submitted.spec.perpetual;
+      });
+}
+
+void Owner::Impl::AnswerEnded(const RequestId& request) {
+  const std::vector<RequestToken> tokens =
+      requests_.WaitingForWorkflow(request);
+  if (tokens.empty()) return;
+  const WorkflowView view = ViewWorkflow(request);
+  if (!internal::IsFinal(view.state)) return;
+  for (const RequestToken token : tokens) Reply(token, view);
 }
 
 void Owner::Impl::DispatchTo(RequestToken token, const CancelWorkflow& r,
@@ -229,9 +265,7 @@
                                  int32_t occurrence) const {
   const WorkflowSpec& spec = workflow.submitted.spec;
   if (!spec.first) return now_;
-  const WallTime due = *spec.first + occurrence * spec.interval;
-  return claimed_ + std::chrono::duration_cast<MonotonicTime::duration>(
-                        due - claimed_wall_);
+  return ToMonotonic(*spec.first + occurrence * spec.interval);
 }
 
 bool Owner::Impl::IsTurnOf(const LedgerWorkflow& workflow,
@@ -281,11 +315,27 @@
   if (times == nullptr || job == nullptr || times->released) return;
   times->released = true;
   times->accepted = now_;
-  cell_.AddJob(id, job->submitted.team, job->submitted.spec, now_);
+  cell_.AddJob(id, job->submitted.team, job->submitted.spec, now_,
+               StartByOf(id));
   if (job->submitted.spec.constraints.needs_permit) permits_[id];
   place_ = true;
 }
 
+std::optional<placement::StartBy> Owner::Impl::StartByOf(
+    const JobId& id) const {
+  const std::optional<StepId> step = StepOf(id);
+  const LedgerWorkflow* workflow = live_.WorkflowOf(id);
+  if (!step || workflow == nullptr) return std::nullopt;
+  const WorkflowSubmitted& submitted = workflow->submitted;
+  const auto& queues = surroundings_.configuration->queues;
+  const auto queue = queues.find(submitted.spec.queue);
+  if (queue == queues.end()) return std::nullopt;
+  const MonotonicTime origin = submitted.spec.first
+                                   ? DueOf(*workflow, step->occurrence)
+                                   : ToMonotonic(submitted.accepted);
+  return internal::StartByOf(submitted.spec, queue->second, step->step, origin);
+}
+
 void Owner::Impl::NoteStarted(const JobId& job) {
   const LedgerWorkflow* workflow = live_.WorkflowOf(job);
   if (workflow == nullptr) return;
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -453,6 +453,9 @@
   // How long a submission or cancellation waits for the store before it is
   // refused as not run, if it can be.
   Duration append_wait{5'000};
+  // A question after a workflow of which nothing waits any more is answered at
+  // its end, if that comes within this time.
+  Duration near_end_wait{0};
   // Refuses submissions at once while the store fails, instead of waiting.
   bool refuse_while_stalled = false;
   // How long it waits for a write whose outcome is not known.
--- a/azurepass/partition/testing/driver.h
+++ b/azurepass/partition/testing/driver.h
@@ -131,8 +131,7 @@
     Do(AppendUnavailable{epoch_, number});
   }
   void Submit(int64_t token, const WorkflowSpec& spec,
-              const TeamId& team = kTeam,
-              const RequestId& request = kRequest) {
+              const TeamId& team = kTeam, const RequestId& request = kRequest) {
     Do(RequestReceived{RequestToken{token},
                        SubmitWorkflow{kPartition, team, request, spec, {}},
                        now + seconds(10)});
--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -2,6 +2,7 @@
 // reports to the state, and hands decisions to the decider.
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "azurepass/placement/internal/cell_state.h"
@@ -190,6 +191,7 @@
   SeeTime(now);
   state_.fleet.Advance(state_.now, state_.options.zone_ramp);
   state_.EndDelays(state_.now);
+  state_.EndTiers(state_.now);
   internal::Decider decider(state_, budget);
   std::vector<Decision> decisions = decider.Run();
   has_more_ = decider.has_more();
@@ -205,7 +207,7 @@
   add(state_.NextDelay());
   add(state_.fleet.NextChange());
   for (const internal::Reservation& held : state_.reservations.all()) {
-    add(held.due + internal::Reservations::kReplanAfter);
+    add(held.ends);
   }
   if (!state_.checkpoints.empty()) {
     add(state_.checkpoints.front().since + state_.options.checkpoint_grace);
@@ -256,10 +258,10 @@
 }
 
 void Cell::AddJob(const JobId& job, const TeamId& team, const JobSpec& spec,
-                  MonotonicTime accepted) {
+                  MonotonicTime accepted, std::optional<StartBy> start_by) {
   internal::CellState& state = impl_->state();
   if (state.FindJob(job) != kNone) return;
-  state.AddJob(job, state.teams.Intern(team), spec, accepted);
+  state.AddJob(job, state.teams.Intern(team), spec, accepted, start_by);
 }
 
 void Cell::CancelTask(const TaskId& task) {
@@ -327,6 +329,17 @@
                             state.jobs[job].tasks[id.index]);
 }
 
+WaitingRank Cell::RankOf(const JobId& id) const {
+  const internal::CellState& state = impl_->state();
+  const Index index = state.FindJob(id);
+  if (index == kNone) {
+    return {std::numeric_limits<int>::max(),
+            std::numeric_limits<int64_t>::max()};
+  }
+  const Job& job = state.jobs[index];
+  return {internal::RankOf(job.priority()), job.order()};
+}
+
 CellStatus Cell::Status() const {
   const internal::CellState& state = impl_->state();
   CellStatus status;
--- a/azurepass/placement/internal/cell_state.cc
+++ b/azurepass/placement/internal/cell_state.cc
@@ -26,7 +26,8 @@
 }
 
 Index CellState::AddJob(const JobId& id, Index team, const JobSpec& spec,
-                        MonotonicTime accepted) {
+                        MonotonicTime accepted,
+                        std::optional<StartBy> start_by) {
   Index index = kNone;
   if (free_jobs_.empty()) {
     index = static_cast<Index>(jobs.size());
@@ -41,6 +42,8 @@
   job.spec = spec;
   job.number = ++last_number_;
   job.accepted = accepted;
+  job.start_by = start_by;
+  if (start_by) tier_ends_.push({start_by->on_time, index, job.number});
   job.tasks.resize(spec.tasks);
   job.waiting = spec.tasks;
   teams[team].waiting += spec.tasks;
@@ -220,11 +223,27 @@
   return delays_.top().at;
 }
 
+void CellState::EndTiers(MonotonicTime at) {
+  while (!tier_ends_.empty() && tier_ends_.top().at <= at) {
+    const TierEnd end = tier_ends_.top();
+    tier_ends_.pop();
+    Job& job = jobs[end.job];
+    if (job.number != end.job_number || job.tier == Tier::kOverdue) continue;
+    Dequeue(end.job);
+    job.tier = job.tier == Tier::kOnTime ? Tier::kLate : Tier::kOverdue;
+    if (job.tier == Tier::kOverdue) DropReservation(end.job);
+    UpdateQueue(end.job);
+    if (job.tier == Tier::kLate) {
+      tier_ends_.push({job.start_by->late, end.job, job.number});
+    }
+  }
+}
+
 // ---------------------------------------------------------------------------
 // Queues
 
 Index CellState::LaneFor(const Job& job) {
-  const LaneKey key{.priority = job.spec.priority,
+  const LaneKey key{.priority = job.priority(),
                     .size = job.spec.task,
                     .policy = job.spec.policy.index(),
                     .gang = job.is_gang() ? job.number : 0,
@@ -270,7 +289,7 @@
   Lane& lane = lanes[lane_index];
   std::optional<int64_t> first;
   if (!lane.jobs.empty()) first = lane.jobs.begin()->first;
-  lane.jobs.emplace(job.number, index);
+  lane.jobs.emplace(job.order(), index);
   job.lane = lane_index;
   Resort(lane_index, first);
 }
@@ -281,7 +300,7 @@
   const Index lane_index = std::exchange(job.lane, kNone);
   Lane& lane = lanes[lane_index];
   const int64_t first = lane.jobs.begin()->first;
-  lane.jobs.erase({job.number, index});
+  lane.jobs.erase({job.order(), index});
   Resort(lane_index, first);
 }
 
--- a/azurepass/placement/internal/cell_state.h
+++ b/azurepass/placement/internal/cell_state.h
@@ -48,7 +48,7 @@
 
   // --- Jobs.
   Index AddJob(const JobId& id, Index team, const JobSpec& spec,
-               MonotonicTime accepted);
+               MonotonicTime accepted, std::optional<StartBy> start_by);
   void RemoveJob(Index job);
   Index FindJob(const JobId& id) const;
   // Returns nullptr when there is no such task.
@@ -67,6 +67,8 @@
   // Lets delayed tasks wait again whose time has come.
   void EndDelays(MonotonicTime now);
   std::optional<MonotonicTime> NextDelay() const;
+  // Moves jobs back whose time to start was missed.
+  void EndTiers(MonotonicTime now);
 
   // --- Queues.
   // Puts the job into its team's queue, or takes it out, as it can start.
@@ -118,6 +120,14 @@
   std::priority_queue<internal::Delay, std::vector<internal::Delay>,
                       std::greater<>>
       delays_;
+  // The ends of jobs' tiers; stale when the job's number differs.
+  struct TierEnd {
+    MonotonicTime at;
+    Index job = kNone;
+    int64_t job_number = 0;
+    bool operator>(const TierEnd& other) const { return at > other.at; }
+  };
+  std::priority_queue<TierEnd, std::vector<TierEnd>, std::greater<>> tier_ends_;
 };
 
 }  // namespace azurepass::placement::internal
--- a/azurepass/placement/internal/decider.cc
+++ b/azurepass/placement/internal/decider.cc
@@ -40,7 +40,9 @@
   ReviewReservations();
   RunPriority(Priority::kUrgent);
   if (!has_more_) MakeRoomForUrgent();
+  if (!has_more_) MakeAllowanceForUrgent();
   if (!has_more_) RunPriority(Priority::kNormal);
+  if (!has_more_) RunPriority(Priority::kLow);
   PlanReservations();
   return std::move(decisions_);
 }
@@ -169,7 +171,10 @@
     lane.blocked_since = state_.now;
     lane.blocked_pass = state_.passes;
   }
-  if (lane.key.narrow != 0) return;
+  if (lane.key.narrow != 0) {
+    if (lane.key.priority == Priority::kUrgent) stuck_urgent_.push_back(index);
+    return;
+  }
   if (WasPassedOver(lane) &&
       state_.now - *lane.blocked_since >= state_.options.reservation_after) {
     starving_.push_back(index);
@@ -271,6 +276,10 @@
   Lane& lane = state_.lanes[index];
   lane.reason = reason;
   lane.stuck_pass = state_.passes;
+  if (reason == WaitReason::kAllowance && lane.key.narrow != 0 &&
+      lane.key.priority == Priority::kUrgent) {
+    over_allowance_.push_back(index);
+  }
   if (HoldsUp(reason)) {
     NoteBlocked(index);
   } else {
@@ -391,16 +400,36 @@
     for (const auto& [number, index] : state_.lanes[stuck].jobs) {
       const Job& job = state_.jobs[index];
       const Reservation* held = state_.reservations.Find(index);
-      auto wanted = static_cast<int64_t>(job.waiting);
+      auto wanted = static_cast<int64_t>(
+          TimesFits(job.spec.task,
+                    state_.teams[job.team].terms.allowance -
+                        state_.teams[job.team].committed,
+                    job.waiting));
       if (held != nullptr) wanted -= static_cast<int64_t>(held->workers.size());
       for (; wanted > 0; --wanted) {
         if (++rooms > kRoomsPerCall) return;
-        if (!preemption_.MakeRoom(index, decisions_)) return;
+        if (preemption_.MakeRoom(index, decisions_)) continue;
+        // What a narrow job does not find says nothing about others.
+        if (job.is_narrow()) break;
+        return;
       }
     }
   }
 }
 
+// A team at its limit by its own less urgent work gives up some of that.
+void Decider::MakeAllowanceForUrgent() {
+  absl::flat_hash_map<Index, Resources> wanted;  // By team.
+  for (Index index : over_allowance_) {
+    const Lane& lane = state_.lanes[index];
+    if (lane.jobs.empty()) continue;
+    const Job& job = state_.jobs[lane.jobs.begin()->second];
+    if (job.tier != Tier::kOnTime) continue;
+    wanted[job.team] += job.spec.task * job.waiting;
+    preemption_.MakeAllowance(job, wanted[job.team], decisions_);
+  }
+}
+
 // Drops reservations that can no longer be kept or are long overdue.
 void Decider::ReviewReservations() {
   std::vector<Index> void_ones;
@@ -411,7 +440,7 @@
           return state_.fleet.IsOpen(worker) &&
                  state_.fleet.zone(worker.zone).in_service;
         });
-    if (!usable || state_.now >= held.due + Reservations::kReplanAfter) {
+    if (!usable || state_.now >= held.ends) {
       void_ones.push_back(held.job);
     }
   }
--- a/azurepass/placement/internal/decider.h
+++ b/azurepass/placement/internal/decider.h
@@ -32,7 +32,7 @@
         steps_(budget.candidates),
         search_(state.fleet, state.reservations, state.run_times),
         narrow_(state.fleet, search_),
-        preemption_(state) {}
+        preemption_(state, narrow_) {}
 
   std::vector<Decision> Run();
 
@@ -71,6 +71,7 @@
   void Start(Index job, const Place& place, const Found& found);
   int64_t Record(const Job& job, const Found& found, Index chosen);
   void MakeRoomForUrgent();
+  void MakeAllowanceForUrgent();
   void ReviewReservations();
   void PlanReservations();
   bool Plan(Index lane);
@@ -83,6 +84,7 @@
   Preemption preemption_;
   std::vector<Decision> decisions_;
   std::vector<Index> stuck_urgent_;     // Lanes without room.
+  std::vector<Index> over_allowance_;   // Urgent lanes, of their team's.
   std::vector<Index> starving_;         // Lanes that are due for a reservation.
   GrowthLog::Position pass_begin_ = 0;  // End of the growth log at its begin.
   bool full_pass_ = false;              // This pass looks at all lanes.
--- a/azurepass/placement/internal/job.h
+++ b/azurepass/placement/internal/job.h
@@ -45,6 +45,22 @@
   MonotonicTime since;    // Start; end of the delay; order to leave.
 };
 
+// What a start is still good for; see StartBy.
+enum class Tier : uint8_t { kOnTime, kLate, kOverdue };
+
+// The place of a priority among the others.
+inline int RankOf(Priority priority) {
+  switch (priority) {
+    case Priority::kUrgent:
+      return 0;
+    case Priority::kNormal:
+      return 1;
+    case Priority::kLow:
+      return 2;
+  }
+  return 2;
+}
+
 struct LatestStart {
   int32_t task = 0;
   Index worker = kNone;
@@ -70,6 +86,8 @@
   JobSpec spec;
   int64_t number = 0;  // Grows with each job accepted; never used twice.
   MonotonicTime accepted;
+  std::optional<StartBy> start_by;
+  Tier tier = Tier::kOnTime;
   std::vector<Task> tasks;
   int32_t next_fresh = 0;
   std::vector<int32_t> again;  // Tasks that wait after having been started.
@@ -116,7 +134,22 @@
     if (spec.scavenger) room[Dimension::kMillicores] = 0;
     return room;
   }
-  bool is_urgent() const { return spec.priority == Priority::kUrgent; }
+  // As it counts now: what is overdue holds nobody up.
+  Priority priority() const {
+    return tier == Tier::kOverdue ? Priority::kLow : spec.priority;
+  }
+  bool is_urgent() const { return priority() == Priority::kUrgent; }
+  // Where it waits among the jobs of its team and priority.
+  int64_t order() const {
+    if (!start_by) return number;
+    const MonotonicTime by =
+        tier == Tier::kOnTime ? start_by->on_time : start_by->late;
+    constexpr int64_t kTierSpan = int64_t{1} << 56;  // Microseconds.
+    return (static_cast<int64_t>(tier) + 1) * kTierSpan +
+           std::chrono::duration_cast<std::chrono::microseconds>(
+               by.time_since_epoch())
+               .count();
+  }
   bool is_expired(MonotonicTime now) const {
     return spec.deadline.has_value() && now >= accepted + *spec.deadline;
   }
--- a/azurepass/placement/internal/narrow_search.cc
+++ b/azurepass/placement/internal/narrow_search.cc
@@ -78,6 +78,26 @@
   return candidates;
 }
 
+std::vector<Index> NarrowSearch::Eligible(const Job& job, const Team& team,
+                                          MonotonicTime now) const {
+  std::vector<Index> eligible;
+  const int32_t bound = job.spec.constraints.max_per_worker;
+  const auto look = [&](Index index) {
+    const bool bounded = bound > 0 && CountIn(job.on_workers, index) >= bound;
+    if (!bounded && MayTake(job, fleet_.worker(index), team)) {
+      eligible.push_back(index);
+    }
+  };
+  if (job.spec.constraints.needs_permit) {
+    if (now >= job.permitted_until) return eligible;
+    for (Index index : job.permitted) look(index);
+  } else {
+    const auto workers = static_cast<Index>(fleet_.workers().size());
+    for (Index index = 0; index < workers; ++index) look(index);
+  }
+  return eligible;
+}
+
 void NarrowSearch::PlaceGang(const Fleet& fleet, const Job& job,
                              std::vector<Candidate> candidates, Found& found) {
   std::sort(
--- a/azurepass/placement/internal/narrow_search.h
+++ b/azurepass/placement/internal/narrow_search.h
@@ -31,6 +31,10 @@
   Found Find(const Job& job, Index job_index, const Team& team,
              MonotonicTime now, int64_t& steps) const;
 
+  // The workers that may take tasks of the job, whether they have room or not.
+  std::vector<Index> Eligible(const Job& job, const Team& team,
+                              MonotonicTime now) const;
+
  private:
   // Lower is better, from left to right.
   using Cost = std::tuple<int32_t, int32_t, int32_t, double, Index>;
--- a/azurepass/placement/internal/preemption.cc
+++ b/azurepass/placement/internal/preemption.cc
@@ -11,8 +11,13 @@
 // Running tasks of a team looked at to make room for one urgent task.
 constexpr size_t kVictimsLookedAt = 64;
 
+// A narrow job's room is kept for so long: tasks that keep their progress leave
+// at once, and its permits lapse.
+constexpr Duration kNarrowExpected{1'500};
+
 constexpr char kAllowanceLowered[] = "allowance_lowered";
 constexpr char kRoomForUrgent[] = "room_for_urgent";
+constexpr char kAllowanceForUrgent[] = "allowance_for_urgent";
 constexpr char kCheckpointTooSlow[] = "checkpoint_too_slow";
 
 }  // namespace
@@ -190,19 +195,96 @@
   return best;
 }
 
+void Preemption::Evict(Index job_index, const Eviction& eviction,
+                       Duration expected, Duration overdue,
+                       std::vector<Decision>& decisions) {
+  state_.reservations.Add(
+      state_.fleet, state_.jobs[job_index], job_index,
+      {{.at = state_.now + expected, .worker = eviction.worker}}, overdue);
+  for (const TaskRef& ref : eviction.victims) {
+    PreemptTask(ref, kRoomForUrgent, decisions);
+  }
+}
+
+bool Preemption::IsCheapFor(const Job& job, TaskRef ref) const {
+  const Job& other = state_.jobs[ref.job];
+  return RankOf(other.priority()) > RankOf(job.priority()) &&
+         std::holds_alternative<BatchPolicy>(other.spec.policy) &&
+         other.spec.repeatable && other.spec.checkpoints &&
+         other.tasks[ref.task].phase == TaskPhase::kCommitted;
+}
+
+void Preemption::MakeAllowance(const Job& job, const Resources& wanted,
+                               std::vector<Decision>& decisions) {
+  const Team& team = state_.teams[job.team];
+  const auto fits = [&] {
+    return (team.committed - team.preempting + wanted)
+        .FitsIn(team.terms.allowance);
+  };
+  // The latest to start first; PreemptTask leaves the list as it is.
+  for (size_t i = team.running.size(); i-- > 0 && !fits();) {
+    if (!IsCheapFor(job, team.running[i])) continue;
+    PreemptTask(team.running[i], kAllowanceForUrgent, decisions);
+  }
+}
+
+// The fewest tasks of lower priority that make room, the largest first.
+std::optional<Preemption::Eviction> Preemption::CheapestOn(
+    Index index, const Job& job) const {
+  const Worker& worker = state_.fleet.worker(index);
+  const auto size = [&](TaskRef ref) {
+    return state_.jobs[ref.job].room()[Dimension::kMillicores];
+  };
+  std::vector<TaskRef> victims;
+  Resources room = worker.free;
+  for (const TaskRef& ref : worker.tasks) {
+    const Job& other = state_.jobs[ref.job];
+    // What is on its way out makes room for whoever comes.
+    const TaskPhase phase = other.tasks[ref.task].phase;
+    if (phase == TaskPhase::kPreempting) room += other.room();
+    if (!other.spec.scavenger && IsCheapFor(job, ref)) victims.push_back(ref);
+  }
+  std::stable_sort(victims.begin(), victims.end(),
+                   [&](TaskRef a, TaskRef b) { return size(a) > size(b); });
+  Eviction eviction{.worker = index, .victims = {}};
+  for (const TaskRef& ref : victims) {
+    if (job.room().FitsIn(room)) break;
+    room += state_.jobs[ref.job].room();
+    eviction.victims.push_back(ref);
+  }
+  if (!job.room().FitsIn(room)) return std::nullopt;
+  return eviction;
+}
+
+bool Preemption::MakeNarrowRoom(Index job_index,
+                                std::vector<Decision>& decisions) {
+  const Job& job = state_.jobs[job_index];
+  std::optional<Eviction> best;
+  for (const Index index :
+       narrow_.Eligible(job, state_.teams[job.team], state_.now)) {
+    if (state_.fleet.worker(index).reserved_by != kNone) continue;
+    std::optional<Eviction> eviction = CheapestOn(index, job);
+    if (!eviction) continue;
+    if (!best || eviction->victims.size() < best->victims.size()) {
+      best = std::move(eviction);
+    }
+    if (best->victims.empty()) break;
+  }
+  if (!best) return false;
+  Evict(job_index, *best, kNarrowExpected, Duration(0), decisions);
+  return true;
+}
+
 bool Preemption::MakeRoom(Index job_index, std::vector<Decision>& decisions) {
   Job& job = state_.jobs[job_index];
   const bool full = state_.reservations.IsFull(/*urgent=*/true);
   if (job.is_gang() || (!job.reserved && full)) return false;
+  if (job.is_narrow()) return MakeNarrowRoom(job_index, decisions);
   for (Index team : TeamsAboveShare(job.team)) {
     const std::optional<Eviction> eviction = FindEviction(team, job);
     if (!eviction) continue;
-    const MonotonicTime due = state_.now + state_.options.checkpoint_grace;
-    state_.reservations.Add(state_.fleet, job, job_index,
-                            {{.at = due, .worker = eviction->worker}});
-    for (const TaskRef& ref : eviction->victims) {
-      PreemptTask(ref, kRoomForUrgent, decisions);
-    }
+    Evict(job_index, *eviction, state_.options.checkpoint_grace,
+          Reservations::kReplanAfter, decisions);
     return true;
   }
   return false;
--- a/azurepass/placement/internal/preemption.h
+++ b/azurepass/placement/internal/preemption.h
@@ -7,6 +7,10 @@
 // normal tasks that may be repeated and belong to no gang or service, the
 // youngest first because they lose least; the room is reserved for the urgent
 // job. A lowered allowance may take any task of its own team.
+//
+// A narrow job takes room only where it may run, from tasks of lower priority
+// that keep their progress by themselves, whosever they are: they lose little
+// more than the time until they start again.
 
 #ifndef AZUREPASS_PLACEMENT_INTERNAL_PREEMPTION_H_
 #define AZUREPASS_PLACEMENT_INTERNAL_PREEMPTION_H_
@@ -16,12 +20,14 @@
 #include <vector>
 
 #include "azurepass/placement/internal/cell_state.h"
+#include "azurepass/placement/internal/narrow_search.h"
 
 namespace azurepass::placement::internal {
 
 class Preemption {
  public:
-  explicit Preemption(CellState& state) : state_(state) {}
+  Preemption(CellState& state, const NarrowSearch& narrow)
+      : state_(state), narrow_(narrow) {}
 
   // Answers lowered allowances.
   void EnforceAllowances(std::vector<Decision>& decisions, int64_t starts);
@@ -32,6 +38,11 @@
   // Makes room for one task of an urgent job; false when it cannot.
   bool MakeRoom(Index job, std::vector<Decision>& decisions);
 
+  // Takes tasks of lower priority that keep their progress off the workers,
+  // until the limit of the job's team allows `wanted` more.
+  void MakeAllowance(const Job& job, const Resources& wanted,
+                     std::vector<Decision>& decisions);
+
  private:
   struct Eviction {
     Index worker = kNone;
@@ -51,7 +62,16 @@
   std::optional<Eviction> EvictionOn(Index worker, Index victim_team,
                                      const Job& job) const;
 
+  // True for a task that leaves for `job` and keeps its progress.
+  bool IsCheapFor(const Job& job, TaskRef ref) const;
+  bool MakeNarrowRoom(Index job, std::vector<Decision>& decisions);
+  std::optional<Eviction> CheapestOn(Index worker, const Job& job) const;
+  // Reserves the room, expected to be free in that time.
+  void Evict(Index job, const Eviction& eviction, Duration expected,
+             Duration overdue, std::vector<Decision>& decisions);
+
   CellState& state_;
+  const NarrowSearch& narrow_;
 };
 
 }  // namespace azurepass::placement::internal
--- a/azurepass/placement/internal/reservations.cc
+++ b/azurepass/placement/internal/reservations.cc
@@ -42,13 +42,15 @@
 }
 
 void Reservations::Add(Fleet& fleet, Job& job, Index job_index,
-                       const std::vector<PlannedPlace>& places) {
+                       const std::vector<PlannedPlace>& places,
+                       Duration overdue) {
   if (places.empty()) return;
   if (!job.reserved) {
     job.reserved = true;
     all_.push_back({.job = job_index,
                     .urgent = job.is_urgent(),
                     .due = places[0].at,
+                    .ends = places[0].at + overdue,
                     .workers = {}});
   }
   auto it = std::find_if(
@@ -57,6 +59,7 @@
   for (const PlannedPlace& place : places) {
     fleet.Reserve(place.worker, job_index, job.spec.task, job.is_urgent());
     it->due = std::max(it->due, place.at);
+    it->ends = std::max(it->ends, place.at + overdue);
     it->workers.push_back(place.worker);
   }
 }
--- a/azurepass/placement/internal/reservations.h
+++ b/azurepass/placement/internal/reservations.h
@@ -27,6 +27,7 @@
   Index job = kNone;
   bool urgent = false;  // The job is.
   MonotonicTime due;    // When all of its room is expected to be free.
+  MonotonicTime ends;   // Given up then, to be planned anew.
   std::vector<Index> workers;
 };
 
@@ -48,9 +49,11 @@
   // True when no more may be planned for jobs of this urgency.
   bool IsFull(bool urgent) const;
 
-  // Sets room for the given tasks aside, besides what the job has already.
+  // Sets room for the given tasks aside, besides what the job has already, for
+  // at most `overdue` beyond the time at which the last of it is expected.
   void Add(Fleet& fleet, Job& job, Index job_index,
-           const std::vector<PlannedPlace>& places);
+           const std::vector<PlannedPlace>& places,
+           Duration overdue = kReplanAfter);
   // One task of the job started on `worker`: gives back the room that was set
   // aside for it, there when there is some, else elsewhere.
   void OnStarted(Fleet& fleet, Job& job, Index job_index, Index worker);
--- a/azurepass/placement/internal/teams.h
+++ b/azurepass/placement/internal/teams.h
@@ -15,7 +15,7 @@
 
 namespace azurepass::placement::internal {
 
-inline constexpr int kPriorities = 2;
+inline constexpr int kPriorities = 3;
 
 // Jobs of one team that a search treats alike, so that one search speaks for
 // all of them. Invariant: `jobs` is not empty.
@@ -39,7 +39,7 @@
 struct Lane {
   Index team = kNone;
   LaneKey key;
-  // Waiting jobs by number: the order in which they were accepted.
+  // Waiting jobs by their order; see Job::order.
   std::set<std::pair<int64_t, Index>> jobs;
   // What the latest search left, so that the next one looks only at what has
   // changed. It found no place when the growth log ended at `checked`; what
@@ -76,7 +76,7 @@
   bool check_allowance = false;  // Lowered, not yet answered.
   // By priority.
   struct Queue {
-    // Lanes by the number of their first job.
+    // Lanes by the order of their first job.
     std::set<std::pair<int64_t, Index>> lanes;
     int64_t unsettled = 0;         // Lanes that are not settled.
     Resources least = kUnlimited;  // At most the size of each lane.
--- a/azurepass/placement/placement.h
+++ b/azurepass/placement/placement.h
@@ -234,6 +234,21 @@
 };
 using OveruseAction = std::variant<Throttle, Preempt>;
 
+// Until when a job's tasks should start for its result to be on time, and until
+// when it is late but of use. A job past the first waits behind those of its
+// priority that can still be on time; past the second, behind all others.
+struct StartBy {
+  MonotonicTime on_time;
+  MonotonicTime late;
+};
+
+// A job's place among those that wait: a lower one comes first.
+struct WaitingRank {
+  int priority = 0;
+  int64_t order = 0;
+  auto operator<=>(const WaitingRank&) const = default;
+};
+
 // Counts for metrics and status.
 struct CellStatus {
   int64_t workers = 0;
@@ -270,8 +285,11 @@
                                        const JobSpec& spec) const;
 
   // --- Demand. A job's tasks wait from `accepted` on.
+  // Within a team and priority jobs start in the order in which they were
+  // added, those with a StartBy after the others and the most pressing first.
   void AddJob(const JobId& job, const TeamId& team, const JobSpec& spec,
-              MonotonicTime accepted);
+              MonotonicTime accepted,
+              std::optional<StartBy> start_by = std::nullopt);
   // Drops a task that waits, or marks a committed one as not to be queued
   // again when it ends.
   void CancelTask(const TaskId& task);
@@ -310,6 +328,8 @@
   Explanation Explain(const JobId& job, Revision revision,
                       MonotonicTime now) const;
   WaitReason WaitReasonOf(const TaskId& task) const;
+  // Of a job that is not known: after all others.
+  WaitingRank RankOf(const JobId& job) const;
   CellStatus Status() const;
   // Waiting tasks by reason; looks at all jobs that are waiting.
   std::map<WaitReason, int64_t> WaitingByReason() const;
--- a/azurepass/routing/admission.cc
+++ b/azurepass/routing/admission.cc
@@ -14,6 +14,12 @@
 
 MonotonicTime Now() { return BootClock::now(); }
 
+// Queues count from 0, which comes first; all below the second are alike.
+Priority PriorityOf(const QueueRecord& queue) {
+  if (queue.priority == 0) return Priority::kUrgent;
+  return queue.priority == 1 ? Priority::kNormal : Priority::kLow;
+}
+
 Refusal Refuse(RefusalCode code, std::string message,
                std::optional<Duration> retry_after = std::nullopt) {
   return {code, Effect::kNotRun, std::move(message), retry_after};
@@ -148,8 +154,7 @@
     for (WorkflowStep& step : submit.spec.steps) {
       step.job.queue = queue->queue;
       step.job.max_attempts = queue->max_attempts;
-      step.job.priority =
-          queue->priority == 0 ? Priority::kUrgent : Priority::kNormal;
+      step.job.priority = PriorityOf(*queue);
       step.job.constraints.needs_permit = queue->permits.has_value();
     }
     pending.request = std::move(submit);
