A process that has just started does not know which partitions there are

Ruled out: the keeper going back (its revisions only grew, in its new lines).

Change: where partitions come from the configuration, an unknown one is another process's, so that the front asks again. Test: manager_test.

--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -55,6 +55,17 @@
 };
 using Holding = std::variant<NotHeld, Claiming, Held, HandingOver>;
 
+// How a request tells which partition it is about.
+template <class Request>
+concept NamesPartition = requires(const Request& request) {
+  request.partition;
+};
+template <class Request>
+concept NamesJob = requires(const Request& request) {
+  request.job;
+  request.team;
+};
+
 struct ClaimWritten {
   PartitionId partition;
   Epoch epoch;
@@ -404,159 +415,152 @@
   // --- Requests of other processes
 
   void OnIncoming(entry::Incoming& incoming) {
-    const MonotonicTime deadline = Clock::now() + incoming.time_left;
-    std::visit(Visitor{
-                   [&](entry::Gossip& gossip) {
-      peers_.membership.Send(
-          membership::GossipReceived{std::move(gossip), incoming.responder});
-                   },
-                   [&](entry::PullConfiguration& pull) {
-      peers_.configuration.Send(
-          configuration::AnswerPull{pull, incoming.responder});
-                   },
-                   [&](entry::GetStatus&) {
-      incoming.responder.Answer(CurrentStatus());
-                   },
-                   [&](entry::RelayPermits& relay) {
-      RelayPermits(relay, incoming);
-                   },
-                   [&]<class Named>(Named& request) requires requires {
-                     request.partition;
+    std::visit([&](auto& request) { Serve(request, incoming); },
+               incoming.request);
+  }
+
+  void Serve(entry::Gossip& gossip, const entry::Incoming& incoming) {
+    peers_.membership.Send(
+        membership::GossipReceived{std::move(gossip), incoming.responder});
+  }
+
+  void Serve(const entry::PullConfiguration& pull,
+             const entry::Incoming& incoming) {
+    peers_.configuration.Send(
+        configuration::AnswerPull{pull, incoming.responder});
+  }
+
+  void Serve(const entry::GetStatus& /*request*/,
+             const entry::Incoming& incoming) {
+    incoming.responder.Answer(CurrentStatus());
   }
-  {
+
+  void Serve(entry::RelayPermits& relay, const entry::Incoming& incoming) {
+    RelayPermits(relay, incoming);
+  }
+
+  template <NamesPartition Request>
+  void Serve(Request& request, const entry::Incoming& incoming) {
     const PartitionId id = request.partition;
-    Pass(id, std::move(request), deadline, incoming.responder);
+    Pass(id, std::move(request), incoming);
   }
-  , [&]<class AboutJob>(AboutJob& about_job) requires requires {
-    about_job.job;
-    about_job.team;
+
+  template <NamesJob Request>
+  void Serve(Request& request, const entry::Incoming& incoming) {
+    const PartitionId id = PartitionOf(request.job).value_or(PartitionId());
+    Pass(id, std::move(request), incoming);
   }
-  {
-    const std::optional<PartitionId> id = PartitionOf(about_job.job);
-    Pass(id.value_or(PartitionId()), std::move(about_job), deadline,
-         incoming.responder);
+
+  void RelayPermits(entry::RelayPermits& relay,
+                    const entry::Incoming& incoming) {
+    peers_.permit_service.Send(permit::Question{
+        relay.job, std::move(relay.workers), incoming.time_left,
+        task::Address<permit::Answer>(
+            [responder = incoming.responder](permit::Answer answer) {
+              if (auto* issued = std::get_if<permit::Issued>(&answer)) {
+                return responder.Answer(entry::PermitsRelayed{
+                    std::move(issued->permits), issued->validity});
+              }
+              responder.Answer(Refusal{
+                  RefusalCode::kUnavailable, Effect::kNotRun,
+                  std::get<permit::Failed>(answer).message, std::nullopt});
+            })});
   }
-  ,
-               },
-               incoming.request);
-               }  // namespace azurepass::scheduling
-
-               void RelayPermits(entry::RelayPermits& relay,
-                                 const entry::Incoming& incoming) {
-                 peers_.permit_service.Send(permit::Question{
-                     relay.job, std::move(relay.workers), incoming.time_left,
-                     task::Address<permit::Answer>(
-                         [responder =
-                              incoming.responder](permit::Answer answer) {
-                           if (auto* issued =
-                                   std::get_if<permit::Issued>(&answer)) {
-                             return responder.Answer(entry::PermitsRelayed{
-                                 std::move(issued->permits), issued->validity});
-                           }
-                           responder.Answer(Refusal{
-                               RefusalCode::kUnavailable, Effect::kNotRun,
-                               std::get<permit::Failed>(answer).message,
-                               std::nullopt});
-                         })});
-               }
-
-               void TellPermitPeers() {
-                 permit::PeersChanged changed;
-                 for (const auto& [id, member] : view_.members) {
-                   const bool asks =
-                       id != options_.member && !member.suspected &&
-                       !member.record.leaving &&
-                       member.record.role == membership::Role::kScheduler;
-                   if (asks) changed.addresses.push_back(member.record.address);
-                 }
-                 peers_.permits.Send(std::move(changed));
-               }
-
-               void Pass(const PartitionId& id, partition::JobRequest request,
-                         MonotonicTime deadline,
-                         const entry::Responder& responder) {
-                 const auto found = partitions_.find(id);
-                 if (found == partitions_.end()) {
-                   responder.Answer(
-                       Refusal{RefusalCode::kNotFound, Effect::kNotRun,
+
+  void TellPermitPeers() {
+    permit::PeersChanged changed;
+    for (const auto& [id, member] : view_.members) {
+      const bool asks = id != options_.member && !member.suspected &&
+                        !member.record.leaving &&
+                        member.record.role == membership::Role::kScheduler;
+      if (asks) changed.addresses.push_back(member.record.address);
+    }
+    peers_.permits.Send(std::move(changed));
+  }
+
+  void Pass(const PartitionId& id, partition::JobRequest request,
+            const entry::Incoming& incoming) {
+    const entry::Responder& responder = incoming.responder;
+    const MonotonicTime deadline = Clock::now() + incoming.time_left;
+    const auto found = partitions_.find(id);
+    const bool unknown = found == partitions_.end();
+    if (unknown && !options_.partitions_from_configuration) {
+      responder.Answer(Refusal{RefusalCode::kNotFound, Effect::kNotRun,
                                "no partition has this name", std::nullopt});
-                   return;
-                 }
-                 if (std::holds_alternative<NotHeld>(found->second.holding)) {
-                   responder.Answer(Refusal{
-                       RefusalCode::kNotOwner, Effect::kNotRun,
-                       "this process does not own the partition", kRetryAfter});
-                   return;
-                 }
-                 found->second.task->address().Send(
-                     JobReceived{std::move(request), deadline, responder});
-               }
-
-               entry::Status CurrentStatus() const {
-                 entry::Status status;
-                 status.member = options_.member;
-                 if (configuration_ && configuration_->configuration) {
-                   status.revision = configuration_->configuration->revision;
-                 }
-                 for (const auto& [id, partition] : partitions_) {
-                   if (partition.notice.owns)
-                     status.partitions.push_back(partition.notice.status);
-                 }
-                 return status;
-               }
-
-               std::vector<StatusNotice> Notices() const {
-                 std::vector<StatusNotice> notices;
-                 for (const auto& [id, partition] : partitions_) {
-                   notices.push_back(partition.notice);
-                 }
-                 return notices;
-               }
-
-               // --- Leaving
-
-               void OnShutdown(const Shutdown& shutdown) {
-                 shutdown_ = shutdown;
-                 peers_.membership.Send(membership::Drain{});
-                 Reconsider();
-                 FinishShutdown();
-               }
-
-               void FinishShutdown() {
-                 if (!shutdown_ || leaving_) return;
-                 for (const auto& [id, partition] : partitions_) {
-                   if (!std::holds_alternative<NotHeld>(partition.holding))
-                     return;
-                 }
-                 leaving_ = true;
-                 const task::Address<Inbox> inbox = mailbox_.address();
-                 peers_.membership.Send(membership::Leave{inbox});
-               }
-
-               task::Loop& loop_;
-               const Options options_;
-               const Peers peers_;
-               std::map<PartitionId, Partition> partitions_;
-               membership::View view_;
-               std::optional<configuration::Update> configuration_;
-               std::optional<vmlist::Snapshot> vms_;
-               std::optional<Shutdown> shutdown_;
-               bool leaving_ = false;
-               task::Mailbox<Inbox> mailbox_;
-               task::Timer claim_timer_;
-               task::Timer authority_timer_;
-               MonotonicTime authority_until_;
-               }
-               ;
-
-               Manager::Manager(task::Loop& loop, Options options, Peers peers)
-                   : impl_(std::make_shared<Impl>(loop, std::move(options),
-                                                  std::move(peers))) {}
-
-               Manager::~Manager() = default;
-
-               task::Address<Message> Manager::address() const {
-                 return impl_->address();
-               }
-
-               }  // namespace azurepass::scheduling
+      return;
+    }
+    // A process that has just started knows of no partition yet.
+    if (unknown || std::holds_alternative<NotHeld>(found->second.holding)) {
+      responder.Answer(Refusal{RefusalCode::kNotOwner, Effect::kNotRun,
+                               "this process does not own the partition",
+                               kRetryAfter});
+      return;
+    }
+    found->second.task->address().Send(
+        JobReceived{std::move(request), deadline, responder});
+  }
+
+  entry::Status CurrentStatus() const {
+    entry::Status status;
+    status.member = options_.member;
+    if (configuration_ && configuration_->configuration) {
+      status.revision = configuration_->configuration->revision;
+    }
+    for (const auto& [id, partition] : partitions_) {
+      if (partition.notice.owns)
+        status.partitions.push_back(partition.notice.status);
+    }
+    return status;
+  }
+
+  std::vector<StatusNotice> Notices() const {
+    std::vector<StatusNotice> notices;
+    for (const auto& [id, partition] : partitions_) {
+      notices.push_back(partition.notice);
+    }
+    return notices;
+  }
+
+  // --- Leaving
+
+  void OnShutdown(const Shutdown& shutdown) {
+    shutdown_ = shutdown;
+    peers_.membership.Send(membership::Drain{});
+    Reconsider();
+    FinishShutdown();
+  }
+
+  void FinishShutdown() {
+    if (!shutdown_ || leaving_) return;
+    for (const auto& [id, partition] : partitions_) {
+      if (!std::holds_alternative<NotHeld>(partition.holding)) return;
+    }
+    leaving_ = true;
+    const task::Address<Inbox> inbox = mailbox_.address();
+    peers_.membership.Send(membership::Leave{inbox});
+  }
+
+  task::Loop& loop_;
+  const Options options_;
+  const Peers peers_;
+  std::map<PartitionId, Partition> partitions_;
+  membership::View view_;
+  std::optional<configuration::Update> configuration_;
+  std::optional<vmlist::Snapshot> vms_;
+  std::optional<Shutdown> shutdown_;
+  bool leaving_ = false;
+  task::Mailbox<Inbox> mailbox_;
+  task::Timer claim_timer_;
+  task::Timer authority_timer_;
+  MonotonicTime authority_until_;
+};
+
+Manager::Manager(task::Loop& loop, Options options, Peers peers)
+    : impl_(
+          std::make_shared<Impl>(loop, std::move(options), std::move(peers))) {}
+
+Manager::~Manager() = default;
+
+task::Address<Message> Manager::address() const { return impl_->address(); }
+
+}  // namespace azurepass::scheduling
