Less processor time for messages and for jobs that wait

The cell searched all workers for each of 400 blocked narrow jobs in every decision, and the look at permits weighed them all each 10 ms.

Change: one source a loop for all messages, drained with what they lead to; no wake-up from the loop's own thread. A blocked narrow job is tried again where room grew or its permits changed. The look at permits weighs a bounded number of workers, each 20 ms.

--- a/azurepass/follow/follow.cc
+++ b/azurepass/follow/follow.cc
@@ -104,15 +104,18 @@
   void TakeChanges(store::Changes& changes) {
     cursor_ = std::max(cursor_, changes.revision);
     backoff_ = options_.min_backoff;
-    const Duration pause = changes.changes.empty() ? RestOfWait() : Duration(0);
+    const Duration pause =
+        changes.changes.empty() ? RestOfWait() : RestOf(options_.min_interval);
     listener_.Send(Changed{std::move(changes), sent_});
     AskAfter(pause);
   }
 
   // A store that does not hold watches must not make this spin.
-  Duration RestOfWait() const {
+  Duration RestOfWait() const { return RestOf(options_.watch_wait); }
+  // What is left of a time that began with the latest request.
+  Duration RestOf(Duration whole) const {
     const auto taken = std::chrono::ceil<Duration>(Now() - sent_);
-    return std::max(Duration(0), options_.watch_wait - taken);
+    return std::max(Duration(0), whole - taken);
   }
 
   void OnError(const store::Error& error) {
--- a/azurepass/follow/follow.h
+++ b/azurepass/follow/follow.h
@@ -32,6 +32,9 @@
   Duration max_backoff{1'000};
   int64_t page_entries = 1'000;  // Of a listing.
   uint64_t seed = 1;             // Of the jitter.
+  // Between two requests, also when the first one found changes: those that
+  // come often are then told together.
+  Duration min_interval{0};
 };
 
 // The whole content; what is not in it is gone.
--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -242,6 +242,7 @@
   struct RoomLeft {
     std::vector<WorkerRoom> workers;
     std::map<TeamId, Resources> allowances;
+    int64_t budget = 0;  // Workers that may still be weighed.
   };
   struct JobPermits;
   // Asks for the permits without which jobs that have room cannot start.
--- a/azurepass/partition/owner.cc
+++ b/azurepass/partition/owner.cc
@@ -18,6 +18,7 @@
 
 constexpr Duration kHandoverRetryAfter{250};
 constexpr Duration kWaitingLogInterval{1'000};
+constexpr Duration kDemandLook{50};  // Between two, while nothing changes.
 
 // Lowers `at` to `other` when that is earlier.
 void Earliest(std::optional<MonotonicTime>& at,
@@ -230,7 +231,10 @@
     last = {committed, wanted};
     report.demands.push_back({team, committed, wanted});
   }
-  if (!changed) return;
+  if (!changed) {
+    next_demand_ = now_ + kDemandLook;
+    return;
+  }
   next_demand_ = now_ + options_.demand_interval;
   Emit(std::move(report));
 }
--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -24,6 +24,8 @@
 namespace {
 
 constexpr size_t kMaxWorkersPerQuestion = 100;
+// Workers weighed in one look, over all jobs; the first jobs in turn matter.
+constexpr int64_t kWeighedPerLook = 2'048;
 
 bool Carries(const WorkerSpec& worker, const std::string& label) {
   return label.empty() || std::find(worker.labels.begin(), worker.labels.end(),
@@ -36,6 +38,7 @@
   if (permits_.empty() || now_ < next_permit_look_) return;
   next_permit_look_ = now_ + options_.permit_look_interval;
   RoomLeft room;
+  room.budget = kWeighedPerLook;
   for (const auto& [vm, worker] : workers_.workers()) {
     if (internal::WorkerBook::AdmissionOf(worker) ==
             placement::WorkerAdmission::kOpen &&
@@ -51,7 +54,10 @@
     order.emplace_back(cell_.RankOf(id), id);
   }
   std::sort(order.begin(), order.end());
-  for (const auto& [rank, id] : order) TakeTurn(id, room);
+  for (const auto& [rank, id] : order) {
+    if (room.budget <= 0) break;
+    TakeTurn(id, room);
+  }
 }
 
 // Takes room for the job, and asks if it has no valid permits.
@@ -70,6 +76,7 @@
   std::vector<VmId> with_room;
   for (WorkerRoom& worker : room.workers) {
     if (tasks == 0 || !spec.task.FitsIn(allowance)) break;
+    --room.budget;
     if (!MayEverRun(spec, *worker.spec) ||
         permits.denied.contains(worker.spec->vm) || !size.FitsIn(worker.free)) {
       continue;
--- a/azurepass/partition/owner_recording_test.cc
+++ b/azurepass/partition/owner_recording_test.cc
@@ -88,6 +88,33 @@
   CHECK(d.Starts().size() == 12);
 }
 
+TEST_CASE("a question waits for an end that is near, and no longer") {
+  Options options = RecordingFirst();
+  options.near_end_wait = Duration(250);
+  Driver d({"vm-0"}, false, options);
+  d.Submit(1, OneStep(1));
+  d.AppendAll();
+  const auto ask = [&](int64_t token) {
+    d.actions.clear();
+    d.Do(RequestReceived{RequestToken{token},
+                         GetWorkflow{kPartition, kTeam, kRequest},
+                         d.now + seconds(3)});
+  };
+  const AttemptId attempt = d.Starts()[0].second.attempt;
+  ask(2);
+  CHECK(d.Count<Answer>() == 0);
+  d.now += Duration(250);
+  d.Do(Tick{});
+  CHECK(std::get<WorkflowView>(d.Last<Answer>().response).state ==
+        WorkflowState::kRunning);
+  ask(3);
+  d.Report("vm-0", 1, attempt, WorkerEventKind::kSucceeded);
+  CHECK(d.Count<Answer>() == 0);  // Not before its append.
+  d.AppendAll();
+  CHECK(std::get<WorkflowView>(d.Last<Answer>().response).state ==
+        WorkflowState::kCompleted);
+}
+
 TEST_CASE("submissions are refused as not run while the store fails") {
   Driver d({"vm-0"}, false, RecordingFirst());
   d.Submit(1, OneStep(1));
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -486,7 +486,7 @@
   Duration permit_retry{100};           // After a question that failed.
   Duration permit_denied_retry{3'000};  // After all workers were denied.
   // Between two looks at the jobs that may need one.
-  Duration permit_look_interval{10};
+  Duration permit_look_interval{20};
   placement::Options placement;
 
   // Each takes one mechanism out, so that a test can show that it would notice.
--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -288,6 +288,7 @@
     if (worker != kNone) job.permitted.push_back(worker);
   }
   job.permitted_until = until;
+  if (job.lane != kNone) state.Forget(state.lanes[job.lane]);
 }
 
 bool Cell::Commit(const TaskId& task, const VmId& vm, bool without_room) {
--- a/azurepass/placement/internal/decider.cc
+++ b/azurepass/placement/internal/decider.cc
@@ -12,6 +12,9 @@
 // Urgent tasks for which room is made in one call.
 constexpr int kRoomsPerCall = 32;
 
+// Narrow jobs that find none to take, looked at in one call.
+constexpr int kVainRoomsPerCall = 8;
+
 // Workers that grew, looked at to settle that a size still has no room.
 constexpr int64_t kMaxGrownLookedAt = 64;
 
@@ -234,7 +237,10 @@
 // Keeps what a search in vain found out.
 void Decider::Remember(Lane& lane, Scope scope, Found& found,
                        GrowthLog::Position end) {
-  if (lane.key.narrow != 0) return;
+  if (lane.key.narrow != 0) {
+    RememberNarrow(lane, found, end);
+    return;
+  }
   lane.checked = found.zone_held ? GrowthLog::kNever : end;
   lane.missing = found.missing;
   lane.gained = 0;
@@ -251,6 +257,16 @@
                              .held = std::move(held)});
 }
 
+// A narrow job that takes one worker at a time, and all of its size, can start
+// only where room has grown, or after something else has changed that forgets
+// this verdict (see Cell::SetPermitted).
+void Decider::RememberNarrow(Lane& lane, const Found& found,
+                             GrowthLog::Position end) {
+  const Job& job = state_.jobs[lane.jobs.begin()->second];
+  const bool tells = !job.is_gang() && !job.spec.scavenger && !found.zone_held;
+  lane.checked = tells ? end : GrowthLog::kNever;
+}
+
 Decider::Turn Decider::TryLane(Index index) {
   Lane& lane = state_.lanes[index];
   // Jobs past their deadline are the caller's to cancel; they are not started.
@@ -396,9 +412,11 @@
 
 void Decider::MakeRoomForUrgent() {
   int rooms = 0;
+  int in_vain = 0;
   for (Index stuck : stuck_urgent_) {
     for (const auto& [number, index] : state_.lanes[stuck].jobs) {
       const Job& job = state_.jobs[index];
+      if (job.is_narrow() && job.tier != Tier::kOnTime) continue;
       const Reservation* held = state_.reservations.Find(index);
       auto wanted = static_cast<int64_t>(
           TimesFits(job.spec.task,
@@ -410,8 +428,8 @@
         if (++rooms > kRoomsPerCall) return;
         if (preemption_.MakeRoom(index, decisions_)) continue;
         // What a narrow job does not find says nothing about others.
-        if (job.is_narrow()) break;
-        return;
+        if (!job.is_narrow() || ++in_vain >= kVainRoomsPerCall) return;
+        break;
       }
     }
   }
--- a/azurepass/placement/internal/decider.h
+++ b/azurepass/placement/internal/decider.h
@@ -65,6 +65,7 @@
   Scope ScopeOf(Lane& lane);
   Scope ScopeOfGang(Lane& lane) const;
   void Remember(Lane& lane, Scope scope, Found& found, GrowthLog::Position end);
+  void RememberNarrow(Lane& lane, const Found& found, GrowthLog::Position end);
   Turn Block(Index lane, WaitReason reason);
   WaitReason ReasonFor(const Team& team, const Found& found) const;
   void StartAll(Index job, const Found& found);
--- a/azurepass/scheduling/manager_test.cc
+++ b/azurepass/scheduling/manager_test.cc
@@ -28,7 +28,8 @@
   return *code;
 }
 
-TEST_CASE("an unknown partition may be another process's, unless settings name all") {
+TEST_CASE(
+    "an unknown partition may be another process's, unless settings name all") {
   CHECK(CodeOfUnknown(true) == RefusalCode::kNotOwner);
   CHECK(CodeOfUnknown(false) == RefusalCode::kNotFound);
 }
--- a/azurepass/task/task.cc
+++ b/azurepass/task/task.cc
@@ -1,9 +1,12 @@
 // The GLib half of the task runtime: loops, queues and timers.
 //
-// A Queue is a GSource over a GAsyncQueue. Its prepare and check steps only
-// look whether the queue has something; a push wakes the loop's poll. A
-// dispatch drains a bounded number of closures, so that a flood of messages
-// does not starve sockets and timers of the same loop.
+// All messages of a loop wait in one GAsyncQueue behind one GSource. Its
+// prepare and check steps only look whether there is something. A dispatch
+// drains a bounded number of messages, so that a flood of them does not starve
+// sockets and timers, and with them those that they lead to: a message that
+// passes through several tasks of a loop takes one round of it, not one for
+// each. A push from another thread wakes the loop's poll; one from its own need
+// not, because the loop looks at the queue before it polls.
 
 #include "azurepass/task/task.h"
 
@@ -14,9 +17,13 @@
 namespace {
 
 // Messages delivered in one round of the loop.
-constexpr int kMaxBatch = 128;
+constexpr int kMaxBatch = 256;
 
-using Work = std::function<void()>;
+// A message on its way to a mailbox.
+struct Delivery {
+  std::shared_ptr<const gint> closed;
+  std::function<void()> work;
+};
 
 struct QueueSource {
   GSource base;
@@ -37,10 +44,10 @@
                   gpointer /*unused*/) {
   auto* self = reinterpret_cast<QueueSource*>(source);
   for (int i = 0; i < kMaxBatch && !g_source_is_destroyed(source); ++i) {
-    std::unique_ptr<Work> work(
-        static_cast<Work*>(g_async_queue_try_pop(self->queue)));
-    if (work == nullptr) break;
-    (*work)();
+    std::unique_ptr<Delivery> delivery(
+        static_cast<Delivery*>(g_async_queue_try_pop(self->queue)));
+    if (delivery == nullptr) break;
+    if (g_atomic_int_get(delivery->closed.get()) == 0) delivery->work();
   }
   return G_SOURCE_CONTINUE;
 }
@@ -52,37 +59,49 @@
 GSourceFuncs queue_source_functions = {Prepare,  HasWork, Dispatch,
                                        Finalize, nullptr, nullptr};
 
-void DeleteWork(gpointer work) { delete static_cast<Work*>(work); }
+void DeleteDelivery(gpointer delivery) {
+  delete static_cast<Delivery*>(delivery);
+}
 
 }  // namespace
 
-Queue::Queue(GMainContext* context)
+Messages::Messages(GMainContext* context)
     : context_(g_main_context_ref(context)),
-      queue_(g_async_queue_new_full(DeleteWork)),
+      queue_(g_async_queue_new_full(DeleteDelivery)),
       source_(g_source_new(&queue_source_functions, sizeof(QueueSource))) {
   reinterpret_cast<QueueSource*>(source_)->queue = g_async_queue_ref(queue_);
   g_source_attach(source_, context);
 }
 
-Queue::~Queue() {
-  Close();
+Messages::~Messages() {
+  g_source_destroy(source_);
   g_source_unref(source_);
   g_async_queue_unref(queue_);
   g_main_context_unref(context_);
 }
 
+void Messages::Push(std::shared_ptr<const gint> closed,
+                    std::function<void()> work) {
+  g_async_queue_push(queue_, new Delivery{std::move(closed), std::move(work)});
+  if (!g_main_context_is_owner(context_)) g_main_context_wakeup(context_);
+}
+
+Queue::Queue(std::shared_ptr<Messages> messages)
+    : messages_(std::move(messages)), closed_(std::make_shared<gint>(0)) {}
+
 void Queue::Push(std::function<void()> work) {
-  if (g_source_is_destroyed(source_)) return;
-  g_async_queue_push(queue_, new Work(std::move(work)));
-  g_main_context_wakeup(context_);
+  if (g_atomic_int_get(closed_.get()) != 0) return;
+  messages_->Push(closed_, std::move(work));
 }
 
-void Queue::Close() { g_source_destroy(source_); }
+void Queue::Close() { g_atomic_int_set(closed_.get(), 1); }
 
 }  // namespace internal
 
 Loop::Loop()
-    : context_(g_main_context_new()), loop_(g_main_loop_new(context_, FALSE)) {}
+    : context_(g_main_context_new()),
+      loop_(g_main_loop_new(context_, FALSE)),
+      messages_(std::make_shared<internal::Messages>(context_)) {}
 
 Loop::~Loop() {
   Stop();
--- a/azurepass/task/task.h
+++ b/azurepass/task/task.h
@@ -75,6 +75,41 @@
   std::shared_ptr<std::function<void(T)>> send_;
 };
 
+namespace internal {
+
+// All messages to the mailboxes of one loop, in the order of their arrival.
+class Messages {
+ public:
+  explicit Messages(GMainContext* context);
+  ~Messages();
+  Messages(const Messages&) = delete;
+  Messages& operator=(const Messages&) = delete;
+
+  // Runs `work` on the loop unless `closed` is set by then.
+  void Push(std::shared_ptr<const gint> closed, std::function<void()> work);
+
+ private:
+  GMainContext* context_;
+  GAsyncQueue* queue_;
+  GSource* source_;
+};
+
+// The untyped half of a mailbox.
+class Queue {
+ public:
+  explicit Queue(std::shared_ptr<Messages> messages);
+
+  void Push(std::function<void()> work);
+  // Nothing pushed before or after is run any more.
+  void Close();
+
+ private:
+  std::shared_ptr<Messages> messages_;
+  std::shared_ptr<gint> closed_;  // Read and set atomically.
+};
+
+}  // namespace internal
+
 // One thread that sleeps in a GMainContext and runs the tasks that live on it.
 class Loop {
  public:
@@ -85,6 +120,9 @@
   Loop& operator=(const Loop&) = delete;
 
   GMainContext* context() const { return context_; }
+  const std::shared_ptr<internal::Messages>& messages() const {
+    return messages_;
+  }
 
   // Starts the thread. Alternatively Run() uses the calling one.
   void Start();
@@ -98,38 +136,17 @@
  private:
   GMainContext* context_;
   GMainLoop* loop_;
+  std::shared_ptr<internal::Messages> messages_;
   std::thread thread_;
 };
 
-namespace internal {
-
-// The untyped half of a mailbox: a queue of closures drained on the loop.
-class Queue {
- public:
-  explicit Queue(GMainContext* context);
-  ~Queue();
-  Queue(const Queue&) = delete;
-  Queue& operator=(const Queue&) = delete;
-
-  void Push(std::function<void()> work);
-  // Nothing pushed before or after is run any more.
-  void Close();
-
- private:
-  GMainContext* context_;
-  GAsyncQueue* queue_;
-  GSource* source_;
-};
-
-}  // namespace internal
-
 // Delivers messages of type T to a handler on the owner's loop, in the order
 // of their arrival.
 template <class T>
 class Mailbox {
  public:
   Mailbox(Loop& loop, std::function<void(T)> handler)
-      : queue_(std::make_shared<internal::Queue>(loop.context())),
+      : queue_(std::make_shared<internal::Queue>(loop.messages())),
         handler_(std::make_shared<std::function<void(T)>>(std::move(handler))) {
   }
   ~Mailbox() { queue_->Close(); }
