Overdue calls of the store are made again; a leaving owner leaves ends to the next

Change: store::Hedge between the node's tasks and the store. A leaving owner ignores reports; workers keep what is not acknowledged.

Ruled out: a shorter time-out, which a slow store (400 ms a call) would never meet.

--- a/azurepass/daemons/node.cc
+++ b/azurepass/daemons/node.cc
@@ -123,7 +123,8 @@
   bool drained_ = false;
 
   platform::Readiness readiness_;
-  platform::Store store_;
+  platform::Store platform_store_;
+  store::Hedge store_;
   platform::Workers worker_calls_;
   platform::Permits permit_calls_;
   entry::Client entry_client_;
@@ -146,7 +147,8 @@
       mailbox_(loop, [this](const Message& m) { Handle(m); }),
       shutdown_timer_(loop),
       readiness_(loop, HttpOptions(settings.ready_address)),
-      store_(loop, PlatformStore(settings)),
+      platform_store_(loop, PlatformStore(settings)),
+      store_(loop, store::HedgeOptions{}, platform_store_.address()),
       worker_calls_(loop),
       permit_calls_(loop, settings.permit_address),
       entry_client_(loop, entry::ClientOptions{}),
--- a/azurepass/partition/owner_recording_test.cc
+++ b/azurepass/partition/owner_recording_test.cc
@@ -88,6 +88,20 @@
   CHECK(d.Starts().size() == 12);
 }
 
+TEST_CASE("a leaving owner leaves ends to its successor, and is done sooner") {
+  Driver d({"vm-0"}, false, RecordingFirst());
+  d.Submit(1, OneStep(2));
+  d.AppendAll();
+  const auto starts = d.Starts();
+  REQUIRE(starts.size() == 2);
+  d.Report("vm-0", 1, starts[0].second.attempt, WorkerEventKind::kSucceeded);
+  d.Do(ReleaseWanted{});
+  d.Report("vm-0", 2, starts[1].second.attempt, WorkerEventKind::kSucceeded);
+  d.AppendOne();
+  CHECK(d.Count<Released>() == 1);
+  CHECK(d.Last<AcknowledgeEvents>().number == 1);
+}
+
 TEST_CASE("a question waits for an end that is near, and no longer") {
   Options options = RecordingFirst();
   options.near_end_wait = Duration(250);
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -281,6 +281,9 @@
 void Owner::Impl::On(WorkerReported event) {
   Worker* worker = workers_.Find(event.vm);
   if (event.epoch != epoch_ || !loaded() || worker == nullptr) return;
+  // The worker keeps them, and tells the next owner. Taken in here, each would
+  // be a record more to wait for.
+  if (In<Releasing>()) return;
   if (In<Opening>()) {
     std::move(event.events.begin(), event.events.end(),
               std::back_inserter(worker->unread));
--- a/azurepass/store/store.h
+++ b/azurepass/store/store.h
@@ -181,6 +181,31 @@
   std::shared_ptr<Impl> impl_;
 };
 
+// When a call is made a second time: after so many times what an answer took
+// of late, within these bounds. Each further one waits twice as long.
+struct HedgeOptions {
+  Duration least{60};
+  Duration most{500};
+  double factor = 4;
+};
+
+// Stands between those who ask and the store, and asks again when an answer is
+// overdue; see hedge.cc for why that is safe. Watches, leases that are asked
+// for or given back, deletions and writes without a condition pass unchanged.
+class Hedge {
+ public:
+  Hedge(task::Loop& loop, HedgeOptions options, task::Address<Request> store);
+  ~Hedge();
+  Hedge(const Hedge&) = delete;
+  Hedge& operator=(const Hedge&) = delete;
+
+  task::Address<Request> address() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
 }  // namespace azurepass::store
 
 #endif  // AZUREPASS_STORE_STORE_H_
