Logs go to standard output, bounded and never blocking; metrics on the platform

Cause: glog wrote each line to standard error by a blocking call, unbounded.

The node's metrics listen on metrics_address, named in deploy/system.toml.

--- a/azurepass/daemons/node.cc
+++ b/azurepass/daemons/node.cc
@@ -180,9 +180,9 @@
   keeper_.address().Send(configuration::Subscribe{mailbox_.address()});
   agent_.address().Send(membership::Subscribe{manager_.address()});
   agent_.address().Send(membership::Subscribe{dispatcher_.views()});
-  if (!settings.process.operator_address.empty()) {
+  if (!settings.metrics_address.empty()) {
     exporter_.emplace(
-        loop, HttpOptions(settings.process.operator_address),
+        loop, HttpOptions(settings.metrics_address),
         std::vector<metrics::Source>{{"scheduling", manager_.address()},
                                      {"routing", dispatcher_.metrics()}});
   }
--- a/azurepass/daemons/node_main.cc
+++ b/azurepass/daemons/node_main.cc
@@ -8,9 +8,11 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <optional>
 
 #include "azurepass/daemons/node.h"
 #include "azurepass/daemons/process.h"
+#include "azurepass/logging/logging.h"
 
 ABSL_FLAG(std::string, settings, "", "the node's settings file");
 
@@ -25,6 +27,8 @@
   }
   const auto& node_settings = std::get<settings::NodeSettings>(loaded);
   task::Loop loop;
+  std::optional<logging::Writer> log(std::in_place, loop, logging::Options{});
+  LogToWriterAlone();
   Node node(loop, node_settings);
   if (const std::string failed = node.not_listening(); !failed.empty()) {
     std::fprintf(stderr, "azurepass-node: can't listen on %s\n",
@@ -39,7 +43,7 @@
                            [&] { node.Shutdown([&loop] { loop.Quit(); }); });
   loop.Run();
   // What is left has no one to answer to; its destructors would only take time.
-  google::FlushLogFiles(google::GLOG_INFO);
+  log.reset();
   std::fflush(nullptr);
   std::_Exit(kExitOk);
 }
--- a/azurepass/daemons/process.cc
+++ b/azurepass/daemons/process.cc
@@ -39,6 +39,14 @@
   google::InitGoogleLogging(program);
 }
 
+void LogToWriterAlone() {
+  FLAGS_logtostderr = false;
+  FLAGS_stderrthreshold = google::GLOG_FATAL;
+  for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity) {
+    google::SetLogDestination(severity, "");
+  }
+}
+
 SignalTask::SignalTask(task::Loop& loop, std::function<void()> on_terminate)
     : on_terminate_(std::move(on_terminate)) {
   for (const int signal : {SIGTERM, SIGINT}) {
--- a/azurepass/daemons/process.h
+++ b/azurepass/daemons/process.h
@@ -36,6 +36,8 @@
 
 // Logs go to standard error, one line an event.
 void StartLogging(const char* program);
+// From now on lines go to a logging::Writer alone, but for fatal ones.
+void LogToWriterAlone();
 
 // Calls back on the loop at the first SIGTERM or SIGINT; a second one ends the
 // process at once.
--- a/azurepass/settings/settings.cc
+++ b/azurepass/settings/settings.cc
@@ -281,6 +281,7 @@
         reader.Object<settings::Budgets>("budgets", settings::Budgets{});
     node.ready_address = ReadAddress(reader, "ready_address", true);
     node.permit_address = ReadAddress(reader, "permit_address", false);
+    node.metrics_address = ReadAddress(reader, "metrics_address", false);
     node.zones = reader.Names<ZoneId>("zones");
     node.drain_timeout = reader.Millis("drain_timeout_ms", Duration(0),
                                        kLongest, node.drain_timeout);
--- a/azurepass/settings/settings.h
+++ b/azurepass/settings/settings.h
@@ -90,10 +90,11 @@
 // where services, queues and workers are found at run time.
 struct NodeSettings {
   ProcessSettings process;
-  CellSettings cell;           // Without partitions.
-  std::string ready_address;   // "IP:PORT" for the balancer's probes.
-  std::string permit_address;  // Of the service that issues permits, or empty.
-  std::vector<ZoneId> zones;   // All availability zones.
+  CellSettings cell;            // Without partitions.
+  std::string ready_address;    // "IP:PORT" for the balancer's probes.
+  std::string permit_address;   // Of the service that issues permits, or empty.
+  std::string metrics_address;  // "IP:PORT" for metrics and health, or empty.
+  std::vector<ZoneId> zones;    // All availability zones.
   Duration drain_timeout{4'500};  // At shutdown, for what is open.
 };
 
--- a/azurepass/store/hedge.cc
+++ b/azurepass/store/hedge.cc
@@ -1,6 +1,6 @@
-// Asks the store again, and again, when an answer is overdue, without giving the first call
-// up: what answers first counts (Dean and Barroso, "The Tail at Scale", CACM
-// 2013).
+// Asks the store again, and again, when an answer is overdue, without giving
+// the first call up: what answers first counts (Dean and Barroso, "The Tail at
+// Scale", CACM 2013).
 //
 // Only calls are repeated that may run twice. Reads and renewals are; so is a
 // write on the condition of a version, of which at most one can take effect:
@@ -139,9 +139,8 @@
     if (found == open_.end()) return;  // Another call was answered first.
     Open& open = found->second;
     --open.under_way;
-    const Error* error =
-        std::visit([](const auto& reply) { return ErrorIn(reply); },
-                   answered.reply);
+    const Error* error = std::visit(
+        [](const auto& reply) { return ErrorIn(reply); }, answered.reply);
     if (error == nullptr || !TellsNothing(*error)) {
       Learn(answered.sent);
       Settle(open, answered.reply);
@@ -175,8 +174,7 @@
     std::visit(Visitor{[&](Get& r) { Answer(r, reply); },
                        [&](List& r) { Answer(r, reply); },
                        [&](Put& r) { Answer(r, reply); },
-                       [&](RenewLease& r) { Answer(r, reply); },
-                       [](auto&) {}},
+                       [&](RenewLease& r) { Answer(r, reply); }, [](auto&) {}},
                open.request);
   }
   template <class R>
@@ -214,8 +212,8 @@
   }
 
   Duration Delay() const {
-    const auto delay = Duration(
-        static_cast<int64_t>(options_.factor * average_.count()) + 1);
+    const auto delay =
+        Duration(static_cast<int64_t>(options_.factor * average_.count()) + 1);
     return std::clamp(delay, options_.least, options_.most);
   }
   void Learn(MonotonicTime sent) {
--- a/azurepass/store/hedge_test.cc
+++ b/azurepass/store/hedge_test.cc
@@ -20,11 +20,11 @@
         hedge_(loop_, {kOverdue, kOverdue, 4}, mailbox_.address()) {}
 
   void Write(const std::string& value) {
-    hedge_.address().Send(
-        Put{"key", value, 7, "", task::Address<WriteReply>([this](WriteReply r) {
-              replies.push_back(std::move(r));
-              loop_.Quit();
-            })});
+    hedge_.address().Send(Put{"key", value, 7, "",
+                              task::Address<WriteReply>([this](WriteReply r) {
+                                replies.push_back(std::move(r));
+                                loop_.Quit();
+                              })});
   }
   void Answer(size_t call, WriteReply reply) {
     std::get<Put>(calls.at(call)).reply_to.Send(std::move(reply));
