A new owner stops what was cancelled and not yet told to stop

The next owner found the job cancelled, so that the caller's second attempt was answered at once, and its tasks running, which nobody stopped. Jobs outside workflows had the same gap.

Ruled out: the session's queue of orders (none was there).

Change: an attempt of a cancelled job is recovered as stopping, so that the order goes out when its worker's session opens. Test: owner_recording_test, failed before.

--- a/azurepass/partition/owner_recording_test.cc
+++ b/azurepass/partition/owner_recording_test.cc
@@ -75,6 +75,28 @@
   CHECK(d.Starts()[0].first == VmId(other));
 }
 
+TEST_CASE("a new owner stops what was cancelled and not yet told to stop") {
+  Driver d({"vm-0"}, false, RecordingFirst());
+  d.Submit(1, OneStep(1));
+  d.AppendAll();
+  const AttemptId attempt = d.Starts()[0].second.attempt;
+  d.Do(RequestReceived{RequestToken{2},
+                       CancelWorkflow{kPartition, kTeam, kRequest},
+                       d.now + seconds(10)});
+  // The cancellation reaches the store, and its answer nobody.
+  const std::vector<Batch> journal = d.batches;
+  d.actions.clear();
+  d.Own(2, std::nullopt, journal, {});
+  d.Open("vm-0", {attempt});
+  d.AppendAll();
+  const auto& orders = d.Last<SendOrders>().orders;
+  REQUIRE(orders.size() == 1);
+  CHECK(std::get<StopTask>(orders[0]).attempt == attempt);
+  d.Report("vm-0", 1, attempt, WorkerEventKind::kStopped);
+  d.AppendAll();
+  CHECK(d.State() == WorkflowState::kCancelled);
+}
+
 TEST_CASE("an atomic gang is ordered whole or not at all") {
   Driver d({"vm-0", "vm-1"}, false, RecordingFirst());
   d.Submit(1, Gang(12));
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -127,6 +127,12 @@
                         AttemptStage::kConfirmed);
     attempt.fits = cell_.Commit(task_id, task.vm, options_.keep_what_runs);
     if (!attempt.fits) cell_.CancelTask(task_id);
+    // The former owner may have died between the record of the cancellation
+    // and the orders that follow from it; they go out with the session.
+    if (job.cancelled) {
+      attempt.stopping = StopKind::kStop;
+      cell_.CancelTask(task_id);
+    }
     workers_.AddAttempt(std::move(attempt));
   }
 }
