A question for permits names workers on which the job's bound allows a task

Ruled out: reservations and quarantine on the worker that it had run on.

Change: the look counts the job's tasks on each worker against the bound. The two loops over a narrow job's workers are one. Test: owner_workflows_test, failed before.

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -250,6 +250,7 @@
   void AskForPermits();
   void TakeTurn(const JobId& job, RoomLeft& room);
   void Ask(const JobId& job, JobPermits& permits, std::vector<VmId> with_room);
+  static int64_t LeftByBound(const internal::LedgerJob& job, const VmId& vm);
   bool MayEverRun(const JobSpec& spec, const WorkerSpec& worker) const;
   // The worker's permit for the job; empty when none is valid.
   std::string PermitFor(const JobId& job, const VmId& vm) const;
--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -77,18 +77,19 @@
   for (WorkerRoom& worker : room.workers) {
     if (tasks == 0 || !spec.task.FitsIn(allowance)) break;
     --room.budget;
-    if (!MayEverRun(spec, *worker.spec) ||
+    int64_t most = LeftByBound(job, worker.spec->vm);
+    if (most <= 0 || !MayEverRun(spec, *worker.spec) ||
         permits.denied.contains(worker.spec->vm) || !size.FitsIn(worker.free)) {
       continue;
     }
     with_room.push_back(worker.spec->vm);
     // Of a job that never asked nobody knows where it may run.
     if (!permits.asked) continue;
-    while (tasks > 0 && size.FitsIn(worker.free) &&
-           spec.task.FitsIn(allowance)) {
+    for (; most > 0 && tasks > 0 && size.FitsIn(worker.free) &&
+           spec.task.FitsIn(allowance);
+         --most, --tasks) {
       worker.free -= size;
       allowance -= spec.task;
-      --tasks;
     }
   }
   const bool may_ask = !permits.asking && permits.ask_again <= now_ &&
@@ -100,6 +101,17 @@
   }
 }
 
+// How many tasks of the job its bound still allows on the worker.
+int64_t Owner::Impl::LeftByBound(const LedgerJob& job, const VmId& vm) {
+  const int32_t bound = job.submitted.spec.constraints.max_per_worker;
+  if (bound <= 0) return std::ssize(job.tasks);
+  return bound - std::count_if(job.tasks.begin(), job.tasks.end(),
+                               [&](const TaskSnapshot& task) {
+                                 return task.state == TaskState::kRunning &&
+                                        task.vm == vm;
+                               });
+}
+
 bool Owner::Impl::MayEverRun(const JobSpec& spec,
                              const WorkerSpec& worker) const {
   return spec.task.FitsIn(worker.capacity) &&
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -213,6 +213,37 @@
   CHECK(d.Starts()[0].second.permit == "new");
 }
 
+// A task that lasts fails, and the job's bound leaves room for it on one
+// worker.
+TEST_CASE("a question names workers on which the job's bound allows a task") {
+  Driver d({"vm-0", "vm-1", "vm-2"}, /*permits=*/true);
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {Step(3)};
+  spec.steps[0].job.perpetual = true;
+  spec.steps[0].job.constraints.needs_permit = true;
+  spec.steps[0].job.constraints.max_per_worker = 1;
+  d.Submit(1, spec);
+  d.AppendAll();
+  const AskPermits asked = d.Last<AskPermits>();
+  std::vector<Permit> permits;
+  for (const VmId& vm : asked.workers) permits.push_back({vm, "t"});
+  d.Do(PermitsIssued{asked.job, asked.workers, permits,
+                     d.now + kPermitValidity});
+  d.AppendAll();
+  REQUIRE(d.Starts().size() == 3);
+  const auto last = d.Starts()[2];
+  d.now += 2 * kPermitValidity;
+  d.Report(last.first.value(), 1, last.second.attempt,
+           WorkerEventKind::kFailed);
+  d.AppendAll();
+  d.now += seconds(2);  // Past the backoff.
+  d.Do(Tick{});
+  d.AppendAll();
+  CHECK(d.Count<AskPermits>() == 2);
+  CHECK(d.Last<AskPermits>().workers == std::vector<VmId>{last.first});
+}
+
 // Load: a backlog behind a full fleet. Questions for jobs that cannot start
 // would take all of the service's time, and their permits would lapse.
 TEST_CASE("a job without room for it asks for no permits") {
--- a/azurepass/placement/internal/narrow_search.cc
+++ b/azurepass/placement/internal/narrow_search.cc
@@ -55,6 +55,17 @@
   return {away, 0, 0, fleet_.KeyOf(index), index};
 }
 
+template <class Look>
+void NarrowSearch::ForEachNamed(const Job& job, MonotonicTime now,
+                                Look look) const {
+  if (!job.spec.constraints.needs_permit) {
+    const auto workers = static_cast<Index>(fleet_.workers().size());
+    for (Index index = 0; index < workers; ++index) look(index);
+  } else if (now < job.permitted_until) {
+    for (Index index : job.permitted) look(index);
+  }
+}
+
 std::vector<NarrowSearch::Candidate> NarrowSearch::Candidates(
     const Job& job, Index job_index, const Team& team, MonotonicTime now,
     int64_t& steps, Found& found) const {
@@ -68,13 +79,7 @@
         FitsOn(job, index, rooms_.RoomFor(worker, job, job_index, now));
     if (fits > 0) candidates.push_back({index, fits, CostOf(job, index)});
   };
-  if (job.spec.constraints.needs_permit) {
-    if (now >= job.permitted_until) return candidates;
-    for (Index index : job.permitted) look(index);
-  } else {
-    const auto workers = static_cast<Index>(fleet_.workers().size());
-    for (Index index = 0; index < workers; ++index) look(index);
-  }
+  ForEachNamed(job, now, look);
   return candidates;
 }
 
@@ -88,13 +93,7 @@
       eligible.push_back(index);
     }
   };
-  if (job.spec.constraints.needs_permit) {
-    if (now >= job.permitted_until) return eligible;
-    for (Index index : job.permitted) look(index);
-  } else {
-    const auto workers = static_cast<Index>(fleet_.workers().size());
-    for (Index index = 0; index < workers; ++index) look(index);
-  }
+  ForEachNamed(job, now, look);
   return eligible;
 }
 
--- a/azurepass/placement/internal/narrow_search.h
+++ b/azurepass/placement/internal/narrow_search.h
@@ -45,6 +45,9 @@
     Cost cost;
   };
 
+  // Looks at the workers that the job's permits name, or at all without any.
+  template <class Look>
+  void ForEachNamed(const Job& job, MonotonicTime now, Look look) const;
   std::vector<Candidate> Candidates(const Job& job, Index job_index,
                                     const Team& team, MonotonicTime now,
                                     int64_t& steps, Found& found) const;
