--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -5,7 +5,8 @@
 // job that cannot start soon is wasted, and with many waiting jobs such
 // questions would take all of the service's time. Therefore a job asks only
 // when there is room for it: the jobs, in the order in which they would start,
-// take room from a copy of the fleet's, and those that got some may ask.
+// take room from a copy of the fleet's, and those that got some may ask. Urgent
+// work is short and cheap to ask about: its first question does not wait.
 //
 // Which workers the service names for a job does not change; only the permits
 // lapse. So a job's first question is about all workers that could run it, and
--- a/azurepass/placement/internal/decider.h
+++ b/azurepass/placement/internal/decider.h
@@ -1,11 +1,12 @@
 // One call of Cell::Decide.
 //
 // Order of work: what must leave (lowered allowances, slow checkpoints), then
-// urgent tasks, then room for those urgent tasks that found none, then normal
-// tasks. Within a priority the teams take turns by the team order; a team whose
-// turn it is starts the first of its jobs that can start, so that a blocked job
-// holds nobody up. A job that others keep passing over for reservation_after
-// gets a reservation, which is what keeps it from starving.
+// urgent tasks, then room and allowance for those urgent tasks that found none,
+// then normal tasks, then low ones. Within a priority the teams take turns by
+// the team order; a team whose turn it is starts the first of its jobs that can
+// start, so that a blocked job holds nobody up. A job that others keep passing
+// over for reservation_after gets a reservation, which is what keeps it from
+// starving.
 //
 // A lane is skipped without a search while the growth log shows no worker that
 // gained room for it; see growth_log.h.
