Processes go on after SIGHUP and compare the settings file

SignalTask now takes a handler for SIGHUP beside that for the end. The file is read anew, checked, and compared with what the process runs with; one line says whether it is unchanged, rejected, or takes effect at the next start. Nothing is applied to a running process yet, and a file that changes without a signal is not noticed.

--- a/azurepass/daemons/frontend_main.cc
+++ b/azurepass/daemons/frontend_main.cc
@@ -41,8 +41,12 @@
               frontend.callers_on().c_str(), frontend.operators_on().c_str(),
               frontend.entry_on().c_str());
   std::fflush(stdout);
-  SignalTask signals(loop,
-                     [&] { frontend.Shutdown([&loop] { loop.Quit(); }); });
+  const SignalTask signals(
+      loop, {[&] { frontend.Shutdown([&loop] { loop.Quit(); }); },
+             [&] {
+               LogReload(settings::LoadProcess(absl::GetFlag(FLAGS_settings)),
+                         settings->process);
+             }});
   loop.Run();
   return kExitOk;
 }
--- a/azurepass/daemons/node_main.cc
+++ b/azurepass/daemons/node_main.cc
@@ -39,8 +39,12 @@
             << " zone=" << node_settings.process.zone.value()
             << " callers=" << node_settings.process.http_address
             << " entry=" << node_settings.process.entry_address;
-  const SignalTask signals(loop,
-                           [&] { node.Shutdown([&loop] { loop.Quit(); }); });
+  const SignalTask signals(
+      loop, {[&] { node.Shutdown([&loop] { loop.Quit(); }); },
+             [&] {
+               LogReload(settings::LoadNode(absl::GetFlag(FLAGS_settings)),
+                         node_settings);
+             }});
   loop.Run();
   // What is left has no one to answer to; its destructors would only take time.
   log.reset();
--- a/azurepass/daemons/process.cc
+++ b/azurepass/daemons/process.cc
@@ -47,16 +47,31 @@
   }
 }
 
-SignalTask::SignalTask(task::Loop& loop, std::function<void()> on_terminate)
-    : on_terminate_(std::move(on_terminate)) {
-  for (const int signal : {SIGTERM, SIGINT}) {
-    GSource* source = g_unix_signal_source_new(signal);
-    g_source_set_callback(source, OnSignal, this, nullptr);
-    g_source_attach(source, loop.context());
-    sources_.push_back(source);
+void LogReloadOutcome(const settings::Problem* problem, bool same) {
+  if (problem != nullptr) {
+    LOG(ERROR) << "event=reload outcome=rejected problem=\""
+               << problem->ToString() << "\"";
+  } else if (same) {
+    LOG(INFO) << "event=reload outcome=unchanged";
+  } else {
+    LOG(WARNING) << "event=reload outcome=at_next_start";
   }
 }
 
+SignalTask::SignalTask(task::Loop& loop, SignalHandlers handlers)
+    : handlers_(std::move(handlers)) {
+  Listen(loop, SIGTERM, OnTerminate);
+  Listen(loop, SIGINT, OnTerminate);
+  Listen(loop, SIGHUP, OnReload);
+}
+
+void SignalTask::Listen(task::Loop& loop, int signal, GSourceFunc function) {
+  GSource* source = g_unix_signal_source_new(signal);
+  g_source_set_callback(source, function, this, nullptr);
+  g_source_attach(source, loop.context());
+  sources_.push_back(source);
+}
+
 SignalTask::~SignalTask() {
   for (GSource* source : sources_) {
     g_source_destroy(source);
@@ -64,12 +79,17 @@
   }
 }
 
-gboolean SignalTask::OnSignal(gpointer self) {
+gboolean SignalTask::OnTerminate(gpointer self) {
   auto* task = static_cast<SignalTask*>(self);
   if (task->asked_) std::_Exit(kExitFailure);
   task->asked_ = true;
   LOG(INFO) << "shutdown reason=signal";
-  task->on_terminate_();
+  task->handlers_.terminate();
+  return G_SOURCE_CONTINUE;
+}
+
+gboolean SignalTask::OnReload(gpointer self) {
+  static_cast<SignalTask*>(self)->handlers_.reload();
   return G_SOURCE_CONTINUE;
 }
 
--- a/azurepass/daemons/process.h
+++ b/azurepass/daemons/process.h
@@ -34,28 +34,48 @@
 std::optional<AllSettings> LoadSettings(const std::string& cell_file,
                                         const std::string& process_file);
 
+// The line of LogReload. `problem` is null when the file is valid.
+void LogReloadOutcome(const settings::Problem* problem, bool same);
+
 // Logs go to standard error, one line an event.
 void StartLogging(const char* program);
 // From now on lines go to a logging::Writer alone, but for fatal ones.
 void LogToWriterAlone();
 
-// Calls back on the loop at the first SIGTERM or SIGINT; a second one ends the
-// process at once.
+// What the process does on a signal; called on the loop.
+struct SignalHandlers {
+  std::function<void()> terminate;  // The first SIGTERM or SIGINT.
+  std::function<void()> reload;     // Every SIGHUP.
+};
+
+// Receives the process's signals. A second SIGTERM or SIGINT ends the process
+// at once.
 class SignalTask {
  public:
-  SignalTask(task::Loop& loop, std::function<void()> on_terminate);
+  SignalTask(task::Loop& loop, SignalHandlers handlers);
   ~SignalTask();
   SignalTask(const SignalTask&) = delete;
   SignalTask& operator=(const SignalTask&) = delete;
 
  private:
-  static gboolean OnSignal(gpointer self);
+  static gboolean OnTerminate(gpointer self);
+  static gboolean OnReload(gpointer self);
+  void Listen(task::Loop& loop, int signal, GSourceFunc function);
 
-  std::function<void()> on_terminate_;
+  const SignalHandlers handlers_;
   std::vector<GSource*> sources_;
-  bool asked_ = false;
+  bool asked_ = false;  // To terminate.
 };
 
+// Logs how the settings file, read anew, compares with what the process runs
+// with. A process takes its settings at its start: a file with a problem is
+// rejected, and one with changes takes effect at the next start.
+template <class T>
+void LogReload(const settings::Loaded<T>& loaded, const T& current) {
+  LogReloadOutcome(std::get_if<settings::Problem>(&loaded),
+                   loaded == settings::Loaded<T>(current));
+}
+
 // Of servers that listen on "IP:PORT", with their own bounds.
 httpserver::Options HttpOptions(const std::string& address);
 entry::ServerOptions EntryOptions(const std::string& address);
--- a/azurepass/daemons/scheduler_main.cc
+++ b/azurepass/daemons/scheduler_main.cc
@@ -132,8 +132,13 @@
                  all->process.entry_address.c_str());
     return daemons::kExitFailure;
   }
-  const daemons::SignalTask signals(decision,
-                                    [&] { ShutDown(scheduler, decision); });
+  const daemons::SignalTask signals(
+      decision, {[&] { ShutDown(scheduler, decision); },
+                 [&] {
+                   daemons::LogReload(
+                       settings::LoadProcess(absl::GetFlag(FLAGS_settings)),
+                       all->process);
+                 }});
   scheduler.Start();
   std::printf("listening entry=%s http=%s\n", scheduler.entry_address().c_str(),
               scheduler.http_address().c_str());
--- a/azurepass/settings/settings.h
+++ b/azurepass/settings/settings.h
@@ -35,6 +35,7 @@
   PartitionId id;
   ServiceId service;
   std::vector<WorkerSpec> workers;
+  bool operator==(const PartitionSettings&) const = default;
 };
 
 // Time spans and budgets; the defaults fit a cell of today's size.
@@ -52,6 +53,7 @@
   Duration store_timeout{2'000};
   Duration append_spacing{0};        // Between two journal writes.
   Duration kept_after_end{600'000};  // A final job is remembered so long.
+  bool operator==(const Timing&) const = default;
 };
 
 struct Budgets {
@@ -59,6 +61,7 @@
   double store_reads_per_second = 100;
   int64_t queue_bound = 50'000;  // Waiting tasks of a team in a partition.
   int64_t snapshot_every = 200;  // Journal batches.
+  bool operator==(const Budgets&) const = default;
 };
 
 // What all processes of a cell share.
@@ -74,6 +77,7 @@
   std::vector<ZoneId> Zones() const;
   // The partitions of one service, in the file's order.
   std::vector<PartitionId> PartitionsOf(const ServiceId& service) const;
+  bool operator==(const CellSettings&) const = default;
 };
 
 // What tells one process from the others.
@@ -84,6 +88,7 @@
   std::string http_address;         // Callers (frontend); metrics (both).
   std::string operator_address;     // Operators (frontend); may be empty.
   std::string operator_key_sha256;  // Of the operators' key; hexadecimal.
+  bool operator==(const ProcessSettings&) const = default;
 };
 
 // A node: one process that serves callers and owns partitions, on a platform
@@ -96,6 +101,7 @@
   std::string metrics_address;  // "IP:PORT" for metrics and health, or empty.
   std::vector<ZoneId> zones;    // All availability zones.
   Duration drain_timeout{4'500};  // At shutdown, for what is open.
+  bool operator==(const NodeSettings&) const = default;
 };
 
 struct Problem {
@@ -103,6 +109,7 @@
   std::string path;  // Of the field; empty when the file can't be read.
   std::string problem;
   std::string ToString() const;  // "FILE: PATH: PROBLEM".
+  bool operator==(const Problem&) const = default;
 };
 
 template <class T>
