Latency hop by hop at the owner's boundary

What binds an owner under load could not be told from its logs: a job accepted late, placed late and answered late look the same. A HopMeter watches the events an owner is given and the actions it returns, so that the owner itself knows nothing of it, and measures the way of a submission, a permit, a start and an end; beside it the processor time by kind of event. One line a second in the log of an owner (event=hops), and counters and quantiles among the metrics.

--- a/azurepass/scheduling/internal/partition_task.cc
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -219,10 +219,14 @@
   const MonotonicTime now = Clock::now();
   TellFreshness(now);
   if (!owner_) return;
+  const size_t kind = event.index();
+  const auto began = ThreadProcessorTime();
+  hops_.OnEvent(event, now);
   std::vector<partition::Action> actions =
       owner_->Handle(std::move(event), now);
   handling_.Record(Clock::now() - now);
   PerformAll(std::move(actions));
+  hops_.OnHandled(kind, ThreadProcessorTime() - began);
 }
 
 void PartitionTask::TellFreshness(MonotonicTime now) {
@@ -243,7 +247,11 @@
 }
 
 void PartitionTask::PerformAll(std::vector<partition::Action> actions) {
-  for (partition::Action& action : actions) Perform(action);
+  const MonotonicTime now = Clock::now();
+  for (partition::Action& action : actions) {
+    hops_.OnAction(action, now);
+    Perform(action);
+  }
 }
 
 void PartitionTask::Perform(partition::Action& action) {
@@ -351,6 +359,7 @@
   demands_.clear();
   wake_.Cancel();
   freshness_timer_.Cancel();
+  hops_.Forget();
 }
 
 void PartitionTask::SendStatus() {
@@ -363,7 +372,18 @@
   notice.decisions = decisions_;
   notice.handling_p50 = handling_.Quantile(0.5);
   notice.handling_p99 = handling_.Quantile(0.99);
+  for (size_t hop = 0; hop < kHops; ++hop) {
+    notice.hops[hop] = hops_.Figures(static_cast<Hop>(hop));
+  }
   peers_.manager.Send(std::move(notice));
+  LogHops();
+}
+
+void PartitionTask::LogHops() {
+  const std::string seen = hops_.TakeLine(Clock::now());
+  if (seen.empty()) return;
+  LOG(INFO) << "event=hops partition=" << options_.partition.id.value()
+            << " epoch=" << epoch_.value << " " << seen;
 }
 
 }  // namespace azurepass::scheduling
--- a/azurepass/scheduling/internal/partition_task.h
+++ b/azurepass/scheduling/internal/partition_task.h
@@ -4,6 +4,7 @@
 #ifndef AZUREPASS_SCHEDULING_INTERNAL_PARTITION_TASK_H_
 #define AZUREPASS_SCHEDULING_INTERNAL_PARTITION_TASK_H_
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -20,6 +21,7 @@
 #include "azurepass/metrics/metrics.h"
 #include "azurepass/partition/partition.h"
 #include "azurepass/permit/permit.h"
+#include "azurepass/scheduling/internal/hops.h"
 #include "azurepass/settings/settings.h"
 #include "azurepass/task/task.h"
 #include "azurepass/vmlist/vmlist.h"
@@ -61,6 +63,7 @@
   // How long the owner took for an event.
   metrics::Histogram::Elapsed handling_p50{0};
   metrics::Histogram::Elapsed handling_p99{0};
+  std::array<HopFigures, kHops> hops{};
 };
 using Notice = std::variant<HandedOver, WasDeposed, StatusNotice>;
 
@@ -129,6 +132,7 @@
   // The owner is gone: whoever still waits asks another process.
   void DropOwner();
   void SendStatus();
+  void LogHops();
 
   const PartitionTaskOptions options_;
   const PartitionTaskPeers peers_;
@@ -155,6 +159,7 @@
 
   std::map<std::string, int64_t> decisions_;  // Since the start, by kind.
   metrics::Histogram handling_;
+  HopMeter hops_;
 
   // Requests not yet answered. A token is never used twice.
   std::map<partition::RequestToken, entry::Responder> open_requests_;
--- a/azurepass/scheduling/internal/report.cc
+++ b/azurepass/scheduling/internal/report.cc
@@ -46,6 +46,45 @@
   return metrics::Label("partition", notice.status.partition.value());
 }
 
+// What is shown of each hop that occurred.
+struct HopFamily {
+  const char* name;
+  const char* help;
+  double (*value)(const HopFigures&);
+};
+constexpr HopFamily kHopFamilies[] = {
+    {"azurepass_hop_p50_seconds", "latency of a hop, median",
+     [](const HopFigures& f) { return Seconds(f.p50); }},
+    {"azurepass_hop_p99_seconds", "latency of a hop, 99th percentile",
+     [](const HopFigures& f) { return Seconds(f.p99); }},
+    {"azurepass_hop_sum_seconds", "latencies of a hop, added up",
+     [](const HopFigures& f) { return Seconds(f.sum); }},
+};
+
+std::string HopLabels(const StatusNotice& notice, size_t hop) {
+  return PartitionLabel(notice) + "," +
+         metrics::Label("hop", HopName(static_cast<Hop>(hop)));
+}
+
+void AddHops(const std::vector<StatusNotice>& partitions, metrics::Text& text) {
+  for (const StatusNotice& notice : partitions) {
+    for (size_t hop = 0; hop < kHops; ++hop) {
+      if (notice.hops[hop].count == 0) continue;
+      text.Counter("azurepass_hops_total", "hops by kind",
+                   notice.hops[hop].count, HopLabels(notice, hop));
+    }
+  }
+  for (const HopFamily& family : kHopFamilies) {
+    for (const StatusNotice& notice : partitions) {
+      for (size_t hop = 0; hop < kHops; ++hop) {
+        if (notice.hops[hop].count == 0) continue;
+        text.Gauge(family.name, family.help, family.value(notice.hops[hop]),
+                   HopLabels(notice, hop));
+      }
+    }
+  }
+}
+
 }  // namespace
 
 metrics::Report MakeReport(const std::vector<StatusNotice>& partitions,
@@ -64,6 +103,7 @@
                    PartitionLabel(notice) + "," + metrics::Label("kind", kind));
     }
   }
+  AddHops(partitions, text);
   metrics::Report report{text.Take(), std::nullopt};
   if (!store_read) report.not_ready = "the store was not read yet";
   return report;
