--- a/azurepass/scheduling/internal/hops.cc
+++ b/azurepass/scheduling/internal/hops.cc
@@ -18,18 +18,18 @@
 using metrics::Histogram;
 
 constexpr std::array<std::string_view, kHops> kHopNames = {
-    "submit", "cancel", "read",    "append", "permit", "first_start",
-    "order",  "confirm", "end"};
+    "submit",      "cancel", "read",    "append", "permit",
+    "first_start", "order",  "confirm", "end"};
 
 // In the order of the alternatives of partition::Event.
 constexpr std::array<std::string_view, std::variant_size_v<partition::Event>>
-    kEventNames = {"claim_won",    "release_wanted", "claim_lost",
-                   "loaded",       "load_failed",    "appended",
-                   "found",        "append_unknown", "append_failed",
-                   "snapshot",     "configuration",  "freshness",
-                   "allowances",   "workers",        "permits",
-                   "session",      "reported",       "fenced",
-                   "unreachable",  "request",        "tick"};
+    kEventNames = {"claim_won",   "release_wanted", "claim_lost",
+                   "loaded",      "load_failed",    "appended",
+                   "found",       "append_unknown", "append_failed",
+                   "snapshot",    "configuration",  "freshness",
+                   "allowances",  "workers",        "permits",
+                   "session",     "reported",       "fenced",
+                   "unreachable", "request",        "tick"};
 
 Hop HopOf(const partition::JobRequest& request) {
   return std::visit(
@@ -147,13 +147,13 @@
   }
 }
 
-void HopMeter::OnAcknowledged(
-    const partition::AcknowledgeEvents& acknowledged, MonotonicTime now) {
+void HopMeter::OnAcknowledged(const partition::AcknowledgeEvents& acknowledged,
+                              MonotonicTime now) {
   const auto found = ends_.find(acknowledged.vm);
   if (found == ends_.end()) return;
   std::vector<ListedEnd>& ends = found->second;
-  const auto open = std::find_if(
-      ends.begin(), ends.end(), [&](const ListedEnd& listed) {
+  const auto open =
+      std::find_if(ends.begin(), ends.end(), [&](const ListedEnd& listed) {
         return listed.number > acknowledged.number;
       });
   for (auto end = ends.begin(); end != open; ++end) {
@@ -166,24 +166,23 @@
 
 void HopMeter::OnAction(const partition::Action& action, MonotonicTime now) {
   std::visit(
-      Visitor{[&](const partition::AppendBatch& a) {
-                Begin(appends_, a.batch.number, now);
-              },
-              [&](const partition::AskPermits& a) {
-                Begin(permits_, a.job, now);
-              },
-              [&](const partition::Answer& a) {
-                const auto found = requests_.find(a.token.value);
-                if (found == requests_.end()) return;
-                Record(found->second.first, now - found->second.second);
-                requests_.erase(found);
-              },
-              [&](const partition::SendOrders& a) { OnOrders(a, now); },
-              [&](const partition::AcknowledgeEvents& a) {
-                OnAcknowledged(a, now);
-              },
-              [&](const partition::LogDecision& a) { OnDecision(a, now); },
-              [](const auto&) {}},
+      Visitor{
+          [&](const partition::AppendBatch& a) {
+            Begin(appends_, a.batch.number, now);
+          },
+          [&](const partition::AskPermits& a) { Begin(permits_, a.job, now); },
+          [&](const partition::Answer& a) {
+            const auto found = requests_.find(a.token.value);
+            if (found == requests_.end()) return;
+            Record(found->second.first, now - found->second.second);
+            requests_.erase(found);
+          },
+          [&](const partition::SendOrders& a) { OnOrders(a, now); },
+          [&](const partition::AcknowledgeEvents& a) {
+            OnAcknowledged(a, now);
+          },
+          [&](const partition::LogDecision& a) { OnDecision(a, now); },
+          [](const auto&) {}},
       action);
 }
 
@@ -258,9 +257,9 @@
   }
   const MonotonicTime since = std::exchange(line_at_, now);
   if (line.empty() && events.empty()) return "";
-  const auto span = since == MonotonicTime() ? Duration(0)
-                                             : std::chrono::round<Duration>(
-                                                   now - since);
+  const auto span = since == MonotonicTime()
+                        ? Duration(0)
+                        : std::chrono::round<Duration>(now - since);
   line = "span_ms=" + std::to_string(span.count()) + line +
          " busy_ms=" + Short(Millis(busy)) + events +
          " open_requests=" + std::to_string(requests_.size()) +
--- a/azurepass/scheduling/internal/hops.h
+++ b/azurepass/scheduling/internal/hops.h
@@ -108,13 +108,13 @@
 
   // Invariant: none has more than kMostOpen elements.
   absl::flat_hash_map<int64_t, std::pair<Hop, MonotonicTime>> requests_;
-  Open<int64_t> appends_;       // By the batch's number.
+  Open<int64_t> appends_;  // By the batch's number.
   Open<JobId> permits_;
   Open<std::string> accepted_;  // Requests of workflows without a start.
   Open<AttemptId> decided_;     // Not ordered yet.
   Open<AttemptId> ordered_;     // Not confirmed yet.
   absl::flat_hash_map<VmId, std::vector<ListedEnd>> ends_;  // By number.
-  size_t open_ends_ = 0;        // In all of ends_.
+  size_t open_ends_ = 0;                                    // In all of ends_.
 
   int64_t given_up_ = 0;  // Since the last line.
   MonotonicTime line_at_{};
