A configuration of a thousand records comes into force

A follower asks for pages of 1,000 entries and takes a shorter page as the last. The platform's adapter derives all records from one document and returns them together, whatever page was asked for. From 1,000 records on, the follower asked for the next page without end, was given the whole each time and kept it all: nothing was ever published, and the loop did little else.

A listing now says when it is complete, and both readers of pages ask one function whether a page is the last. Filtering by the first key asked for would also have ended the loop, at the price of reading the document once more.

--- a/azurepass/follow/follow.cc
+++ b/azurepass/follow/follow.cc
@@ -82,8 +82,7 @@
 
   void TakePage(store::Listing& page) {
     if (listing_.entries.empty()) listing_.revision = page.revision;
-    const bool last =
-        static_cast<int64_t>(page.entries.size()) < options_.page_entries;
+    const bool last = store::IsLastPage(page, options_.page_entries);
     std::move(page.entries.begin(), page.entries.end(),
               std::back_inserter(listing_.entries));
     if (!last) return ReadPage(store::KeyAfter(listing_.entries.back().key));
--- a/azurepass/follow/follow_test.cc
+++ b/azurepass/follow/follow_test.cc
@@ -58,5 +58,32 @@
   }
 }
 
+// A big configuration was listed again and again, and never came into force.
+TEST_CASE("a complete answer that exceeds the page is the whole listing") {
+  Inbox<Event> events;
+  task::Loop loop;
+  Options options;
+  options.prefix = "config/";
+  options.page_entries = 3;
+  // As the platform's adapter: all that follows from one document, whatever
+  // part of it was asked for.
+  int listings = 0;
+  task::Mailbox<store::Request> store(loop, [&](const store::Request& request) {
+    const auto* list = std::get_if<store::List>(&request);
+    if (list == nullptr || ++listings > 1) return;
+    store::Listing listing{{}, Revision{5}, /*complete=*/true};
+    for (size_t i = 0; i < kKeys; ++i) {
+      listing.entries.push_back({"config/key-" + std::to_string(i), "", 5});
+    }
+    list->reply_to.Send(listing);
+  });
+  Follower follower(loop, options, store.address(), events.address());
+  loop.Start();
+  const std::optional<Event> first = events.TakeWithin(std::chrono::seconds(5));
+  loop.Stop();
+  REQUIRE(first.has_value());
+  CHECK(std::get<Replaced>(*first).listing.entries.size() == kKeys);
+}
+
 }  // namespace
 }  // namespace azurepass::follow
--- a/azurepass/operators/configuration_writer.cc
+++ b/azurepass/operators/configuration_writer.cc
@@ -198,12 +198,12 @@
       Continue<store::ListReply>([=, this](store::ListReply reply) mutable {
         auto* page = std::get_if<store::Listing>(&reply);
         if (page == nullptr) return then(std::move(reply));
-        const size_t count = page->entries.size();
+        const bool last = store::IsLastPage(*page, kPageEntries);
         // The revision of the first page is safe for all.
         if (so_far.entries.empty()) so_far.revision = page->revision;
         std::move(page->entries.begin(), page->entries.end(),
                   std::back_inserter(so_far.entries));
-        if (count < kPageEntries) return then(std::move(so_far));
+        if (last) return then(std::move(so_far));
         List(prefix, std::move(so_far), std::move(then));
       })});
 }
--- a/azurepass/store/store.h
+++ b/azurepass/store/store.h
@@ -67,6 +67,8 @@
 struct Listing {
   std::vector<Entry> entries;  // By key.
   Revision revision;
+  // Nothing follows, though there may be more entries than were asked for.
+  bool complete = false;
 };
 struct Written {
   Version version = kAbsent;
@@ -96,6 +98,11 @@
 using RenewReply = std::variant<LeaseRenewed, Error>;
 using WatchReply = std::variant<Changes, Error>;
 
+// Whether nothing follows a page of which `limit` entries were asked for.
+inline bool IsLastPage(const Listing& page, int64_t limit) {
+  return page.complete || static_cast<int64_t>(page.entries.size()) < limit;
+}
+
 // --- Requests
 
 struct Get {
