A node survives SIGHUP

Nobody handled the signal, so its default action ended the process. It is now logged; changed settings come into force with the next start, as before.

Before the change process_test ended with "Hangup", exit code 129.

--- a/azurepass/daemons/process.cc
+++ b/azurepass/daemons/process.cc
@@ -49,12 +49,15 @@
 
 SignalTask::SignalTask(task::Loop& loop, std::function<void()> on_terminate)
     : on_terminate_(std::move(on_terminate)) {
-  for (const int signal : {SIGTERM, SIGINT}) {
-    GSource* source = g_unix_signal_source_new(signal);
-    g_source_set_callback(source, OnSignal, this, nullptr);
-    g_source_attach(source, loop.context());
-    sources_.push_back(source);
-  }
+  for (const int signal : {SIGTERM, SIGINT}) Listen(loop, signal, OnSignal);
+  Listen(loop, SIGHUP, OnHangup);
+}
+
+void SignalTask::Listen(task::Loop& loop, int signal, GSourceFunc handler) {
+  GSource* source = g_unix_signal_source_new(signal);
+  g_source_set_callback(source, handler, this, nullptr);
+  g_source_attach(source, loop.context());
+  sources_.push_back(source);
 }
 
 SignalTask::~SignalTask() {
@@ -73,6 +76,12 @@
   return G_SOURCE_CONTINUE;
 }
 
+gboolean SignalTask::OnHangup(gpointer /*self*/) {
+  LOG(INFO) << "event=reload reason=signal outcome=\"not read: settings are "
+               "in force from a start on\"";
+  return G_SOURCE_CONTINUE;
+}
+
 httpserver::Options HttpOptions(const std::string& address) {
   httpserver::Options options;
   options.address = address;
--- a/azurepass/daemons/process.h
+++ b/azurepass/daemons/process.h
@@ -40,7 +40,8 @@
 void LogToWriterAlone();
 
 // Calls back on the loop at the first SIGTERM or SIGINT; a second one ends the
-// process at once.
+// process at once. SIGHUP, the notice of a changed settings file, is logged:
+// unhandled it would end the process.
 class SignalTask {
  public:
   SignalTask(task::Loop& loop, std::function<void()> on_terminate);
@@ -50,6 +51,8 @@
 
  private:
   static gboolean OnSignal(gpointer self);
+  static gboolean OnHangup(gpointer self);
+  void Listen(task::Loop& loop, int signal, GSourceFunc handler);
 
   std::function<void()> on_terminate_;
   std::vector<GSource*> sources_;
--- /dev/null
+++ b/azurepass/daemons/process_test.cc
@@ -0,0 +1,28 @@
+// Signals to a daemon.
+
+#include "azurepass/daemons/process.h"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+
+namespace azurepass::daemons {
+namespace {
+
+// A notice of changed settings ended the process, as if nobody handled it.
+TEST_CASE("a hangup ends nothing, a termination is told once") {
+  task::Loop loop;
+  int terminations = 0;
+  const SignalTask signals(loop, [&] {
+    ++terminations;
+    loop.Quit();
+  });
+  task::Timer terminate(loop);
+  for (int i = 0; i < 3; ++i) std::raise(SIGHUP);
+  terminate.After(Duration(100), [] { std::raise(SIGTERM); });
+  loop.Run();
+  CHECK(terminations == 1);
+}
+
+}  // namespace
+}  // namespace azurepass::daemons
