The cell keeps the jobs that need permits in their order

Seen: each 20 ms AskForPermits made a list of all jobs that need permits, looked each up by name in three maps and sorted them, and then weighed the first few: 252 workers a job use up the look's budget after nine jobs.

Now the cell keeps those that wait sorted by rank, updated where a job's queue is, and the owner visits the first ones.

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -248,8 +248,10 @@
   struct JobPermits;
   // Asks for the permits without which jobs that have room cannot start.
   void AskForPermits();
-  void TakeTurn(const JobId& job, RoomLeft& room);
-  void Ask(const JobId& job, JobPermits& permits, std::vector<VmId> with_room);
+  void TakeTurn(const internal::LedgerJob& job, JobPermits& permits,
+                RoomLeft& room);
+  void Ask(const internal::LedgerJob& job, JobPermits& permits,
+           std::vector<VmId> with_room);
   static int64_t LeftByBound(const internal::LedgerJob& job, const VmId& vm);
   bool MayEverRun(const JobSpec& spec, const WorkerSpec& worker) const;
   // The worker's permit for the job; empty when none is valid.
--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -48,24 +48,20 @@
           {&worker.spec, worker.spec.capacity - cell_.CommittedOn(vm)});
     }
   }
-  std::vector<std::pair<placement::WaitingRank, JobId>> order;
-  for (const auto& [id, permits] : permits_) {
+  cell_.VisitPermitWaiters([&](const JobId& id) {
+    const auto permits = permits_.find(id);
     const LedgerJob* job = live_.Find(id);
-    if (job == nullptr || job->queued == 0) continue;
-    order.emplace_back(cell_.RankOf(id), id);
-  }
-  std::sort(order.begin(), order.end());
-  for (const auto& [rank, id] : order) {
-    if (room.budget <= 0) break;
-    TakeTurn(id, room);
-  }
+    if (permits != permits_.end() && job != nullptr && job->queued > 0) {
+      TakeTurn(*job, permits->second, room);
+    }
+    return room.budget > 0;
+  });
 }
 
 // Takes room for the job, and asks if it has no valid permits.
-void Owner::Impl::TakeTurn(const JobId& id, RoomLeft& room) {
-  const LedgerJob& job = *live_.Find(id);
+void Owner::Impl::TakeTurn(const LedgerJob& job, JobPermits& permits,
+                           RoomLeft& room) {
   const JobSpec& spec = job.submitted.spec;
-  JobPermits& permits = permits_.at(id);
   Resources size = spec.task;
   if (spec.scavenger) size[Dimension::kMillicores] = 0;
   Resources& allowance =
@@ -98,7 +94,7 @@
   // An urgent job's first question is about all workers, and need not wait.
   const bool first = !permits.asked && spec.priority == Priority::kUrgent;
   if (may_ask && (first || !with_room.empty())) {
-    Ask(id, permits, std::move(with_room));
+    Ask(job, permits, std::move(with_room));
   }
 }
 
@@ -119,16 +115,16 @@
          Carries(worker, spec.constraints.label);
 }
 
-void Owner::Impl::Ask(const JobId& id, JobPermits& permits,
+void Owner::Impl::Ask(const LedgerJob& job, JobPermits& permits,
                       std::vector<VmId> with_room) {
-  const JobSpec& spec = live_.Find(id)->submitted.spec;
+  const JobSpec& spec = job.submitted.spec;
   auto queue = surroundings_.configuration->queues.find(spec.queue);
   if (queue == surroundings_.configuration->queues.end() ||
       !queue->second.permits) {
     permits.ask_again = now_ + options_.permit_retry;
     return;
   }
-  AskPermits question{id, {}, *queue->second.permits};
+  AskPermits question{job.submitted.job, {}, *queue->second.permits};
   if (permits.asked) {
     question.workers = std::move(with_room);
   } else {
--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -340,8 +340,15 @@
     return {std::numeric_limits<int>::max(),
             std::numeric_limits<int64_t>::max()};
   }
-  const Job& job = state.jobs[index];
-  return {internal::RankOf(job.priority()), job.order()};
+  return state.jobs[index].rank();
+}
+
+void Cell::VisitPermitWaiters(
+    const std::function<bool(const JobId&)>& visit) const {
+  const internal::CellState& state = impl_->state();
+  for (const auto& [rank, index] : state.permit_waiters) {
+    if (!visit(state.jobs[index].id)) return;
+  }
 }
 
 CellStatus Cell::Status() const {
--- a/azurepass/placement/internal/cell_state.cc
+++ b/azurepass/placement/internal/cell_state.cc
@@ -324,7 +324,20 @@
   Resort(lane_index, first);
 }
 
+void CellState::UpdatePermitWaiters(Index index) {
+  Job& job = jobs[index];
+  std::optional<WaitingRank> rank;
+  if (job.spec.constraints.needs_permit && job.waiting + job.delayed > 0) {
+    rank = job.rank();
+  }
+  if (rank == job.permit_rank) return;
+  if (job.permit_rank) permit_waiters.erase({*job.permit_rank, index});
+  if (rank) permit_waiters.emplace(*rank, index);
+  job.permit_rank = rank;
+}
+
 void CellState::UpdateQueue(Index index) {
+  UpdatePermitWaiters(index);
   const Job& job = jobs[index];
   const bool startable = job.is_startable();
   if (job.lane != kNone && !startable) Dequeue(index);
--- a/azurepass/placement/internal/cell_state.h
+++ b/azurepass/placement/internal/cell_state.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <optional>
 #include <queue>
+#include <set>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -88,6 +89,9 @@
   Teams teams;
   std::vector<Job> jobs;  // By slot; a free slot has team kNone.
   std::vector<Lane> lanes;
+  // Jobs that need permits and have tasks that wait or are delayed. Invariant:
+  // the ranks are those in Job::permit_rank.
+  std::set<std::pair<WaitingRank, Index>> permit_waiters;
   Reservations reservations;
   double reservation_time = 0;  // Virtual time of the latest one planned.
   RunTimes run_times;
@@ -110,6 +114,7 @@
   PassEnd pass_end[kPriorities];
 
  private:
+  void UpdatePermitWaiters(Index job);
   void Enqueue(Index job);
   void Dequeue(Index job);
   Index LaneFor(const Job& job);
--- a/azurepass/placement/internal/job.h
+++ b/azurepass/placement/internal/job.h
@@ -109,6 +109,8 @@
   std::vector<Index> permitted;
   MonotonicTime permitted_until{};
   bool permit_valid = false;  // Until CellState::EndPermits finds it over.
+  // Its place in CellState::permit_waiters, if it is there.
+  std::optional<WaitingRank> permit_rank;
   // Tasks on each worker; kept for narrow jobs.
   absl::flat_hash_map<Index, int32_t> on_workers;
 
@@ -151,6 +153,8 @@
                by.time_since_epoch())
                .count();
   }
+  // Where it waits among all jobs.
+  WaitingRank rank() const { return {RankOf(priority()), order()}; }
   bool is_expired(MonotonicTime now) const {
     return spec.deadline.has_value() && now >= accepted + *spec.deadline;
   }
--- a/azurepass/placement/placement.h
+++ b/azurepass/placement/placement.h
@@ -25,6 +25,7 @@
 #define AZUREPASS_PLACEMENT_PLACEMENT_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -331,6 +332,9 @@
   WaitReason WaitReasonOf(const TaskId& task) const;
   // Of a job that is not known: after all others.
   WaitingRank RankOf(const JobId& job) const;
+  // Names the waiting jobs that need permits, valid ones or not, in the order
+  // of their ranks, until `visit` says that it has seen enough (false).
+  void VisitPermitWaiters(const std::function<bool(const JobId&)>& visit) const;
   CellStatus Status() const;
   // Waiting tasks by reason; looks at all jobs that are waiting.
   std::map<WaitReason, int64_t> WaitingByReason() const;
