--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -59,6 +59,8 @@
       return "retry_backoff";
     case WaitReason::kRetryBudget:
       return "retry_budget";
+    case WaitReason::kNoPermit:
+      return "no_permit";
   }
   return "unknown";
 }
@@ -192,6 +194,7 @@
   state_.fleet.Advance(state_.now, state_.options.zone_ramp);
   state_.EndDelays(state_.now);
   state_.EndTiers(state_.now);
+  state_.EndPermits(state_.now);
   internal::Decider decider(state_, budget);
   std::vector<Decision> decisions = decider.Run();
   has_more_ = decider.has_more();
@@ -287,8 +290,8 @@
     const Index worker = state.fleet.Find(vm);
     if (worker != kNone) job.permitted.push_back(worker);
   }
-  job.permitted_until = until;
-  if (job.lane != kNone) state.Forget(state.lanes[job.lane]);
+  std::sort(job.permitted.begin(), job.permitted.end());
+  state.SetPermitted(index, until);
 }
 
 bool Cell::Commit(const TaskId& task, const VmId& vm, bool without_room) {
@@ -337,8 +340,15 @@
     return {std::numeric_limits<int>::max(),
             std::numeric_limits<int64_t>::max()};
   }
-  const Job& job = state.jobs[index];
-  return {internal::RankOf(job.priority()), job.order()};
+  return state.jobs[index].rank();
+}
+
+void Cell::VisitPermitWaiters(
+    const std::function<bool(const JobId&)>& visit) const {
+  const internal::CellState& state = impl_->state();
+  for (const auto& [rank, index] : state.permit_waiters) {
+    if (!visit(state.jobs[index].id)) return;
+  }
 }
 
 CellStatus Cell::Status() const {
@@ -362,6 +372,7 @@
   const internal::CellState& state = impl_->state();
   std::map<WaitReason, int64_t> waiting;
   for (const Job& job : state.jobs) {
+    if (job.lacks_permit()) waiting[WaitReason::kNoPermit] += job.waiting;
     if (job.waiting == 0 || job.lane == kNone) continue;
     waiting[state.lanes[job.lane].reason] += job.waiting;
   }
--- a/azurepass/placement/internal/cell_state.h
+++ b/azurepass/placement/internal/cell_state.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <optional>
 #include <queue>
+#include <set>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -69,6 +70,10 @@
   std::optional<MonotonicTime> NextDelay() const;
   // Moves jobs back whose time to start was missed.
   void EndTiers(MonotonicTime now);
+  // The job's `permitted` were replaced, and hold until then.
+  void SetPermitted(Index job, MonotonicTime until);
+  // Takes jobs out of the queues whose permits are over.
+  void EndPermits(MonotonicTime now);
 
   // --- Queues.
   // Puts the job into its team's queue, or takes it out, as it can start.
@@ -84,6 +89,9 @@
   Teams teams;
   std::vector<Job> jobs;  // By slot; a free slot has team kNone.
   std::vector<Lane> lanes;
+  // Jobs that need permits and have tasks that wait or are delayed. Invariant:
+  // the ranks are those in Job::permit_rank.
+  std::set<std::pair<WaitingRank, Index>> permit_waiters;
   Reservations reservations;
   double reservation_time = 0;  // Virtual time of the latest one planned.
   RunTimes run_times;
@@ -106,6 +114,7 @@
   PassEnd pass_end[kPriorities];
 
  private:
+  void UpdatePermitWaiters(Index job);
   void Enqueue(Index job);
   void Dequeue(Index job);
   Index LaneFor(const Job& job);
@@ -120,14 +129,16 @@
   std::priority_queue<internal::Delay, std::vector<internal::Delay>,
                       std::greater<>>
       delays_;
-  // The ends of jobs' tiers; stale when the job's number differs.
-  struct TierEnd {
+  // Something of a job ends; stale when the job's number differs.
+  struct End {
     MonotonicTime at;
     Index job = kNone;
     int64_t job_number = 0;
-    bool operator>(const TierEnd& other) const { return at > other.at; }
+    bool operator>(const End& other) const { return at > other.at; }
   };
-  std::priority_queue<TierEnd, std::vector<TierEnd>, std::greater<>> tier_ends_;
+  using Ends = std::priority_queue<End, std::vector<End>, std::greater<>>;
+  Ends tier_ends_;
+  Ends permit_ends_;  // Stale also when the job has later ones.
 };
 
 }  // namespace azurepass::placement::internal
