The waiting line says why workers get no starts

It now counts quarantined workers, and the closed ones by the first reason that holds: unlisted, leaving, no_session, unproven, draining. AdmissionOf follows from the same function, so that both agree.

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -105,6 +105,7 @@
   void ReportDemands();
   // One line for all that waits, at most each kWaitingLogInterval.
   void LogWaiting();
+  std::string ClosedWorkers() const;
   void ScheduleWake();
   std::optional<MonotonicTime> NextWake() const;
   bool MayRecordStarts() const;
--- a/azurepass/partition/internal/worker_book.cc
+++ b/azurepass/partition/internal/worker_book.cc
@@ -120,16 +120,21 @@
   worker.session = session;
 }
 
+std::string_view WorkerBook::WhyClosed(const Worker& worker) {
+  if (!worker.listed) return "unlisted";
+  if (worker.listed == VmState::kLeaving) return "leaving";
+  if (!std::holds_alternative<SessionOpen>(worker.session)) return "no_session";
+  if (!worker.proven) return "unproven";
+  if (!worker.draining.empty()) return "draining";
+  return "";
+}
+
 placement::WorkerAdmission WorkerBook::AdmissionOf(const Worker& worker) {
   if (worker.listed == VmState::kLeaving) {
     return placement::WorkerAdmission::kLeaving;
   }
-  const bool listed = worker.listed == VmState::kLive;
-  const bool open =
-      listed && std::holds_alternative<SessionOpen>(worker.session);
-  return open && worker.proven && worker.draining.empty()
-             ? placement::WorkerAdmission::kOpen
-             : placement::WorkerAdmission::kClosed;
+  return WhyClosed(worker).empty() ? placement::WorkerAdmission::kOpen
+                                   : placement::WorkerAdmission::kClosed;
 }
 
 }  // namespace azurepass::partition::internal
--- a/azurepass/partition/internal/worker_book.h
+++ b/azurepass/partition/internal/worker_book.h
@@ -21,6 +21,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -123,6 +124,8 @@
   bool AllSettled() const { return lapses_.empty(); }
 
   static placement::WorkerAdmission AdmissionOf(const Worker& worker);
+  // The first reason for which it gets no starts; empty when it is open.
+  static std::string_view WhyClosed(const Worker& worker);
 
  private:
   std::map<VmId, Worker> workers_;
--- a/azurepass/partition/owner.cc
+++ b/azurepass/partition/owner.cc
@@ -185,6 +185,21 @@
   }
 }
 
+// How many workers get no starts, by the first reason that holds.
+std::string Owner::Impl::ClosedWorkers() const {
+  std::map<std::string_view, int> closed;
+  for (const auto& [vm, worker] : workers_.workers()) {
+    const std::string_view reason = internal::WorkerBook::WhyClosed(worker);
+    if (!reason.empty()) ++closed[reason];
+  }
+  std::string text;
+  for (const auto& [reason, workers] : closed) {
+    if (!text.empty()) text += ",";
+    text += std::string(reason) + ":" + std::to_string(workers);
+  }
+  return text.empty() ? "none" : text;
+}
+
 void Owner::Impl::LogWaiting() {
   if (!In<Owning>() || now_ < next_waiting_log_) return;
   next_waiting_log_ = now_ + kWaitingLogInterval;
@@ -208,6 +223,8 @@
              " asking=" + std::to_string(asking) +
              " most_denied=" + std::to_string(most_denied) +
              " open_workers=" + std::to_string(cell.open_workers) +
+             " quarantined=" + std::to_string(cell.quarantined_workers) +
+             " closed=" + ClosedWorkers() +
              " committed_tasks=" + std::to_string(cell.committed_tasks) +
              " may_start=" + std::to_string(surroundings_.may_start) +
              " unsettled=" + std::to_string(commit_.unsettled());
