The write that proves sessions outlives a withdrawn record

Cause: a worker gets starts once a batch is appended after its session opened. GroupCommit takes that requirement (RequireWrite) over into the batch that it fills next. When the store refused this batch, it was dissolved: its records went back to wait, and the requirement was restored only if the batch had none. If the record beside was a submission, and its caller was answered "not run" after append_wait, the record was withdrawn and nothing was left to write. All workers then stayed unproven until somebody added another record; nothing was started, so no end would.

Ruled out: the zones, the freshness and the VM list. The waiting line has closed=unproven:4 to the end, with unsettled=0.

The batch under way now remembers that it carries the requirement, and gives it back when it is dissolved, whatever its records. A release is not held up where it was not before: nothing is required unless a session asked for it.

--- a/azurepass/partition/internal/group_commit.cc
+++ b/azurepass/partition/internal/group_commit.cc
@@ -156,11 +156,12 @@
     batch_->records.push_back(std::move(waiting_.front().record));
     waiting_.pop_front();
   }
-  write_empty_ = false;
+  in_flight_required_ = std::exchange(write_empty_, false);
 }
 
 void GroupCommit::DissolveBatch() {
-  write_empty_ = write_empty_ || batch_->records.empty();
+  // Its records may be withdrawn, and what was required is still to be written.
+  write_empty_ = write_empty_ || in_flight_required_;
   for (size_t i = sequences_.size(); i-- > 0;) {
     waiting_.push_front({sequences_[i], std::move(batch_->records[i])});
   }
--- a/azurepass/partition/internal/group_commit.h
+++ b/azurepass/partition/internal/group_commit.h
@@ -128,7 +128,11 @@
   Epoch epoch_;
   uint64_t nonce_ = 0;
   int64_t next_number_ = 1;
+  // A write is required, also of a batch without records. Invariant: as long as
+  // no batch is appended after RequireWrite, this is set, or
+  // in_flight_required_ of the batch under way.
   bool write_empty_ = false;
+  bool in_flight_required_ = false;
   MonotonicTime earliest_{};  // Of the next write.
   int failures_ = 0;          // Since the last answer that settled something.
 };
--- a/azurepass/partition/owner_test.cc
+++ b/azurepass/partition/owner_test.cc
@@ -209,6 +209,32 @@
   CHECK(d.Count<SendOrders>() == 1);
 }
 
+// The proof's write had become one with that of a submission, which was given
+// up, and the workers got no starts until somebody added another record.
+TEST_CASE("a session is proven although the record beside is withdrawn") {
+  Options options;
+  options.append_wait = Duration(300);
+  Driver d(options);
+  d.Own();
+  d.Do(WorkerSessionOpened{kVm, Epoch{3}, {}});
+  const int64_t number = d.Last<AppendBatch>().batch.number;
+  d.Do(AppendUnavailable{Epoch{3}, number});
+  d.Submit(1, "r1", Spec());
+  d.now += Duration(100);
+  d.Do(Tick{});
+  REQUIRE(d.Last<AppendBatch>().batch.records.size() == 1);
+  d.Do(AppendUnavailable{Epoch{3}, number});
+  d.now += seconds(1);
+  d.Do(Tick{});
+  CHECK(d.LastRefusal().effect == Effect::kNotRun);
+  CHECK(d.Last<AppendBatch>().batch.number == number);
+  REQUIRE(d.Last<AppendBatch>().batch.records.empty());
+  d.Append();
+  d.Submit(2, "r2", Spec());
+  d.Append();
+  CHECK(d.Count<SendOrders>() == 1);
+}
+
 TEST_CASE("what succeeded under a former owner is not run again") {
   const AttemptId attempt{{JobId("p.1"), 0},
                           2 * internal::kAttemptsPerEpoch + 1};
