The fuzz world ends a former owner's authority with its member lease

Trace: process 1 took over at 1051.7 s and was paused 0.15 s later, before it had opened a session. Process 0, of the epoch before, was not told, ran on, and renewed the leases of all workers for 22 s with the store down. At 1073.6 s it had room and ordered starts on vm-1; at 1074.2 s process 1 woke, took the workers for lapsed (one lease and the margin after its takeover had passed), and started the same tasks on vm-2 before it had reached vm-1.

The world let it send for ever.

The world now ends a former holder's sending up to 0.5 s after its claim was taken, so that requests that were on their way still meet the successor's sessions and the workers' fence. In the end every process sees who holds the claim: one that is silent has no other way to learn it. All checks are as before.

--- a/azurepass/partition/testing/world.h
+++ b/azurepass/partition/testing/world.h
@@ -67,12 +67,18 @@
 // Commands as a fuzz test draws them.
 std::vector<Command> RandomCommands(uint64_t seed, int count);
 
+// What a former owner sends to workers after somebody else took its claim. Its
+// member lease has ended by then, and endpoint::Authorize ends with it, so that
+// nothing goes out but what was on its way.
+enum class FormerOwner { kSilent, kSendsOn };
+
 class World {
  public:
   // With `trace`, what happens is written there, a line each.
   // `record_starts_first` as on the users' platform: see Options.
   World(Options::Testing testing, uint64_t seed, std::ostream* trace = nullptr,
-        bool record_starts_first = false);
+        bool record_starts_first = false,
+        FormerOwner former_owner = FormerOwner::kSilent);
   World(const World&) = delete;
   World& operator=(const World&) = delete;
 
@@ -107,6 +113,8 @@
     std::map<VmId, Session> sessions;
     std::vector<RequestToken> open;
     std::optional<Epoch> claimed;
+    // What it sends later reaches no worker. Set when its claim is taken.
+    std::optional<MonotonicTime> authorized_until;
   };
   struct Job {
     TeamId team;
@@ -170,6 +178,7 @@
 
   Options options_;
   std::ostream* trace_;
+  const FormerOwner former_owner_;
   std::mt19937_64 random_;
   MonotonicTime now_{};
   int64_t scheduled_ = 0;
--- a/azurepass/partition/testing/world_workers.cc
+++ b/azurepass/partition/testing/world_workers.cc
@@ -90,6 +90,7 @@
   Process& process = processes_[index];
   Session& session = process.sessions[vm];
   if (process.owner == nullptr || process.paused || !session.wanted) return;
+  if (process.authorized_until && now_ >= *process.authorized_until) return;
   const bool lost = lossy_ && random_() % kLoseOneExchangeIn == 0;
   FakeWorker& worker = workers_.at(vm);
   if (cut_[vm]) {
