A backlog without room uses up no look at permits

Callers would see tasks wait that have room (LOST), behind others that have none.

Cause: a look at the jobs that may ask for permits is bounded by the workers weighed in it (2,048 over all jobs). Each job in turn weighed every worker, whether one of them had room or not, so that with 64 workers 32 jobs without room (a label that no free worker carries, whole workers for a gang, GPUs) used up each look, every 20 ms anew, and no job behind them ever asked. At 350 workers it takes six.

A size that no worker with the label had room for is now remembered for the rest of the look: room only shrinks in it. Such a job costs one step in place of one for each worker. Which jobs ask, and about what, is as before otherwise. What tasks that fill need leaves out the processor, so they do not count as proof.

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -241,15 +241,23 @@
     const WorkerSpec* spec;
     Resources free;
   };
+  // No worker with the label has room for a task of this size.
+  struct NoRoom {
+    std::string label;
+    Resources size;
+  };
   struct RoomLeft {
     std::vector<WorkerRoom> workers;
     std::map<TeamId, Resources> allowances;
     int64_t budget = 0;  // Workers that may still be weighed.
+    std::vector<NoRoom> none;
   };
   struct JobPermits;
   // Asks for the permits without which jobs that have room cannot start.
   void AskForPermits();
   void TakeTurn(const JobId& job, RoomLeft& room);
+  static bool HasNoRoom(const RoomLeft& room, const std::string& label,
+                        const Resources& size);
   void Ask(const JobId& job, JobPermits& permits, std::vector<VmId> with_room);
   static int64_t LeftByBound(const internal::LedgerJob& job, const VmId& vm);
   bool MayEverRun(const JobSpec& spec, const WorkerSpec& worker) const;
--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -8,6 +8,10 @@
 // take room from a copy of the fleet's, and those that got some may ask. Urgent
 // work is short and cheap to ask about: its first question does not wait.
 //
+// A look is bounded by the workers weighed in it. A backlog that has no room is
+// passed over by size and label, or else it would use up each look and nothing
+// behind it would ever ask.
+//
 // Which workers the service names for a job does not change; only the permits
 // lapse. So a job's first question is about all workers that could run it, and
 // the later ones about those among the granted that have room now.
@@ -68,21 +72,26 @@
   JobPermits& permits = permits_.at(id);
   Resources size = spec.task;
   if (spec.scavenger) size[Dimension::kMillicores] = 0;
+  --room.budget;
+  const bool has_none = HasNoRoom(room, spec.constraints.label, size);
   Resources& allowance =
       room.allowances
           .try_emplace(job.submitted.team,
                        cell_.AllowanceLeftOf(job.submitted.team))
           .first->second;
-  int64_t tasks = job.queued;
+  int64_t tasks = has_none ? 0 : job.queued;
+  bool none_fits = true;
   std::vector<VmId> with_room;
   for (WorkerRoom& worker : room.workers) {
-    if (tasks == 0 || !spec.task.FitsIn(allowance)) break;
+    if (tasks == 0 || !spec.task.FitsIn(allowance)) {
+      none_fits = false;  // Not known.
+      break;
+    }
     --room.budget;
+    if (!MayEverRun(spec, *worker.spec) || !size.FitsIn(worker.free)) continue;
+    none_fits = false;
     int64_t most = LeftByBound(job, worker.spec->vm);
-    if (most <= 0 || !MayEverRun(spec, *worker.spec) ||
-        permits.denied.contains(worker.spec->vm) || !size.FitsIn(worker.free)) {
-      continue;
-    }
+    if (most <= 0 || permits.denied.contains(worker.spec->vm)) continue;
     with_room.push_back(worker.spec->vm);
     // Of a job that never asked nobody knows where it may run.
     if (!permits.asked) continue;
@@ -93,6 +102,9 @@
       allowance -= spec.task;
     }
   }
+  if (none_fits && !spec.scavenger) {
+    room.none.push_back({spec.constraints.label, size});
+  }
   const bool may_ask = !permits.asking && permits.ask_again <= now_ &&
                        permits.valid_until <= now_;
   // An urgent job's first question is about all workers, and need not wait.
@@ -102,6 +114,16 @@
   }
 }
 
+// Room only shrinks in the course of a look, so what had none has none.
+bool Owner::Impl::HasNoRoom(const RoomLeft& room, const std::string& label,
+                            const Resources& size) {
+  return std::any_of(room.none.begin(), room.none.end(),
+                     [&](const NoRoom& none) {
+                       return (none.label.empty() || none.label == label) &&
+                              none.size.FitsIn(size);
+                     });
+}
+
 // How many tasks of the job its bound still allows on the worker.
 int64_t Owner::Impl::LeftByBound(const LedgerJob& job, const VmId& vm) {
   const int32_t bound = job.submitted.spec.constraints.max_per_worker;
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -277,6 +277,30 @@
   CHECK(d.Count<AskPermits>() == 2);
 }
 
+// Load: a backlog without room, longer than one look at the workers. Jobs
+// behind it that have room never asked for permits (LOST).
+TEST_CASE("a job with room asks for permits behind a backlog without room") {
+  std::vector<std::string> vms;
+  for (int i = 0; i < 64; ++i) vms.push_back("vm-" + std::to_string(i));
+  Driver d(vms, /*permits=*/true);
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {Step(1)};
+  spec.steps[0].job.constraints.needs_permit = true;
+  spec.steps[0].job.constraints.label = "gpu";  // No worker carries it.
+  for (int i = 0; i < 40; ++i) {
+    d.Submit(i + 1, spec, kTeam, RequestId("0" + std::to_string(i)));
+  }
+  d.AppendAll();
+  spec.steps[0].job.constraints.label.clear();
+  d.Submit(50, spec);
+  d.AppendAll();
+  d.now += Duration(100);
+  d.Do(Tick{});
+  REQUIRE(d.Count<AskPermits>() == 1);
+  CHECK(StepOf(d.Last<AskPermits>().job)->request == kRequest);
+}
+
 TEST_CASE("a new owner finds workflows, their turns and their ends") {
   Driver d;
   d.Submit(1, TwoSteps());
