membership: partitions go to members by their processors

Seen: on the grown sites (35 VMs, 6 of them of 0.5 processors, the others of 0.12) both services were owned by VMs of 0.12; one stood at 0.114 while the mean was 0.027. Cause: Assign dealt partitions by rendezvous hashing alone.

A member's record tells what its VM gives it (settings: process.processors, filled from the platform's limits; records without it read as one processor). A free partition goes where (held + 1) / processors is the lowest, ties by the hash; a bound on the load, found first, keeps the choice a function of sets. Holders keep theirs where Options::keep_holders says so.

--- a/azurepass/daemons/process.cc
+++ b/azurepass/daemons/process.cc
@@ -5,7 +5,9 @@
 #include <glib-unix.h>
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -123,6 +125,8 @@
                            .count();
   record.role = role;
   record.zone = process.zone;
+  record.millicores = std::max<int64_t>(
+      1, std::llround(process.processors * membership::kWholeProcessor));
   return record;
 }
 
--- a/azurepass/membership/agent.cc
+++ b/azurepass/membership/agent.cc
@@ -358,14 +358,18 @@
   std::vector<PartitionId> Wanted() const {
     std::vector<PartitionId> wanted;
     if (self_.leaving || left_) return wanted;
-    std::vector<MemberId> schedulers;
+    Processors schedulers;
     for (const auto& [member, listed] : content_.members()) {
       const bool takes =
           listed.record.role == Role::kScheduler && !listed.record.leaving;
-      if (takes) schedulers.push_back(member);
+      if (takes) schedulers[member] = listed.record.millicores;
+    }
+    std::map<PartitionId, MemberId> held;
+    for (const auto& [partition, claim] : content_.claims()) {
+      if (options_.keep_holders) held[partition] = claim.member;
     }
     for (const auto& [partition, member] :
-         Assign(partitions_, std::move(schedulers))) {
+         Assign(partitions_, schedulers, held)) {
       if (member == self_.member) wanted.push_back(partition);
     }
     return wanted;
--- a/azurepass/membership/assign.cc
+++ b/azurepass/membership/assign.cc
@@ -1,15 +1,18 @@
-// Rendezvous hashing with bounded load.
+// Rendezvous hashing with bounded load, for members of different sizes.
 //
-// Every pair of partition and member has a hash. Pairs are taken from the
-// highest hash down; a pair is accepted when its partition is still free and
-// its member has room. With P partitions and M members each member has room
-// for q = P / M, and the first P % M that reach q have room for one more.
+// A member's load is what it holds by its processors. How many partitions each
+// may take is fixed first, without a look at which: one after the other is
+// given to whoever has the lowest load with it, until all are given. The load
+// of the last one is the bound: below it a member has room, and so many have
+// room up to it as reached it.
 //
-// Every partition is assigned: were one left over, fewer than P would be
-// assigned, so that in the end some member has room; it had room all the time,
-// and the pair of the two would have been accepted when its turn came. The
-// loads differ by one at most by construction. When a member leaves, most of
-// the other pairs keep their order and their room, so that little moves.
+// Then every pair of free partition and member has a hash. Pairs are taken from
+// the highest hash down; a pair is accepted when its partition is still free
+// and its member has room. Every partition is assigned: were one left over,
+// fewer than fit under the bound would be assigned, so that in the end some
+// member has room; it had room all the time, and the pair of the two would have
+// been accepted when its turn came. When a member leaves, most of the other
+// pairs keep their order and their room, so that little moves.
 
 #include <glib.h>
 
@@ -43,6 +46,39 @@
   items.erase(std::unique(items.begin(), items.end()), items.end());
 }
 
+// What a member holds by its processors, compared exactly.
+struct Load {
+  int64_t partitions = 0;
+  int64_t processors = 1;
+
+  Load WithOneMore() const { return {partitions + 1, processors}; }
+  friend bool operator<(const Load& a, const Load& b) {
+    return a.partitions * b.processors < b.partitions * a.processors;
+  }
+};
+using Loads = std::map<MemberId, Load>;
+
+// The highest load that `count` more partitions lead to, and how many of them
+// lead to just that.
+struct Bound {
+  Load load;
+  int64_t reached = 0;
+};
+
+Bound BoundFor(Loads loads, size_t count) {
+  Bound bound;
+  for (; count > 0; --count) {
+    const auto least =
+        std::min_element(loads.begin(), loads.end(), [](auto& a, auto& b) {
+          return a.second.WithOneMore() < b.second.WithOneMore();
+        });
+    least->second = least->second.WithOneMore();
+    if (bound.load < least->second) bound = {least->second, 0};
+    ++bound.reached;
+  }
+  return bound;
+}
+
 struct Pair {
   uint64_t hash = 0;
   const PartitionId* partition = nullptr;
@@ -50,11 +86,11 @@
 };
 
 std::vector<Pair> PairsByHash(const std::vector<PartitionId>& partitions,
-                              const std::vector<MemberId>& members) {
+                              const Loads& members) {
   std::vector<Pair> pairs;
   pairs.reserve(partitions.size() * members.size());
   for (const PartitionId& partition : partitions) {
-    for (const MemberId& member : members) {
+    for (const auto& [member, load] : members) {
       pairs.push_back({HashOf(partition, member), &partition, &member});
     }
   }
@@ -67,21 +103,35 @@
 
 }  // namespace
 
-std::map<PartitionId, MemberId> Assign(std::vector<PartitionId> partitions,
-                                       std::vector<MemberId> members) {
-  SortUnique(partitions);
-  SortUnique(members);
+std::map<PartitionId, MemberId> Assign(
+    std::vector<PartitionId> partitions, const Processors& members,
+    const std::map<PartitionId, MemberId>& held) {
   std::map<PartitionId, MemberId> holders;
   if (members.empty()) return holders;
-  const size_t room = partitions.size() / members.size();
-  size_t extra = partitions.size() % members.size();
-  std::map<MemberId, size_t> loads;
-  for (const Pair& pair : PairsByHash(partitions, members)) {
+  Loads loads;
+  for (const auto& [member, processors] : members) {
+    loads[member].processors = std::max<int64_t>(1, processors);
+  }
+  SortUnique(partitions);
+  std::erase_if(partitions, [&](const PartitionId& partition) {
+    const auto holder = held.find(partition);
+    if (holder == held.end()) return false;
+    const auto load = loads.find(holder->second);
+    if (load == loads.end()) return false;
+    ++load->second.partitions;
+    holders.insert(*holder);
+    return true;
+  });
+  Bound bound = BoundFor(loads, partitions.size());
+  for (const Pair& pair : PairsByHash(partitions, loads)) {
     if (holders.contains(*pair.partition)) continue;
-    size_t& load = loads[*pair.member];
-    if (load > room || (load == room && extra == 0)) continue;
-    if (load == room) --extra;
-    ++load;
+    Load& load = loads[*pair.member];
+    const Load more = load.WithOneMore();
+    if (bound.load < more) continue;
+    const bool reaches = !(more < bound.load);
+    if (reaches && bound.reached == 0) continue;
+    if (reaches) --bound.reached;
+    load = more;
     holders[*pair.partition] = *pair.member;
   }
   return holders;
--- a/azurepass/membership/internal/records.cc
+++ b/azurepass/membership/internal/records.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr int64_t kMaxInt = std::numeric_limits<int64_t>::max();
+constexpr int64_t kMaxMillicores = 1'000'000;
 
 constexpr std::pair<std::string_view, membership::Role> kRoles[] = {
     {"scheduler", membership::Role::kScheduler},
@@ -27,6 +28,8 @@
     record.zone = reader.Name<ZoneId>("zone");
     record.vm = reader.Name<VmId>("vm", VmId());
     record.leaving = reader.Bool("leaving", false);
+    record.millicores = reader.Int("millicores", 1, kMaxMillicores,
+                                   membership::kWholeProcessor);
     return record;
   }
   static Json Write(const membership::MemberRecord& record) {
@@ -37,7 +40,8 @@
             {"role", kRoles[scheduler ? 0 : 1].first},
             {"zone", record.zone.value()},
             {"vm", record.vm.value()},
-            {"leaving", record.leaving}};
+            {"leaving", record.leaving},
+            {"millicores", record.millicores}};
   }
 };
 
--- a/azurepass/membership/membership.h
+++ b/azurepass/membership/membership.h
@@ -45,6 +45,8 @@
 
 inline constexpr std::string_view kPrefix = "cluster/";
 
+inline constexpr int64_t kWholeProcessor = 1'000;  // Thousandths.
+
 enum class Role { kFrontend, kScheduler };
 
 // "cluster/members/MEMBER", on the member's lease.
@@ -56,6 +58,8 @@
   ZoneId zone;
   VmId vm;               // Of the entry VM, as the VM list names it.
   bool leaving = false;  // Should hold no partition any more.
+  // Thousandths of a processor that its VM gives it, at least 1.
+  int64_t millicores = kWholeProcessor;
   bool operator==(const MemberRecord&) const = default;
 };
 
@@ -119,12 +123,18 @@
 std::vector<MemberId> ChooseGossipPeers(std::vector<MemberId> candidates,
                                         int64_t fanout, uint64_t random);
 
-// Rendezvous hashing with bounded load: each partition goes to the member with
-// the highest hash of the pair that still has room, and no member holds more
-// than one partition above any other. A pure function of two sets: all who see
-// the same ones agree.
-std::map<PartitionId, MemberId> Assign(std::vector<PartitionId> partitions,
-                                       std::vector<MemberId> members);
+// By member: the processors that it has, in thousandths.
+using Processors = std::map<MemberId, int64_t>;
+
+// Rendezvous hashing with bounded load. Partitions that one of `members` holds
+// stay there. The others go where (partitions held + 1) / processors is the
+// lowest, and among those alike to the member with the highest hash of the
+// pair. With equal members and nothing held, nobody holds more than one
+// partition above any other. A pure function of sets: all who see the same ones
+// agree.
+std::map<PartitionId, MemberId> Assign(
+    std::vector<PartitionId> partitions, const Processors& members,
+    const std::map<PartitionId, MemberId>& held = {});
 
 // Bounded news of n members come round in a time that grows with n. The silence
 // that raises suspicion: `base` up to kSuspicionMembers, in proportion above.
@@ -146,6 +156,9 @@
   int64_t gossip_fanout = 3;
   int64_t news_bound = 8;  // Members told of in one message.
   uint64_t seed = 1;       // Of jitter and of the choice of peers.
+  // Partitions stay with a holder that lives; else they are dealt out anew with
+  // each change of the members.
+  bool keep_holders = false;
 };
 
 struct Member {
--- a/azurepass/membership/membership_test.cc
+++ b/azurepass/membership/membership_test.cc
@@ -165,9 +165,9 @@
   return partitions;
 }
 
-std::vector<MemberId> Members(int64_t count) {
-  std::vector<MemberId> members;
-  for (int64_t i = 0; i < count; ++i) members.push_back(Member_(i));
+Processors Members(int64_t count) {
+  Processors members;
+  for (int64_t i = 0; i < count; ++i) members[Member_(i)] = kWholeProcessor;
   return members;
 }
 
@@ -180,13 +180,11 @@
     std::map<MemberId, size_t> loads;
     for (const auto& [partition, member] : holders) ++loads[member];
     const size_t low = partitions.size() / members.size();
-    for (const MemberId& member : members) {
+    for (const auto& [member, processors] : members) {
       RC_ASSERT(loads[member] >= low);
       RC_ASSERT(loads[member] <= low + 1);
     }
     std::reverse(partitions.begin(), partitions.end());
-    std::reverse(members.begin(), members.end());
-    members.push_back(members.front());
     RC_ASSERT(Assign(partitions, members) == holders);
   });
   CHECK(ok);
@@ -197,8 +195,8 @@
   int64_t moved = 0;
   int64_t kept = 0;
   for (int64_t gone = 0; gone < 7; ++gone) {
-    std::vector<MemberId> rest = Members(7);
-    rest.erase(rest.begin() + gone);
+    Processors rest = Members(7);
+    rest.erase(Member_(gone));
     const auto before = Assign(Partitions(25), Members(7));
     const auto after = Assign(Partitions(25), rest);
     for (const auto& [partition, member] : before) {
@@ -211,5 +209,42 @@
   CHECK(moved * 4 < kept);
 }
 
+// Guards against a service's owner on the smallest VM while large ones idle.
+TEST_CASE("partitions go by processors, and stay with a holder that lives") {
+  const bool ok = rc::check([] {
+    const auto partitions = Partitions(*rc::gen::inRange(1, 40));
+    Processors members;
+    const int64_t count = *rc::gen::inRange(1, 20);
+    for (int64_t i = 0; i < count; ++i) {
+      members[Member_(i)] = *rc::gen::element(120, 250, 500);
+    }
+    const auto holders = Assign(partitions, members);
+    RC_ASSERT(holders.size() == partitions.size());
+    std::map<MemberId, int64_t> loads;
+    for (const auto& [partition, member] : holders) ++loads[member];
+    for (const auto& [small, little] : members) {
+      for (const auto& [large, much] : members) {
+        if (4 * little > much) continue;
+        RC_ASSERT(loads[small] <= loads[large]);
+        // The small one has one only if another of the large would be more.
+        RC_ASSERT(loads[small] * much <= (loads[large] + 1) * little);
+      }
+    }
+    // Who leaves gives its own away, and nobody else's moves.
+    const MemberId gone = Member_(*rc::gen::inRange<int64_t>(0, count));
+    Processors rest = members;
+    rest.erase(gone);
+    const auto after = Assign(partitions, rest, holders);
+    RC_ASSERT(after.size() == (rest.empty() ? 0 : partitions.size()));
+    for (const auto& [partition, member] : after) {
+      const MemberId& before = holders.at(partition);
+      RC_ASSERT(before == gone || before == member);
+    }
+    // Who joins takes none that is held.
+    RC_ASSERT(Assign(partitions, members, after) == after || rest.empty());
+  });
+  CHECK(ok);
+}
+
 }  // namespace
 }  // namespace azurepass::membership
--- a/azurepass/settings/settings.cc
+++ b/azurepass/settings/settings.cc
@@ -179,6 +179,8 @@
         reader.Int("queue_bound", 1, kMaxCount, budgets.queue_bound);
     budgets.snapshot_every =
         reader.Int("snapshot_every", 1, kMaxCount, budgets.snapshot_every);
+    budgets.partition_workers = reader.Int("partition_workers", 1, kMaxCount,
+                                           budgets.partition_workers);
     return budgets;
   }
 };
@@ -256,6 +258,8 @@
     process.http_address = ReadAddress(reader, "http_address", false);
     process.operator_address = ReadAddress(reader, "operator_address", false);
     process.operator_key_sha256 = reader.String("operator_key_sha256", "");
+    process.processors = reader.Number("processors", kLeastProcessors,
+                                       kMostProcessors, process.processors);
     if (!process.operator_address.empty() &&
         process.operator_key_sha256.size() != kSha256HexLength) {
       reader.Fail(ErrorCode::kOutOfRange, "operator_key_sha256",
@@ -267,6 +271,8 @@
 
  private:
   static constexpr size_t kSha256HexLength = 64;
+  static constexpr double kLeastProcessors = 0.001;
+  static constexpr double kMostProcessors = 1'000;
 };
 
 template <>
--- a/azurepass/settings/settings.h
+++ b/azurepass/settings/settings.h
@@ -59,6 +59,8 @@
   double store_reads_per_second = 100;
   int64_t queue_bound = 50'000;  // Waiting tasks of a team in a partition.
   int64_t snapshot_every = 200;  // Journal batches.
+  // Workers of a partition, about, where a service is spread over several.
+  int64_t partition_workers = 64;
 };
 
 // What all processes of a cell share.
@@ -84,6 +86,8 @@
   std::string http_address;         // Callers (frontend); metrics (both).
   std::string operator_address;     // Operators (frontend); may be empty.
   std::string operator_key_sha256;  // Of the operators' key; hexadecimal.
+  // What its VM gives it, in processors: 0.5 is half of one.
+  double processors = 1;
 };
 
 // A node: one process that serves callers and owns partitions, on a platform
