layout: a service is spread over several partitions

A layout of each service lies in the store: the number of partitions, and the partition of each rack. Manager adds the partitions and tells each its own workers; Dispatcher leads a workflow's requests by (team, request id), asks all partitions for a count and gives the sum or refuses; without a layout it refuses as not run.

Weighed against following the prefix by a watch: every process sees a rack without a partition by itself, so a read at that moment is enough, and a process costs no held watch more. Racks are placed by zone first, then by size, so that a zone that goes takes as little as possible of each partition. Workers without a rack, which the platform has none of, are of the first partition. A partition's task is now sent only its own workers, and only while it is held.

manager.cc: what it tells peers moved to internal/peer_news, the holdings to internal/holding.h.

--- a/azurepass/daemons/node.cc
+++ b/azurepass/daemons/node.cc
@@ -15,6 +15,7 @@
 #include "azurepass/endpoint/endpoint.h"
 #include "azurepass/entry/entry.h"
 #include "azurepass/escrow/escrow.h"
+#include "azurepass/layout/layout.h"
 #include "azurepass/metrics/metrics.h"
 #include "azurepass/permit/permit.h"
 #include "azurepass/routing/routing.h"
@@ -77,7 +78,7 @@
   scheduling::Options options;
   options.member = settings.process.member;
   options.cell = settings.cell;
-  options.partitions_from_configuration = true;
+  options.partitions_from_layouts = true;
   options.sticky = true;
   options.nonce = RandomNumber();
   options.owner.absent_is_gone = false;
@@ -97,6 +98,31 @@
   return options;
 }
 
+layout::Options LayoutOptions(const settings::NodeSettings& settings) {
+  layout::Options options;
+  options.partition_workers = settings.cell.budgets.partition_workers;
+  options.seed = RandomNumber();
+  return options;
+}
+
+membership::Options NodeMembershipOptions(
+    const settings::NodeSettings& settings) {
+  membership::Options options = MembershipOptions(settings.cell);
+  options.keep_holders = true;
+  return options;
+}
+
+// Sends each update to two tasks.
+task::Address<vmlist::Update> Both(task::Address<vmlist::Update> first,
+                                   task::Address<vmlist::Update> second) {
+  return task::Address<vmlist::Update>(
+      [first = std::move(first),
+       second = std::move(second)](const vmlist::Update& update) {
+        first.Send(update);
+        second.Send(update);
+      });
+}
+
 }  // namespace
 
 class Node::Impl {
@@ -132,6 +158,7 @@
   entry::Server entry_server_;
   configuration::Keeper keeper_;
   membership::Agent agent_;
+  layout::Keeper layouts_;
   endpoint::Client workers_;
   escrow::Broker escrow_;
   permit::Broker permits_;
@@ -157,10 +184,11 @@
                     incoming_.address()),
       keeper_(loop, KeeperOptions({settings.cell, settings.process}),
               store_.address(), entry_client_.address()),
-      agent_(loop, MembershipOptions(settings.cell),
+      agent_(loop, NodeMembershipOptions(settings),
              SelfRecord(settings.process, entry_server_.listening_on(),
                         membership::Role::kScheduler),
              {}, store_.address(), entry_client_.address()),
+      layouts_(loop, LayoutOptions(settings), store_.address()),
       workers_(loop, EndpointOptions(settings.cell), worker_calls_.address()),
       escrow_(loop, escrow::Options{}, store_.address()),
       permits_(loop, permit::Options{}, permit_calls_.address(),
@@ -170,7 +198,7 @@
                 agent_.address(), keeper_.address(), permits_.address(),
                 permit_calls_.address()}),
       registry_(loop, settings.cell.timing.watch_wait, store_.address(),
-                manager_.address()),
+                Both(layouts_.address(), manager_.address())),
       dispatcher_(loop, RoutingOptions(settings), entry_client_.address()),
       front_(loop, HttpOptions(settings.process.http_address),
              dispatcher_.callers()) {
@@ -178,6 +206,9 @@
   keeper_.address().Send(configuration::Subscribe{manager_.address()});
   keeper_.address().Send(configuration::Subscribe{dispatcher_.updates()});
   keeper_.address().Send(configuration::Subscribe{mailbox_.address()});
+  keeper_.address().Send(configuration::Subscribe{layouts_.address()});
+  layouts_.address().Send(layout::Subscribe{manager_.address()});
+  layouts_.address().Send(layout::Subscribe{dispatcher_.layouts()});
   agent_.address().Send(membership::Subscribe{manager_.address()});
   agent_.address().Send(membership::Subscribe{dispatcher_.views()});
   if (!settings.metrics_address.empty()) {
--- /dev/null
+++ b/azurepass/layout/keeper.cc
@@ -0,0 +1,269 @@
+// Reads layouts, writes those that are missing, and tells who asked.
+//
+// Nothing is watched: a layout matters only for racks that it does not place
+// yet, and every process sees those in the list of workers by itself. So the
+// value is read when a service is first heard of and when there is a gap, and
+// is written right after such a read if the gap is still there. A process that
+// lacks a rack that no listed worker is in lacks nothing.
+//
+// A write whose outcome is not known is settled by the next read.
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "azurepass/layout/layout.h"
+
+namespace azurepass::layout {
+namespace {
+
+MonotonicTime Now() { return BootClock::now(); }
+
+struct LayoutRead {
+  ServiceId service;
+  store::GetReply reply;
+};
+struct LayoutWritten {
+  Layout layout;
+  store::WriteReply reply;
+};
+using Inbox = std::variant<Message, LayoutRead, LayoutWritten>;
+
+}  // namespace
+
+class Keeper::Impl {
+ public:
+  Impl(task::Loop& loop, Options options, task::Address<store::Request> store)
+      : loop_(loop),
+        options_(options),
+        store_(std::move(store)),
+        random_(options_.seed),
+        mailbox_(loop, [this](Inbox inbox) { Handle(inbox); }) {}
+
+  task::Address<Message> address() const { return mailbox_.address(); }
+
+ private:
+  struct Service {
+    Service(task::Loop& loop, Duration first_backoff)
+        : timer(loop), backoff(first_backoff) {}
+
+    std::optional<Layout> layout;
+    store::Version version = store::kAbsent;  // Of `layout`.
+    Workers workers;                          // As listed now.
+    int64_t most_workers = 0;                 // Ever listed at once.
+    MonotonicTime grown_at;                   // When that was.
+    bool asking = false;                      // A call is under way.
+    task::Timer timer;                        // Of the next look.
+    Duration backoff;                         // After the next failure.
+  };
+
+  void Handle(Inbox& inbox) {
+    std::visit(Visitor{[this](Message& m) { OnMessage(m); },
+                       [this](const LayoutRead& read) { OnRead(read); },
+                       [this](const LayoutWritten& w) { OnWritten(w); }},
+               inbox);
+  }
+
+  void OnMessage(Message& message) {
+    std::visit(
+        Visitor{[this](Subscribe& m) {
+                  subscribers_.push_back(std::move(m.subscriber));
+                  subscribers_.back().Send(Update{layouts_});
+                },
+                [this](const configuration::Update& m) { OnConfiguration(m); },
+                [this](const vmlist::Update& m) { OnWorkers(m); }},
+        message);
+  }
+
+  void OnConfiguration(const configuration::Update& update) {
+    if (update.configuration == nullptr) return;
+    for (const auto& [id, record] : update.configuration->services) {
+      const auto [at, added] =
+          services_.try_emplace(id, loop_, options_.min_backoff);
+      if (!added) continue;
+      Service& service = at->second;
+      service.grown_at = Now();
+      TakeWorkers(id, service);
+      Look(id, service);
+    }
+  }
+
+  void OnWorkers(const vmlist::Update& update) {
+    const auto* snapshot = std::get_if<vmlist::Snapshot>(&update);
+    if (snapshot == nullptr) return;
+    listed_.clear();
+    for (const auto& [vm, worker] : snapshot->workers) {
+      listed_[worker.service].push_back(worker);
+    }
+    for (auto& [id, service] : services_) {
+      const bool grew = TakeWorkers(id, service);
+      if (service.asking || IsDone(service)) continue;
+      // A gap is looked into once; a listing that grows is waited for anew.
+      if (!service.timer.active() || (grew && !service.layout)) {
+        LookLater(id, service);
+      }
+    }
+  }
+
+  // Whether there are more workers than ever before.
+  bool TakeWorkers(const ServiceId& id, Service& service) {
+    const auto found = listed_.find(id);
+    service.workers = found == listed_.end() ? Workers() : found->second;
+    if (std::ssize(service.workers) <= service.most_workers) return false;
+    service.most_workers = std::ssize(service.workers);
+    service.grown_at = Now();
+    return true;
+  }
+
+  static bool IsDone(const Service& service) {
+    return service.layout && Covers(*service.layout, service.workers);
+  }
+
+  MonotonicTime SettledAt(const Service& service) const {
+    return service.grown_at +
+           (service.workers.empty() ? options_.settle_empty : options_.settle);
+  }
+
+  // --- Reading
+
+  void LookLater(const ServiceId& id, Service& service) {
+    const MonotonicTime now = Now();
+    const MonotonicTime from =
+        service.layout ? now : std::max(now, SettledAt(service));
+    const auto delay = std::chrono::ceil<Duration>(from - now);
+    service.timer.After(delay + AtMost(options_.spread),
+                        [this, id] { Look(id, services_.at(id)); });
+  }
+
+  void LookAfterFailure(const ServiceId& id, Service& service) {
+    service.timer.After(service.backoff / 2 + AtMost(service.backoff / 2),
+                        [this, id] { Look(id, services_.at(id)); });
+    service.backoff = std::min(2 * service.backoff, options_.max_backoff);
+  }
+
+  void Look(const ServiceId& id, Service& service) {
+    if (std::exchange(service.asking, true)) return;
+    const task::Address<Inbox> inbox = mailbox_.address();
+    store_.Send(store::Get{
+        StoreKey(id), inbox.Map<store::GetReply>([id](store::GetReply reply) {
+          return Inbox(LayoutRead{id, std::move(reply)});
+        })});
+  }
+
+  void OnRead(const LayoutRead& read) {
+    Service& service = services_.at(read.service);
+    service.asking = false;
+    const auto* value = std::get_if<store::Value>(&read.reply);
+    if (value == nullptr) return LookAfterFailure(read.service, service);
+    if (value->entry && !Adopt(read.service, service, *value->entry)) {
+      return LookAfterFailure(read.service, service);
+    }
+    service.backoff = options_.min_backoff;
+    if (IsDone(service)) return;
+    if (service.layout) {
+      return Write(service, Extend(*service.layout, service.workers));
+    }
+    if (Now() < SettledAt(service)) return LookLater(read.service, service);
+    Write(service,
+          Plan(read.service, service.workers, options_.partition_workers));
+  }
+
+  // --- Writing
+
+  void Write(Service& service, Layout layout) {
+    service.asking = true;
+    const task::Address<Inbox> inbox = mailbox_.address();
+    store::Put put;
+    put.key = StoreKey(layout.service);
+    put.value = Encode(layout);
+    put.expected = service.version;
+    put.reply_to = inbox.Map<store::WriteReply>(
+        [layout = std::move(layout)](store::WriteReply reply) {
+          return Inbox(LayoutWritten{layout, std::move(reply)});
+        });
+    store_.Send(std::move(put));
+  }
+
+  void OnWritten(const LayoutWritten& written) {
+    const ServiceId& id = written.layout.service;
+    Service& service = services_.at(id);
+    service.asking = false;
+    std::visit(Visitor{[&](const store::Written& done) {
+                         LOG(INFO)
+                             << "event=layout_written service=" << id.value()
+                             << " workers=" << service.workers.size();
+                         Take(service, written.layout, done.version);
+                       },
+                       [&](const store::Conflict& conflict) {
+                         if (!conflict.current ||
+                             !Adopt(id, service, *conflict.current)) {
+                           return LookAfterFailure(id, service);
+                         }
+                         if (!IsDone(service)) LookLater(id, service);
+                       },
+                       [&](const store::Error& error) {
+                         LOG(WARNING)
+                             << "event=layout_unwritten service=" << id.value()
+                             << " reason=\"" << error.message << "\"";
+                         LookAfterFailure(id, service);
+                       }},
+               written.reply);
+    if (!service.asking && !service.timer.active() && !IsDone(service)) {
+      LookLater(id, service);
+    }
+  }
+
+  // False when the value can't be read.
+  bool Adopt(const ServiceId& id, Service& service, const store::Entry& entry) {
+    if (entry.version <= service.version) return true;
+    std::optional<Layout> layout = Decode(entry.value);
+    if (!layout || layout->service != id) {
+      LOG(ERROR) << "event=unreadable_layout key=" << entry.key
+                 << " revision=" << entry.version;
+      return false;
+    }
+    Take(service, *std::move(layout), entry.version);
+    return true;
+  }
+
+  void Take(Service& service, Layout layout, store::Version version) {
+    LOG(INFO) << "event=layout service=" << layout.service.value()
+              << " partitions=" << layout.partitions
+              << " racks=" << layout.racks.size() << " revision=" << version;
+    service.version = version;
+    if (service.layout == layout) return;
+    service.layout = std::move(layout);
+    auto layouts = std::make_shared<Layouts>(*layouts_);
+    (*layouts)[service.layout->service] = *service.layout;
+    layouts_ = std::move(layouts);
+    for (const auto& subscriber : subscribers_) {
+      subscriber.Send(Update{layouts_});
+    }
+  }
+
+  Duration AtMost(Duration most) {
+    std::uniform_int_distribution<Duration::rep> random(0, most.count());
+    return Duration(random(random_));
+  }
+
+  task::Loop& loop_;
+  const Options options_;
+  const task::Address<store::Request> store_;
+  std::mt19937_64 random_;
+  std::map<ServiceId, Workers> listed_;  // By the latest list.
+  std::map<ServiceId, Service> services_;
+  std::shared_ptr<const Layouts> layouts_ = std::make_shared<Layouts>();
+  std::vector<task::Address<Update>> subscribers_;
+  task::Mailbox<Inbox> mailbox_;
+};
+
+Keeper::Keeper(task::Loop& loop, Options options,
+               task::Address<store::Request> store)
+    : impl_(std::make_shared<Impl>(loop, options, std::move(store))) {}
+Keeper::~Keeper() = default;
+
+task::Address<Message> Keeper::address() const { return impl_->address(); }
+
+}  // namespace azurepass::layout
--- /dev/null
+++ b/azurepass/layout/plan.cc
@@ -0,0 +1,121 @@
+// Racks are placed one by one, each where its zone has the fewest racks so far
+// and, among those, where the least capacity is. Taken from the largest rack of
+// a zone down, this is the longest-processing-time rule (Graham, "Bounds on
+// Multiprocessing Timing Anomalies", 1969) with the zones kept apart first: a
+// partition whose racks all lay in one zone would be gone with it.
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
+#include "azurepass/layout/layout.h"
+
+namespace azurepass::layout {
+namespace {
+
+// A service of less than one and a half times the usual size of a partition
+// stays whole: a cut costs more, in jobs that find no room on their side, than
+// it saves.
+int64_t CountFor(int64_t workers, int64_t partition_workers) {
+  if (2 * workers < 3 * partition_workers) return 1;
+  return (workers + partition_workers / 2) / partition_workers;
+}
+
+struct Rack {
+  ZoneId zone;
+  Resources capacity;
+};
+
+// What a worker of a service with several partitions can carry is compared by
+// processors alone: all workers have some, and starts are bounded by them.
+int64_t SizeOf(const Resources& capacity) {
+  return capacity[Dimension::kMillicores];
+}
+
+std::map<RackId, Rack> RacksOf(const Workers& workers) {
+  std::map<RackId, Rack> racks;
+  for (const WorkerSpec& worker : workers) {
+    if (worker.rack.empty()) continue;
+    Rack& rack = racks[worker.rack];
+    rack.zone = worker.zone;
+    rack.capacity += worker.capacity;
+  }
+  return racks;
+}
+
+// What a partition has by now.
+struct Load {
+  int64_t size = 0;
+  std::map<ZoneId, int64_t> racks_by_zone;
+};
+
+}  // namespace
+
+Layout Plan(const ServiceId& service, const Workers& workers,
+            int64_t partition_workers) {
+  const int64_t wanted = CountFor(std::ssize(workers), partition_workers);
+  const auto racks = std::ssize(RacksOf(workers));
+  Layout layout;
+  layout.service = service;
+  layout.partitions = std::max<int64_t>(1, std::min<int64_t>(wanted, racks));
+  return Extend(std::move(layout), workers);
+}
+
+Layout Extend(Layout layout, const Workers& workers) {
+  std::vector<Load> loads(layout.partitions);
+  std::vector<std::tuple<ZoneId, int64_t, RackId>> missing;
+  for (const auto& [id, rack] : RacksOf(workers)) {
+    const int64_t size = SizeOf(rack.capacity);
+    const auto placed = layout.racks.find(id);
+    if (placed == layout.racks.end()) {
+      missing.emplace_back(rack.zone, -size, id);
+      continue;
+    }
+    Load& load = loads[placed->second];
+    load.size += size;
+    ++load.racks_by_zone[rack.zone];
+  }
+  std::sort(missing.begin(), missing.end());
+  for (const auto& [zone, negative_size, id] : missing) {
+    const auto least = std::min_element(
+        loads.begin(), loads.end(), [&zone = zone](Load& a, Load& b) {
+          return std::pair(a.racks_by_zone[zone], a.size) <
+                 std::pair(b.racks_by_zone[zone], b.size);
+        });
+    layout.racks[id] = least - loads.begin();
+    least->size -= negative_size;
+    ++least->racks_by_zone[zone];
+  }
+  return layout;
+}
+
+PartitionId PartitionOf(const ServiceId& service, int64_t index) {
+  if (index == 0) return PartitionOfService(service);
+  return PartitionId(service.value() + "~" + std::to_string(index));
+}
+
+bool Covers(const Layout& layout, const Workers& workers) {
+  return std::all_of(
+      workers.begin(), workers.end(), [&](const WorkerSpec& worker) {
+        return worker.rack.empty() || layout.racks.contains(worker.rack);
+      });
+}
+
+std::optional<PartitionId> PartitionOf(const Layout& layout,
+                                       const WorkerSpec& worker) {
+  if (worker.rack.empty()) return PartitionOf(layout.service, 0);
+  const auto found = layout.racks.find(worker.rack);
+  if (found == layout.racks.end()) return std::nullopt;
+  return PartitionOf(layout.service, found->second);
+}
+
+std::vector<PartitionId> PartitionsOf(const Layout& layout) {
+  std::vector<PartitionId> partitions;
+  for (int64_t i = 0; i < layout.partitions; ++i) {
+    partitions.push_back(PartitionOf(layout.service, i));
+  }
+  return partitions;
+}
+
+}  // namespace azurepass::layout
--- a/azurepass/routing/admission.cc
+++ b/azurepass/routing/admission.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Duration kRetryAfter{1'000};
+// A layout is written within two seconds of the last worker's registration.
+constexpr Duration kRetryUnknownLayout{500};
 
 MonotonicTime Now() { return BootClock::now(); }
 
@@ -38,6 +40,7 @@
     incoming.responder.Answer(*std::move(refusal));
     return;
   }
+  if (!pending.counted.empty()) return BeginCount(pending);
   Begin(std::move(pending));
 }
 
@@ -144,7 +147,19 @@
   if (auto refusal = Authenticate(incoming.key, queue->needs_key, pending)) {
     return refusal;
   }
-  pending.partition = PartitionOfService(queue->service);
+  std::vector<PartitionId> partitions = PartitionsOf(queue->service);
+  if (partitions.empty()) {
+    return Refuse(RefusalCode::kUnavailable,
+                  "the partitions of the queue's service are not known yet",
+                  kRetryUnknownLayout);
+  }
+  if constexpr (std::is_same_v<Request, caller::CountWaiting>) {
+    pending.partition = partitions.front();
+    pending.counted = std::move(partitions);
+  } else {
+    pending.partition =
+        ChoosePartition(partitions, pending.team, request.request);
+  }
   pending.queue = queue->queue;
   if constexpr (std::is_same_v<Request, caller::SubmitWorkflow>) {
     partition::SubmitWorkflow submit{pending.partition, pending.team,
@@ -170,6 +185,17 @@
   return std::nullopt;
 }
 
+std::vector<PartitionId> Dispatcher::Impl::PartitionsOf(
+    const ServiceId& service) const {
+  const auto layout = layouts_->find(service);
+  if (layout != layouts_->end()) return layout::PartitionsOf(layout->second);
+  std::vector<PartitionId> partitions;
+  for (const Partition& partition : options_.partitions) {
+    if (partition.service == service) partitions.push_back(partition.id);
+  }
+  return partitions;
+}
+
 std::optional<Refusal> Dispatcher::Impl::RouteSubmit(
     const caller::Submit& submit, Pending& pending) const {
   const Contract& contract = update_->configuration->contracts.at(pending.team);
@@ -180,11 +206,8 @@
     return Refuse(RefusalCode::kNotFound, "the team's contract has no queue " +
                                               submit.spec.queue.value());
   }
-  std::vector<PartitionId> candidates;
-  for (const Partition& partition : options_.partitions) {
-    if (partition.service == queue->service) candidates.push_back(partition.id);
-  }
-  pending.partition = ChoosePartition(candidates, pending.team, submit.request);
+  pending.partition = ChoosePartition(PartitionsOf(queue->service),
+                                      pending.team, submit.request);
   if (pending.partition.empty()) {
     return Refuse(RefusalCode::kNotFound,
                   "the cell has no service " + queue->service.value());
@@ -208,6 +231,8 @@
 }
 
 void Dispatcher::Impl::OnAbandoned(const caller::Abandoned& abandoned) {
+  auto count = count_by_caller_.find(abandoned.number);
+  if (count != count_by_caller_.end()) return ForgetCount(count->second);
   auto found = by_number_.find(abandoned.number);
   if (found == by_number_.end()) return;
   Forget(pending_.at(found->second));
--- /dev/null
+++ b/azurepass/routing/count_round.cc
@@ -0,0 +1,83 @@
+// See internal/count_round.h; and how the dispatcher drives one.
+
+#include "azurepass/routing/internal/count_round.h"
+
+#include <utility>
+
+#include "azurepass/routing/internal/dispatcher_impl.h"
+
+namespace azurepass::routing {
+namespace {
+
+MonotonicTime Now() { return BootClock::now(); }
+
+}  // namespace
+
+namespace internal {
+
+std::optional<partition::JobResponse> CountRound::Add(
+    const partition::JobResponse& response) {
+  if (missing_ == 0) return std::nullopt;
+  const auto* count = std::get_if<partition::WaitingCount>(&response);
+  if (count == nullptr) {
+    missing_ = 0;
+    const auto* refusal = std::get_if<Refusal>(&response);
+    if (refusal != nullptr) return *refusal;
+    return Refusal{RefusalCode::kInternal, Effect::kNotRun,
+                   "the owner answered something else", std::nullopt};
+  }
+  workflows_ += count->workflows;
+  if (--missing_ > 0) return std::nullopt;
+  return partition::WaitingCount{workflows_};
+}
+
+}  // namespace internal
+
+void Dispatcher::Impl::BeginCount(const Pending& whole) {
+  const auto& origin = std::get<internal::ToCaller>(whole.origin);
+  const auto& asked = std::get<partition::CountWaiting>(whole.request);
+  const int64_t number = ++last_count_;
+  counts_.emplace(number, internal::OpenCount{
+                              origin,
+                              whole.team,
+                              Now(),
+                              internal::CountRound(std::ssize(whole.counted)),
+                              {}});
+  count_by_caller_[origin.number] = number;
+  ++open_per_team_[whole.team];
+  for (const PartitionId& partition : whole.counted) {
+    Pending part = whole;
+    part.origin = internal::ToCount{number};
+    part.partition = partition;
+    part.request = partition::CountWaiting{partition, asked.queue};
+    const PendingId id = Begin(std::move(part));
+    auto count = counts_.find(number);
+    if (count == counts_.end()) return;  // Refused at once.
+    count->second.parts.push_back(id);
+  }
+}
+
+void Dispatcher::Impl::OnCounted(int64_t number,
+                                 const partition::JobResponse& response) {
+  auto found = counts_.find(number);
+  if (found == counts_.end()) return;
+  const auto answer = found->second.round.Add(response);
+  if (!answer) return;
+  found->second.origin.responder.Answer(*answer);
+  latency_.Record(Now() - found->second.since);
+  ForgetCount(number);
+}
+
+void Dispatcher::Impl::ForgetCount(int64_t number) {
+  const auto node = counts_.extract(number);
+  if (node.empty()) return;
+  const internal::OpenCount& count = node.mapped();
+  count_by_caller_.erase(count.origin.number);
+  CloseForTeam(count.team);
+  for (const PendingId& part : count.parts) {
+    auto pending = pending_.find(part);
+    if (pending != pending_.end()) Forget(pending->second);
+  }
+}
+
+}  // namespace azurepass::routing
--- a/azurepass/routing/dispatcher.cc
+++ b/azurepass/routing/dispatcher.cc
@@ -48,6 +48,7 @@
               [this](const operators::CellCall& call) { OnOperator(call); },
               [this](configuration::Update& u) { OnUpdate(std::move(u)); },
               [this](membership::View& v) { OnView(std::move(v)); },
+              [this](layout::Update& u) { layouts_ = std::move(u.layouts); },
               [this](const Called& called) { OnCalled(called); },
               [this](const StatusCalled& called) {
                 auto found = statuses_.find(called.round);
@@ -62,7 +63,7 @@
 
 // --- The way there
 
-void Dispatcher::Impl::Begin(Pending pending) {
+internal::PendingId Dispatcher::Impl::Begin(Pending pending) {
   ++routed_;
   retries_.OnRequest();
   const PendingId id{++last_id_};
@@ -76,6 +77,7 @@
   Pending& kept = pending_.emplace(id, std::move(pending)).first->second;
   SetAlarm(kept, kept.deadline);
   Attempt(kept);
+  return id;
 }
 
 const membership::Claim* Dispatcher::Impl::OwnerOf(
@@ -291,6 +293,11 @@
 
 void Dispatcher::Impl::Finish(Pending& pending,
                               const partition::JobResponse& response) {
+  if (const auto* part = std::get_if<internal::ToCount>(&pending.origin)) {
+    const int64_t number = part->number;
+    Forget(pending);
+    return OnCounted(number, response);
+  }
   internal::Answer(pending, response);
   latency_.Record(Now() - pending.since);
   Forget(pending);
@@ -299,13 +306,17 @@
 void Dispatcher::Impl::Forget(const Pending& pending) {
   if (const auto* caller = std::get_if<internal::ToCaller>(&pending.origin)) {
     by_number_.erase(caller->number);
-    auto open = open_per_team_.find(pending.team);
-    if (--open->second == 0) open_per_team_.erase(open);
+    CloseForTeam(pending.team);
   }
   alarms_.erase({pending.alarm, pending.id});
   pending_.erase(pending.id);
 }
 
+void Dispatcher::Impl::CloseForTeam(const TeamId& team) {
+  auto open = open_per_team_.find(team);
+  if (--open->second == 0) open_per_team_.erase(open);
+}
+
 // --- What changes around
 
 void Dispatcher::Impl::OnUpdate(configuration::Update update) {
@@ -324,7 +335,9 @@
     if (!works) withdrawn.push_back(id);
   }
   for (const PendingId& id : withdrawn) {
-    Pending& pending = pending_.at(id);
+    auto found = pending_.find(id);
+    if (found == pending_.end()) continue;  // Went with its count.
+    Pending& pending = found->second;
     if (std::holds_alternative<internal::ForAnswer>(pending.waiting)) {
       pending.may_have_run = true;
     }
@@ -385,6 +398,9 @@
 task::Address<membership::View> Dispatcher::views() const {
   return impl_->address();
 }
+task::Address<layout::Update> Dispatcher::layouts() const {
+  return impl_->address();
+}
 task::Address<Hurry> Dispatcher::hurry() const { return impl_->address(); }
 task::Address<metrics::Scrape> Dispatcher::metrics() const {
   return impl_->address();
--- a/azurepass/routing/dispatcher_test.cc
+++ b/azurepass/routing/dispatcher_test.cc
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <deque>
+#include <set>
 
 #include "azurepass/httpserver/testing/turn.h"
 #include "azurepass/routing/routing.h"
@@ -66,6 +67,34 @@
     update.valid_until = Now() + std::chrono::hours(1);
     dispatcher_.updates().Send(update);
   }
+  // A queue below "/lots/" whose service is spread over `partitions`; s1 owns
+  // the first, s2 the second, and so on.
+  void Spread(int64_t partitions) {
+    Configuration configuration = TestConfiguration();
+    QueueRecord queue;
+    queue.queue = QueueId("lots");
+    queue.service = ServiceId("intake");
+    queue.host = "h";
+    queue.path_prefix = "/lots/";
+    configuration.queues[queue.queue] = queue;
+    Update(configuration);
+    layout::Layouts layouts;
+    if (partitions > 0) {
+      layouts[queue.service] = {queue.service, partitions, {}};
+    }
+    dispatcher_.layouts().Send(
+        {std::make_shared<const layout::Layouts>(layouts)});
+    membership::View view;
+    view.known = true;
+    for (int64_t i = 0; i < partitions; ++i) {
+      const std::string member = "s" + std::to_string(i + 1);
+      view.claims[layout::PartitionOf(queue.service, i)] = {
+          MemberId(member), member + ":1", Epoch{1}, 1};
+      view.members[MemberId(member)].record.member = MemberId(member);
+      view.members[MemberId(member)].record.address = member + ":1";
+    }
+    dispatcher_.views().Send(view);
+  }
   // An empty member: nobody owns the partition.
   void Own(const std::string& member, int64_t epoch) {
     membership::View view;
@@ -459,5 +488,112 @@
   CHECK(refusal.effect == Effect::kUnknown);
 }
 
+Options SpreadOptions() {
+  Options options = TestOptions();
+  options.partitions.clear();
+  return options;
+}
+
+const caller::Destination kLots{"h", "/lots/1"};
+
+PartitionId PartitionAsked(const entry::Call& call) {
+  return std::visit(
+      [](const auto& request) {
+        if constexpr (requires { request.partition; }) {
+          return request.partition;
+        } else {
+          return PartitionId();
+        }
+      },
+      call.request);
+}
+
+// Guards against a retry, a look or a cancel at another owner than the one that
+// has the job.
+TEST_CASE("all requests about a workflow meet the same partition") {
+  Bench bench(SpreadOptions());
+  bench.Spread(4);
+  std::map<PartitionId, int> counts;
+  for (int i = 0; i < 40; ++i) {
+    const RequestId id("r" + std::to_string(i));
+    WorkflowSpec spec;
+    spec.steps.emplace_back();
+    bench.Ask(caller::SubmitWorkflow{kLots, id, spec});
+    bench.Ask(caller::SubmitWorkflow{kLots, id, spec});
+    bench.Ask(caller::GetWorkflow{kLots, id});
+    bench.Ask(caller::CancelWorkflow{kLots, id});
+    REQUIRE(bench.WaitForCalls(4));
+    const PartitionId partition = PartitionAsked(bench.calls[0]);
+    ++counts[partition];
+    for (const entry::Call& call : bench.calls) {
+      CHECK(PartitionAsked(call) == partition);
+    }
+    bench.calls.clear();
+  }
+  CHECK(counts.size() == 4);
+}
+
+TEST_CASE("without a layout a request is refused, to come back soon") {
+  Bench bench(SpreadOptions());
+  bench.Spread(0);
+  const Refusal refusal =
+      bench.Refused(bench.Ask(caller::GetWorkflow{kLots, RequestId("r")}));
+  CHECK(refusal.code == RefusalCode::kUnavailable);
+  CHECK(refusal.effect == Effect::kNotRun);
+  CHECK(refusal.retry_after.has_value());
+  CHECK(bench.calls.empty());
+}
+
+// Guards against a count that leaves out what other partitions hold.
+TEST_CASE("a count is the sum over all partitions, or refused") {
+  Bench bench(SpreadOptions());
+  bench.Spread(3);
+  const int64_t counted = bench.Ask(caller::CountWaiting{kLots});
+  REQUIRE(bench.WaitForCalls(3));
+  std::set<PartitionId> asked;
+  for (const entry::Call& call : bench.calls) {
+    asked.insert(PartitionAsked(call));
+  }
+  CHECK(asked.size() == 3);
+  for (int64_t i = 0; i < 3; ++i) {
+    CHECK(bench.answers[counted].empty());
+    bench.calls[i].reply_to.Send(
+        entry::Response(partition::WaitingCount{10 + i}));
+    bench.Settle();
+  }
+  const caller::Response sum = bench.Answer(counted);
+  REQUIRE(std::holds_alternative<partition::WaitingCount>(sum));
+  CHECK(std::get<partition::WaitingCount>(sum).workflows == 33);
+
+  bench.calls.clear();
+  const int64_t partial = bench.Ask(caller::CountWaiting{kLots}, Duration(40));
+  REQUIRE(bench.WaitForCalls(3));
+  bench.calls[0].reply_to.Send(entry::Response(partition::WaitingCount{5}));
+  CHECK(bench.Refused(partial).code == RefusalCode::kUnavailable);
+}
+
+// Guards against a read of a request that went with its count.
+TEST_CASE("a withdrawn key and a caller that left end a count as a whole") {
+  Bench bench(SpreadOptions());
+  bench.Spread(3);
+  const int64_t withdrawn = bench.Ask(caller::CountWaiting{kLots});
+  REQUIRE(bench.WaitForCalls(3));
+  Configuration configuration = TestConfiguration();
+  configuration.keys.at(KeyId("k1")).withdrawn = true;
+  bench.Update(configuration);
+  CHECK(bench.Refused(withdrawn).code == RefusalCode::kUnauthenticated);
+
+  bench.Spread(3);
+  bench.calls.clear();
+  const int64_t left = bench.Ask(caller::CountWaiting{kLots});
+  REQUIRE(bench.WaitForCalls(3));
+  bench.dispatcher().callers().Send(caller::Event(caller::Abandoned{{left}}));
+  for (const entry::Call& call : bench.calls) {
+    call.reply_to.Send(entry::Response(partition::WaitingCount{1}));
+  }
+  bench.Settle();
+  CHECK(bench.answers[left].empty());
+}
+
 }  // namespace
 }  // namespace azurepass::routing
--- a/azurepass/routing/internal/dispatcher_impl.h
+++ b/azurepass/routing/internal/dispatcher_impl.h
@@ -1,5 +1,6 @@
 // The dispatcher's state. admission.cc decides whether a request is taken and
-// where it goes; dispatcher.cc carries it there.
+// where it goes; dispatcher.cc carries it there; count_round.cc asks all
+// partitions of a service for one caller.
 //
 // Every pending request has an alarm, the time at which it is looked at again
 // whatever happens: the end of its backoff, or its deadline. One timer serves
@@ -16,6 +17,7 @@
 #include <utility>
 #include <variant>
 
+#include "azurepass/routing/internal/count_round.h"
 #include "azurepass/routing/internal/pending.h"
 #include "azurepass/routing/internal/status_round.h"
 #include "azurepass/routing/routing.h"
@@ -37,9 +39,10 @@
     MemberId member;
     entry::CallResult result;
   };
-  using Message = std::variant<caller::Event, operators::CellCall,
-                               configuration::Update, membership::View, Called,
-                               StatusCalled, Hurry, metrics::Scrape>;
+  using Message =
+      std::variant<caller::Event, operators::CellCall, configuration::Update,
+                   membership::View, layout::Update, Called, StatusCalled,
+                   Hurry, metrics::Scrape>;
   task::Address<Message> address() const { return mailbox_.address(); }
 
  private:
@@ -66,12 +69,14 @@
   std::optional<Refusal> RouteWorkflow(const caller::Incoming& incoming,
                                        const Request& request,
                                        Pending& pending) const;
+  // All partitions of a service, in the order of their numbers.
+  std::vector<PartitionId> PartitionsOf(const ServiceId& service) const;
   void BeginStatus(const operators::CellCall& call);
   void FinishStatus(int64_t round);
   void Report(const metrics::Scrape& scrape) const;
 
   // --- dispatcher.cc
-  void Begin(Pending pending);
+  PendingId Begin(Pending pending);
   // Sends it to the owner, or waits for one.
   void Attempt(Pending& pending);
   void Send(Pending& pending, const membership::Claim& claim);
@@ -87,6 +92,7 @@
   // Answers; the pending request is gone afterwards.
   void Finish(Pending& pending, const partition::JobResponse& response);
   void Forget(const Pending& pending);
+  void CloseForTeam(const TeamId& team);
   void OnUpdate(configuration::Update update);
   void OnView(membership::View view);
   void OnHurry();
@@ -97,11 +103,19 @@
   void LogRoute(const Pending& pending, const membership::Claim& claim,
                 std::string_view reason) const;
 
+  // --- count_round.cc
+  void BeginCount(const Pending& whole);
+  void OnCounted(int64_t number, const partition::JobResponse& response);
+  // What is still open of it is dropped.
+  void ForgetCount(int64_t number);
+
   task::Loop& loop_;
   const Options options_;
   const task::Address<entry::Call> peers_;
   std::optional<configuration::Update> update_;
   membership::View view_;
+  std::shared_ptr<const layout::Layouts> layouts_ =
+      std::make_shared<layout::Layouts>();
   bool hurrying_ = false;
 
   int64_t last_id_ = 0;
@@ -112,6 +126,10 @@
   RetryBudget retries_;
   std::minstd_rand random_;
 
+  int64_t last_count_ = 0;
+  std::map<int64_t, internal::OpenCount> counts_;
+  std::map<caller::RequestNumber, int64_t> count_by_caller_;  // Of counts_.
+
   struct OpenStatus {
     OpenStatus(task::Loop& loop, internal::StatusRound r)
         : round(std::move(r)), timeout(loop) {}
--- a/azurepass/routing/internal/pending.h
+++ b/azurepass/routing/internal/pending.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "azurepass/caller/caller.h"
 #include "azurepass/core/core.h"
@@ -31,7 +32,11 @@
 struct ToOperator {
   task::Address<operators::CellResponse> reply_to;
 };
-using Origin = std::variant<ToCaller, ToOperator>;
+// One partition's part of a count that all of a service's are asked for.
+struct ToCount {
+  int64_t number = 0;
+};
+using Origin = std::variant<ToCaller, ToOperator, ToCount>;
 
 // What the request waits for.
 struct ForOwner {};  // The partition has none with an address.
@@ -52,9 +57,10 @@
   KeyId key;      // Empty: an operator's, or of a queue that needs none.
   QueueId queue;  // Of a workflow's request; else empty.
   PartitionId partition;
-  MonotonicTime since;       // When it was taken.
-  MonotonicTime deadline;    // Refused then at the latest.
-  MonotonicTime held_until;  // Of a GetJob.
+  std::vector<PartitionId> counted{};  // Of a count: all that are asked.
+  MonotonicTime since;                 // When it was taken.
+  MonotonicTime deadline;              // Refused then at the latest.
+  MonotonicTime held_until;            // Of a GetJob.
 
   Waiting waiting = ForOwner{};
   int64_t attempts = 0;  // Calls sent; the latest one's number.
--- a/azurepass/routing/pending.cc
+++ b/azurepass/routing/pending.cc
@@ -102,6 +102,7 @@
 void Answer(const Pending& pending, const partition::JobResponse& response) {
   std::visit(
       Visitor{[&](const ToCaller& to) { to.responder.Answer(response); },
+              [](const ToCount&) {},  // The dispatcher adds it up.
               [&](const ToOperator& to) {
                 const auto* explanation =
                     std::get_if<placement::Explanation>(&response);
--- a/azurepass/routing/routing.h
+++ b/azurepass/routing/routing.h
@@ -7,6 +7,7 @@
 //   2. A submission goes to the partition that rendezvous hashing picks for
 //      (team, request id) among those of its queue's service, so that a retry
 //      meets the same partition. The id of a job names its partition.
+//      A count of what waits is asked of all partitions of the service.
 //   3. The partition's owner is looked up in the membership view. Without an
 //      owner the request waits for the next one, until its deadline.
 //   4. The request is sent. It is sent again, after a backoff, when the owner
@@ -18,7 +19,8 @@
 // that may have had an effect can have reached an owner.
 //
 // Usage: construct a Dispatcher; give callers() to caller::Server, operators()
-// to operators::Server, and subscribe updates() and views().
+// to operators::Server, and subscribe updates(), views() and, where the
+// services are spread at run time, layouts().
 
 #ifndef AZUREPASS_ROUTING_ROUTING_H_
 #define AZUREPASS_ROUTING_ROUTING_H_
@@ -33,6 +35,7 @@
 #include "azurepass/configuration/configuration.h"
 #include "azurepass/core/core.h"
 #include "azurepass/entry/entry.h"
+#include "azurepass/layout/layout.h"
 #include "azurepass/membership/membership.h"
 #include "azurepass/metrics/metrics.h"
 #include "azurepass/operators/operators.h"
@@ -79,9 +82,9 @@
 // The dispatcher
 
 struct Options {
-  MemberId member;  // This process.
-  std::vector<Partition> partitions;
-  Duration attempt_timeout{3'000};  // Of one call, beyond what it is held.
+  MemberId member;                    // This process.
+  std::vector<Partition> partitions;  // Beside those of the layouts.
+  Duration attempt_timeout{3'000};    // Of one call, beyond what it is held.
   // A submission that no owner has got is refused after this time, so that the
   // caller can come back in time; one that may have run, after the second.
   Duration submit_patience{60'000};
@@ -110,6 +113,8 @@
   task::Address<operators::CellCall> operators() const;
   task::Address<configuration::Update> updates() const;
   task::Address<membership::View> views() const;
+  // Where partitions are not in the options.
+  task::Address<layout::Update> layouts() const;
   task::Address<Hurry> hurry() const;
   task::Address<metrics::Scrape> metrics() const;
 
--- /dev/null
+++ b/azurepass/scheduling/internal/peer_news.cc
@@ -0,0 +1,50 @@
+// See peer_news.h.
+
+#include "azurepass/scheduling/internal/peer_news.h"
+
+#include <utility>
+
+namespace azurepass::scheduling {
+
+configuration::PeersChanged OutageWitnesses(
+    const membership::View& view, const MemberId& self,
+    const std::optional<vmlist::Snapshot>& vms) {
+  configuration::PeersChanged changed;
+  for (const auto& [id, member] : view.members) {
+    if (id == self) continue;
+    const bool gone = vms && !member.record.vm.empty() &&
+                      !vms->vms.contains(member.record.vm);
+    changed.peers.push_back({id, member.record.address, gone});
+  }
+  return changed;
+}
+
+permit::PeersChanged PermitPeers(const membership::View& view,
+                                 const MemberId& self) {
+  permit::PeersChanged changed;
+  for (const auto& [id, member] : view.members) {
+    const bool asks = id != self && !member.suspected &&
+                      !member.record.leaving &&
+                      member.record.role == membership::Role::kScheduler;
+    if (asks) changed.addresses.push_back(member.record.address);
+  }
+  return changed;
+}
+
+void RelayPermits(const task::Address<permit::Question>& service,
+                  entry::RelayPermits relay, const entry::Incoming& incoming) {
+  service.Send(permit::Question{
+      relay.job, std::move(relay.workers), incoming.time_left,
+      task::Address<permit::Answer>(
+          [responder = incoming.responder](permit::Answer answer) {
+            if (auto* issued = std::get_if<permit::Issued>(&answer)) {
+              return responder.Answer(entry::PermitsRelayed{
+                  std::move(issued->permits), issued->validity});
+            }
+            responder.Answer(Refusal{RefusalCode::kUnavailable, Effect::kNotRun,
+                                     std::get<permit::Failed>(answer).message,
+                                     std::nullopt});
+          })});
+}
+
+}  // namespace azurepass::scheduling
--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -23,8 +23,11 @@
 #include <set>
 #include <utility>
 
+#include "azurepass/scheduling/internal/holding.h"
 #include "azurepass/scheduling/internal/partition_task.h"
+#include "azurepass/scheduling/internal/peer_news.h"
 #include "azurepass/scheduling/internal/report.h"
+#include "azurepass/scheduling/internal/workers_of.h"
 #include "azurepass/scheduling/scheduling.h"
 
 namespace azurepass::scheduling {
@@ -37,24 +40,6 @@
 // everything is not asked in a tight loop.
 constexpr Duration kClaimInterval{200};
 
-// --- What this process has to do with one partition
-
-struct NotHeld {};
-// A conditional write for `epoch` is in flight.
-struct Claiming {
-  Epoch epoch;
-};
-struct Held {
-  Epoch epoch;
-  store::Version version = store::kAbsent;
-};
-// Told to hand over; the claim goes back when that is done.
-struct HandingOver {
-  Epoch epoch;
-  store::Version version = store::kAbsent;
-};
-using Holding = std::variant<NotHeld, Claiming, Held, HandingOver>;
-
 // How a request tells which partition it is about.
 template <class Request>
 concept NamesPartition = requires(const Request& request) {
@@ -107,6 +92,7 @@
  private:
   struct Partition {
     std::unique_ptr<PartitionTask> task;
+    ServiceId service;
     Holding holding;
     StatusNotice notice;  // The latest.
   };
@@ -121,26 +107,25 @@
     Partition& partition = partitions_[settings.id];
     partition.task =
         std::make_unique<PartitionTask>(loop_, std::move(options), peers);
+    partition.service = settings.service;
     if (configuration_) partition.task->address().Send(*configuration_);
-    if (vms_) partition.task->address().Send(*vms_);
-  }
-
-  void AddDeclaredPartitions() {
-    if (!options_.partitions_from_configuration || !configuration_) return;
-    bool added = false;
-    for (const auto& [service, record] :
-         configuration_->configuration->services) {
-      const PartitionId id = PartitionOfService(service);
-      if (partitions_.contains(id)) continue;
-      AddPartition({id, service, {}});
-      added = true;
-    }
-    if (!added) return;
+  }
+
+  // Partitions are added and never taken away: a service's number is fixed.
+  void OnLayouts(const layout::Update& update) {
+    layouts_ = update.layouts;
+    if (!options_.partitions_from_layouts) return;
     membership::SetPartitions set;
+    for (const auto& [service, layout] : *layouts_) {
+      for (const PartitionId& id : layout::PartitionsOf(layout)) {
+        if (!partitions_.contains(id)) AddPartition({id, service, {}});
+      }
+    }
     for (const auto& [id, partition] : partitions_) {
       set.partitions.push_back(id);
     }
     peers_.membership.Send(std::move(set));
+    TellWorkers();
   }
 
   void Handle(Inbox& inbox) {
@@ -162,6 +147,7 @@
                      OnConfiguration(update);
                    },
                    [this](const vmlist::Update& update) { OnVmList(update); },
+                   [this](const layout::Update& update) { OnLayouts(update); },
                    [this](entry::Incoming& incoming) { OnIncoming(incoming); },
                    [this](const Shutdown& shutdown) { OnShutdown(shutdown); },
                    [this](const metrics::Scrape& scrape) {
@@ -176,7 +162,7 @@
   void OnView(membership::View& view) {
     view_ = std::move(view);
     TellKeeperOfPeers();
-    TellPermitPeers();
+    peers_.permits.Send(PermitPeers(view_, options_.member));
     UpdateAuthority();
     Reconsider();
   }
@@ -318,6 +304,7 @@
               << " epoch=" << written.epoch.value
               << " member=" << options_.member.value();
     partition.holding = Held{written.epoch, done->version};
+    TellWorkers(written.partition, partition);
     partition.task->address().Send(Hold{written.epoch});
   }
 
@@ -355,20 +342,10 @@
     partition.holding = NotHeld{};
   }
 
-  static std::optional<Epoch> EpochOf(const Holding& holding) {
-    return std::visit(
-        Visitor{
-            [](const NotHeld&) -> std::optional<Epoch> { return {}; },
-            [](const auto& held) -> std::optional<Epoch> { return held.epoch; },
-        },
-        holding);
-  }
-
   // --- News for the other tasks
 
   void OnConfiguration(const configuration::Update& update) {
     configuration_ = update;
-    AddDeclaredPartitions();
     UpdateAuthority();
     for (auto& [id, partition] : partitions_) {
       partition.task->address().Send(update);
@@ -380,12 +357,25 @@
     const auto* snapshot = std::get_if<vmlist::Snapshot>(&update);
     if (snapshot == nullptr) return;
     vms_ = *snapshot;
-    for (auto& [id, partition] : partitions_) {
-      partition.task->address().Send(*snapshot);
-    }
+    TellWorkers();
     TellKeeperOfPeers();
   }
 
+  void TellWorkers() {
+    for (auto& [id, partition] : partitions_) TellWorkers(id, partition);
+  }
+
+  // Whoever takes a partition up is told then.
+  void TellWorkers(const PartitionId& id, const Partition& partition) const {
+    if (!vms_ || std::holds_alternative<NotHeld>(partition.holding)) return;
+    if (!options_.partitions_from_layouts) {
+      return partition.task->address().Send(*vms_);
+    }
+    const auto layout = layouts_->find(partition.service);
+    if (layout == layouts_->end()) return;
+    partition.task->address().Send(WorkersOf(*vms_, layout->second, id));
+  }
+
   void TellMembership() {
     membership::SelfChanged self;
     if (configuration_ && configuration_->configuration) {
@@ -402,14 +392,7 @@
   // no evidence of an outage.
   void TellKeeperOfPeers() {
     if (!view_.known) return;
-    configuration::PeersChanged changed;
-    for (const auto& [id, member] : view_.members) {
-      if (id == options_.member) continue;
-      const bool gone = vms_ && !member.record.vm.empty() &&
-                        !vms_->vms.contains(member.record.vm);
-      changed.peers.push_back({id, member.record.address, gone});
-    }
-    peers_.configuration.Send(std::move(changed));
+    peers_.configuration.Send(OutageWitnesses(view_, options_.member, vms_));
   }
 
   // --- Requests of other processes
@@ -436,7 +419,7 @@
   }
 
   void Serve(entry::RelayPermits& relay, const entry::Incoming& incoming) {
-    RelayPermits(relay, incoming);
+    RelayPermits(peers_.permit_service, std::move(relay), incoming);
   }
 
   template <NamesPartition Request>
@@ -451,40 +434,13 @@
     Pass(id, std::move(request), incoming);
   }
 
-  void RelayPermits(entry::RelayPermits& relay,
-                    const entry::Incoming& incoming) {
-    peers_.permit_service.Send(permit::Question{
-        relay.job, std::move(relay.workers), incoming.time_left,
-        task::Address<permit::Answer>(
-            [responder = incoming.responder](permit::Answer answer) {
-              if (auto* issued = std::get_if<permit::Issued>(&answer)) {
-                return responder.Answer(entry::PermitsRelayed{
-                    std::move(issued->permits), issued->validity});
-              }
-              responder.Answer(Refusal{
-                  RefusalCode::kUnavailable, Effect::kNotRun,
-                  std::get<permit::Failed>(answer).message, std::nullopt});
-            })});
-  }
-
-  void TellPermitPeers() {
-    permit::PeersChanged changed;
-    for (const auto& [id, member] : view_.members) {
-      const bool asks = id != options_.member && !member.suspected &&
-                        !member.record.leaving &&
-                        member.record.role == membership::Role::kScheduler;
-      if (asks) changed.addresses.push_back(member.record.address);
-    }
-    peers_.permits.Send(std::move(changed));
-  }
-
   void Pass(const PartitionId& id, partition::JobRequest request,
             const entry::Incoming& incoming) {
     const entry::Responder& responder = incoming.responder;
     const MonotonicTime deadline = Clock::now() + incoming.time_left;
     const auto found = partitions_.find(id);
     const bool unknown = found == partitions_.end();
-    if (unknown && !options_.partitions_from_configuration) {
+    if (unknown && !options_.partitions_from_layouts) {
       responder.Answer(Refusal{RefusalCode::kNotFound, Effect::kNotRun,
                                "no partition has this name", std::nullopt});
       return;
@@ -547,6 +503,8 @@
   membership::View view_;
   std::optional<configuration::Update> configuration_;
   std::optional<vmlist::Snapshot> vms_;
+  std::shared_ptr<const layout::Layouts> layouts_ =
+      std::make_shared<layout::Layouts>();
   std::optional<Shutdown> shutdown_;
   bool leaving_ = false;
   task::Mailbox<Inbox> mailbox_;
--- a/azurepass/scheduling/manager_test.cc
+++ b/azurepass/scheduling/manager_test.cc
@@ -8,11 +8,11 @@
 namespace {
 
 // Asks a manager that knows of no partition; returns the code of its refusal.
-RefusalCode CodeOfUnknown(bool partitions_from_configuration) {
+RefusalCode CodeOfUnknown(bool partitions_from_layouts) {
   task::Loop loop;
   Options options;
   options.member = MemberId("n1");
-  options.partitions_from_configuration = partitions_from_configuration;
+  options.partitions_from_layouts = partitions_from_layouts;
   Manager manager(loop, options, Peers{});
   std::optional<RefusalCode> code;
   const entry::Responder responder(
--- a/azurepass/scheduling/scheduling.h
+++ b/azurepass/scheduling/scheduling.h
@@ -8,7 +8,7 @@
 //
 //   entry::Server ---Incoming---> Manager --JobReceived--> PartitionTask
 //   membership::Agent --View----> Manager --Hold/Release-> PartitionTask
-//   configuration, vmlist ------> Manager --(the same)---> PartitionTask
+//   configuration, vmlist, layout > Manager -(its part)--> PartitionTask
 //   PartitionTask <--> journal::Writer, endpoint::Client, escrow::Broker
 //   PartitionTask --Notice--> Manager
 //
@@ -28,6 +28,7 @@
 #include "azurepass/endpoint/endpoint.h"
 #include "azurepass/entry/entry.h"
 #include "azurepass/escrow/escrow.h"
+#include "azurepass/layout/layout.h"
 #include "azurepass/membership/membership.h"
 #include "azurepass/metrics/metrics.h"
 #include "azurepass/permit/permit.h"
@@ -59,16 +60,15 @@
 
 using Message =
     std::variant<membership::View, configuration::Update, vmlist::Update,
-                 entry::Incoming, Shutdown, metrics::Scrape>;
+                 layout::Update, entry::Incoming, Shutdown, metrics::Scrape>;
 
 struct Options {
   MemberId member;
   settings::CellSettings cell;
   uint64_t nonce = 0;  // Random; unlike that of any other process.
-  // The partitions follow from the services that the configuration declares,
-  // one for each, beside those that the settings name; their workers are those
+  // The partitions are those of the services' layouts; their workers are those
   // that describe themselves to the VM list.
-  bool partitions_from_configuration = false;
+  bool partitions_from_layouts = false;
   // A partition stays with its owner as long as that lives, however the members
   // change; else it moves to whoever should hold it.
   bool sticky = false;
