escrow: a test of an account that bursts in 1 to 8 partitions

Every partition has more to run than the account's limit; each starts something, and together they run at least 70% of what the limit allows, with limits of 40 to 800 tasks.

--- a/azurepass/escrow/escrow_test.cc
+++ b/azurepass/escrow/escrow_test.cc
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include <deque>
 #include <random>
 
 namespace azurepass::escrow {
@@ -117,5 +118,68 @@
   }
 }
 
+// A partition of a service with more to run than the account's limit allows.
+struct Busy {
+  PartitionId id;
+  std::deque<int> ends;  // The rounds at which its tasks end.
+  int64_t started = 0;
+};
+
+struct Burst {
+  int64_t partitions;
+  int64_t limit;      // Of the account, over all partitions.
+  int64_t task;       // The size of each of its tasks.
+  int64_t least_run;  // Tasks that ran, of what the limit allows, in percent.
+};
+
+// Each round every partition reads the book, takes or gives back and starts
+// what it may. A task runs for `kRounds` rounds.
+void CheckBurst(const Burst& burst) {
+  constexpr int kRounds = 4;
+  constexpr int kLength = 400;
+  CAPTURE(burst.partitions);
+  CAPTURE(burst.limit);
+  std::vector<Busy> all;
+  for (int64_t i = 0; i < burst.partitions; ++i) {
+    all.push_back({PartitionId("p-" + std::to_string(i)), {}, 0});
+  }
+  Book book;
+  for (int round = 0; round < kLength; ++round) {
+    int64_t running = 0;
+    for (Busy& busy : all) {
+      while (!busy.ends.empty() && busy.ends.front() <= round) {
+        busy.ends.pop_front();
+      }
+      const int64_t committed = std::ssize(busy.ends) * burst.task;
+      book = Settle(book, SlotLimit(burst.limit), busy.id,
+                    {Slots(committed), Slots(committed + 10 * burst.limit)});
+      const int64_t usable =
+          Usable(book, SlotLimit(burst.limit), busy.id)[kSlots];
+      while ((std::ssize(busy.ends) + 1) * burst.task <= usable) {
+        busy.ends.push_back(round + kRounds);
+        ++busy.started;
+      }
+      running += std::ssize(busy.ends) * burst.task;
+    }
+    REQUIRE(running <= burst.limit);
+  }
+  int64_t started = 0;
+  for (const Busy& busy : all) {
+    CHECK(busy.started > 0);
+    started += busy.started;
+  }
+  const int64_t most = burst.limit / burst.task * (kLength / kRounds);
+  CHECK(100 * started >= burst.least_run * most);
+}
+
+// Guards against an account whose limit is cut into parts too small to use.
+TEST_CASE("many partitions leave an account what its limit allows") {
+  for (const int64_t partitions : {1, 2, 4, 8}) {
+    CheckBurst({partitions, 800, 1, 70});
+    CheckBurst({partitions, 800, 20, 70});
+    CheckBurst({partitions, 760'000, 15'000, 70});
+  }
+}
+
 }  // namespace
 }  // namespace azurepass::escrow
