--- a/azurepass/scheduling/internal/holding.h
+++ b/azurepass/scheduling/internal/holding.h
@@ -1,4 +1,4 @@
-// What a process has to do with one partition.
+// What a process has to do with one partition, and what its claim says.
 
 #ifndef AZUREPASS_SCHEDULING_INTERNAL_HOLDING_H_
 #define AZUREPASS_SCHEDULING_INTERNAL_HOLDING_H_
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "azurepass/core/core.h"
+#include "azurepass/membership/membership.h"
 #include "azurepass/store/store.h"
 
 namespace azurepass::scheduling {
@@ -36,6 +37,33 @@
       holding);
 }
 
+// The claim names this process, which does not hold it: it was taken before
+// the process started anew. Nobody else may claim it while this process
+// lives, so it takes the claim up again, also to give it back.
+inline bool IsOfFormerStart(const membership::View& view,
+                            const PartitionId& partition,
+                            const MemberId& self) {
+  const auto claim = view.claims.find(partition);
+  return claim != view.claims.end() && claim->second.member == self;
+}
+
+// Nobody holds it, the holder is gone, or the holder is a former start of
+// this very process.
+inline bool IsClaimable(const membership::View& view,
+                        const PartitionId& partition, const MemberId& self) {
+  const auto claim = view.claims.find(partition);
+  if (claim == view.claims.end()) return true;
+  return claim->second.member.empty() || claim->second.address.empty() ||
+         claim->second.member == self;
+}
+
+// Somebody claimed it after the owner of `epoch`.
+inline bool IsTakenOver(const membership::View& view,
+                        const PartitionId& partition, Epoch epoch) {
+  const auto claim = view.claims.find(partition);
+  return claim != view.claims.end() && claim->second.epoch > epoch;
+}
+
 }  // namespace azurepass::scheduling
 
 #endif  // AZUREPASS_SCHEDULING_INTERNAL_HOLDING_H_
--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -217,13 +217,14 @@
             [&](const NotHeld&) {
               const bool may = view_.lease_ok && HasAuthority();
               if (may && !shutdown_ &&
-                  ((wanted && IsClaimable(id)) || IsOfFormerStart(id))) {
+                  ((wanted && IsClaimable(view_, id, options_.member)) ||
+                   IsOfFormerStart(view_, id, options_.member))) {
                 Claim(id, partition);
               }
             },
             [](const Claiming&) {},
             [&](const Held& held) {
-              if (IsTakenOver(id, held.epoch)) {
+              if (IsTakenOver(view_, id, held.epoch)) {
                 partition.task->address().Send(Lose{});
                 partition.holding = NotHeld{};
               } else if (!wanted && (shutdown_ || !options_.sticky)) {
@@ -232,7 +233,7 @@
               }
             },
             [&](const HandingOver& held) {
-              if (IsTakenOver(id, held.epoch)) {
+              if (IsTakenOver(view_, id, held.epoch)) {
                 partition.task->address().Send(Lose{});
                 partition.holding = NotHeld{};
               }
@@ -241,29 +242,6 @@
         Holding(partition.holding));
   }
 
-  // Nobody holds it, the holder is gone, or the holder is a former start of
-  // this very process.
-  bool IsClaimable(const PartitionId& id) const {
-    const auto claim = view_.claims.find(id);
-    if (claim == view_.claims.end()) return true;
-    return claim->second.member.empty() || claim->second.address.empty() ||
-           claim->second.member == options_.member;
-  }
-
-  // The claim names this process, which does not hold it: it was taken before
-  // the process started anew. Nobody else may claim it while this process
-  // lives, so it takes the claim up again, also to give it back.
-  bool IsOfFormerStart(const PartitionId& id) const {
-    const auto claim = view_.claims.find(id);
-    return claim != view_.claims.end() &&
-           claim->second.member == options_.member;
-  }
-
-  bool IsTakenOver(const PartitionId& id, Epoch epoch) const {
-    const auto claim = view_.claims.find(id);
-    return claim != view_.claims.end() && claim->second.epoch > epoch;
-  }
-
   void Claim(const PartitionId& id, Partition& partition) {
     const auto claim = view_.claims.find(id);
     const bool absent = claim == view_.claims.end();
@@ -292,11 +270,7 @@
     const auto* claiming = std::get_if<Claiming>(&partition.holding);
     if (claiming == nullptr || claiming->epoch != written.epoch) return;
     const auto* done = std::get_if<store::Written>(&written.reply);
-    if (done == nullptr) {
-      partition.holding = NotHeld{};
-      return;
-    }
-    if (!HasAuthority()) {
+    if (done == nullptr || !HasAuthority()) {
       partition.holding = NotHeld{};
       return;
     }
