--- a/azurepass/scheduling/internal/hops.cc
+++ b/azurepass/scheduling/internal/hops.cc
@@ -18,8 +18,8 @@
 using metrics::Histogram;
 
 constexpr std::array<std::string_view, kHops> kHopNames = {
-    "submit",      "cancel", "read",    "append", "permit",
-    "first_start", "order",  "confirm", "end"};
+    "submit", "cancel",  "read", "append", "permit", "first_start",
+    "order",  "confirm", "end",  "timer",  "message"};
 
 // In the order of the alternatives of partition::Event.
 constexpr std::array<std::string_view, std::variant_size_v<partition::Event>>
@@ -219,6 +219,14 @@
   handled.processor += processor;
 }
 
+void HopMeter::OnTimer(MonotonicTime due, MonotonicTime now) {
+  Record(Hop::kTimer, std::max(now, due) - due);
+}
+
+void HopMeter::OnMessage(MonotonicTime sent, MonotonicTime now) {
+  Record(Hop::kMessage, now - sent);
+}
+
 void HopMeter::Forget() {
   requests_.clear();
   appends_.clear();
--- a/azurepass/scheduling/internal/hops.h
+++ b/azurepass/scheduling/internal/hops.h
@@ -36,8 +36,10 @@
   kOrder,       // Decided to ordered: the append of the start.
   kConfirm,     // Ordered to the worker's answer.
   kEnd,         // An end's arrival to its acknowledgement: its append.
+  kTimer,       // A timer's time to its call, a message's sending to its
+  kMessage,     // delivery: both grow when the loop has more work than time.
 };
-inline constexpr size_t kHops = 9;
+inline constexpr size_t kHops = 11;
 std::string_view HopName(Hop hop);
 
 // The processor time of the calling thread.
@@ -65,6 +67,9 @@
   void OnAction(const partition::Action& action, MonotonicTime now);
   // The processor time that the owner and the actions took.
   void OnHandled(size_t event_index, std::chrono::nanoseconds processor);
+  // How late the loop was.
+  void OnTimer(MonotonicTime due, MonotonicTime now);
+  void OnMessage(MonotonicTime sent, MonotonicTime now);
   // The owner is gone; what was open has no end.
   void Forget();
 
--- a/azurepass/scheduling/internal/hops_test.cc
+++ b/azurepass/scheduling/internal/hops_test.cc
@@ -116,6 +116,16 @@
   CHECK(meter.Figures(Hop::kOrder).count == 0);
 }
 
+TEST_CASE("a loop's lag is how late timers and messages are, never below 0") {
+  HopMeter meter;
+  meter.OnTimer(At(100), At(130));
+  meter.OnTimer(At(100), At(99));
+  meter.OnMessage(At(130), At(135));
+  CHECK(meter.Figures(Hop::kTimer).sum == milliseconds(30));
+  CHECK(meter.Figures(Hop::kTimer).count == 2);
+  CHECK(meter.Figures(Hop::kMessage).sum == milliseconds(5));
+}
+
 TEST_CASE("a line tells what was seen since the line before") {
   HopMeter meter;
   CHECK(meter.TakeLine(At(0)).empty());
--- a/azurepass/scheduling/internal/partition_task.cc
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -20,6 +20,9 @@
 
 // Whoever asked should find the new owner soon.
 constexpr Duration kAskNewOwnerAfter{200};
+// Between two probes of the loop: ten make a line of the log meaningful, and
+// cost nothing beside an owner's hundreds of events a second.
+constexpr Duration kLagInterval{100};
 
 Refusal NotOwner() {
   return Refusal{RefusalCode::kNotOwner, Effect::kNotRun,
@@ -55,6 +58,7 @@
       wake_(loop),
       freshness_timer_(loop),
       status_timer_(loop),
+      lag_timer_(loop),
       loop_(loop) {
   status_timer_.Every(options_.status_interval, [this] { SendStatus(); });
 }
@@ -71,6 +75,9 @@
                  },
                  [this](FromWorker& from) { OnWorker(from); },
                  [this](const escrow::Granted& granted) { OnGranted(granted); },
+                 [this](const LagProbe& probe) {
+                   hops_.OnMessage(probe.sent, Clock::now());
+                 },
              },
              inbox);
 }
@@ -112,6 +119,7 @@
   owner_.emplace(options_.owner, options_.partition.id,
                  options_.partition.workers, options_.nonce);
   peers_.broker.Send(escrow::Adopt{options_.partition.id, inbox});
+  ProbeLag();
   TellVmList();
   TellConfiguration();
   Feed(partition::ClaimWon{epoch_, std::chrono::system_clock::now()});
@@ -359,6 +367,7 @@
   demands_.clear();
   wake_.Cancel();
   freshness_timer_.Cancel();
+  lag_timer_.Cancel();
   hops_.Forget();
 }
 
@@ -379,6 +388,18 @@
   LogHops();
 }
 
+void PartitionTask::ProbeLag() {
+  const MonotonicTime due = Clock::now() + kLagInterval;
+  lag_timer_.After(kLagInterval, [this, due] {
+    const MonotonicTime now = Clock::now();
+    hops_.OnTimer(due, now);
+    mailbox_.address()
+        .Map<LagProbe>([](LagProbe probe) { return Inbox(probe); })
+        .Send(LagProbe{now});
+    ProbeLag();
+  });
+}
+
 void PartitionTask::LogHops() {
   const std::string seen = hops_.TakeLine(Clock::now());
   if (seen.empty()) return;
--- a/azurepass/scheduling/internal/partition_task.h
+++ b/azurepass/scheduling/internal/partition_task.h
@@ -107,7 +107,12 @@
     int64_t session = 0;
     endpoint::Update update;
   };
-  using Inbox = std::variant<Command, ForOwner, FromWorker, escrow::Granted>;
+  // Measures how long messages wait.
+  struct LagProbe {
+    MonotonicTime sent;
+  };
+  using Inbox =
+      std::variant<Command, ForOwner, FromWorker, escrow::Granted, LagProbe>;
 
   void Handle(Inbox inbox);
   void OnCommand(Command& command);
@@ -133,6 +138,7 @@
   void DropOwner();
   void SendStatus();
   void LogHops();
+  void ProbeLag();
 
   const PartitionTaskOptions options_;
   const PartitionTaskPeers peers_;
@@ -140,6 +146,7 @@
   task::Timer wake_;
   task::Timer freshness_timer_;
   task::Timer status_timer_;
+  task::Timer lag_timer_;  // Runs exactly while there is an owner.
 
   // Set exactly while the claim is held, or was and is not yet handed over.
   std::optional<partition::Owner> owner_;
