A cancellation outlasts the writes before it

A record that is in no write yet is withdrawn after append_wait (300 ms), so that a submission can be refused as not run. A cancellation was treated alike. This owner's appends took 1.8 to 3.2 s, and so each try was withdrawn before the next write was made up, unless it came in the last 300 ms before it.

A cancellation is now kept until it is appended; its caller waits as for a record in a write, and is then told that the effect is not known. Whoever asks again joins the record that waits.

Before the change the new test fails with effect 0 (not run) for 1 (unknown), and no order to stop.

--- a/azurepass/partition/owner_recording_test.cc
+++ b/azurepass/partition/owner_recording_test.cc
@@ -168,6 +168,32 @@
   CHECK(d.Starts().size() == 1);
 }
 
+// Behind slow writes each try to cancel was withdrawn before its turn came, and
+// cancelled tasks ran on.
+TEST_CASE("a cancellation outlasts the write before it") {
+  Options options = RecordingFirst();
+  options.append_wait = Duration(300);
+  options.unknown_wait = Duration(2'500);
+  Driver d({"vm-0"}, false, options);
+  d.Submit(1, OneStep(1));
+  d.AppendAll();
+  const AttemptId attempt = d.Starts()[0].second.attempt;
+  // A write that takes longer than a caller waits.
+  d.Submit(2, OneStep(1), kTeam, RequestId("00000000000000aa"));
+  d.Do(RequestReceived{RequestToken{3},
+                       CancelWorkflow{kPartition, kTeam, kRequest},
+                       d.now + seconds(1)});
+  d.actions.clear();
+  d.now += seconds(1);
+  d.Do(Tick{});
+  CHECK(std::get<Refusal>(d.Last<Answer>().response).effect ==
+        Effect::kUnknown);
+  d.AppendAll();
+  const auto& orders = d.Last<SendOrders>().orders;
+  REQUIRE(!orders.empty());
+  CHECK(std::get<StopTask>(orders[0]).attempt == attempt);
+}
+
 TEST_CASE("an owner that has all it needs takes requests of any revision") {
   Driver d({"vm-0"}, false, RecordingFirst());
   d.Do(RequestReceived{
--- a/azurepass/partition/owner_requests.cc
+++ b/azurepass/partition/owner_requests.cc
@@ -27,6 +27,11 @@
   return {code, Effect::kNotRun, std::move(message), retry_after};
 }
 
+bool IsCancellation(const Record& record) {
+  return std::holds_alternative<JobCancelled>(record) ||
+         std::holds_alternative<WorkflowCancelled>(record);
+}
+
 std::optional<Refusal> RefuseSpec(const JobSpec& spec) {
   if (spec.tasks < 1 || spec.tasks > kMaxTasksPerJob) {
     return NotRun(RefusalCode::kInvalidRequest,
@@ -262,16 +267,18 @@
   }
 }
 
-// A record that is in no written batch is withdrawn, unless somebody else waits
-// for it, and then certainly has no effect. One that is in a batch is waited
-// for until the deadline, and then nothing is known.
+// A submission that is in no written batch is withdrawn, unless somebody else
+// waits for it, and then certainly has no effect. One that is in a batch is
+// waited for until the deadline, and then nothing is known. So is a
+// cancellation in any case: whoever wants it would ask again, and behind slow
+// writes none of its tries would last until its turn.
 void Owner::Impl::AnswerDueAppend(RequestToken token, Sequence sequence,
                                   MonotonicTime deadline) {
   const bool over = now_ >= deadline;
   const RefusalCode code =
       over ? RefusalCode::kDeadlineExceeded : RefusalCode::kStoreUnavailable;
-  if (commit_.IsWaiting(sequence)) {
-    internal::PendingRecord& record = *requests_.FindRecord(sequence);
+  internal::PendingRecord& record = *requests_.FindRecord(sequence);
+  if (commit_.IsWaiting(sequence) && !IsCancellation(record.record)) {
     record.tokens.erase(token);
     const bool last = record.tokens.empty();
     if (last) {
@@ -287,7 +294,7 @@
                          std::min(deadline, now_ + options_.unknown_wait));
     return;
   }
-  requests_.FindRecord(sequence)->tokens.erase(token);
+  record.tokens.erase(token);
   Refuse(token, code,
          options_.testing.refuse_in_flight_as_not_run ? Effect::kNotRun
                                                       : Effect::kUnknown,
