A start without an answer is revoked before its task waits again

The session dropped it after start_validity and said nothing. The owner missed it after one lease, at 21.8 s, and opened the session with that worker anew under the same epoch, taking that to void whatever was ordered before. The new session's list, made before the worker began it (21.889 s), lacked it; 100 ms later the owner took it as not running and started it elsewhere (22.098 s).

A refused second sending reported as the outcome, while the first could still be carried out, is a second hole of that kind.

Change, in the endpoint package, for both carriers: * A start that was in an exchange without an answer is doubtful. A refusal does not settle it, and neither does its validity's end: the session sends a stop of the attempt until it is taken, asks for a list after that, and only what this list lacks as running and as ended is reported as not started. Until then it is in every list the session gives, so that the owner keeps its room. * A start that was never sent in time, or not before its worker restarted, is reported at once. The owner had waited a lease for it. * A closed session's doubtful starts, and those under way, go to the next session with that worker under the same epoch. * Each order of an exchange has an outcome of its own. One call without an answer, or one that came late, had all of them sent again, also those whose refusal the owner had been told of. * A stop refused with 429 or 503 counted as taken; it is sent again. * A worker that calls a start over, because the run was stopped or has ended, had the owner wait a lease; now a list settles it. * The answer that shows a worker's restart opens the session only if no order was under way beside it; otherwise a list is asked for. * A start that an answer shows to have been carried out is not sent again: a new life of the worker would run it anew. * The log follows each start that was not simply answered (event=start).

Two expectations of session_test changed. A restart with an order under way asks for a list before it opens the session, and a start out of date is followed by stops, or by a report if it was not sent; both are stricter than what stood there. The new cases do not compile against the former session.

session_late_test plays sessions against workers that carry out calls late, refuse and restart, with an owner that believes each word. A list too early, and the answer that tells of a restart, are red in session_test alone.

standin_worker_test: the start that is never sent is now reported, so that its event is expected before the one of the lapse.

Not covered: a start sent to a worker that has just restarted, carried out late there while nothing else reaches the worker until the lease has lapsed.

--- a/azurepass/endpoint/client.cc
+++ b/azurepass/endpoint/client.cc
@@ -1,7 +1,10 @@
 // The endpoint client: carries out what its sessions ask for.
 //
 // Each session has a number of its own; answers and timers of a session that
-// was closed or replaced are told by it and dropped.
+// was closed or replaced are told by it and dropped. The starts whose outcome
+// it did not learn are handed to the next session with that worker.
+
+#include <glog/logging.h>
 
 #include <functional>
 #include <map>
@@ -19,8 +22,32 @@
 using internal::Channel;
 using internal::FencedBy;
 using internal::Session;
+using internal::StartNoted;
+using internal::StartStep;
 using internal::Unanswered;
 
+const char* NameOf(StartStep step) {
+  switch (step) {
+    case StartStep::kUnanswered:
+      return "unanswered";
+    case StartStep::kRefused:
+      return "refused";
+    case StartStep::kRevoked:
+      return "revoked";
+    case StartStep::kRuns:
+      return "runs";
+    case StartStep::kNotStarted:
+      return "not_started";
+  }
+  return "unknown";
+}
+
+void Log(const VmId& vm, Epoch epoch, const StartNoted& noted) {
+  LOG(INFO) << "event=start step=" << NameOf(noted.step)
+            << " attempt=" << ToString(noted.attempt) << " vm=" << vm.value()
+            << " epoch=" << epoch.value << " age_ms=" << noted.age.count();
+}
+
 // What a result means to the session.
 internal::Event EventOf(Channel channel, ExchangeResult& result) {
   return std::visit(
@@ -86,6 +113,7 @@
   void Handle(Inbox message);
   void OnRequest(Request request);
   void Begin(const Open& open);
+  void KeepDoubtful(const VmId& vm, const Session& session);
   void Tell(const VmId& vm, int64_t number, internal::Event event);
   void Perform(const VmId& vm, Entry& entry,
                std::vector<internal::Output> outputs);
@@ -100,6 +128,12 @@
   int64_t failures_ = 0;
   std::optional<MonotonicTime> authorized_until_;
   std::map<VmId, std::unique_ptr<Entry>> entries_;
+  // Of sessions that were closed, for the next one under the same epoch.
+  struct DoubtfulStarts {
+    Epoch epoch;
+    std::vector<AttemptId> starts;
+  };
+  std::map<VmId, DoubtfulStarts> doubtful_;
   std::unique_ptr<internal::HttpCarrier> http_;  // Null: a carrier was given.
   task::Address<Carry> carrier_;
   int64_t exchanges_ = 0;
@@ -135,7 +169,12 @@
                        Tell(acknowledge.vm, found->second->number,
                             internal::Recorded{acknowledge.number});
                      },
-                     [this](const Close& close) { entries_.erase(close.vm); },
+                     [this](const Close& close) {
+                       const auto found = entries_.find(close.vm);
+                       if (found == entries_.end()) return;
+                       KeepDoubtful(close.vm, found->second->session);
+                       entries_.erase(found);
+                     },
                      [this](const Authorize& authorize) {
                        authorized_until_ = authorize.until;
                        for (auto& [vm, entry] : entries_) {
@@ -152,8 +191,16 @@
   const VmId& vm = open.worker.vm;
   const MonotonicTime now = Now();
   const uint64_t seed = std::hash<std::string>()(vm.value());
+  const auto former = entries_.find(vm);
+  if (former != entries_.end()) KeepDoubtful(vm, former->second->session);
+  std::vector<AttemptId> doubtful;
+  if (auto kept = doubtful_.extract(vm);
+      !kept.empty() && kept.mapped().epoch == open.epoch) {
+    doubtful = std::move(kept.mapped().starts);
+  }
   auto entry = std::make_unique<Entry>(
-      loop_, Session(vm, open.epoch, options_, authorized_until_, seed, now));
+      loop_, Session(vm, open.epoch, options_, authorized_until_, seed,
+                     doubtful, now));
   entry->number = ++sessions_begun_;
   entry->partition = open.partition;
   entry->address = open.worker.address;
@@ -162,6 +209,12 @@
   Perform(vm, kept, kept.session.Start(now));
 }
 
+void Client::Impl::KeepDoubtful(const VmId& vm, const Session& session) {
+  std::vector<AttemptId> starts = session.Doubtful();
+  if (starts.empty()) return;
+  doubtful_[vm] = {session.epoch(), std::move(starts)};
+}
+
 void Client::Impl::Tell(const VmId& vm, int64_t number, internal::Event event) {
   const auto found = entries_.find(vm);
   if (found == entries_.end() || found->second->number != number) return;
@@ -184,7 +237,10 @@
                 Tell(vm, number, internal::Woken{wake.channel});
               });
             },
-            [&](Update& update) { entry.listener.Send(std::move(update)); }},
+            [&](Update& update) { entry.listener.Send(std::move(update)); },
+            [&](const StartNoted& noted) {
+              Log(vm, entry.session.epoch(), noted);
+            }},
         output);
   }
 }
--- a/azurepass/endpoint/endpoint.h
+++ b/azurepass/endpoint/endpoint.h
@@ -46,7 +46,8 @@
 // first, in Events: events that a former owner acknowledged are given again, as
 // far as the worker still keeps them. So an attempt that is neither running nor
 // reported does not run there and will not. A worker that restarted opens its
-// session anew under the same epoch, and orders not yet taken are dropped.
+// session anew under the same epoch; the outcome of each start that it was sent
+// before follows in Events.
 struct SessionOpened {
   VmId vm;
   Epoch epoch;
@@ -89,10 +90,20 @@
   task::Address<Update> listener;
   PartitionId partition{};  // Told to the carrier of the exchanges.
 };
-// To a session that is open here; otherwise dropped.
+// To a session that is open here; otherwise dropped. Orders are repeated until
+// the worker has taken them.
+//
+// Each start gets one outcome while its session lasts: an event of the worker,
+// or kStopped with number 0 when it has not happened and will not. The second
+// is said only when that is certain. An exchange without an answer may be
+// carried out seconds later, also after newer ones; a start that was in one and
+// is refused when sent again, or is out of date, is therefore revoked: the
+// worker is told to stop the attempt, so that it starts no more, and a list
+// that was asked for after that shows whether it runs, has ended, or never
+// began. Until then the attempt counts as one that may run.
 struct Send {
   VmId vm;
-  std::vector<Order> orders;  // Repeated until the worker has taken them.
+  std::vector<Order> orders;
 };
 // All events up to this number are recorded: the worker may forget them. Until
 // then it keeps them, and gives them again to a later owner.
@@ -100,6 +111,8 @@
   VmId vm;
   int64_t number = 0;
 };
+// Starts without an outcome are revoked if the session is opened again under
+// the same epoch; another epoch fences them.
 struct Close {
   VmId vm;
 };
@@ -116,7 +129,7 @@
   Duration hold{4'000};          // How long a worker holds an empty answer.
   Duration request_timeout{2'000};  // Beyond the hold.
   // A start that the worker has not taken by then is not sent any more: what
-  // allowed it may have changed. It is never reported.
+  // allowed it may have changed.
   Duration start_validity{2'000};
   Duration retry_delay{250};  // After a failure, doubled up to...
   Duration retry_delay_max{2'000};
@@ -147,16 +160,29 @@
   bool list = false;
   std::vector<Order> orders;
 };
+// What became of one order of an exchange.
+enum class OrderOutcome {
+  kSettled,  // Carried out now or before, or refused, as an event says.
+  // A start that the worker never carries out from now on, because the attempt
+  // has ended there or was told to stop. Its end, if it ran, is an event.
+  kOver,
+  kNotTaken,  // Certainly not carried out by this exchange.
+  kUnknown,   // No answer: it may have been carried out, or may be later.
+};
 struct ExchangeAnswer {
   std::string token;
   // The orders are carried out, or were before.
   bool taken = false;
+  // Of each order, where they travel apart; `taken` then says nothing. Empty:
+  // all are kSettled if taken, otherwise kNotTaken.
+  std::vector<OrderOutcome> outcomes;
   // The token is of a former life of the worker, which ran nothing of this one.
   bool restarted = false;
   // By number, each after `acknowledged`; those of number 0 answer orders.
   std::vector<WorkerEvent> events;
   std::vector<Usage> usage;
   std::vector<AttemptId> running;  // When asked for, or restarted.
+  bool more_events = false;        // Than fitted into this answer.
 };
 // The worker has seen a higher epoch.
 struct ExchangeFenced {
--- a/azurepass/endpoint/internal/session.cc
+++ b/azurepass/endpoint/internal/session.cc
@@ -3,6 +3,7 @@
 #include "azurepass/endpoint/internal/session.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace azurepass::endpoint::internal {
@@ -14,17 +15,57 @@
 constexpr int kHoldsPerLease = 3;
 constexpr int kMaxDoublings = 16;
 
+const AttemptId& AttemptOf(const Order& order) {
+  return std::visit([](const auto& o) -> const AttemptId& { return o.attempt; },
+                    order);
+}
+
+bool IsStart(const Order& order) {
+  return std::holds_alternative<StartTask>(order);
+}
+
+OrderOutcome OutcomeOf(const ExchangeAnswer& answer, size_t index) {
+  if (index < answer.outcomes.size()) return answer.outcomes[index];
+  return answer.taken ? OrderOutcome::kSettled : OrderOutcome::kNotTaken;
+}
+
+// What the worker says to an order itself, in place of an event it keeps.
+bool IsRefusal(const WorkerEvent& event) {
+  return event.number == 0 && event.kind != WorkerEventKind::kStarted;
+}
+
+bool Lists(const ExchangeAnswer& answer, const AttemptId& attempt) {
+  return std::find(answer.running.begin(), answer.running.end(), attempt) !=
+         answer.running.end();
+}
+
+bool Tells(const ExchangeAnswer& answer, const AttemptId& attempt) {
+  return std::any_of(
+      answer.events.begin(), answer.events.end(),
+      [&](const WorkerEvent& event) { return event.attempt == attempt; });
+}
+
+bool TellsEnd(const ExchangeAnswer& answer, const AttemptId& attempt) {
+  return std::any_of(answer.events.begin(), answer.events.end(),
+                     [&](const WorkerEvent& event) {
+                       return event.attempt == attempt &&
+                              event.kind != WorkerEventKind::kStarted;
+                     });
+}
+
 }  // namespace
 
 Session::Session(VmId vm, Epoch epoch, const Options& options,
                  std::optional<MonotonicTime> authorized_until, uint64_t seed,
-                 MonotonicTime now)
+                 const std::vector<AttemptId>& doubtful, MonotonicTime now)
     : vm_(std::move(vm)),
       epoch_(epoch),
       options_(options),
       random_(seed),
       authorized_until_(authorized_until),
-      token_received_(now) {}
+      token_received_(now) {
+  for (const AttemptId& attempt : doubtful) Revoke(attempt, now, now);
+}
 
 std::vector<Output> Session::Start(MonotonicTime now) {
   Advance(now);
@@ -71,44 +112,128 @@
   held_failures_ = 0;
   TakeToken(answer, now);
   if (answer.restarted) {
-    opened_ = false;
-    delivered_ = 0;
-    acknowledged_ = 0;
-    orders_.clear();
-    orders_sent_ = 0;
+    OnRestart(now);
+    // A start may have been carried out there after the list was made.
+    if (!held_alone_) return;
   }
+  DropSeenStarts(answer, now);
+  ExchangeAnswer lists;
+  lists.events = answer.events;
+  lists.running = answer.running;
+  lists.more_events = answer.more_events;
   Report(std::move(answer));
+  SettleRevoked(lists, now);
+}
+
+// What was sent may have met the new life already, which then carries it out
+// like any other order.
+void Session::OnRestart(MonotonicTime now) {
+  opened_ = false;
+  delivered_ = 0;
+  acknowledged_ = 0;
+  const std::deque<PendingOrder> former = std::exchange(orders_, {});
+  const size_t sent = std::exchange(orders_sent_, 0);
+  for (auto& [attempt, revoked] : revoked_) {
+    if (revoked.stage == RevokeStage::kStopping) {
+      orders_.push_back({StopTask{attempt, StopKind::kStop}, now});
+    } else {
+      revoked.stage = RevokeStage::kStopped;
+    }
+  }
+  for (size_t i = 0; i < former.size(); ++i) {
+    const PendingOrder& pending = former[i];
+    if (!IsStart(pending.order) || pending.seen) continue;
+    if (pending.doubtful || i < sent) {
+      Revoke(AttemptOf(pending.order), pending.given, now);
+    } else {
+      ReportNotStarted(AttemptOf(pending.order), pending.given,
+                       "the worker restarted before it was sent", now);
+    }
+  }
 }
 
 // An order channel that meets a restarted worker leaves it to the held channel
 // to find out, and keeps the old token for that.
 void Session::OnOrdersAnswer(ExchangeAnswer answer, MonotonicTime now) {
   orders_busy_ = false;
+  if (!answer.restarted && held_failures_ == 0) TakeToken(answer, now);
   const size_t sent = std::exchange(orders_sent_, 0);
-  if (answer.taken) {
-    orders_failures_ = 0;
-    orders_.erase(orders_.begin(),
-                  orders_.begin() + static_cast<std::ptrdiff_t>(sent));
+  const auto end = orders_.begin() + static_cast<std::ptrdiff_t>(sent);
+  std::vector<PendingOrder> done(std::make_move_iterator(orders_.begin()),
+                                 std::make_move_iterator(end));
+  orders_.erase(orders_.begin(), end);
+  std::vector<PendingOrder> kept;
+  bool unknown = false;
+  for (size_t i = 0; i < sent; ++i) {
+    const OrderOutcome outcome = OutcomeOf(answer, i);
+    unknown = unknown || outcome == OrderOutcome::kUnknown;
+    if (outcome == OrderOutcome::kNotTaken ||
+        outcome == OrderOutcome::kUnknown) {
+      if (outcome == OrderOutcome::kUnknown) NoteUnanswered(done[i], now);
+      kept.push_back(std::move(done[i]));
+    } else {
+      OnSettled(done[i], outcome, answer, now);
+    }
   }
-  if (!answer.restarted && held_failures_ == 0) TakeToken(answer, now);
   ReportAnswers(answer);
-  if (answer.taken || sent == 0) return;
+  orders_.insert(orders_.begin(), std::make_move_iterator(kept.begin()),
+                 std::make_move_iterator(kept.end()));
+  if (kept.empty()) {
+    if (sent > 0) orders_failures_ = 0;
+    return;
+  }
   // Most likely the token was too old; the answer brought a new one.
-  if (++orders_failures_ == 1) return;
+  if (++orders_failures_ == 1 && !unknown) return;
   orders_waiting_ = true;
   outputs_.emplace_back(Wake{Channel::kOrders, Backoff(orders_failures_)});
 }
 
-void Session::OnUnanswered(Channel channel, MonotonicTime /*now*/) {
+// Another sending of the start was carried out, or may be.
+bool Session::WithholdRefusal(const PendingOrder& pending,
+                              ExchangeAnswer& answer) {
+  if (!pending.doubtful && !pending.seen) return false;
+  return std::erase_if(answer.events, [&](const WorkerEvent& event) {
+           return IsRefusal(event) && event.attempt == AttemptOf(pending.order);
+         }) > 0;
+}
+
+void Session::OnSettled(const PendingOrder& pending, OrderOutcome outcome,
+                        ExchangeAnswer& answer, MonotonicTime now) {
+  const AttemptId& attempt = AttemptOf(pending.order);
+  if (std::holds_alternative<StopTask>(pending.order)) {
+    const auto found = revoked_.find(attempt);
+    if (found != revoked_.end() &&
+        found->second.stage == RevokeStage::kStopping) {
+      found->second.stage = RevokeStage::kStopped;
+    }
+  } else if (!IsStart(pending.order)) {
+    return;
+  } else if (outcome == OrderOutcome::kOver) {
+    if (!pending.seen) {
+      revoked_[attempt] = {pending.given, RevokeStage::kStopped};
+    }
+  } else if (WithholdRefusal(pending, answer)) {
+    Note(attempt, StartStep::kRefused, pending.given, now);
+    if (!pending.seen) Revoke(attempt, pending.given, now);
+  }
+}
+
+void Session::OnUnanswered(Channel channel, MonotonicTime now) {
   if (channel == Channel::kOrders) {
     orders_busy_ = false;
-    orders_sent_ = 0;
+    const size_t sent = std::exchange(orders_sent_, 0);
+    for (size_t i = 0; i < sent; ++i) NoteUnanswered(orders_[i], now);
     orders_waiting_ = true;
     outputs_.emplace_back(Wake{channel, Backoff(++orders_failures_)});
     return;
   }
   held_busy_ = false;
   held_waiting_ = true;
+  for (auto& [attempt, revoked] : revoked_) {
+    if (revoked.stage == RevokeStage::kListing) {
+      revoked.stage = RevokeStage::kStopped;
+    }
+  }
   outputs_.emplace_back(Wake{channel, Backoff(++held_failures_)});
   if (held_failures_ < kFailuresToUnreachable || unreachable_) return;
   unreachable_ = true;
@@ -153,23 +278,118 @@
         Wake{Channel::kHeld, options_.lease / kHoldsPerLease});
     return;
   }
-  if (!opened_ || held_failures_ > 0) {
+  const bool to_list =
+      std::any_of(revoked_.begin(), revoked_.end(), [](const auto& entry) {
+        return entry.second.stage == RevokeStage::kStopped;
+      });
+  held_alone_ = !opened_ || held_failures_ > 0;
+  if (held_alone_) {
     if (orders_busy_) return;
     request.list = true;
-  } else if (unrecorded) {
+  } else if (unrecorded || to_list) {
     request.list = true;
   } else {
     request.hold = std::min(options_.hold, options_.lease / kHoldsPerLease);
   }
+  if (request.list) {
+    for (auto& [attempt, revoked] : revoked_) {
+      if (revoked.stage == RevokeStage::kStopped) {
+        revoked.stage = RevokeStage::kListing;
+      }
+    }
+  }
   held_busy_ = true;
   outputs_.emplace_back(Exchange{Channel::kHeld, std::move(request)});
 }
 
 void Session::DropLateStarts(MonotonicTime now) {
-  std::erase_if(orders_, [&](const PendingOrder& pending) {
-    return std::holds_alternative<StartTask>(pending.order) &&
+  const auto is_late = [&](const PendingOrder& pending) {
+    return IsStart(pending.order) &&
            now - pending.given > options_.start_validity;
-  });
+  };
+  std::erase_if(orders_,
+                [](const PendingOrder& pending) { return pending.seen; });
+  if (std::none_of(orders_.begin(), orders_.end(), is_late)) return;
+  for (PendingOrder& pending : std::exchange(orders_, {})) {
+    if (!is_late(pending)) {
+      orders_.push_back(std::move(pending));
+    } else if (pending.doubtful) {
+      Revoke(AttemptOf(pending.order), pending.given, now);
+    } else {
+      ReportNotStarted(AttemptOf(pending.order), pending.given,
+                       "not sent in time", now);
+    }
+  }
+}
+
+// A start that was sent again to a new life of its worker would run anew.
+void Session::DropSeenStarts(const ExchangeAnswer& answer, MonotonicTime now) {
+  for (PendingOrder& pending : orders_) {
+    if (!IsStart(pending.order) || pending.seen) continue;
+    const AttemptId& attempt = AttemptOf(pending.order);
+    const bool runs = Lists(answer, attempt);
+    pending.seen = runs || Tells(answer, attempt);
+    if (!runs) continue;
+    Note(attempt, StartStep::kRuns, pending.given, now);
+    ReportAnswer(attempt, WorkerEventKind::kStarted, "");
+  }
+}
+
+void Session::NoteUnanswered(PendingOrder& pending, MonotonicTime now) {
+  if (!IsStart(pending.order)) return;
+  pending.doubtful = true;
+  Note(AttemptOf(pending.order), StartStep::kUnanswered, pending.given, now);
+}
+
+void Session::Revoke(const AttemptId& attempt, MonotonicTime given,
+                     MonotonicTime now) {
+  if (!revoked_.try_emplace(attempt, Revoked{given}).second) return;
+  orders_.push_back({StopTask{attempt, StopKind::kStop}, now});
+  Note(attempt, StartStep::kRevoked, given, now);
+}
+
+void Session::SettleRevoked(const ExchangeAnswer& answer, MonotonicTime now) {
+  for (auto it = revoked_.begin(); it != revoked_.end();) {
+    const AttemptId attempt = it->first;
+    const Revoked revoked = it->second;
+    if (revoked.stage != RevokeStage::kListing) {
+      ++it;
+      continue;
+    }
+    if (answer.more_events) {  // Its end may be among them.
+      it->second.stage = RevokeStage::kStopped;
+      ++it;
+      continue;
+    }
+    it = revoked_.erase(it);
+    if (Lists(answer, attempt)) {
+      Note(attempt, StartStep::kRuns, revoked.given, now);
+      ReportAnswer(attempt, WorkerEventKind::kStarted, "");
+    } else if (!TellsEnd(answer, attempt)) {
+      ReportNotStarted(attempt, revoked.given, "revoked", now);
+    }
+  }
+}
+
+void Session::ReportNotStarted(const AttemptId& attempt, MonotonicTime given,
+                               const std::string& reason, MonotonicTime now) {
+  Note(attempt, StartStep::kNotStarted, given, now);
+  ReportAnswer(attempt, WorkerEventKind::kStopped, "not started: " + reason);
+}
+
+void Session::ReportAnswer(const AttemptId& attempt, WorkerEventKind kind,
+                           std::string detail) {
+  WorkerEvent event;
+  event.attempt = attempt;
+  event.kind = kind;
+  event.detail = std::move(detail);
+  outputs_.emplace_back(Update(Events{vm_, epoch_, {std::move(event)}, {}}));
+}
+
+void Session::Note(const AttemptId& attempt, StartStep step,
+                   MonotonicTime given, MonotonicTime now) {
+  outputs_.emplace_back(StartNoted{
+      attempt, step, std::chrono::duration_cast<Duration>(now - given)});
 }
 
 void Session::SendOrders(MonotonicTime now) {
@@ -190,6 +410,7 @@
 }
 
 void Session::TakeToken(ExchangeAnswer& answer, MonotonicTime now) {
+  if (answer.token.empty()) return;
   token_ = std::move(answer.token);
   token_received_ = now;
 }
@@ -197,7 +418,9 @@
 void Session::ReportAnswers(ExchangeAnswer& answer) {
   Events events{vm_, epoch_, {}, {}};
   for (WorkerEvent& event : answer.events) {
-    if (event.number == 0) events.events.push_back(std::move(event));
+    if (event.number != 0) continue;
+    if (IsRefusal(event) && revoked_.contains(event.attempt)) continue;
+    events.events.push_back(std::move(event));
   }
   if (!events.events.empty()) outputs_.emplace_back(Update(std::move(events)));
 }
@@ -225,14 +448,29 @@
 std::vector<AttemptId> Session::WithPendingStarts(
     std::vector<AttemptId> running) {
   for (const PendingOrder& pending : orders_) {
-    const auto* start = std::get_if<StartTask>(&pending.order);
-    if (start != nullptr) running.push_back(start->attempt);
+    if (IsStart(pending.order) && !pending.seen) {
+      running.push_back(AttemptOf(pending.order));
+    }
   }
+  for (const auto& [attempt, revoked] : revoked_) running.push_back(attempt);
   std::sort(running.begin(), running.end());
   running.erase(std::unique(running.begin(), running.end()), running.end());
   return running;
 }
 
+std::vector<AttemptId> Session::Doubtful() const {
+  std::vector<AttemptId> doubtful;
+  for (size_t i = 0; i < orders_.size(); ++i) {
+    const PendingOrder& pending = orders_[i];
+    const bool sent = pending.doubtful || i < orders_sent_;
+    if (IsStart(pending.order) && sent && !pending.seen) {
+      doubtful.push_back(AttemptOf(pending.order));
+    }
+  }
+  for (const auto& [attempt, revoked] : revoked_) doubtful.push_back(attempt);
+  return doubtful;
+}
+
 bool Session::MaySend(MonotonicTime now) const {
   return !authorized_until_ || now < *authorized_until_;
 }
--- a/azurepass/endpoint/internal/session.h
+++ b/azurepass/endpoint/internal/session.h
@@ -5,8 +5,17 @@
 // brings events and a fresh token, and the next exchange on it renews the
 // lease. The order channel is busy while there are orders. It rests while the
 // held one fails, and a list of running attempts is only asked for while no
-// orders are under way: then what the list lacks is either still to be sent,
-// and added here, or does not run.
+// orders are under way: then what the list lacks is either still to be sent or
+// may still be carried out, and added here, or does not run.
+//
+// A start that was in an exchange without an answer is doubtful: the worker may
+// carry it out later, after it refused a newer sending of it. Nothing but a
+// positive answer settles it at once. Otherwise it is revoked: a stop of the
+// attempt is sent until the worker takes it, after which that worker starts the
+// attempt no more; then the held channel asks for a list. What that list shows
+// as running ends with an event; for what it lacks the session reports that it
+// did not start. Where the worker itself says that a start is over, the list
+// alone decides.
 //
 // After an exchange without an answer comes a probe, which does not hold and
 // asks for the list. The second failure in a row makes the worker unreachable.
@@ -19,6 +28,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 #include <random>
 #include <string>
@@ -72,21 +82,41 @@
   Channel channel = Channel::kHeld;
   Duration delay{0};
 };
-using Output = std::variant<Exchange, Wake, Update>;
+// For the log: a start that was not simply answered.
+enum class StartStep { kUnanswered, kRefused, kRevoked, kRuns, kNotStarted };
+struct StartNoted {
+  AttemptId attempt;
+  StartStep step = StartStep::kUnanswered;
+  Duration age{0};  // Since the owner ordered it.
+};
+using Output = std::variant<Exchange, Wake, Update, StartNoted>;
 
 class Session {
  public:
+  // `doubtful` are starts of a former session under the same epoch, as its
+  // Doubtful() told them.
   Session(VmId vm, Epoch epoch, const Options& options,
           std::optional<MonotonicTime> authorized_until, uint64_t seed,
-          MonotonicTime now);
+          const std::vector<AttemptId>& doubtful, MonotonicTime now);
 
   std::vector<Output> Start(MonotonicTime now);
   std::vector<Output> Handle(Event event, MonotonicTime now);
 
   // Nothing comes after Fenced.
   bool ended() const { return ended_; }
+  Epoch epoch() const { return epoch_; }
+  // The starts that the worker may carry out though nothing was heard of them.
+  std::vector<AttemptId> Doubtful() const;
 
  private:
+  struct PendingOrder {
+    Order order;
+    MonotonicTime given;
+    bool doubtful = false;  // Was in an exchange without an answer.
+    // A start whose attempt the worker has listed or reported: not sent again.
+    bool seen = false;
+  };
+
   void OnAnswered(Answered answered, MonotonicTime now);
   void OnHeldAnswer(ExchangeAnswer answer, MonotonicTime now);
   void OnOrdersAnswer(ExchangeAnswer answer, MonotonicTime now);
@@ -97,13 +127,33 @@
   void Advance(MonotonicTime now);
   void SendHeld(MonotonicTime now);
   void SendOrders(MonotonicTime now);
-  // Drops starts that were given too long ago; no order is under way.
+  // Gives up starts that were given too long ago; no order is under way.
   void DropLateStarts(MonotonicTime now);
+  // Marks starts that the answer shows to have been carried out.
+  void DropSeenStarts(const ExchangeAnswer& answer, MonotonicTime now);
+  // The worker has begun a new life: orders for the former one are void.
+  void OnRestart(MonotonicTime now);
   void TakeToken(ExchangeAnswer& answer, MonotonicTime now);
   void Report(ExchangeAnswer answer);
-  // Passes on the events of number 0.
+  // Passes on the events of number 0, except refusals of doubtful starts.
   void ReportAnswers(ExchangeAnswer& answer);
+  void OnSettled(const PendingOrder& pending, OrderOutcome outcome,
+                 ExchangeAnswer& answer, MonotonicTime now);
+  // Takes the refusal out of the answer if it is no outcome of the start.
+  static bool WithholdRefusal(const PendingOrder& pending,
+                              ExchangeAnswer& answer);
+  void NoteUnanswered(PendingOrder& pending, MonotonicTime now);
+  void Revoke(const AttemptId& attempt, MonotonicTime given, MonotonicTime now);
+  // By a list that was asked for after the stops were taken.
+  void SettleRevoked(const ExchangeAnswer& answer, MonotonicTime now);
+  void ReportNotStarted(const AttemptId& attempt, MonotonicTime given,
+                        const std::string& reason, MonotonicTime now);
+  void ReportAnswer(const AttemptId& attempt, WorkerEventKind kind,
+                    std::string detail);
+  void Note(const AttemptId& attempt, StartStep step, MonotonicTime given,
+            MonotonicTime now);
   void OnRecorded(const Recorded& recorded);
+  // Adds what may still be carried out.
   std::vector<AttemptId> WithPendingStarts(std::vector<AttemptId> running);
   bool MaySend(MonotonicTime now) const;
   MonotonicTime LeaseUntil() const;
@@ -133,16 +183,24 @@
   bool held_busy_ = false;
   bool held_waiting_ = false;
   int held_failures_ = 0;  // In a row.
+  // No order is under way beside the held exchange, so that its list counts.
+  bool held_alone_ = false;
   bool orders_busy_ = false;
   bool orders_waiting_ = false;
   int orders_failures_ = 0;  // In a row; orders not taken count.
-  struct PendingOrder {
-    Order order;
-    MonotonicTime given;
-  };
   std::deque<PendingOrder> orders_;
   size_t orders_sent_ = 0;  // Of orders_, the first so many are under way.
 
+  // Starts that are given up though the worker may have carried them out, or
+  // may do so until it has taken the stop. No start of them is in orders_; the
+  // stop is, until it is taken.
+  enum class RevokeStage { kStopping, kStopped, kListing };
+  struct Revoked {
+    MonotonicTime given;
+    RevokeStage stage = RevokeStage::kStopping;
+  };
+  std::map<AttemptId, Revoked> revoked_;
+
   std::vector<Output> outputs_;  // Of the event in hand.
 };
 
--- a/azurepass/partition/internal/worker_book.h
+++ b/azurepass/partition/internal/worker_book.h
@@ -67,7 +67,7 @@
   bool fits = true;
   // At that time it is lost, unless something is heard of it. An order that is
   // not confirmed may still be under way, so that its session is first opened
-  // anew (`reopened`), which voids the orders of the session before.
+  // anew (`reopened`): its list names what the worker may still carry out.
   std::optional<MonotonicTime> lost_at;
   bool reopened = false;
 };
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -338,7 +338,8 @@
   }
 }
 
-// Voids what was ordered in the session before.
+// The new session lists what the worker may still carry out of the one before;
+// an order that it does not list never went out, or is over.
 void Owner::Impl::ReopenWorker(Worker& worker) {
   for (const TaskId& task : worker.tasks) {
     LiveAttempt& attempt = *workers_.FindAttempt(task);
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -374,14 +374,16 @@
   WorkerSpec worker;
   Epoch epoch;
 };
-// Orders not yet taken by the worker are dropped, and no event of the closed
-// session is sent to the owner any more.
+// Orders that were not sent yet are dropped, and no event of the closed session
+// is sent to the owner any more. What the worker may still carry out is in the
+// list of the next session under the same epoch, which has it stopped.
 struct CloseSession {
   VmId vm;
 };
 // To be repeated until the worker has taken them; but a StartTask that was not
 // taken within Options::start_validity is not sent any more, because what
-// allowed it may have changed. The owner notices that it is not confirmed.
+// allowed it may have changed. Once it is certain that it does not run, it is
+// reported as stopped.
 struct SendOrders {
   VmId vm;
   std::vector<Order> orders;
