Questions about permits go on after workers were replaced

Callers would see tasks that last stay away for seconds after workers were replaced (LOST), though others have room.

What was granted is now kept, and only that takes room; a question names granted workers with room and those of which nothing is known. * An answer without a permit set the time until which permits are valid, and nothing more was asked for 1.2 to 1.7 s. It now waits permit_retry (100 ms). * Denied workers that had left counted among the workers there are. When they were as many, the job passed for one that is allowed nowhere and was asked about after 3 s. Now every worker there is that could run it has to be denied.

The new tests failed before (three checks, the last one both with and without a worker that leaves) and pass now.

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -261,6 +261,7 @@
   void Ask(const JobId& job, JobPermits& permits, std::vector<VmId> with_room);
   static int64_t LeftByBound(const internal::LedgerJob& job, const VmId& vm);
   bool MayEverRun(const JobSpec& spec, const WorkerSpec& worker) const;
+  bool AllDenied(const JobSpec& spec, const std::set<VmId>& denied) const;
   // The worker's permit for the job; empty when none is valid.
   std::string PermitFor(const JobId& job, const VmId& vm) const;
 
@@ -343,9 +344,12 @@
   struct JobPermits {
     std::map<VmId, std::string> permits;
     MonotonicTime valid_until{};
-    std::set<VmId> denied;  // For good: the answer does not change.
-    bool asked = false;     // An answer came: all but the denied are granted.
-    bool asking = false;    // A question is under way.
+    // For good: the answer does not change. Workers that joined since the
+    // latest question are in neither.
+    std::set<VmId> denied;
+    std::set<VmId> granted;
+    bool asked = false;         // An answer came.
+    bool asking = false;        // A question is under way.
     MonotonicTime ask_again{};  // Not before.
   };
   MonotonicTime next_permit_look_{};
--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -14,7 +14,8 @@
 //
 // Which workers the service names for a job does not change; only the permits
 // lapse. So a job's first question is about all workers that could run it, and
-// the later ones about those among the granted that have room now.
+// the later ones about those that have room now and are granted, or have come
+// since.
 
 #include <algorithm>
 #include <tuple>
@@ -93,8 +94,8 @@
     int64_t most = LeftByBound(job, worker.spec->vm);
     if (most <= 0 || permits.denied.contains(worker.spec->vm)) continue;
     with_room.push_back(worker.spec->vm);
-    // Of a job that never asked nobody knows where it may run.
-    if (!permits.asked) continue;
+    // Where nobody has asked yet it is not known whether the job may run.
+    if (!permits.granted.contains(worker.spec->vm)) continue;
     for (; most > 0 && tasks > 0 && size.FitsIn(worker.free) &&
            spec.task.FitsIn(allowance);
          --most, --tasks) {
@@ -141,6 +142,17 @@
          Carries(worker, spec.constraints.label);
 }
 
+// Denied workers that have left do not count.
+bool Owner::Impl::AllDenied(const JobSpec& spec,
+                            const std::set<VmId>& denied) const {
+  const auto& workers = workers_.workers();
+  return std::none_of(workers.begin(), workers.end(), [&](const auto& entry) {
+    const auto& [vm, worker] = entry;
+    return worker.configured && MayEverRun(spec, worker.spec) &&
+           !denied.contains(vm);
+  });
+}
+
 void Owner::Impl::Ask(const JobId& id, JobPermits& permits,
                       std::vector<VmId> with_room) {
   const JobSpec& spec = live_.Find(id)->submitted.spec;
@@ -182,17 +194,23 @@
   std::vector<VmId> workers;
   for (Permit& permit : *event.permits) {
     workers.push_back(permit.vm);
+    permits.granted.insert(permit.vm);
     permits.permits[permit.vm] = std::move(permit.text);
   }
   for (const VmId& vm : event.asked) {
     if (!permits.permits.contains(vm)) permits.denied.insert(vm);
   }
   permits.valid_until = event.valid_until - options_.permit_margin;
-  if (workers.empty()) permits.ask_again = now_ + options_.permit_retry;
-  if (permits.denied.size() >= workers_.workers().size()) {
+  if (workers.empty()) {
+    permits.valid_until = now_;
+    permits.ask_again = now_ + options_.permit_retry;
+  }
+  const LedgerJob* job = live_.Find(event.job);
+  if (job != nullptr && AllDenied(job->submitted.spec, permits.denied)) {
     // Nobody may run it, or an answer was wrong: it is asked about anew,
     // rarely.
     permits.denied.clear();
+    permits.granted.clear();
     permits.asked = false;
     permits.ask_again = now_ + options_.permit_denied_retry;
   }
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -301,6 +301,82 @@
   CHECK(StepOf(d.Last<AskPermits>().job)->request == kRequest);
 }
 
+// A task that lasts, allowed on vm-5 alone of vm-5 and vm-6; then workers are
+// replaced.
+struct Replaced {
+  Driver d{{"vm-5", "vm-6"}, /*permits=*/true};
+
+  Replaced() {
+    WorkflowSpec spec;
+    spec.queue = kQueue;
+    spec.steps = {Step(1)};
+    spec.steps[0].job.perpetual = true;
+    spec.steps[0].job.constraints.needs_permit = true;
+    d.Submit(1, spec);
+    d.AppendAll();
+    Answer({{VmId("vm-5"), "t"}});
+    REQUIRE(d.Starts().size() == 1);
+  }
+  void Answer(std::vector<Permit> permits) {
+    const AskPermits asked = d.Last<AskPermits>();
+    d.Do(PermitsIssued{asked.job, asked.workers, std::move(permits),
+                       d.now + kPermitValidity});
+    d.AppendAll();
+  }
+  void List(const std::vector<std::string>& vms) {
+    VmListChanged list;
+    for (const std::string& vm : vms) {
+      list.vms[VmId(vm)] = VmState::kLive;
+      list.workers[VmId(vm)] = Worker(vm);
+    }
+    d.Do(list);
+  }
+  void Lapse(const std::string& vm) {
+    d.Do(WorkerUnreachable{VmId(vm), Epoch{1}, d.now});
+    d.AppendAll();
+  }
+  std::vector<VmId> Asked() { return d.Last<AskPermits>().workers; }
+};
+
+// A question named the new worker alone, which is denied more often than not.
+TEST_CASE("workers of which nothing is known are asked about beside others") {
+  Replaced r;
+  r.List({"vm-1", "vm-5", "vm-6"});
+  r.d.Open("vm-1");
+  r.d.AppendAll();
+  r.d.Report("vm-5", 1, r.d.Starts()[0].second.attempt,
+             WorkerEventKind::kFailed);
+  r.d.AppendAll();
+  r.d.now += kPermitValidity;  // Past the backoff as well.
+  r.d.Do(Tick{});
+  CHECK(r.Asked() == std::vector<VmId>{VmId("vm-1"), VmId("vm-5")});
+}
+
+// Nothing was asked for as long as permits last, of which there were none, or
+// for 3 s when the denied, with those that had left, were as many as there are
+// workers.
+TEST_CASE("after an answer without permits others are asked about soon") {
+  for (const bool leaves : {false, true}) {
+    CAPTURE(leaves);
+    Replaced r;
+    if (leaves) r.Lapse("vm-6");
+    r.List(leaves ? std::vector<std::string>{"vm-1", "vm-5"}
+                  : std::vector<std::string>{"vm-1", "vm-5", "vm-6"});
+    r.d.Open("vm-1");
+    r.d.AppendAll();
+    r.Lapse("vm-5");
+    r.d.now += kPermitValidity;
+    r.d.Do(Tick{});
+    REQUIRE(r.Asked() == std::vector<VmId>{VmId("vm-1")});
+    r.Answer({});
+    r.d.Open("vm-5");
+    r.d.AppendAll();
+    r.d.now += Options().permit_retry;
+    r.d.Do(Tick{});
+    CHECK(r.Asked() == std::vector<VmId>{VmId("vm-5")});
+  }
+}
+
 TEST_CASE("a new owner finds workflows, their turns and their ends") {
   Driver d;
   d.Submit(1, TwoSteps());
