A former owner that sends on finds out by itself, as before

"each check notices that its mechanism is gone" did not notice the missing fencing append any more: in the end the world told every process that its claim was taken. It now tells only those that are silent, so that a world with FormerOwner::kSendsOn is what the world was.

--- a/azurepass/partition/testing/world.cc
+++ b/azurepass/partition/testing/world.cc
@@ -164,11 +164,9 @@
     workers_.at(specs_[i].vm).set_fails_all(false);
   }
   AdvanceTo(now_ + Duration(5'000));
-  // A process that reaches the store sees who holds the claim.
+  // Who is silent learns it from nobody, but sees who holds the claim.
   for (size_t i = 0; i < kProcesses; ++i) {
-    if (processes_[i].claimed && processes_[i].claimed != epoch_) {
-      Deliver(i, ClaimLost{});
-    }
+    if (processes_[i].authorized_until) Deliver(i, ClaimLost{});
   }
   if (!Claimant()) TakeOver(0);
   AdvanceTo(now_ + Duration(400'000));
