--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -281,6 +281,7 @@
 // behind it that have room never asked for permits (LOST).
 TEST_CASE("a job with room asks for permits behind a backlog without room") {
   std::vector<std::string> vms;
+  vms.reserve(64);
   for (int i = 0; i < 64; ++i) vms.push_back("vm-" + std::to_string(i));
   Driver d(vms, /*permits=*/true);
   WorkflowSpec spec;
