--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -19,6 +19,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -263,6 +264,7 @@
            std::vector<VmId> with_room);
   static int64_t LeftByBound(const internal::LedgerJob& job, const VmId& vm);
   bool MayEverRun(const JobSpec& spec, const WorkerSpec& worker) const;
+  bool AllDenied(const JobSpec& spec, const std::set<VmId>& denied) const;
   // The worker's permit for the job; empty when none is valid.
   std::string PermitFor(const JobId& job, const VmId& vm) const;
 
@@ -276,7 +278,8 @@
   // Orders the held starts whose records have just been appended.
   void OrderRecorded();
   bool IsHeldBack(const internal::LiveAttempt& attempt) const;
-  bool MayOrder(const internal::LiveAttempt& attempt) const;
+  // Empty when its start may be ordered.
+  std::string_view WhyNotOrdered(const internal::LiveAttempt& attempt) const;
   void OrderOrStop(const TaskId& task, bool order);
   void OrderStop(internal::LiveAttempt& attempt, StopKind kind);
   void HandleWorkerEvent(internal::Worker& worker, const WorkerEvent& event);
@@ -345,9 +348,12 @@
   struct JobPermits {
     std::map<VmId, std::string> permits;
     MonotonicTime valid_until{};
-    std::set<VmId> denied;  // For good: the answer does not change.
-    bool asked = false;     // An answer came: all but the denied are granted.
-    bool asking = false;    // A question is under way.
+    // For good: the answer does not change. Workers that joined since the
+    // latest question are in neither.
+    std::set<VmId> denied;
+    std::set<VmId> granted;
+    bool asked = false;         // An answer came.
+    bool asking = false;        // A question is under way.
     MonotonicTime ask_again{};  // Not before.
   };
   MonotonicTime next_permit_look_{};
