A start that is not ordered says why

The line now names the first that holds: releasing, configuration not fresh, worker closed, zone out of service, deadline passed, permit lapsed. What is ordered is as before.

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -19,6 +19,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -275,7 +276,8 @@
   // Orders the held starts whose records have just been appended.
   void OrderRecorded();
   bool IsHeldBack(const internal::LiveAttempt& attempt) const;
-  bool MayOrder(const internal::LiveAttempt& attempt) const;
+  // Empty when its start may be ordered.
+  std::string_view WhyNotOrdered(const internal::LiveAttempt& attempt) const;
   void OrderOrStop(const TaskId& task, bool order);
   void OrderStop(internal::LiveAttempt& attempt, StopKind kind);
   void HandleWorkerEvent(internal::Worker& worker, const WorkerEvent& event);
--- a/azurepass/partition/owner_tasks.cc
+++ b/azurepass/partition/owner_tasks.cc
@@ -122,11 +122,11 @@
       continue;
     }
     const std::vector<TaskId> members = OtherMembers(id.task);
-    bool allowed = MayOrder(*attempt);
+    bool allowed = WhyNotOrdered(*attempt).empty();
     bool complete = true;
     for (const TaskId& member : members) {
       const LiveAttempt& other = *workers_.FindAttempt(member);
-      allowed = allowed && MayOrder(other);
+      allowed = allowed && WhyNotOrdered(other).empty();
       complete = complete && !IsHeldBack(other);
     }
     // The record of another member is not appended yet; it comes here last.
@@ -144,16 +144,21 @@
          });
 }
 
-bool Owner::Impl::MayOrder(const LiveAttempt& attempt) const {
+std::string_view Owner::Impl::WhyNotOrdered(const LiveAttempt& attempt) const {
   const JobId& job = attempt.id.task.job;
   const Worker& worker = *workers_.Find(attempt.vm);
-  const bool reachable = internal::WorkerBook::AdmissionOf(worker) ==
-                         placement::WorkerAdmission::kOpen;
   const auto permits = permits_.find(job);
+  if (!In<Owning>()) return "releasing";
+  if (!surroundings_.may_start) return "configuration not fresh";
+  if (internal::WorkerBook::AdmissionOf(worker) !=
+      placement::WorkerAdmission::kOpen) {
+    return "worker closed";
+  }
+  if (!ZoneInService(worker.spec.zone)) return "zone out of service";
+  if (jobs_.Expired(job, now_)) return "deadline passed";
   const bool permitted =
       permits == permits_.end() || now_ < permits->second.valid_until;
-  return reachable && permitted && In<Owning>() && surroundings_.may_start &&
-         ZoneInService(worker.spec.zone) && !jobs_.Expired(job, now_);
+  return permitted ? "" : "permit lapsed";
 }
 
 void Owner::Impl::OrderOrStop(const TaskId& task, bool order) {
@@ -162,7 +167,10 @@
   if (order) {
     OrderStart(*attempt);
   } else {
-    StopUnsent(task, "not ordered: no longer allowed");
+    const std::string_view reason = WhyNotOrdered(*attempt);
+    StopUnsent(
+        task, "not ordered: " +
+                  std::string(reason.empty() ? "not all of its gang" : reason));
   }
 }
 
