The HTTP client works on sockets of its own in place of libsoup's session

An exchange with a worker through libsoup's session took 0.41 ms of processor time with all around it, and each task takes an order, a hold and its part of the store's calls.

Now a peer has kept connections and a queue of calls; a connection carries one call; the socket is watched only while an answer is due, and one timer serves all deadlines. The response reader is a state machine without I/O, tested in all forms of bodies, whole and byte by byte.

--- a/azurepass/http/client.cc
+++ b/azurepass/http/client.cc
@@ -1,35 +1,116 @@
-// The client half. Sessions are made on the loop at the first request, because
-// a SoupSession belongs to the context that is its thread's default then.
+// The client half: each peer has a few kept connections and a queue of calls
+// that wait for one. A connection carries one call at a time; the bytes of the
+// request go to the socket at once, and the loop watches the socket only while
+// an answer is due, so that an idle connection costs a round of the loop
+// nothing. One timer serves the deadlines of all calls.
 //
-// Each peer has a SoupSession of its own. A session walks the list of all its
-// requests whenever one of them gets on, so that with hundreds of held requests
-// in one session each step of each costs a pass over all of them. Sessions that
-// have not been used for a while are dropped when another one is made.
+// It takes the place of libsoup's session, of which an exchange with a worker
+// took 0.41 ms of processor time with all around it, against 0.12 ms with this
+// one (252 workers, tools/measure-endpoints).
 //
-// Every request is declared idempotent, because libsoup opens a new connection
-// for each one that is not, even if it is a POST; that none is repeated is seen
-// to here.
-//
-// Each request is a Call with a cancellable of its own. A timer cancels it when
-// the time is up; the "restarted" signal cancels it when libsoup is about to
-// repeat it. libsoup emits "starting" once a connection stands, just before it
-// writes: a call that failed without that signal was never sent.
+// No request is sent twice. A kept connection that the peer closed meanwhile is
+// noticed before it is used; one that breaks after the request's first byte
+// leaves the outcome unknown.
 
-#include <libsoup/soup.h>
+#include <gio/gio.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 
+#include <algorithm>
+#include <deque>
+#include <initializer_list>
 #include <map>
+#include <optional>
 #include <set>
+#include <utility>
 
 #include "azurepass/http/http.h"
+#include "azurepass/http/internal/response_reader.h"
 
 namespace azurepass::http {
 namespace {
 
-// Rounds of the context granted to cancelled calls when the loop has stopped.
-constexpr int kMaxDrainRounds = 10'000;
-// A peer's session, and its connections, stay for so long after the last call.
+using internal::ResponseReader;
+using Progress = ResponseReader::Progress;
+
+constexpr size_t kReceiveBytes = size_t{16} << 10;
+// A peer's connections stay for so long after the last call.
 constexpr std::chrono::seconds kKeepIdlePeer{60};
 
+struct Unref {
+  void operator()(gpointer object) const { g_object_unref(object); }
+};
+using Socket = std::unique_ptr<GSocket, Unref>;
+using SocketAddress = std::unique_ptr<GSocketAddress, Unref>;
+
+struct SourceFree {
+  void operator()(GSource* source) const {
+    g_source_destroy(source);
+    g_source_unref(source);
+  }
+};
+using Source = std::unique_ptr<GSource, SourceFree>;
+
+struct ErrorFree {
+  void operator()(GError* error) const { g_error_free(error); }
+};
+using Error = std::unique_ptr<GError, ErrorFree>;
+
+bool WouldBlock(const GError* error) {
+  return g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != FALSE;
+}
+
+SocketAddress ParseAddress(const std::string& address) {
+  GError* raw_error = nullptr;
+  GSocketConnectable* parsed =
+      g_network_address_parse(address.c_str(), 0, &raw_error);
+  const Error error(raw_error);
+  if (parsed == nullptr) return nullptr;
+  auto* network = G_NETWORK_ADDRESS(parsed);
+  SocketAddress result(g_inet_socket_address_new_from_string(
+      g_network_address_get_hostname(network),
+      g_network_address_get_port(network)));
+  g_object_unref(parsed);
+  return result;
+}
+
+// False for text that would end its line, or its word.
+bool IsOneLine(const std::string& text) {
+  return std::none_of(text.begin(), text.end(),
+                      [](char c) { return c == '\r' || c == '\n' || c == 0; });
+}
+bool IsOneWord(const std::string& text) {
+  return IsOneLine(text) && !text.empty() &&
+         text.find(' ') == std::string::npos;
+}
+
+bool IsWellFormed(const Request& request) {
+  return IsOneWord(request.method) && IsOneWord(request.target) &&
+         std::all_of(request.headers.begin(), request.headers.end(),
+                     [](const auto& header) {
+                       return IsOneWord(header.first) &&
+                              IsOneLine(header.second);
+                     });
+}
+
+std::string Encode(const Request& request) {
+  std::string bytes;
+  const auto add = [&bytes](std::initializer_list<std::string_view> parts) {
+    for (const std::string_view part : parts) bytes += part;
+  };
+  add({request.method, " ", request.target,
+       " HTTP/1.1\r\nHost: ", request.address, "\r\n"});
+  for (const auto& [name, value] : request.headers) {
+    add({name, ": ", value, "\r\n"});
+  }
+  if (!request.body.empty()) add({"Content-Type: application/json\r\n"});
+  if (!request.body.empty() || request.method != "GET") {
+    add({"Content-Length: ", std::to_string(request.body.size()), "\r\n"});
+  }
+  add({"\r\n", request.body});
+  return bytes;
+}
+
 }  // namespace
 
 std::string EscapePath(const std::string& text) {
@@ -49,214 +130,328 @@
 class Client::Impl {
  public:
   Impl(task::Loop& loop, ClientOptions options)
-      : loop_(loop), options_(options) {}
-  ~Impl();
-  Impl(const Impl&) = delete;
-  Impl& operator=(const Impl&) = delete;
+      : loop_(loop), options_(options), expiry_(loop), later_(loop) {}
 
   void Send(const Request& request, Callback callback);
   const Traffic& traffic() const { return traffic_; }
 
  private:
-  struct Peer {
-    SoupSession* session = nullptr;
-    int64_t calls = 0;        // In flight.
-    MonotonicTime last_used;  // Last call sent.
-  };
+  struct Connection;
   struct Call {
-    Impl* owner;  // Null once the client is gone.
     std::string address;
+    std::string bytes;
     Callback callback;
-    SoupMessage* message = nullptr;
-    GCancellable* cancellable = nullptr;
-    task::Timer timer;
-    bool sent = false;
-
-    Call(Impl* impl, std::string peer, Callback done)
-        : owner(impl),
-          address(std::move(peer)),
-          callback(std::move(done)),
-          timer(impl->loop_) {}
-    ~Call() {
-      g_clear_object(&message);
-      g_clear_object(&cancellable);
-    }
-    Call(const Call&) = delete;
-    Call& operator=(const Call&) = delete;
+    MonotonicTime due;
+    int64_t number = 0;
+    Connection* connection = nullptr;  // Null while it waits for one.
   };
+  // Invariant: `call` is set exactly while the socket is watched.
+  struct Connection {
+    Socket socket;
+    Source watch;
+    bool connected = false;
+    bool broken = false;  // It took no more bytes.
+    size_t sent = 0;      // Bytes of the call.
+    ResponseReader reader;
+    std::unique_ptr<Call> call;
+  };
+  struct Peer {
+    std::map<Connection*, std::unique_ptr<Connection>> busy;
+    std::vector<std::unique_ptr<Connection>> idle;  // Latest used last.
+    std::deque<std::unique_ptr<Call>> waiting;
+    MonotonicTime last_used;
+  };
+  using Due = std::pair<MonotonicTime, int64_t>;
 
   Peer& PeerOf(const std::string& address);
-  SoupSession* MakeSession() const;
-  void DropIdlePeers(MonotonicTime now);
-  void Start(Call* call, const Request& request);
-  void Count(const Call& call);
-  static void OnDone(GObject* session, GAsyncResult* result, gpointer data);
-  static Result ResultOf(const Call& call, GBytes* body, const GError* error);
-  void DrainIfStopped();
+  void StartWaiting(const std::string& address);
+  std::unique_ptr<Connection> TakeIdle(Peer& peer);
+  std::unique_ptr<Connection> Connect(const std::string& address,
+                                      std::string& problem);
+  void Watch(Connection& connection, GIOCondition condition);
+  void OnReady(Connection& connection);
+  bool FinishConnect(Connection& connection, std::string& problem);
+  void SendBytes(Connection& connection);
+  void Receive(Connection& connection);
+  void Finish(Connection& connection);
+  void Fail(Connection& connection, const std::string& message);
+  std::unique_ptr<Call> Detach(Connection& connection, bool keep);
+  void FailLater(std::unique_ptr<Call> call, std::string message);
+  void TellFailed();
+  void ArmExpiry();
+  void Expire();
+  void Forget(const Call& call) { due_.erase({call.due, call.number}); }
 
   task::Loop& loop_;
   ClientOptions options_;
   Traffic traffic_;
-  std::map<std::string, Peer> peers_;  // By address; each has a session.
-  std::set<Call*> calls_;              // In flight; freed by OnDone.
+  std::map<std::string, Peer> peers_;  // By address.
+  std::map<Due, Call*> due_;           // All calls that are not over.
+  int64_t calls_ = 0;
+  std::optional<MonotonicTime> expiry_at_;
+  task::Timer expiry_;
+  // Calls that failed while they were being sent: told from the loop.
+  std::deque<std::pair<Callback, std::string>> failed_;
+  task::Timer later_;
+  std::vector<char> receive_buffer_ = std::vector<char>(kReceiveBytes);
 };
 
-Client::Impl::~Impl() {
-  for (Call* call : calls_) {
-    if (call->message == nullptr) {  // Never started; see Start.
-      delete call;
+void Client::Impl::Send(const Request& request, Callback callback) {
+  auto call = std::make_unique<Call>();
+  call->address = request.address;
+  call->callback = std::move(callback);
+  if (!IsWellFormed(request)) {
+    return FailLater(std::move(call), "not a request");
+  }
+  const MonotonicTime now = BootClock::now();
+  call->bytes = Encode(request);
+  call->due = now + request.timeout;
+  call->number = ++calls_;
+  due_[{call->due, call->number}] = call.get();
+  ArmExpiry();
+  Peer& peer = PeerOf(request.address);
+  peer.last_used = now;
+  peer.waiting.push_back(std::move(call));
+  StartWaiting(request.address);
+}
+
+// Peers that have not been used for a while are dropped when another one comes.
+Client::Impl::Peer& Client::Impl::PeerOf(const std::string& address) {
+  const auto found = peers_.find(address);
+  if (found != peers_.end()) return found->second;
+  const MonotonicTime now = BootClock::now();
+  std::erase_if(peers_, [now](const auto& entry) {
+    const Peer& peer = entry.second;
+    return peer.busy.empty() && peer.waiting.empty() &&
+           now - peer.last_used >= kKeepIdlePeer;
+  });
+  return peers_[address];
+}
+
+void Client::Impl::StartWaiting(const std::string& address) {
+  Peer& peer = peers_[address];
+  const auto most = static_cast<size_t>(options_.connections_per_peer);
+  while (!peer.waiting.empty() && peer.busy.size() < most) {
+    std::unique_ptr<Call> call = std::move(peer.waiting.front());
+    peer.waiting.pop_front();
+    std::unique_ptr<Connection> taken = TakeIdle(peer);
+    std::string problem;
+    if (taken == nullptr) taken = Connect(address, problem);
+    if (taken == nullptr) {
+      Forget(*call);
+      FailLater(std::move(call), problem);
       continue;
     }
-    call->owner = nullptr;
-    call->callback = nullptr;
-    call->timer.Cancel();
-    g_cancellable_cancel(call->cancellable);
+    Connection& connection = *taken;
+    peer.busy[&connection] = std::move(taken);
+    connection.sent = 0;
+    connection.reader = ResponseReader();
+    connection.call = std::move(call);
+    connection.call->connection = &connection;
+    if (connection.connected) {
+      SendBytes(connection);
+    } else {
+      Watch(connection, G_IO_OUT);
+    }
   }
-  DrainIfStopped();
-  for (auto& [address, peer] : peers_) g_object_unref(peer.session);
 }
 
-// When the loop has stopped nobody else would deliver the cancellations.
-void Client::Impl::DrainIfStopped() {
-  GMainContext* context = loop_.context();
-  if (g_main_context_is_owner(context) || !g_main_context_acquire(context)) {
-    return;
+std::unique_ptr<Client::Impl::Connection> Client::Impl::TakeIdle(Peer& peer) {
+  while (!peer.idle.empty()) {
+    std::unique_ptr<Connection> connection = std::move(peer.idle.back());
+    peer.idle.pop_back();
+    // Something to read between two answers is the peer's end.
+    const GIOCondition ended = g_socket_condition_check(
+        connection->socket.get(),
+        static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR));
+    if (ended == 0) return connection;
   }
-  // libsoup insists on the thread default that it was started under.
-  g_main_context_push_thread_default(context);
-  for (int i = 0; i < kMaxDrainRounds; ++i) {
-    if (!g_main_context_iteration(context, FALSE)) break;
+  return nullptr;
+}
+
+std::unique_ptr<Client::Impl::Connection> Client::Impl::Connect(
+    const std::string& address, std::string& problem) {
+  const SocketAddress to = ParseAddress(address);
+  if (to == nullptr) {
+    problem = "not an address";
+    return nullptr;
   }
-  g_main_context_pop_thread_default(context);
-  g_main_context_release(context);
+  GError* raw_error = nullptr;
+  auto connection = std::make_unique<Connection>();
+  connection->socket.reset(g_socket_new(g_socket_address_get_family(to.get()),
+                                        G_SOCKET_TYPE_STREAM,
+                                        G_SOCKET_PROTOCOL_TCP, &raw_error));
+  if (connection->socket != nullptr) {
+    GSocket* socket = connection->socket.get();
+    g_socket_set_blocking(socket, FALSE);
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+    ++traffic_.connections;
+    connection->connected =
+        g_socket_connect(socket, to.get(), nullptr, &raw_error) != FALSE;
+  }
+  const Error error(raw_error);
+  if (error != nullptr &&
+      !g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_PENDING)) {
+    problem = error->message;
+    return nullptr;
+  }
+  return connection;
 }
 
-SoupSession* Client::Impl::MakeSession() const {
-  SoupSession* session = soup_session_new_with_options(
-      "max-conns", options_.connections_per_peer, "max-conns-per-host",
-      options_.connections_per_peer, "proxy-resolver", nullptr, nullptr);
-  // Saves an Accept-Encoding header in every request.
-  soup_session_remove_feature_by_type(session, SOUP_TYPE_CONTENT_DECODER);
-  return session;
+void Client::Impl::Watch(Connection& connection, GIOCondition condition) {
+  struct Data {
+    Impl* impl;
+    Connection* connection;
+  };
+  connection.watch.reset(
+      g_socket_create_source(connection.socket.get(), condition, nullptr));
+  g_source_set_callback(
+      connection.watch.get(),
+      G_SOURCE_FUNC(+[](GSocket*, GIOCondition, gpointer data) -> gboolean {
+        // Handling may destroy the source, and `data` with it.
+        const Data copy = *static_cast<Data*>(data);
+        copy.impl->OnReady(*copy.connection);
+        return G_SOURCE_CONTINUE;
+      }),
+      new Data{this, &connection},
+      [](gpointer data) { delete static_cast<Data*>(data); });
+  g_source_attach(connection.watch.get(), loop_.context());
 }
 
-Client::Impl::Peer& Client::Impl::PeerOf(const std::string& address) {
-  const MonotonicTime now = BootClock::now();
-  if (!peers_.contains(address)) {
-    DropIdlePeers(now);
-    peers_[address].session = MakeSession();
+void Client::Impl::OnReady(Connection& connection) {
+  std::string problem;
+  if (!connection.connected && !FinishConnect(connection, problem)) {
+    return Fail(connection, problem);
+  }
+  if (connection.broken) return Fail(connection, "connection broken");
+  if (connection.sent < connection.call->bytes.size()) {
+    SendBytes(connection);
+  } else {
+    Receive(connection);
   }
-  Peer& peer = peers_[address];
-  peer.last_used = now;
-  return peer;
 }
 
-void Client::Impl::DropIdlePeers(MonotonicTime now) {
-  std::erase_if(peers_, [now](const auto& entry) {
-    const Peer& peer = entry.second;
-    if (peer.calls > 0 || now - peer.last_used < kKeepIdlePeer) return false;
-    g_object_unref(peer.session);
-    return true;
-  });
+bool Client::Impl::FinishConnect(Connection& connection, std::string& problem) {
+  GError* raw_error = nullptr;
+  connection.connected = g_socket_check_connect_result(connection.socket.get(),
+                                                       &raw_error) != FALSE;
+  const Error error(raw_error);
+  if (error != nullptr) problem = error->message;
+  return connection.connected;
 }
 
-void Client::Impl::Send(const Request& request, Callback callback) {
-  auto* call = new Call(this, request.address, std::move(callback));
-  calls_.insert(call);
-  Start(call, request);
+// Until the socket is full. A failure is told from the loop.
+void Client::Impl::SendBytes(Connection& connection) {
+  const std::string& bytes = connection.call->bytes;
+  while (connection.sent < bytes.size()) {
+    GError* raw_error = nullptr;
+    const gssize count =
+        g_socket_send(connection.socket.get(), bytes.data() + connection.sent,
+                      bytes.size() - connection.sent, nullptr, &raw_error);
+    const Error error(raw_error);
+    if (count < 0) {
+      connection.broken = !WouldBlock(error.get());
+      return Watch(connection, G_IO_OUT);
+    }
+    connection.sent += static_cast<size_t>(count);
+    traffic_.bytes_sent += count;
+  }
+  Watch(connection, G_IO_IN);
 }
 
-void Client::Impl::Start(Call* call, const Request& request) {
-  const std::string uri = "http://" + request.address + request.target;
-  call->cancellable = g_cancellable_new();
-  call->message = soup_message_new(request.method.c_str(), uri.c_str());
-  if (call->message == nullptr) {
-    call->timer.After(Duration(0), [this, call] {
-      const Callback callback = std::move(call->callback);
-      calls_.erase(call);
-      delete call;
-      callback(Failure{FailureKind::kNotSent, "not an address"});
-    });
-    return;
-  }
-  soup_message_set_flags(
-      call->message, static_cast<SoupMessageFlags>(
-                         SOUP_MESSAGE_NO_REDIRECT | SOUP_MESSAGE_IDEMPOTENT |
-                         SOUP_MESSAGE_COLLECT_METRICS));
-  if (!request.body.empty()) {
-    GBytes* body = g_bytes_new(request.body.data(), request.body.size());
-    soup_message_set_request_body_from_bytes(call->message, "application/json",
-                                             body);
-    g_bytes_unref(body);
-  }
-  SoupMessageHeaders* headers = soup_message_get_request_headers(call->message);
-  for (const auto& [name, value] : request.headers) {
-    soup_message_headers_replace(headers, name.c_str(), value.c_str());
+void Client::Impl::Receive(Connection& connection) {
+  while (true) {
+    GError* raw_error = nullptr;
+    const gssize count =
+        g_socket_receive(connection.socket.get(), receive_buffer_.data(),
+                         receive_buffer_.size(), nullptr, &raw_error);
+    const Error error(raw_error);
+    if (count < 0 && WouldBlock(error.get())) return;
+    if (count < 0) return Fail(connection, error->message);
+    traffic_.bytes_received += count;
+    const Progress progress =
+        count == 0 ? connection.reader.End()
+                   : connection.reader.Read(std::string_view(
+                         receive_buffer_.data(), static_cast<size_t>(count)));
+    if (progress == Progress::kDone) return Finish(connection);
+    if (progress == Progress::kBroken) {
+      return Fail(connection,
+                  count == 0 ? "connection broken" : "not a response");
+    }
+    if (static_cast<size_t>(count) < receive_buffer_.size()) return;
   }
-  g_signal_connect(call->message, "starting",
-                   G_CALLBACK(+[](SoupMessage*, gpointer data) {
-                     static_cast<Call*>(data)->sent = true;
-                   }),
-                   call);
-  g_signal_connect(
-      call->message, "restarted", G_CALLBACK(+[](SoupMessage*, gpointer data) {
-        g_cancellable_cancel(static_cast<Call*>(data)->cancellable);
-      }),
-      call);
-  call->timer.After(request.timeout,
-                    [call] { g_cancellable_cancel(call->cancellable); });
-  Peer& peer = PeerOf(request.address);
-  ++peer.calls;
-  soup_session_send_and_read_async(peer.session, call->message,
-                                   G_PRIORITY_DEFAULT, call->cancellable,
-                                   OnDone, call);
 }
 
-void Client::Impl::OnDone(GObject* session, GAsyncResult* result,
-                          gpointer data) {
-  const std::unique_ptr<Call> call(static_cast<Call*>(data));
-  g_signal_handlers_disconnect_by_data(call->message, call.get());
-  GError* error = nullptr;
-  GBytes* body =
-      soup_session_send_and_read_finish(SOUP_SESSION(session), result, &error);
-  if (call->owner != nullptr) {
-    call->owner->calls_.erase(call.get());
-    --call->owner->peers_[call->address].calls;
-    call->owner->Count(*call);
-    call->timer.Cancel();
-    call->callback(ResultOf(*call, body, error));
-  }
-  if (body != nullptr) g_bytes_unref(body);
-  g_clear_error(&error);
+// Nothing of the client is touched after a callback, which may destroy it.
+void Client::Impl::Finish(Connection& connection) {
+  Response response{connection.reader.status(), connection.reader.TakeBody()};
+  const bool keep = connection.reader.reusable();
+  const std::unique_ptr<Call> call = Detach(connection, keep);
+  call->callback(std::move(response));
 }
 
-Result Client::Impl::ResultOf(const Call& call, GBytes* body,
-                              const GError* error) {
-  if (error != nullptr) {
-    const bool cancelled =
-        g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CANCELLED) != FALSE;
-    return Failure{call.sent ? FailureKind::kNoAnswer : FailureKind::kNotSent,
-                   cancelled ? "timeout or connection broken" : error->message};
-  }
-  gsize size = 0;
-  const auto* bytes = static_cast<const char*>(g_bytes_get_data(body, &size));
-  return Response{static_cast<int>(soup_message_get_status(call.message)),
-                  bytes == nullptr ? std::string() : std::string(bytes, size)};
+void Client::Impl::Fail(Connection& connection, const std::string& message) {
+  const FailureKind kind =
+      connection.sent > 0 ? FailureKind::kNoAnswer : FailureKind::kNotSent;
+  const std::unique_ptr<Call> call = Detach(connection, /*keep=*/false);
+  call->callback(Failure{kind, message});
 }
 
-void Client::Impl::Count(const Call& call) {
+// Takes the call off its connection, which serves the next one or is closed.
+std::unique_ptr<Client::Impl::Call> Client::Impl::Detach(Connection& connection,
+                                                         bool keep) {
+  std::unique_ptr<Call> call = std::move(connection.call);
+  Forget(*call);
   ++traffic_.requests;
-  SoupMessageMetrics* metrics = soup_message_get_metrics(call.message);
-  if (metrics == nullptr) return;
-  if (soup_message_metrics_get_connect_start(metrics) != 0) {
-    ++traffic_.connections;
-  }
-  traffic_.bytes_sent += static_cast<int64_t>(
-      soup_message_metrics_get_request_header_bytes_sent(metrics) +
-      soup_message_metrics_get_request_body_bytes_sent(metrics));
-  traffic_.bytes_received += static_cast<int64_t>(
-      soup_message_metrics_get_response_header_bytes_received(metrics) +
-      soup_message_metrics_get_response_body_bytes_received(metrics));
+  connection.watch.reset();
+  Peer& peer = peers_[call->address];
+  const auto found = peer.busy.find(&connection);
+  if (keep) peer.idle.push_back(std::move(found->second));
+  peer.busy.erase(found);
+  StartWaiting(call->address);
+  return call;
+}
+
+void Client::Impl::FailLater(std::unique_ptr<Call> call, std::string message) {
+  failed_.emplace_back(std::move(call->callback), std::move(message));
+  later_.After(Duration(0), [this] { TellFailed(); });
+}
+
+// One at a time, as in Expire.
+void Client::Impl::TellFailed() {
+  const auto [callback, message] = std::move(failed_.front());
+  failed_.pop_front();
+  if (!failed_.empty()) later_.After(Duration(0), [this] { TellFailed(); });
+  callback(Failure{FailureKind::kNotSent, message});
+}
+
+void Client::Impl::ArmExpiry() {
+  if (due_.empty()) return;
+  const MonotonicTime first = due_.begin()->first.first;
+  if (expiry_at_ && *expiry_at_ <= first) return;
+  expiry_at_ = first;
+  const auto left = std::chrono::ceil<Duration>(first - BootClock::now());
+  expiry_.After(std::max(Duration(0), left), [this] { Expire(); });
+}
+
+void Client::Impl::Expire() {
+  constexpr const char* kMessage = "timeout";
+  expiry_at_.reset();
+  const MonotonicTime now = BootClock::now();
+  if (due_.empty() || due_.begin()->first.first > now) return ArmExpiry();
+  // One at a time: its callback may send others, or destroy the client.
+  Call& call = *due_.begin()->second;
+  expiry_at_ = now;
+  expiry_.After(Duration(0), [this] { Expire(); });
+  if (call.connection != nullptr) return Fail(*call.connection, kMessage);
+  std::deque<std::unique_ptr<Call>>& waiting = peers_[call.address].waiting;
+  const auto found =
+      std::find_if(waiting.begin(), waiting.end(),
+                   [&](const auto& entry) { return entry.get() == &call; });
+  const std::unique_ptr<Call> taken = std::move(*found);
+  waiting.erase(found);
+  Forget(*taken);
+  taken->callback(Failure{FailureKind::kNotSent, kMessage});
 }
 
 Client::Client(task::Loop& loop, ClientOptions options)
--- a/azurepass/http/http.h
+++ b/azurepass/http/http.h
@@ -1,5 +1,6 @@
-// HTTP/1.1 for tasks, by libsoup: what the packages for the platform, the
-// workers and the stand-ins have in common.
+// HTTP/1.1 for tasks: what the packages for the platform, the workers and the
+// stand-ins have in common. The client works on GIO's sockets, the server is
+// libsoup's.
 //
 // A Client or a Server belongs to the task that holds it and is used on that
 // task's loop alone; its callbacks run there. (A Server may also be told to
@@ -7,9 +8,9 @@
 //
 // The client tells two kinds of failure apart, because callers must: a request
 // of which no byte was sent has certainly had no effect; any other may have.
-// A request is never sent twice, though libsoup would repeat what HTTP calls
-// idempotent when a kept connection breaks: a conditional write that is
-// repeated would find its own first try in the way and report a conflict.
+// A request is never sent twice, not even one that HTTP calls idempotent when a
+// kept connection breaks: a conditional write that is repeated would find its
+// own first try in the way and report a conflict.
 
 #ifndef AZUREPASS_HTTP_HTTP_H_
 #define AZUREPASS_HTTP_HTTP_H_
