The response reader parses by Boost.Beast

The client on sockets of its own came with a parser of its own; the project takes libraries for that.

--- a/azurepass/http/internal/response_reader.h
+++ b/azurepass/http/internal/response_reader.h
@@ -1,11 +1,12 @@
 // Reads one HTTP/1.1 response out of the bytes of a connection, as they come.
-// No I/O. A body ends by its length, by its last chunk, or with the connection;
-// responses 1xx, which announce another one, are skipped.
+// No I/O; the parser is Boost.Beast's. A body ends by its length, by its last
+// chunk, or with the connection; responses 1xx, which announce another one, are
+// skipped.
 
 #ifndef AZUREPASS_HTTP_INTERNAL_RESPONSE_READER_H_
 #define AZUREPASS_HTTP_INTERNAL_RESPONSE_READER_H_
 
-#include <cstddef>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -15,35 +16,27 @@
  public:
   enum class Progress { kMore, kDone, kBroken };
 
+  ResponseReader();
+  ~ResponseReader();
+  ResponseReader(ResponseReader&&) noexcept;
+  ResponseReader& operator=(ResponseReader&&) noexcept;
+
   Progress Read(std::string_view bytes);
   // The peer has closed the connection.
   Progress End();
 
   // Valid after kDone.
-  int status() const { return status_; }
-  std::string TakeBody() { return std::move(body_); }
+  int status() const;
+  std::string TakeBody();
   // The connection may carry another request.
-  bool reusable() const { return keeps_open_ && buffer_.empty(); }
+  bool reusable() const;
 
  private:
-  enum class Part { kHead, kSized, kChunkSize, kChunk, kTrailer, kUntilEnd };
-
-  Progress ReadHead();
-  bool ReadField(std::string_view line);
-  Progress ReadSized();
-  Progress ReadChunks();
-  // The next line without its end; null when it is not complete.
-  bool TakeLine(std::string& line);
-  Progress Waiting() const;
-
-  Part part_ = Part::kHead;
-  std::string buffer_;  // Received, not used yet.
-  std::string body_;
-  int status_ = 0;
-  size_t left_ = 0;  // Of the body or the chunk.
-  bool sized_ = false;
-  bool chunked_ = false;
-  bool keeps_open_ = false;
+  struct Parser;
+
+  std::unique_ptr<Parser> parser_;  // Of the response in hand.
+  std::string buffer_;              // Received, not parsed yet.
+  bool ended_ = false;
 };
 
 }  // namespace azurepass::http::internal
