A start that a list and an event both show is told once

With the stand-in's workers, which report starts by numbered events, a list asked for after failures had the session report the start a second time. Harmless to an owner. Suspected behind one failure of standin_worker_test:237 (5 distinct events of 8, once, in ctest beside load; passed alone four times); not traced by a log. Passed after this change: session_test, session_late_test, standin_worker_test, one run each.

--- a/azurepass/endpoint/internal/session.cc
+++ b/azurepass/endpoint/internal/session.cc
@@ -328,8 +328,9 @@
     if (!IsStart(pending.order) || pending.seen) continue;
     const AttemptId& attempt = AttemptOf(pending.order);
     const bool runs = Lists(answer, attempt);
-    pending.seen = runs || Tells(answer, attempt);
-    if (!runs) continue;
+    const bool told = Tells(answer, attempt);
+    pending.seen = runs || told;
+    if (!runs || told) continue;
     Note(attempt, StartStep::kRuns, pending.given, now);
     ReportAnswer(attempt, WorkerEventKind::kStarted, "");
   }
