--- a/azurepass/layout/layout_test.cc
+++ b/azurepass/layout/layout_test.cc
@@ -117,8 +117,9 @@
   for (int64_t i = 0; i < count; ++i) {
     const auto zone = std::to_string(*rc::gen::inRange(0, 4));
     const auto rack = std::to_string(*rc::gen::inRange(0, 12));
-    fleet.push_back(Worker("vm-" + std::to_string(i), "z" + zone,
-                           "r" + zone + "-" + rack,
+    std::string rack_id = "r" + zone;
+    rack_id += "-" + rack;
+    fleet.push_back(Worker("vm-" + std::to_string(i), "z" + zone, rack_id,
                            *rc::gen::element(16'000, 32'000, 64'000)));
   }
   return fleet;
