A worker's new life has to take the stop of a revoked start itself

What callers could see: a task on two workers.

A start without an answer is revoked by a stop, which bars the attempt at the worker. A restart under the same id forgets that, while the session went on as if the stop still held: from the new life's first list it said that the attempt had not started, and a first sending that was carried out after that ran in the new life beside the next one.

Now every revocation begins anew at a restart. The new test failed before ("OrdersSent() == \"-1 \"" had no order, and the attempt was said to be over); session_late_test passes as before.

--- a/azurepass/endpoint/internal/session.cc
+++ b/azurepass/endpoint/internal/session.cc
@@ -134,11 +134,8 @@
   const std::deque<PendingOrder> former = std::exchange(orders_, {});
   const size_t sent = std::exchange(orders_sent_, 0);
   for (auto& [attempt, revoked] : revoked_) {
-    if (revoked.stage == RevokeStage::kStopping) {
-      orders_.push_back({StopTask{attempt, StopKind::kStop}, now});
-    } else {
-      revoked.stage = RevokeStage::kStopped;
-    }
+    revoked.stage = RevokeStage::kStopping;
+    orders_.push_back({StopTask{attempt, StopKind::kStop}, now});
   }
   for (size_t i = 0; i < former.size(); ++i) {
     const PendingOrder& pending = former[i];
--- a/azurepass/endpoint/internal/session_test.cc
+++ b/azurepass/endpoint/internal/session_test.cc
@@ -422,5 +422,28 @@
   CHECK(f.On(Unanswered{Channel::kHeld}).empty());
 }
 
+// Guards against a start carried out in the worker's new life although its
+// revocation was taken by the former one alone.
+TEST_CASE("a stop taken by a former life bars nothing in the new one") {
+  Fixture f;
+  f.Open();
+  CHECK(f.On(Ordered{{Start(1)}}) == "orders-1 ");
+  CHECK(f.On(Unanswered{Channel::kOrders}) == "wake ");
+  f.now += f.options.start_validity + Duration(1);
+  CHECK(f.On(Woken{Channel::kOrders}) == "orders-1 ");
+  CHECK(f.OrdersSent() == "-1 ");
+  ExchangeAnswer taken = Answer("t2");
+  taken.outcomes = {OrderOutcome::kSettled};
+  f.On(Answered{Channel::kOrders, taken});
+  ExchangeAnswer restarted = Answer("u1");
+  restarted.restarted = true;
+  f.On(Answered{Channel::kHeld, restarted});
+  CHECK(f.Said(Start(1).attempt).empty());
+  // The session with the new life opens first.
+  f.On(Answered{Channel::kHeld, Answer("u2")});
+  CHECK(f.Said(Start(1).attempt).empty());
+  CHECK(f.OrdersSent() == "-1 ");
+}
+
 }  // namespace
 }  // namespace azurepass::endpoint::internal
