An exchange after a failure acknowledges no events

What callers could see: a short task run again after its end.

The exchange after a failure may reach a new life of the worker, whose events are numbered from 1 again. It carried the number of the last event recorded of the former life, and the new one forgot its first ends unread.

Now it acknowledges nothing; events told again are dropped by their numbers. The new test failed before (57 for 0). A restart between two exchanges without a failure stays open.

--- a/azurepass/endpoint/internal/session.cc
+++ b/azurepass/endpoint/internal/session.cc
@@ -265,7 +265,7 @@
   request.epoch = epoch_;
   request.lease = options_.lease;
   request.token = token_;
-  request.acknowledged = acknowledged_;
+  request.acknowledged = held_failures_ > 0 ? 0 : acknowledged_;
   const bool unrecorded = delivered_ > acknowledged_;
   if (opened_ && held_failures_ == 0 && unrecorded &&
       !std::exchange(record_overdue_, false)) {
--- a/azurepass/endpoint/internal/session_test.cc
+++ b/azurepass/endpoint/internal/session_test.cc
@@ -445,5 +445,19 @@
   CHECK(f.OrdersSent() == "-1 ");
 }
 
+// Guards against ends of a worker's new life that are forgotten unread, by the
+// number of the last one recorded of its former life.
+TEST_CASE("an exchange after a failure acknowledges nothing") {
+  Fixture f;
+  f.Open();
+  ExchangeAnswer ends = Answer("t2");
+  ends.events = {{57, Start(3).attempt, WorkerEventKind::kSucceeded, ""}};
+  f.On(Answered{Channel::kHeld, ends});
+  f.On(Recorded{57});
+  f.On(Unanswered{Channel::kHeld});
+  f.On(Woken{Channel::kHeld});
+  CHECK(std::get<Exchange>(f.outputs.at(0)).request.acknowledged == 0);
+}
+
 }  // namespace
 }  // namespace azurepass::endpoint::internal
