The end of a revoked start settles it

What callers could see: a worker that gets no more starts, and tasks that wait though it has room. Found by review, shown by a test, not seen in a log.

An answer that opened a session and told the end of a start under revocation listed that attempt all the same as one that may run. The owner, which had taken the end, stopped it as an orphan and waited for an end that had been told.

Now a told end takes the attempt out of what is revoked before the list is given. The new test failed before (the list named the attempt).

--- a/azurepass/endpoint/internal/session.cc
+++ b/azurepass/endpoint/internal/session.cc
@@ -321,6 +321,9 @@
 
 // A start that was sent again to a new life of its worker would run anew.
 void Session::DropSeenStarts(const ExchangeAnswer& answer, MonotonicTime now) {
+  std::erase_if(revoked_, [&](const auto& entry) {
+    return TellsEnd(answer, entry.first);
+  });
   for (PendingOrder& pending : orders_) {
     if (!IsStart(pending.order) || pending.seen) continue;
     const AttemptId& attempt = AttemptOf(pending.order);
--- a/azurepass/endpoint/internal/session_test.cc
+++ b/azurepass/endpoint/internal/session_test.cc
@@ -459,5 +459,18 @@
   CHECK(std::get<Exchange>(f.outputs.at(0)).request.acknowledged == 0);
 }
 
+// Guards against an attempt that stays listed as one that may run after its end
+// was told, so that its worker gets no more starts.
+TEST_CASE("the end of a revoked start settles it") {
+  Fixture f{.doubtful = {Start(1).attempt}};
+  CHECK(f.Begin() == "held-list ");
+  ExchangeAnswer answer = Answer("t1");
+  answer.events = {{5, Start(1).attempt, WorkerEventKind::kSucceeded, ""}};
+  CHECK(f.On(Answered{Channel::kHeld, answer}).starts_with("events opened "));
+  CHECK(f.Said(Start(1).attempt) == "ended ");
+  CHECK(f.Get<SessionOpened>(1).running.empty());
+  CHECK(f.session.Doubtful().empty());
+}
+
 }  // namespace
 }  // namespace azurepass::endpoint::internal
