Brokers of permits begin with different VMs

Cause: each owner's broker knows only its own questions. Among VMs with equal backlogs it took the lowest address, and so did the brokers of all other owners (six since services are spread): they queued at the same few VMs, and the service went on deciding questions that nobody waited for any more.

Now each process has its own order among equals. The new test was not run against the former code, which has no seed to give it.

--- a/azurepass/daemons/node.cc
+++ b/azurepass/daemons/node.cc
@@ -61,6 +61,12 @@
   return options;
 }
 
+permit::Options PermitOptions() {
+  permit::Options options;
+  options.seed = RandomNumber();
+  return options;
+}
+
 scheduling::Options SchedulingOptions(const settings::NodeSettings& settings) {
   // A failed task is tried again soon: it is more often the worker's doing, and
   // its queue bounds the attempts.
@@ -191,7 +197,7 @@
       layouts_(loop, LayoutOptions(settings), store_.address()),
       workers_(loop, EndpointOptions(settings.cell), worker_calls_.address()),
       escrow_(loop, escrow::Options{}, store_.address()),
-      permits_(loop, permit::Options{}, permit_calls_.address(),
+      permits_(loop, PermitOptions(), permit_calls_.address(),
                entry_client_.address()),
       manager_(loop, SchedulingOptions(settings),
                {store_.address(), workers_.address(), escrow_.address(),
--- a/azurepass/permit/broker.cc
+++ b/azurepass/permit/broker.cc
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "azurepass/permit/permit.h"
@@ -46,8 +47,17 @@
   // not answered.
   struct Desk {
     Duration backlog{0};
+    // Among equals, the lowest comes first. Several brokers share the VMs and
+    // do not see each other's questions, so each has an order of its own.
+    uint64_t order = 0;
     bool gone = false;  // No member any more; dropped once all is answered.
   };
+  // This VM's own desk has order 0.
+  uint64_t OrderOf(const std::string& address) const {
+    return std::hash<std::string>()(address + '/' +
+                                    std::to_string(options_.seed)) |
+           1;
+  }
   struct Answered {
     std::string desk;
     Duration cost{0};
@@ -75,7 +85,9 @@
                            desk.gone = address != kLocal;
                          }
                          for (const std::string& address : changed.addresses) {
-                           desks_[address].gone = false;
+                           Desk& desk = desks_[address];
+                           desk.gone = false;
+                           desk.order = OrderOf(address);
                          }
                          DropIdle();
                        }},
@@ -112,8 +124,8 @@
     while (!waiting_.empty()) {
       const auto least = std::min_element(
           desks_.begin(), desks_.end(), [](const auto& a, const auto& b) {
-            return std::pair(a.second.gone, a.second.backlog) <
-                   std::pair(b.second.gone, b.second.backlog);
+            return std::tuple(a.second.gone, a.second.backlog, a.second.order) <
+                   std::tuple(b.second.gone, b.second.backlog, b.second.order);
           });
       Desk& desk = least->second;
       const auto [due, oldest] = *by_due_.begin();
--- a/azurepass/permit/broker_test.cc
+++ b/azurepass/permit/broker_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
+#include <string>
 #include <vector>
 
 #include "azurepass/permit/permit.h"
@@ -48,6 +50,29 @@
   CHECK(f.relayed[0].peer != f.relayed[1].peer);
 }
 
+// Load: several owners ask at once. All began with the same VMs, whose answers
+// then came too late, while other VMs had nothing to decide.
+TEST_CASE("brokers begin with different VMs") {
+  std::vector<std::string> addresses;
+  for (int i = 0; i < 16; ++i) {
+    addresses.push_back("10.0.0." + std::to_string(i + 2) + ":1");
+  }
+  std::set<std::string> first;
+  for (uint64_t seed = 1; seed <= 8; ++seed) {
+    Options options;
+    options.seed = seed;
+    Fixture f(options);
+    f.broker.address().Send(PeersChanged{addresses});
+    f.Run();
+    f.Put("local", Duration(500));
+    f.Put("relayed", Duration(500));
+    REQUIRE(f.local.size() == 1);
+    REQUIRE(f.relayed.size() == 1);
+    first.insert(f.relayed[0].peer);
+  }
+  CHECK(first.size() >= 4);
+}
+
 // Load: small urgent work beside questions that take half a second each.
 TEST_CASE("beyond the backlog questions wait, and the cheapest goes first") {
   Fixture f;
--- a/azurepass/permit/permit.h
+++ b/azurepass/permit/permit.h
@@ -52,6 +52,7 @@
   // Of decisions that are waited for at one VM; further questions wait here.
   Duration max_backlog{600};
   Duration slack{1'000};  // Beyond the time that the service takes.
+  uint64_t seed = 1;      // Of the order among VMs with equal backlogs.
 };
 
 // A question with what it costs the service.
