Jobs ask for permits behind others that go on waiting

In the owner's log at the end 26 to 33 jobs were without a permit and only 1 to 4 were asking, with 98 open workers.

Cause: a look weighs 2,048 workers, always from the first job in turn on. At 98 workers these are 21 jobs; while they go on waiting, for answers or room that their permits do not cover, nobody behind them ever asks.

Half of a look now goes on where the one before ended; the first half is for the first in turn, as before, and the bound is the same.

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -357,6 +357,8 @@
     MonotonicTime ask_again{};  // Not before.
   };
   MonotonicTime next_permit_look_{};
+  // Where the second half of the next look begins.
+  std::optional<placement::PermitWaiter> permit_look_from_;
   std::map<JobId, JobPermits> permits_;
 
   std::set<JobId> changed_;  // Since the last answers.
--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -12,6 +12,10 @@
 // passed over by size and label, or else it would use up each look and nothing
 // behind it would ever ask.
 //
+// A look weighs a bounded number of workers. Half of them are for the jobs that
+// are first in turn; the other half goes on where the look before ended, so
+// that jobs which go on waiting do not keep those behind them from asking.
+//
 // Which workers the service names for a job does not change; only the permits
 // lapse. So a job's first question is about all workers that could run it, and
 // the later ones about those that have room now and are granted, or have come
@@ -44,7 +48,6 @@
   if (permits_.empty() || now_ < next_permit_look_) return;
   next_permit_look_ = now_ + options_.permit_look_interval;
   RoomLeft room;
-  room.budget = kWeighedPerLook;
   for (const auto& [vm, worker] : workers_.workers()) {
     if (internal::WorkerBook::AdmissionOf(worker) ==
             placement::WorkerAdmission::kOpen &&
@@ -53,14 +56,23 @@
           {&worker.spec, worker.spec.capacity - cell_.CommittedOn(vm)});
     }
   }
-  cell_.VisitPermitWaiters([&](const JobId& id) {
+  const auto take_turn = [&](const JobId& id) {
     const auto permits = permits_.find(id);
     const LedgerJob* job = live_.Find(id);
     if (permits != permits_.end() && job != nullptr && job->queued > 0) {
       TakeTurn(*job, permits->second, room);
     }
     return room.budget > 0;
-  });
+  };
+  room.budget = kWeighedPerLook / 2;
+  const auto rest = cell_.VisitPermitWaiters({}, take_turn);
+  if (!rest) {
+    permit_look_from_.reset();
+    return;
+  }
+  room.budget = kWeighedPerLook / 2;
+  permit_look_from_ = cell_.VisitPermitWaiters(
+      std::max(permit_look_from_.value_or(*rest), *rest), take_turn);
 }
 
 // Takes room for the job, and asks if it has no valid permits.
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -302,6 +302,30 @@
   CHECK(StepOf(d.Last<AskPermits>().job)->request == kRequest);
 }
 
+// Load: more jobs that wait for answers, or for room, than one look weighs
+// workers for. Those behind them never asked, with most of the room free
+// (LOST).
+TEST_CASE("jobs ask for permits behind others that wait for theirs") {
+  std::vector<std::string> vms;
+  vms.reserve(64);
+  for (int i = 0; i < 64; ++i) vms.push_back("vm-" + std::to_string(i));
+  Driver d(vms, /*permits=*/true);
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {Step(1)};
+  spec.steps[0].job.constraints.needs_permit = true;
+  constexpr int kJobs = 100;
+  for (int i = 0; i < kJobs; ++i) {
+    d.Submit(i + 1, spec, kTeam, RequestId("a" + std::to_string(i)));
+  }
+  d.AppendAll();
+  for (int look = 0; look < 10; ++look) {
+    d.now += Duration(100);
+    d.Do(Tick{});
+  }
+  CHECK(d.Count<AskPermits>() == kJobs);
+}
+
 // A task that lasts, allowed on vm-5 alone of vm-5 and vm-6; then workers are
 // replaced.
 struct Replaced {
--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -343,12 +343,20 @@
   return state.jobs[index].rank();
 }
 
-void Cell::VisitPermitWaiters(
+std::optional<PermitWaiter> Cell::VisitPermitWaiters(
+    const PermitWaiter& from,
     const std::function<bool(const JobId&)>& visit) const {
   const internal::CellState& state = impl_->state();
-  for (const auto& [rank, index] : state.permit_waiters) {
-    if (!visit(state.jobs[index].id)) return;
+  const auto& waiters = state.permit_waiters;
+  for (auto it = waiters.lower_bound({from.rank, from.slot});
+       it != waiters.end();) {
+    const internal::Index index = it->second;
+    ++it;
+    if (visit(state.jobs[index].id)) continue;
+    if (it == waiters.end()) return std::nullopt;
+    return PermitWaiter{it->first, it->second};
   }
+  return std::nullopt;
 }
 
 CellStatus Cell::Status() const {
--- a/azurepass/placement/placement.h
+++ b/azurepass/placement/placement.h
@@ -26,6 +26,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -251,6 +252,13 @@
   auto operator<=>(const WaitingRank&) const = default;
 };
 
+// A place among the waiting jobs that need permits; the default is the first.
+struct PermitWaiter {
+  WaitingRank rank{std::numeric_limits<int>::min(), 0};
+  int32_t slot = 0;
+  auto operator<=>(const PermitWaiter&) const = default;
+};
+
 // Counts for metrics and status.
 struct CellStatus {
   int64_t workers = 0;
@@ -333,8 +341,11 @@
   // Of a job that is not known: after all others.
   WaitingRank RankOf(const JobId& job) const;
   // Names the waiting jobs that need permits, valid ones or not, in the order
-  // of their ranks, until `visit` says that it has seen enough (false).
-  void VisitPermitWaiters(const std::function<bool(const JobId&)>& visit) const;
+  // of their ranks from `from` on, until `visit` says that it has seen enough
+  // (false). Returns the first one not named; empty after the last.
+  std::optional<PermitWaiter> VisitPermitWaiters(
+      const PermitWaiter& from,
+      const std::function<bool(const JobId&)>& visit) const;
   CellStatus Status() const;
   // Waiting tasks by reason; looks at all jobs that are waiting.
   std::map<WaitReason, int64_t> WaitingByReason() const;
