--- a/azurepass/endpoint/internal/session.cc
+++ b/azurepass/endpoint/internal/session.cc
@@ -134,11 +134,8 @@
   const std::deque<PendingOrder> former = std::exchange(orders_, {});
   const size_t sent = std::exchange(orders_sent_, 0);
   for (auto& [attempt, revoked] : revoked_) {
-    if (revoked.stage == RevokeStage::kStopping) {
-      orders_.push_back({StopTask{attempt, StopKind::kStop}, now});
-    } else {
-      revoked.stage = RevokeStage::kStopped;
-    }
+    revoked.stage = RevokeStage::kStopping;
+    orders_.push_back({StopTask{attempt, StopKind::kStop}, now});
   }
   for (size_t i = 0; i < former.size(); ++i) {
     const PendingOrder& pending = former[i];
@@ -268,7 +265,7 @@
   request.epoch = epoch_;
   request.lease = options_.lease;
   request.token = token_;
-  request.acknowledged = acknowledged_;
+  request.acknowledged = held_failures_ > 0 ? 0 : acknowledged_;
   const bool unrecorded = delivered_ > acknowledged_;
   if (opened_ && held_failures_ == 0 && unrecorded &&
       !std::exchange(record_overdue_, false)) {
@@ -324,6 +321,9 @@
 
 // A start that was sent again to a new life of its worker would run anew.
 void Session::DropSeenStarts(const ExchangeAnswer& answer, MonotonicTime now) {
+  std::erase_if(revoked_, [&](const auto& entry) {
+    return TellsEnd(answer, entry.first);
+  });
   for (PendingOrder& pending : orders_) {
     if (!IsStart(pending.order) || pending.seen) continue;
     const AttemptId& attempt = AttemptOf(pending.order);
--- a/azurepass/endpoint/internal/session_test.cc
+++ b/azurepass/endpoint/internal/session_test.cc
@@ -422,5 +422,55 @@
   CHECK(f.On(Unanswered{Channel::kHeld}).empty());
 }
 
+// Guards against a start carried out in the worker's new life although its
+// revocation was taken by the former one alone.
+TEST_CASE("a stop taken by a former life bars nothing in the new one") {
+  Fixture f;
+  f.Open();
+  CHECK(f.On(Ordered{{Start(1)}}) == "orders-1 ");
+  CHECK(f.On(Unanswered{Channel::kOrders}) == "wake ");
+  f.now += f.options.start_validity + Duration(1);
+  CHECK(f.On(Woken{Channel::kOrders}) == "orders-1 ");
+  CHECK(f.OrdersSent() == "-1 ");
+  ExchangeAnswer taken = Answer("t2");
+  taken.outcomes = {OrderOutcome::kSettled};
+  f.On(Answered{Channel::kOrders, taken});
+  ExchangeAnswer restarted = Answer("u1");
+  restarted.restarted = true;
+  f.On(Answered{Channel::kHeld, restarted});
+  CHECK(f.Said(Start(1).attempt).empty());
+  // The session with the new life opens first.
+  f.On(Answered{Channel::kHeld, Answer("u2")});
+  CHECK(f.Said(Start(1).attempt).empty());
+  CHECK(f.OrdersSent() == "-1 ");
+}
+
+// Guards against ends of a worker's new life that are forgotten unread, by the
+// number of the last one recorded of its former life.
+TEST_CASE("an exchange after a failure acknowledges nothing") {
+  Fixture f;
+  f.Open();
+  ExchangeAnswer ends = Answer("t2");
+  ends.events = {{57, Start(3).attempt, WorkerEventKind::kSucceeded, ""}};
+  f.On(Answered{Channel::kHeld, ends});
+  f.On(Recorded{57});
+  f.On(Unanswered{Channel::kHeld});
+  f.On(Woken{Channel::kHeld});
+  CHECK(std::get<Exchange>(f.outputs.at(0)).request.acknowledged == 0);
+}
+
+// Guards against an attempt that stays listed as one that may run after its end
+// was told, so that its worker gets no more starts.
+TEST_CASE("the end of a revoked start settles it") {
+  Fixture f{.doubtful = {Start(1).attempt}};
+  CHECK(f.Begin() == "held-list ");
+  ExchangeAnswer answer = Answer("t1");
+  answer.events = {{5, Start(1).attempt, WorkerEventKind::kSucceeded, ""}};
+  CHECK(f.On(Answered{Channel::kHeld, answer}).starts_with("events opened "));
+  CHECK(f.Said(Start(1).attempt) == "ended ");
+  CHECK(f.Get<SessionOpened>(1).running.empty());
+  CHECK(f.session.Doubtful().empty());
+}
+
 }  // namespace
 }  // namespace azurepass::endpoint::internal
