--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -277,17 +277,26 @@
   CHECK(d.Count<AskPermits>() == 2);
 }
 
-// Load: a backlog without room, longer than one look at the workers. Jobs
-// behind it that have room never asked for permits (LOST).
-TEST_CASE("a job with room asks for permits behind a backlog without room") {
+std::vector<std::string> ManyVms() {
   std::vector<std::string> vms;
   vms.reserve(64);
   for (int i = 0; i < 64; ++i) vms.push_back("vm-" + std::to_string(i));
-  Driver d(vms, /*permits=*/true);
+  return vms;
+}
+
+WorkflowSpec OfOnePermittedTask() {
   WorkflowSpec spec;
   spec.queue = kQueue;
   spec.steps = {Step(1)};
   spec.steps[0].job.constraints.needs_permit = true;
+  return spec;
+}
+
+// Load: a backlog without room, longer than one look at the workers. Jobs
+// behind it that have room never asked for permits (LOST).
+TEST_CASE("a job with room asks for permits behind a backlog without room") {
+  Driver d(ManyVms(), /*permits=*/true);
+  WorkflowSpec spec = OfOnePermittedTask();
   spec.steps[0].job.constraints.label = "gpu";  // No worker carries it.
   for (int i = 0; i < 40; ++i) {
     d.Submit(i + 1, spec, kTeam, RequestId("0" + std::to_string(i)));
@@ -306,14 +315,8 @@
 // workers for. Those behind them never asked, with most of the room free
 // (LOST).
 TEST_CASE("jobs ask for permits behind others that wait for theirs") {
-  std::vector<std::string> vms;
-  vms.reserve(64);
-  for (int i = 0; i < 64; ++i) vms.push_back("vm-" + std::to_string(i));
-  Driver d(vms, /*permits=*/true);
-  WorkflowSpec spec;
-  spec.queue = kQueue;
-  spec.steps = {Step(1)};
-  spec.steps[0].job.constraints.needs_permit = true;
+  Driver d(ManyVms(), /*permits=*/true);
+  const WorkflowSpec spec = OfOnePermittedTask();
   constexpr int kJobs = 100;
   for (int i = 0; i < kJobs; ++i) {
     d.Submit(i + 1, spec, kTeam, RequestId("a" + std::to_string(i)));
--- a/azurepass/permit/broker_test.cc
+++ b/azurepass/permit/broker_test.cc
@@ -54,6 +54,7 @@
 // then came too late, while other VMs had nothing to decide.
 TEST_CASE("brokers begin with different VMs") {
   std::vector<std::string> addresses;
+  addresses.reserve(16);
   for (int i = 0; i < 16; ++i) {
     addresses.push_back("10.0.0." + std::to_string(i + 2) + ":1");
   }
