Owners log what waits for longest, and why

What callers saw: tasks that were accepted did not run for tens of seconds (LOST).

Now each owner names once a second up to eight jobs with the task that has waited for longest, beyond 2 s: reason, age since its turn or its latest end, the account's commitment, allowance here and limit, and the state of the job's permits. Delayed tasks are counted as retry_backoff. No decision changes.

Tests: cell_test "the longest waits are named with their reason and age", owner_workflows_test "a task that waits for long is logged with its reason".

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -107,6 +107,9 @@
   // One line for all that waits, at most each kWaitingLogInterval.
   void LogWaiting();
   std::string ClosedWorkers() const;
+  // A line for each of the jobs that have waited for longest.
+  void LogLongWaits();
+  std::string PermitsText(const JobId& job) const;
   void ScheduleWake();
   std::optional<MonotonicTime> NextWake() const;
   bool MayRecordStarts() const;
--- a/azurepass/partition/owner.cc
+++ b/azurepass/partition/owner.cc
@@ -18,6 +18,10 @@
 
 constexpr Duration kHandoverRetryAfter{250};
 constexpr Duration kWaitingLogInterval{1'000};
+// A job is named in the log once it has waited for so long, and at most so many
+// jobs at once.
+constexpr Duration kLongWait{2'000};
+constexpr size_t kLongWaitsLogged = 8;
 constexpr Duration kDemandLook{50};  // Between two, while nothing changes.
 
 // Lowers `at` to `other` when that is earlier.
@@ -26,6 +30,17 @@
   if (other && (!at || *other < *at)) at = other;
 }
 
+// Processors in thousandths, MiB of memory, accelerators.
+std::string AmountsText(const Resources& amounts) {
+  std::string text;
+  for (const Dimension d : {Dimension::kMillicores, Dimension::kMemoryMib,
+                            Dimension::kAccelerators}) {
+    if (!text.empty()) text += ",";
+    text += amounts[d] >= kUnlimitedAmount ? "-" : std::to_string(amounts[d]);
+  }
+  return text;
+}
+
 }  // namespace
 
 Owner::Impl::Impl(const Options& options, PartitionId partition,
@@ -200,6 +215,44 @@
   return text.empty() ? "none" : text;
 }
 
+std::string Owner::Impl::PermitsText(const JobId& job) const {
+  const auto found = permits_.find(job);
+  if (found == permits_.end()) return "none_needed";
+  const JobPermits& permits = found->second;
+  const auto in_ms = [this](MonotonicTime at) {
+    return std::to_string(
+        std::chrono::duration_cast<Duration>(at - now_).count());
+  };
+  std::string text = permits.asking ? "asking" : "not_asking";
+  if (permits.asked) text += ",valid_for_ms:" + in_ms(permits.valid_until);
+  if (permits.ask_again > now_) text += ",again_ms:" + in_ms(permits.ask_again);
+  return text + ",granted:" + std::to_string(permits.granted.size()) +
+         ",denied:" + std::to_string(permits.denied.size());
+}
+
+// What each job's task waits for, with all that decides it.
+void Owner::Impl::LogLongWaits() {
+  for (const placement::LongWait& wait : cell_.LongestWaits(kLongWaitsLogged)) {
+    const auto age = std::chrono::duration_cast<Duration>(now_ - wait.since);
+    if (age < kLongWait) return;
+    const auto contract =
+        surroundings_.configuration->contracts.find(wait.team);
+    const Resources limit =
+        contract == surroundings_.configuration->contracts.end()
+            ? Resources()
+            : contract->second.upper_limit;
+    Log("long_wait", wait.task, 0, VmId(),
+        std::string(placement::WaitReasonName(wait.reason)) +
+            " age_ms=" + std::to_string(age.count()) +
+            " tasks=" + std::to_string(wait.waiting) +
+            " delayed=" + std::to_string(wait.delayed) +
+            " size=" + AmountsText(wait.size) + " team=" + wait.team.value() +
+            " committed=" + AmountsText(wait.committed) + " allowance=" +
+            AmountsText(wait.allowance) + " limit=" + AmountsText(limit) +
+            " permits=" + PermitsText(wait.task.job));
+  }
+}
+
 void Owner::Impl::LogWaiting() {
   if (!In<Owning>() || now_ < next_waiting_log_) return;
   next_waiting_log_ = now_ + kWaitingLogInterval;
@@ -229,6 +282,7 @@
              " may_start=" + std::to_string(surroundings_.may_start) +
              " unsettled=" + std::to_string(commit_.unsettled());
   Log("waiting", {}, 0, VmId(), std::move(reasons));
+  LogLongWaits();
 }
 
 void Owner::Impl::ReportDemands() {
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -277,6 +277,30 @@
   CHECK(d.Count<AskPermits>() == 2);
 }
 
+// A line names each task that waits for long, and what would have to change.
+TEST_CASE("a task that waits for long is logged with its reason") {
+  Driver d({"vm-0"}, /*permits=*/true);
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {Step(2)};
+  spec.steps[0].job.constraints.needs_permit = true;
+  d.Do(AllowancesChanged{{{kTeam, Resources(9, 9, 500, 9'000, 0)}}});
+  d.Submit(1, spec);
+  d.AppendAll();
+  d.now += Duration(1'500);
+  d.Do(Tick{});
+  CHECK(d.Last<LogDecision>().kind == "waiting");
+  d.now += Duration(1'000);
+  d.Do(Tick{});
+  const auto& line = d.Last<LogDecision>();
+  CHECK(line.kind == "long_wait");
+  CHECK(StepOf(line.task.job)->request == kRequest);
+  CHECK(line.reason ==
+        "no_permit age_ms=2500 tasks=2 delayed=0 size=1000,512,0 team=intake "
+        "committed=0,0,0 allowance=500,9000,0 limit=-,-,- "
+        "permits=not_asking,granted:0,denied:0");
+}
+
 std::vector<std::string> ManyVms() {
   std::vector<std::string> vms;
   vms.reserve(64);
--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -176,12 +176,13 @@
                          MonotonicTime now) {
   SeeTime(now);
   TaskRef ref;
-  const Task* task = state_.FindTask(id, &ref);
+  Task* task = state_.FindTask(id, &ref);
   if (task == nullptr) return;
   if (task->phase != TaskPhase::kCommitted &&
       task->phase != TaskPhase::kPreempting) {
     return;
   }
+  task->ended = now;
   const bool again = requeue && !task->cancelled;
   RecordOutcome(ref, outcome, now);
   state_.Uncommit(ref);
@@ -380,6 +381,7 @@
   const internal::CellState& state = impl_->state();
   std::map<WaitReason, int64_t> waiting;
   for (const Job& job : state.jobs) {
+    if (job.delayed > 0) waiting[WaitReason::kRetryBackoff] += job.delayed;
     if (job.lacks_permit()) waiting[WaitReason::kNoPermit] += job.waiting;
     if (job.waiting == 0 || job.lane == kNone) continue;
     waiting[state.lanes[job.lane].reason] += job.waiting;
@@ -387,6 +389,40 @@
   return waiting;
 }
 
+std::vector<LongWait> Cell::LongestWaits(size_t most) const {
+  const internal::CellState& state = impl_->state();
+  std::vector<LongWait> waits;
+  for (const Job& job : state.jobs) {
+    if (job.waiting + job.delayed == 0) continue;
+    const Team& team = state.teams[job.team];
+    LongWait wait;
+    wait.team = team.id;
+    wait.since = MonotonicTime::max();
+    wait.waiting = job.waiting;
+    wait.delayed = job.delayed;
+    wait.size = job.spec.task;
+    wait.committed = team.committed;
+    wait.allowance = team.terms.allowance;
+    for (size_t t = 0; t < job.tasks.size(); ++t) {
+      const Task& task = job.tasks[t];
+      const WaitReason reason = internal::ReasonOf(state, job, task);
+      const MonotonicTime since = std::max(job.accepted, task.ended);
+      if (reason == WaitReason::kNone || since >= wait.since) continue;
+      wait.task = {job.id, static_cast<int32_t>(t)};
+      wait.since = since;
+      wait.reason = reason;
+    }
+    waits.push_back(std::move(wait));
+  }
+  most = std::min(most, waits.size());
+  std::partial_sort(
+      waits.begin(), waits.begin() + static_cast<std::ptrdiff_t>(most),
+      waits.end(),
+      [](const LongWait& a, const LongWait& b) { return a.since < b.since; });
+  waits.resize(most);
+  return waits;
+}
+
 Resources Cell::QueuedOf(const TeamId& team) const {
   const internal::CellState& state = impl_->state();
   const Index index = state.teams.Find(team);
--- a/azurepass/placement/cell_test.cc
+++ b/azurepass/placement/cell_test.cc
@@ -224,6 +224,33 @@
   CHECK(f.Starts().size() == 1);
 }
 
+// The log names what waits for longest, so that a task that is never started
+// again shows there with its reason.
+TEST_CASE("the longest waits are named with their reason and age") {
+  Fixture f;
+  f.Team("a", 1, kSmall + kSmall);
+  f.Job("first", "a", BatchPolicy{}, 2);
+  REQUIRE(f.Starts().size() == 2);
+  f.now += seconds(1);
+  f.Job("behind", "a", BatchPolicy{}, 3);
+  REQUIRE(f.Starts().empty());
+  f.now += seconds(1);
+  f.End({JobId("first"), 1}, AttemptOutcome::kFailed);
+  const auto waits = f.cell.LongestWaits(5);
+  REQUIRE(waits.size() == 2);
+  CHECK(waits[0].task.job == JobId("behind"));
+  CHECK(waits[0].reason == WaitReason::kAllowance);
+  CHECK(waits[0].since == f.now - seconds(1));
+  CHECK(waits[0].waiting == 3);
+  CHECK(waits[0].committed == kSmall);
+  CHECK(waits[0].allowance == kSmall + kSmall);
+  CHECK(waits[1].task == TaskId{JobId("first"), 1});
+  CHECK(waits[1].reason == WaitReason::kRetryBackoff);
+  CHECK(waits[1].since == f.now);  // Since its latest attempt.
+  CHECK(waits[1].delayed == 1);
+  CHECK(f.cell.LongestWaits(1).size() == 1);
+}
+
 // A worker that fails at once what it is given gets most of the starts, so that
 // most of the job's failures are its own; they must not pass for its peers'.
 TEST_CASE("a worker that fails fast is quarantined however much it draws") {
--- a/azurepass/placement/internal/job.h
+++ b/azurepass/placement/internal/job.h
@@ -1,4 +1,4 @@
-// Jobs and tasks as the cell keeps them. A task takes 40 bytes here, and 8
+// Jobs and tasks as the cell keeps them. A task takes 48 bytes here, and 8
 // more in each of the lists of its worker and its team while it is committed.
 
 #ifndef AZUREPASS_PLACEMENT_INTERNAL_JOB_H_
@@ -43,6 +43,7 @@
   int32_t on_worker = 0;  // Position in the worker's list.
   int32_t on_team = 0;    // Position in the team's list.
   MonotonicTime since;    // Start; end of the delay; order to leave.
+  MonotonicTime ended;    // When its latest attempt ended.
 };
 
 // What a start is still good for; see StartBy.
--- a/azurepass/placement/placement.h
+++ b/azurepass/placement/placement.h
@@ -259,6 +259,21 @@
   auto operator<=>(const PermitWaiter&) const = default;
 };
 
+// A job with tasks that wait, and what its team has here. `since` is when the
+// task that has waited for longest began to: its job's turn, or the end of its
+// latest attempt.
+struct LongWait {
+  TaskId task;
+  TeamId team;
+  MonotonicTime since;
+  WaitReason reason = WaitReason::kNone;
+  int64_t waiting = 0;  // Tasks of the job that could start now.
+  int64_t delayed = 0;  // Those that wait for a backoff or a retry token.
+  Resources size;       // Of one task.
+  Resources committed;  // Of the team.
+  Resources allowance;
+};
+
 // Counts for metrics and status.
 struct CellStatus {
   int64_t workers = 0;
@@ -349,6 +364,9 @@
   CellStatus Status() const;
   // Waiting tasks by reason; looks at all jobs that are waiting.
   std::map<WaitReason, int64_t> WaitingByReason() const;
+  // The jobs that have waited for longest, at most `most`, longest first; looks
+  // at all jobs that are waiting.
+  std::vector<LongWait> LongestWaits(size_t most) const;
   Resources CommittedOf(const TeamId& team) const;
   Resources QueuedOf(const TeamId& team) const;  // Tasks that wait.
   // What the team may still commit here; below 0 after a lowered allowance.
