A gang takes its part of a look whole or not at all

What callers saw: LOST.

Cause: in a look, jobs take room and allowance from a copy, in their order, and those that find some may ask. It also asked itself, for permits that it could not use, at 0.5 to 1.2 s of the service each.

Mend: an atomic gang takes room and allowance for all of its tasks or for none, and asks only where all of them have a place.

Test: owner_workflows_test "a gang that does not fit keeps no job from asking for permits"; before, the gang asked and the job behind it did not, in both cases.

--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -37,6 +37,11 @@
 // Workers weighed in one look, over all jobs; the first jobs in turn matter.
 constexpr int64_t kWeighedPerLook = 2'048;
 
+bool IsAtomicGang(const JobSpec& spec) {
+  const auto* gang = std::get_if<GangPolicy>(&spec.policy);
+  return gang != nullptr && gang->atomic;
+}
+
 bool Carries(const WorkerSpec& worker, const std::string& label) {
   return label.empty() || std::find(worker.labels.begin(), worker.labels.end(),
                                     label) != worker.labels.end();
@@ -75,7 +80,9 @@
       std::max(permit_look_from_.value_or(*rest), *rest), take_turn);
 }
 
-// Takes room for the job, and asks if it has no valid permits.
+// Takes room for the job, and asks if it has no valid permits. An atomic gang
+// takes room and allowance for all of its tasks or for none: what it cannot use
+// is left to those behind it.
 void Owner::Impl::TakeTurn(const LedgerJob& job, JobPermits& permits,
                            RoomLeft& room) {
   const JobSpec& spec = job.submitted.spec;
@@ -88,37 +95,52 @@
           .try_emplace(job.submitted.team,
                        cell_.AllowanceLeftOf(job.submitted.team))
           .first->second;
-  int64_t tasks = has_none ? 0 : job.queued;
+  const int64_t unit = IsAtomicGang(spec) ? job.queued : 1;
+  const auto is_allowed = [&](int64_t tasks) {
+    return (spec.task * tasks).FitsIn(allowance);
+  };
+  int64_t tasks = has_none || !is_allowed(unit) ? 0 : job.queued;
+  int64_t places = 0;  // On workers that may turn out to be permitted.
   bool none_fits = true;
   std::vector<VmId> with_room;
+  std::vector<std::pair<WorkerRoom*, int64_t>> taken;
+  int64_t taken_tasks = 0;
   for (WorkerRoom& worker : room.workers) {
-    if (tasks == 0 || !spec.task.FitsIn(allowance)) {
+    if (taken_tasks == tasks || !is_allowed(taken_tasks + 1)) {
       none_fits = false;  // Not known.
       break;
     }
     --room.budget;
     if (!MayEverRun(spec, *worker.spec) || !size.FitsIn(worker.free)) continue;
     none_fits = false;
-    int64_t most = LeftByBound(job, worker.spec->vm);
+    const int64_t most = LeftByBound(job, worker.spec->vm);
     if (most <= 0 || permits.denied.contains(worker.spec->vm)) continue;
     with_room.push_back(worker.spec->vm);
     // Where nobody has asked yet it is not known whether the job may run.
-    if (!permits.granted.contains(worker.spec->vm)) continue;
-    for (; most > 0 && tasks > 0 && size.FitsIn(worker.free) &&
-           spec.task.FitsIn(allowance);
-         --most, --tasks) {
-      worker.free -= size;
-      allowance -= spec.task;
+    const bool granted = permits.granted.contains(worker.spec->vm);
+    int64_t here = 0;
+    while (here < most && taken_tasks + here < tasks &&
+           (size * (here + 1)).FitsIn(worker.free) &&
+           is_allowed(taken_tasks + here + 1)) {
+      ++here;
     }
+    places += here;
+    if (!granted) continue;
+    taken.emplace_back(&worker, here);
+    taken_tasks += here;
   }
   if (none_fits && !spec.scavenger) {
     room.none.push_back({spec.constraints.label, size});
   }
+  if (taken_tasks >= unit) {
+    for (const auto& [worker, here] : taken) worker->free -= size * here;
+    allowance -= spec.task * taken_tasks;
+  }
   const bool may_ask = !permits.asking && permits.ask_again <= now_ &&
                        permits.valid_until <= now_;
   // An urgent job's first question is about all workers, and need not wait.
   const bool first = !permits.asked && spec.priority == Priority::kUrgent;
-  if (may_ask && (first || !with_room.empty())) {
+  if (may_ask && (first || places >= unit)) {
     Ask(job, permits, std::move(with_room));
   }
 }
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -301,6 +301,55 @@
         "permits=not_asking,granted:0,denied:0");
 }
 
+WorkflowSpec OfPermittedTasks(int32_t tasks, const Policy& policy) {
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {Step(tasks)};
+  spec.steps[0].job.policy = policy;
+  spec.steps[0].job.constraints.needs_permit = true;
+  return spec;
+}
+
+// A gang that cannot start as a whole took room and allowance for some of its
+// tasks in each look, so that the account's jobs behind it never asked (LOST).
+TEST_CASE("a gang that does not fit keeps no job from asking for permits") {
+  struct Case {
+    std::string what;
+    std::vector<std::string> vms;  // Each has room for eight tasks.
+    int64_t millicores;            // The account's allowance.
+    int32_t gang;
+    bool gang_asks;
+  };
+  const Case cases[] = {
+      {"no allowance for all of it", {"vm-0"}, 3'000, 4, false},
+      {"no room for all of it", {"vm-0"}, 100'000, 9, false},
+      {"fits", {"vm-0"}, 8'000, 7, true},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(c.what);
+    Driver d(c.vms, /*permits=*/true);
+    d.Do(AllowancesChanged{
+        {{kTeam, Resources(100, 100, c.millicores, 100'000, 0)}}});
+    d.Submit(1, OfPermittedTasks(c.gang, GangPolicy{.atomic = true}));
+    d.AppendAll();
+    CHECK(d.Count<AskPermits>() == (c.gang_asks ? 1 : 0));
+    if (c.gang_asks) continue;
+    // Its permits from a time at which there was more room.
+    d.Do(PermitsIssued{MakeJobId(kPartition, {kRequest, 0, 0}),
+                       {VmId("vm-0")},
+                       std::vector<Permit>{{VmId("vm-0"), "t"}},
+                       d.now + kPermitValidity});
+    d.Submit(2, OfPermittedTasks(1, BatchPolicy{}), kTeam,
+             RequestId("00000000000000aa"));
+    d.AppendAll();
+    d.now += Duration(100);
+    d.Do(Tick{});
+    REQUIRE(d.Count<AskPermits>() == 1);
+    CHECK(StepOf(d.Last<AskPermits>().job)->request ==
+          RequestId("00000000000000aa"));
+  }
+}
+
 std::vector<std::string> ManyVms() {
   std::vector<std::string> vms;
   vms.reserve(64);
