Questions for permits name more workers than the job needs

Cause: only a job's first question is about all workers. Its permits lapse after 2 s, and each later question named just as many workers as the job's waiting tasks need, always the first ones with room by name. All jobs name the same ones; by the time of the answer somebody else had taken that room. The job then held a valid permit for a full worker until it lapsed, and asked about the next one.

Test: owner_workflows_test "a later question names more workers than the job needs"; before, it named 1.

--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -19,7 +19,8 @@
 // Which workers the service names for a job does not change; only the permits
 // lapse. So a job's first question is about all workers that could run it, and
 // the later ones about those that have room now and are granted, or have come
-// since.
+// since. By the time of the answer others may have taken some of that room, so
+// a question names more workers than the job needs.
 
 #include <algorithm>
 #include <tuple>
@@ -34,6 +35,9 @@
 namespace {
 
 constexpr size_t kMaxWorkersPerQuestion = 100;
+// Workers with room that a question names where the job itself needs fewer; the
+// users count on one question about as many for each step.
+constexpr int64_t kWorkersNamed = 30;
 // Workers weighed in one look, over all jobs; the first jobs in turn matter.
 constexpr int64_t kWeighedPerLook = 2'048;
 
@@ -99,14 +103,18 @@
   const auto is_allowed = [&](int64_t tasks) {
     return (spec.task * tasks).FitsIn(allowance);
   };
-  int64_t tasks = has_none || !is_allowed(unit) ? 0 : job.queued;
+  const bool may_ask = !permits.asking && permits.ask_again <= now_ &&
+                       permits.valid_until <= now_;
+  const int64_t named = may_ask ? kWorkersNamed : 0;
+  const int64_t tasks = has_none || !is_allowed(unit) ? 0 : job.queued;
   int64_t places = 0;  // On workers that may turn out to be permitted.
   bool none_fits = true;
   std::vector<VmId> with_room;
   std::vector<std::pair<WorkerRoom*, int64_t>> taken;
   int64_t taken_tasks = 0;
   for (WorkerRoom& worker : room.workers) {
-    if (taken_tasks == tasks || !is_allowed(taken_tasks + 1)) {
+    const bool full = taken_tasks == tasks || !is_allowed(taken_tasks + 1);
+    if (tasks == 0 || (full && std::ssize(with_room) >= named)) {
       none_fits = false;  // Not known.
       break;
     }
@@ -136,8 +144,6 @@
     for (const auto& [worker, here] : taken) worker->free -= size * here;
     allowance -= spec.task * taken_tasks;
   }
-  const bool may_ask = !permits.asking && permits.ask_again <= now_ &&
-                       permits.valid_until <= now_;
   // An urgent job's first question is about all workers, and need not wait.
   const bool first = !permits.asked && spec.priority == Priority::kUrgent;
   if (may_ask && (first || places >= unit)) {
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -365,6 +365,31 @@
   return spec;
 }
 
+// A question after the first named only as many workers as the job's tasks
+// need, always the first ones with room; others had taken it by the time of the
+// answer, over and over, with most workers idle (LOST).
+TEST_CASE("a later question names more workers than the job needs") {
+  const std::vector<std::string> vms = ManyVms();
+  Driver d(vms, /*permits=*/true);
+  d.Submit(1, OfPermittedTasks(9, BatchPolicy{}));
+  d.AppendAll();
+  const AskPermits first = d.Last<AskPermits>();
+  std::vector<Permit> permits;
+  for (const VmId& vm : first.workers) permits.push_back({vm, "t"});
+  d.Do(PermitsIssued{first.job, first.workers, permits,
+                     d.now + kPermitValidity});
+  d.AppendAll();
+  REQUIRE(d.Starts().size() == 9);
+  d.now += kPermitValidity;
+  d.Report(d.Starts()[8].first.value(), 1, d.Starts()[8].second.attempt,
+           WorkerEventKind::kStopped);
+  d.AppendAll();
+  d.now += Duration(100);
+  d.Do(Tick{});
+  REQUIRE(d.Count<AskPermits>() == 2);
+  CHECK(d.Last<AskPermits>().workers.size() == 30);
+}
+
 // Load: a backlog without room, longer than one look at the workers. Jobs
 // behind it that have room never asked for permits (LOST).
 TEST_CASE("a job with room asks for permits behind a backlog without room") {
