escrow: wants within the limit are all met

Callers saw tasks wait for "allowance" in one partition while the account was far below its limit. Two causes in Settle. Each want was rounded up to an eighth of the limit, so that five partitions that want 560 and 4 x 110 of 1,000 were said to want 1,125 and were cut to fair parts. And when the limit was not short, a partition kept up to twice what it wants, whether or not another one lacked it: after 900 and 0 became 500 and 500, the second had 0 for ever.

The new test settles each partition once to publish and give back and once to take. Now all wants are met.

--- a/azurepass/escrow/escrow_test.cc
+++ b/azurepass/escrow/escrow_test.cc
@@ -73,6 +73,40 @@
   CHECK(book == Book{});
 }
 
+// Guards against headroom, or rounding, that keeps from a partition what the
+// limit has for it.
+TEST_CASE("wants within the limit are all met by one settle of each") {
+  struct Case {
+    std::vector<int64_t> before;  // Wants while the grants were taken.
+    std::vector<int64_t> after;
+  };
+  const Case cases[] = {
+      {{500, 0}, {500, 400}},
+      {{900, 0}, {500, 500}},
+      {{500, 500}, {300, 700}},
+      {{800, 0, 0, 0, 0}, {900, 20, 20, 20, 20}},
+      {{800, 10, 0, 0, 0}, {560, 110, 110, 110, 110}},
+  };
+  constexpr int64_t kLimit = 1'000;
+  for (const Case& c : cases) {
+    Book book;
+    const auto settle_all = [&](const std::vector<int64_t>& wants) {
+      for (size_t i = 0; i < wants.size(); ++i) {
+        book = Settle(book, SlotLimit(kLimit),
+                      PartitionId("p-" + std::to_string(i)),
+                      {Slots(0), Slots(wants[i])});
+      }
+    };
+    settle_all(c.before);
+    settle_all(c.after);  // Publishes the wants and gives back.
+    settle_all(c.after);  // Takes.
+    for (size_t i = 0; i < c.after.size(); ++i) {
+      const PartitionId id("p-" + std::to_string(i));
+      CHECK(Usable(book, SlotLimit(kLimit), id)[kSlots] >= c.after[i]);
+    }
+  }
+}
+
 // One partition's owner in the random history: it may act on an old book.
 struct Party {
   PartitionId id;
--- a/azurepass/escrow/settle.cc
+++ b/azurepass/escrow/settle.cc
@@ -2,9 +2,9 @@
 // gives back. All of it works dimension by dimension.
 //
 // To keep writes rare a partition takes a little more than it wants, and gives
-// back only once it holds far more than it wants. When the limit is short the
-// surplus goes first: a partition keeps no more than its fair part beyond what
-// is in use.
+// back only once it holds far more than it wants; but never so that another one
+// lacks what it wants. When the limit is short the surplus goes first: a
+// partition keeps no more than its fair part beyond what is in use.
 
 #include <algorithm>
 #include <numeric>
@@ -24,8 +24,9 @@
   return sum;
 }
 
-// Wants and grants move in steps of a part of the limit, so that a book is
-// written when a want crosses a step and not with every task.
+// Headroom comes in steps of a part of the limit, so that a book is written
+// when a want crosses a step and not with every task. Wants are not rounded:
+// the sum of the rounded ones may pass a limit that the wants themselves keep.
 constexpr int64_t kStepsPerLimit = 8;
 
 int64_t RoundUp(int64_t amount, int64_t limit) {
@@ -56,6 +57,17 @@
   return sum;
 }
 
+// What the other partitions want beyond their grants.
+int64_t LackOfOthers(const Book& book, Dimension d,
+                     const PartitionId& partition) {
+  int64_t lack = 0;
+  for (const auto& [id, line] : book.lines) {
+    if (id == partition) continue;
+    lack += std::max<int64_t>(0, line.wanted[d] - line.granted[d]);
+  }
+  return lack;
+}
+
 // The grant in one dimension. `book` already holds the partition's new want.
 int64_t SettleDimension(const Book& book, int64_t limit, Dimension d,
                         const PartitionId& partition, const Need& need) {
@@ -63,16 +75,19 @@
   const int64_t committed = need.committed[d];
   const int64_t wanted = std::max(need.wanted[d], committed);
   const int64_t sum = SumGranted(book, d);
-  const bool short_of_limit = SumWanted(book, d) > limit || sum > limit;
+  const int64_t free = std::max<int64_t>(0, limit - sum);
 
   int64_t desired = WithHeadroom(wanted, limit);
-  if (short_of_limit) {
+  if (SumWanted(book, d) > limit || sum > limit) {
     desired = std::min(wanted, FairPart(book, limit, d, partition));
-  } else if (desired < granted && granted <= 2 * desired) {
-    desired = granted;  // Not worth a write.
+  } else {
+    if (desired < granted && granted <= 2 * desired) {
+      desired = granted;  // Not worth a write.
+    }
+    const int64_t left = granted + free - LackOfOthers(book, d, partition);
+    desired = std::min(desired, std::max(wanted, left));
   }
   desired = std::max(desired, committed);
-  const int64_t free = std::max<int64_t>(0, limit - sum);
   return std::min(desired, granted + free);
 }
 
@@ -119,11 +134,6 @@
   Book settled = book;
   Line& line = settled.lines[partition];
   line.wanted = Resources::Max(need.wanted, need.committed);
-  for (Dimension d : kAllDimensions) {
-    if (!IsUnlimited(limit[d])) {
-      line.wanted[d] = RoundUp(line.wanted[d], limit[d]);
-    }
-  }
   Resources granted;
   for (Dimension d : kAllDimensions) {
     if (IsUnlimited(limit[d])) continue;
