escrow: a turn takes its unit whole

A partition whose turn it is took each bit that others gave back, and its own small tasks started in the bits, so that its large task or gang waited on: the account was full of small work for as long as there was some.

It now takes nothing beyond what it has until the whole unit is free; what the others give back stays free meanwhile, and a turn is passed only when that does not grow either.

The new test, a unit of 80 beside four partitions with tasks of 5 and a limit of 100, held parts of the unit before, and holds all or nothing now.

--- a/azurepass/escrow/broker.cc
+++ b/azurepass/escrow/broker.cc
@@ -83,11 +83,11 @@
 };
 using Inbox = std::variant<Message, BookRead, BookWritten>;
 
-// Whose turn it is, and since when that partition got nothing by it.
+// Whose turn it is, and since when it brings that partition nothing.
 struct TurnState {
   std::optional<PartitionId> partition;
   int64_t turn = 0;
-  Resources granted;
+  Resources in_reach;
   MonotonicTime since;
 };
 
@@ -267,13 +267,18 @@
   bool TurnIsOver(const PartitionId& id, BookState& state,
                   const Demand& demand) const {
     const auto next = NextTurn(state.book, demand.limit);
-    const Line line = next ? LineOf(state.book, *next) : Line{};
+    if (!next) {
+      state.turn.partition.reset();
+      return false;
+    }
+    const int64_t number = state.book.lines.at(*next).turn;
+    const Resources in_reach = InReach(state.book, demand.limit, *next);
     TurnState& turn = state.turn;
-    if (turn.partition != next || turn.turn != line.turn ||
-        turn.granted != line.granted) {
-      turn = {next, line.turn, line.granted, Clock::now()};
+    if (turn.partition != next || turn.turn != number ||
+        turn.in_reach != in_reach) {
+      turn = {next, number, in_reach, Clock::now()};
     }
-    return next && Clock::now() - turn.since > options_.turn_interval &&
+    return Clock::now() - turn.since > options_.turn_interval &&
            IsClaim(LineOf(state.book, id), demand.limit);
   }
 
--- a/azurepass/escrow/escrow.h
+++ b/azurepass/escrow/escrow.h
@@ -80,6 +80,10 @@
 // not short, or holds a unit for each partition that waits.
 std::optional<PartitionId> NextTurn(const Book& book, const Resources& limit);
 
+// What the partition holds, and what is free.
+Resources InReach(const Book& book, const Resources& limit,
+                  const PartitionId& partition);
+
 // The book in which that partition is the last in the order of turns. Any
 // process may pass the turn of a partition that makes no use of it.
 Book PassTurn(const Book& book, const Resources& limit);
--- a/azurepass/escrow/escrow_test.cc
+++ b/azurepass/escrow/escrow_test.cc
@@ -216,12 +216,13 @@
  public:
   void Round(Book& book, const Resources& limit) {
     const auto next = NextTurn(book, limit);
-    const Line line = next ? book.lines.at(*next) : Line();
-    const bool same = next == next_ && line.turn == line_.turn &&
-                      line.granted == line_.granted;
+    const int64_t turn = next ? book.lines.at(*next).turn : 0;
+    const Resources in_reach = next ? InReach(book, limit, *next) : Resources();
+    const bool same = next == next_ && turn == turn_ && in_reach == in_reach_;
     rounds_ = same ? rounds_ + 1 : 0;
     next_ = next;
-    line_ = line;
+    turn_ = turn;
+    in_reach_ = in_reach;
     if (next && rounds_ >= kMostRounds) book = PassTurn(book, limit);
   }
 
@@ -229,7 +230,8 @@
   static constexpr int64_t kMostRounds = 4;
 
   std::optional<PartitionId> next_;
-  Line line_;
+  int64_t turn_ = 0;
+  Resources in_reach_;
   int64_t rounds_ = 0;
 };
 
@@ -324,6 +326,31 @@
               50});
 }
 
+// Guards against a large task that waits while its partition's small ones use
+// up each bit that others give back.
+TEST_CASE("a turn takes its unit whole") {
+  const Resources limit = SlotLimit(100);
+  std::vector<Busy> all;
+  for (int i = 0; i < 4; ++i) {
+    all.emplace_back(i, Kind{Slots(5), 3 + i}).Add(100'000);
+  }
+  all.emplace_back(4, Kind{Slots(80), 4});
+  const PartitionId large = all[4].id();
+  Book book;
+  TurnWatch turns;
+  for (int round = 0; round < 100; ++round) {
+    if (round == 10) all[4].Add(100);
+    for (Busy& busy : all) busy.Round(book, limit, round);
+    turns.Round(book, limit);
+    const int64_t usable = Usable(book, limit, large)[kSlots];
+    const int64_t used = all[4].committed()[kSlots];
+    if (NextTurn(book, limit) == large) {
+      CHECK((usable == used || usable >= 80));
+    }
+  }
+  CHECK(all[4].started() > 3);
+}
+
 // Guards against a claim that cannot be met, because what is in use lasts,
 // taking from the others what they could use.
 TEST_CASE("a turn that nobody can use passes") {
--- a/azurepass/escrow/settle.cc
+++ b/azurepass/escrow/settle.cc
@@ -320,6 +320,8 @@
   line.unit = need.unit;
   const Cut cut(settled, limit);
   const Resources part = cut.PartOf(partition);
+  const bool its_turn = cut.next() != nullptr && *cut.next() == partition;
+  bool whole = true;
   Resources granted;
   for (Dimension d : kAllDimensions) {
     if (IsUnlimited(limit[d])) continue;
@@ -330,6 +332,11 @@
     const int64_t free = limit[d] - SumGranted(settled, d);
     granted[d] =
         std::min(desired, line.granted[d] + std::max<int64_t>(0, free));
+    whole &= granted[d] >= line.held[d] + line.unit[d];
+  }
+  if (its_turn && !whole) {
+    const Resources in_use = Resources::Max(line.granted, need.committed);
+    granted = Resources::Min(granted, in_use);
   }
   line.granted = granted;
   if (line.granted == Resources() && line.wanted == Resources()) {
@@ -344,6 +351,18 @@
   return *cut.next();
 }
 
+Resources InReach(const Book& book, const Resources& limit,
+                  const PartitionId& partition) {
+  Resources in_reach;
+  const auto line = book.lines.find(partition);
+  for (Dimension d : kAllDimensions) {
+    if (IsUnlimited(limit[d])) continue;
+    in_reach[d] = std::max<int64_t>(0, limit[d] - SumGranted(book, d));
+    if (line != book.lines.end()) in_reach[d] += line->second.granted[d];
+  }
+  return in_reach;
+}
+
 Book PassTurn(const Book& book, const Resources& limit) {
   Book passed = book;
   if (const auto next = NextTurn(book, limit)) {
