partition: demands name what the next start takes

An owner reported the sum of what waits; nobody knew that less than one task of 62 processors, or less than three for its gang, starts nothing, so the account's limit was cut into parts in which nothing starts.

A demand now carries the unit: the size of one task, or of all that wait of a gang, of the team's first waiting job in rank that fits into the room that is spare and was not found without room on the workers; jobs that still lack permits count, since they ask only once a task of theirs fits into the allowance.

Tests: the unit by rank, size, gang, room and permit (cell_test), and in the report of an owner whose allowance is empty (owner_workflows_test).

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -375,7 +375,7 @@
   MonotonicTime snapshot_retry_{};
   MonotonicTime next_demand_{};
   MonotonicTime next_waiting_log_{};
-  std::map<TeamId, std::pair<Resources, Resources>> reported_;
+  std::map<TeamId, AllowanceDemand> reported_;
   std::optional<MonotonicTime> wake_;  // As last emitted.
 };
 
--- a/azurepass/partition/owner.cc
+++ b/azurepass/partition/owner.cc
@@ -243,10 +243,12 @@
     // More than there is room for cannot be used, whoever waits.
     const Resources wanted =
         committed + Resources::Min(cell_.QueuedOf(team), spare);
-    auto& last = reported_[team];
-    changed |= last != std::pair(committed, wanted);
-    last = {committed, wanted};
-    report.demands.push_back({team, committed, wanted});
+    AllowanceDemand demand{team, committed, wanted,
+                           cell_.NextUnitOf(team, spare)};
+    AllowanceDemand& last = reported_[team];
+    changed |= last != demand;
+    last = demand;
+    report.demands.push_back(std::move(demand));
   }
   if (!changed) {
     next_demand_ = now_ + kDemandLook;
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -482,6 +482,28 @@
   CHECK(teams == 2);  // The team, and the public one.
 }
 
+// An allowance below it starts nothing, so the book has to know it.
+TEST_CASE("a report of demands names what the next start takes") {
+  Driver d;
+  d.Do(AllowancesChanged{{{kTeam, Resources()}}});
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {Step(3)};
+  spec.steps[0].job.policy = GangPolicy{};
+  d.Submit(1, spec);
+  d.AppendAll();
+  d.now += seconds(1);
+  d.Do(Tick{});
+  CHECK(d.Starts().empty());
+  const std::vector<AllowanceDemand> demands = d.Last<ReportDemand>().demands;
+  const auto of_team =
+      std::find_if(demands.begin(), demands.end(),
+                   [](const auto& demand) { return demand.team == kTeam; });
+  REQUIRE(of_team != demands.end());
+  CHECK(of_team->unit == spec.steps[0].job.task * 3);
+  CHECK(of_team->wanted == of_team->unit);
+}
+
 TEST_CASE(
     "a worker that the list forgets keeps its tasks until its lease ends") {
   Driver d({"vm-0", "vm-1"});
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -410,6 +410,8 @@
   TeamId team;
   Resources committed;
   Resources wanted;  // Committed plus what waits and would fit.
+  Resources unit;    // What the next start takes, or zero.
+  bool operator==(const AllowanceDemand&) const = default;
 };
 // Of all teams, whenever one of them has changed: it replaces the one before.
 struct ReportDemand {
--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -39,6 +39,11 @@
       static_cast<int64_t>(static_cast<double>(full.count()) * part));
 }
 
+// What a start of the job takes: a task, or all that wait of a gang.
+Resources StartSizeOf(const Job& job) {
+  return job.spec.task * (job.is_gang() ? job.waiting : 1);
+}
+
 }  // namespace
 
 std::string_view WaitReasonName(WaitReason reason) {
@@ -393,6 +398,36 @@
   return index == kNone ? Resources() : state.teams[index].queued;
 }
 
+Resources Cell::NextUnitOf(const TeamId& id, const Resources& room) const {
+  const internal::CellState& state = impl_->state();
+  const Index team = state.teams.Find(id);
+  if (team == kNone) return Resources();
+  std::optional<WaitingRank> first;
+  Resources unit;
+  // Returns false when neither it nor those behind it can be the first.
+  const auto consider = [&](const Job& job) {
+    if (first && *first <= job.rank()) return false;
+    if (job.team != team || job.waiting == 0) return true;
+    const Resources size = StartSizeOf(job);
+    if (!size.FitsIn(room)) return true;
+    first = job.rank();
+    unit = size;
+    return false;
+  };
+  for (const internal::Team::Queue& queue : state.teams[team].queues) {
+    for (const auto& [order, lane] : queue.lanes) {
+      // Found without room: it is not the allowance that it lacks.
+      if (state.lanes[lane].settled) continue;
+      const Index job = state.lanes[lane].jobs.begin()->second;
+      if (!consider(state.jobs[job])) break;
+    }
+  }
+  for (const auto& [rank, job] : state.permit_waiters) {
+    if (state.jobs[job].lacks_permit() && !consider(state.jobs[job])) break;
+  }
+  return unit;
+}
+
 Resources Cell::AllowanceLeftOf(const TeamId& team) const {
   const internal::CellState& state = impl_->state();
   const Index index = state.teams.Find(team);
--- a/azurepass/placement/placement.h
+++ b/azurepass/placement/placement.h
@@ -351,6 +351,10 @@
   std::map<WaitReason, int64_t> WaitingByReason() const;
   Resources CommittedOf(const TeamId& team) const;
   Resources QueuedOf(const TeamId& team) const;  // Tasks that wait.
+  // What the team's next start takes of its allowance, if that fits in `room`:
+  // a task, or a whole gang, of the first in rank among its waiting jobs, those
+  // that lack permits among them. Zero when there is none.
+  Resources NextUnitOf(const TeamId& team, const Resources& room) const;
   // What the team may still commit here; below 0 after a lowered allowance.
   Resources AllowanceLeftOf(const TeamId& team) const;
   Resources CommittedOn(const VmId& vm) const;
--- a/azurepass/scheduling/internal/partition_task.cc
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -338,11 +338,12 @@
     demands.teams[team].limit = contract.upper_limit;
   }
   for (const auto& [team, committed] : owner_->status().committed) {
-    demands.teams[team].need = {committed, committed};
+    demands.teams[team].need = {committed, committed, {}};
   }
   for (const partition::AllowanceDemand& demand : report.demands) {
-    Resources& wanted = demands.teams[demand.team].need.wanted;
-    wanted = Resources::Max(wanted, demand.wanted);
+    escrow::Need& need = demands.teams[demand.team].need;
+    need.wanted = Resources::Max(need.wanted, demand.wanted);
+    need.unit = demand.unit;
   }
   for (auto& [team, demand] : demands.teams) {
     demand.bound = escrow::BoundOf(allowances_[team], demand.need.committed);
