--- a/azurepass/escrow/settle.cc
+++ b/azurepass/escrow/settle.cc
@@ -140,6 +140,7 @@
     bool settled = false;
     while (!settled) {
       std::vector<int64_t> wants;
+      wants.reserve(open.size());
       for (const Share* share : open) wants.push_back(share->wanted[d]);
       const std::vector<int64_t> parts =
           FairParts(std::max<int64_t>(0, left), wants);
