Placement: a gang that the budget put off is tried again

What callers saw: a gang without constraints that found no room, and for which there was room again, stayed queued for "no_room" until room for it grew once more, which may be never.

Cause: the count of what the gang may have gained moved its mark in the growth log to the end before the search. When the call's budget of starts or candidates was used up by others, the search was put off to the next call; that one saw a settled gang and nothing that grew since, and passed it over.

Evidence: the new test failed before, as the second call started nothing.

The gang counts as unsettled from the moment it may fit until it has been searched for.

--- a/azurepass/placement/internal/decider.cc
+++ b/azurepass/placement/internal/decider.cc
@@ -212,7 +212,10 @@
     lane.gained += TimesFits(lane.key.size, worker.free, kMaxTasksPerJob);
   });
   lane.checked = growth.end();
-  return lane.gained >= lane.missing ? Scope::kAll : Scope::kNothing;
+  if (lane.gained < lane.missing) return Scope::kNothing;
+  // Until it is searched for, which the budget may put off to a later call.
+  state_.Settle(lane, false);
+  return Scope::kAll;
 }
 
 // One that found no room has some again only where a worker grew that the job
--- a/azurepass/placement/waiting_test.cc
+++ b/azurepass/placement/waiting_test.cc
@@ -493,5 +493,59 @@
   Try({});
 }
 
+const Resources kOne(1, 1, 1'000, 1, 0);
+const Resources kFour(4, 4, 4'000, 4, 0);
+const TeamId kTeam("a");
+
+void AddWorker(Cell& cell, const char* vm, const Resources& capacity) {
+  cell.AddWorker({.vm = VmId(vm),
+                  .zone = ZoneId("z"),
+                  .rack = RackId("r"),
+                  .service = ServiceId("s"),
+                  .address = "",
+                  .capacity = capacity},
+                 WorkerAdmission::kOpen);
+}
+
+void AddJob(Cell& cell, const char* job, const TeamId& team,
+            const Policy& policy, int tasks, const Resources& size,
+            Priority priority = Priority::kNormal) {
+  JobSpec spec;
+  spec.queue = QueueId("q");
+  spec.policy = policy;
+  spec.tasks = tasks;
+  spec.task = size;
+  spec.priority = priority;
+  cell.AddJob(JobId(job), team, spec, kStart);
+}
+
+std::vector<JobId> StartedBy(Cell& cell, MonotonicTime now,
+                             const DecideBudget& budget = {}) {
+  std::vector<JobId> started;
+  for (const Decision& decision : cell.Decide(now, budget)) {
+    if (const auto* start = std::get_if<Start>(&decision)) {
+      started.push_back(start->task.job);
+    }
+  }
+  return started;
+}
+
+TEST_CASE("a gang that the budget put off starts with the next call") {
+  Cell cell{Options()};
+  cell.SetTeam(kTeam, {1, {ZoneId("z")}, kUnlimited});
+  AddWorker(cell, "w0", kFour);
+  AddJob(cell, "full", kTeam, BatchPolicy{}, 4, kOne);
+  CHECK(StartedBy(cell, kStart).size() == 4);
+  AddJob(cell, "gang", kTeam, GangPolicy{}, 3, kOne);
+  CHECK(StartedBy(cell, kStart).empty());
+  // Room for the gang, and for urgent work that leaves no start for it.
+  AddWorker(cell, "w1", kFour);
+  AddJob(cell, "urgent", kTeam, BatchPolicy{}, 1, kOne, Priority::kUrgent);
+  const DecideBudget budget{.starts = 3};
+  CHECK(StartedBy(cell, kStart, budget) == std::vector{JobId("urgent")});
+  CHECK(StartedBy(cell, kStart, budget) ==
+        std::vector<JobId>(3, JobId("gang")));
+}
+
 }  // namespace
 }  // namespace azurepass::placement
