Placement: blocked jobs do not use up the looks of every call

What callers saw: with more blocked gangs, scavengers and jobs of zones that are out than the budget of candidates covers, Decide ended each call early, began the next one with the same jobs, and never came to those behind them; it asked to be called again at once, for ever.

Cause: of such jobs nothing is remembered from search to search, so that each call looks at all workers for each of them, always in the same order.

A narrow job without permits that is not settled (its zones are out) is now checked against the workers that grew, as others are, instead of all.

--- a/azurepass/placement/internal/cell_state.cc
+++ b/azurepass/placement/internal/cell_state.cc
@@ -354,6 +354,7 @@
 
 void CellState::Forget(Lane& lane) {
   lane.checked = GrowthLog::kNever;
+  lane.stuck_sweep = 0;
   Settle(lane, false);
 }
 
--- a/azurepass/placement/internal/cell_state.h
+++ b/azurepass/placement/internal/cell_state.h
@@ -105,6 +105,10 @@
   // Of the passes over the queues, one for each priority in each call.
   int64_t passes = 0;
   int64_t starts = 0;  // Made so far.
+  // Calls of Decide that ran out of candidates, and the one that follows them,
+  // are one sweep. It looks once at each lane of which nothing is remembered,
+  // so that the first of these do not use up the candidates of every call.
+  int64_t sweep = 1;
   // Starts made by the end of the latest pass of a priority, and when a pass
   // last looked at all lanes.
   struct PassEnd {
--- a/azurepass/placement/internal/decider.cc
+++ b/azurepass/placement/internal/decider.cc
@@ -47,6 +47,7 @@
   if (!has_more_) RunPriority(Priority::kNormal);
   if (!has_more_) RunPriority(Priority::kLow);
   PlanReservations();
+  if (!out_of_candidates_) ++state_.sweep;
   return std::move(decisions_);
 }
 
@@ -128,6 +129,11 @@
       passes_over = true;
       continue;
     }
+    if (IsSwept(lane)) {
+      Block(index, lane.reason);
+      passes_over = true;
+      continue;
+    }
     const Turn turn = TryLane(index);  // Invalidates the loop when it started.
     if (turn == Turn::kStarted && passes_over) {
       queue.passed_pass = state_.passes;
@@ -162,6 +168,10 @@
   return !MayFitGrown(lane.key.size, std::max(lane.checked, queue.seen));
 }
 
+bool Decider::IsSwept(const Lane& lane) const {
+  return lane.checked == GrowthLog::kNever && lane.stuck_sweep == state_.sweep;
+}
+
 // Notes that the lane's turn came in this pass and found no room.
 void Decider::NoteBlocked(Index index) {
   Lane& lane = state_.lanes[index];
@@ -222,12 +232,14 @@
 // may take.
 Decider::Scope Decider::ScopeOfNarrow(const Lane& lane) const {
   const Job& job = state_.jobs[lane.jobs.begin()->second];
-  if (!job.permit_valid) return Scope::kAll;
+  const bool needs_permit = job.spec.constraints.needs_permit;
+  if (needs_permit && !job.permit_valid) return Scope::kAll;
   bool fits = false;
   state_.fleet.growth().ForEachSince(lane.checked, [&](Index w) {
-    fits = fits ||
-           (lane.key.size.FitsIn(state_.fleet.worker(w).free) &&
-            std::binary_search(job.permitted.begin(), job.permitted.end(), w));
+    fits =
+        fits || (lane.key.size.FitsIn(state_.fleet.worker(w).free) &&
+                 (!needs_permit || std::binary_search(job.permitted.begin(),
+                                                      job.permitted.end(), w)));
   });
   return fits ? Scope::kAll : Scope::kNothing;
 }
@@ -309,6 +321,7 @@
   Lane& lane = state_.lanes[index];
   lane.reason = reason;
   lane.stuck_pass = state_.passes;
+  lane.stuck_sweep = state_.sweep;
   if (reason == WaitReason::kAllowance && lane.key.narrow != 0 &&
       lane.key.priority == Priority::kUrgent) {
     over_allowance_.push_back(index);
@@ -355,7 +368,10 @@
     StartAll(job_index, found);
     return Turn::kStarted;
   }
-  if (found.out_of_budget) return Turn::kOutOfBudget;
+  if (found.out_of_budget) {
+    out_of_candidates_ = true;
+    return Turn::kOutOfBudget;
+  }
   const WaitReason reason = ReasonFor(team, found);
   Remember(state_.lanes[lane_index], scope, found, end);
   return Block(lane_index, reason);
--- a/azurepass/placement/internal/decider.h
+++ b/azurepass/placement/internal/decider.h
@@ -58,6 +58,8 @@
   bool IsSurelyBlocked(const Lane& lane) const;
   // False when no worker that grew since has room for `size`.
   bool MayFitGrown(const Resources& size, GrowthLog::Position since) const;
+  // True when an earlier call of this sweep looked at it in vain.
+  bool IsSwept(const Lane& lane) const;
   void NoteBlocked(Index lane);
   bool WasPassedOver(const Lane& lane) const;
   void Inherit(Lane& lane, const Job& job) const;
@@ -93,6 +95,7 @@
   bool full_pass_ = false;              // This pass looks at all lanes.
   std::vector<Index> candidates_;
   bool has_more_ = false;
+  bool out_of_candidates_ = false;
 };
 
 }  // namespace azurepass::placement::internal
--- a/azurepass/placement/internal/teams.h
+++ b/azurepass/placement/internal/teams.h
@@ -54,7 +54,8 @@
   // The search found no room and nothing that was held back, so that only
   // growth can change the verdict.
   bool settled = false;
-  int64_t stuck_pass = 0;  // The pass in which it last could not start.
+  int64_t stuck_pass = 0;   // The pass in which it last could not start.
+  int64_t stuck_sweep = 0;  // The same of sweeps; see CellState::sweep.
   // When and in which pass it first could not, since its last start.
   std::optional<MonotonicTime> blocked_since;
   int64_t blocked_pass = 0;
--- a/azurepass/placement/waiting_test.cc
+++ b/azurepass/placement/waiting_test.cc
@@ -493,6 +493,11 @@
   Try({});
 }
 
+TEST_CASE("whatever could start starts, a few looks at a time") {
+  // One look at a kind of job may take 64 workers in each of two zones.
+  Try({.budget = {.starts = 3, .candidates = 150}});
+}
+
 const Resources kOne(1, 1, 1'000, 1, 0);
 const Resources kFour(4, 4, 4'000, 4, 0);
 const TeamId kTeam("a");
