Placement: reserved room is used though an older job is ahead

What callers saw: room set aside for a job lay idle, up to 70 s (10 s until the reservation is due and 60 s beyond), while the job waited for "no_room" and others were kept from that room.

Cause: of jobs that are alike only the first is tried. The job with the reservation is no longer the first when an older one comes back, for example after a failure; the older one may not use the room, and the newer one was not tried.

When the first job of a kind finds no room, those of its kind that have a reservation are tried.

--- a/azurepass/placement/internal/decider.cc
+++ b/azurepass/placement/internal/decider.cc
@@ -334,6 +334,30 @@
   return Turn::kStuck;
 }
 
+Found Decider::Look(Index job_index, Scope scope) {
+  const Job& job = state_.jobs[job_index];
+  const Team& team = state_.teams[job.team];
+  if (job.is_narrow()) {
+    return narrow_.Find(job, job_index, team, state_.now, steps_);
+  }
+  return search_.Find(job, job_index, team, state_.now, steps_,
+                      scope == Scope::kCandidates ? &candidates_ : nullptr);
+}
+
+bool Decider::TryReserved(Index lane, Index first, Scope scope) {
+  for (const Reservation& held : state_.reservations.all()) {
+    const Job& job = state_.jobs[held.job];
+    if (held.job == first || job.lane != lane) continue;
+    if (job.is_expired(state_.now)) continue;
+    const Index index = held.job;
+    const Found found = Look(index, scope);
+    if (found.places.empty()) continue;
+    StartAll(index, found);  // Ends the reservation.
+    return true;
+  }
+  return false;
+}
+
 WaitReason Decider::ReasonFor(const Team& team, const Found& found) const {
   const bool any_open =
       std::any_of(team.zones.begin(), team.zones.end(), [&](Index zone) {
@@ -359,15 +383,14 @@
     return Block(lane_index, WaitReason::kAllowance);
   }
   const GrowthLog::Position end = state_.fleet.growth().end();
-  Found found =
-      job.is_narrow()
-          ? narrow_.Find(job, job_index, team, state_.now, steps_)
-          : search_.Find(job, job_index, team, state_.now, steps_,
-                         scope == Scope::kCandidates ? &candidates_ : nullptr);
+  Found found = Look(job_index, scope);
   if (!found.places.empty()) {
     StartAll(job_index, found);
     return Turn::kStarted;
   }
+  if (!found.out_of_budget && TryReserved(lane_index, job_index, scope)) {
+    return Turn::kStarted;
+  }
   if (found.out_of_budget) {
     out_of_candidates_ = true;
     return Turn::kOutOfBudget;
--- a/azurepass/placement/internal/decider.h
+++ b/azurepass/placement/internal/decider.h
@@ -64,6 +64,9 @@
   bool WasPassedOver(const Lane& lane) const;
   void Inherit(Lane& lane, const Job& job) const;
   Turn TryJob(Index lane, Index job, Scope scope);
+  Found Look(Index job, Scope scope);
+  // Starts a job of the lane that is not its first, in room reserved for it.
+  bool TryReserved(Index lane, Index first, Scope scope);
   // Puts the workers to look at into `candidates_`.
   Scope ScopeOf(Lane& lane);
   Scope ScopeOfGang(Lane& lane) const;
--- a/azurepass/placement/waiting_test.cc
+++ b/azurepass/placement/waiting_test.cc
@@ -498,6 +498,11 @@
   Try({.budget = {.starts = 3, .candidates = 150}});
 }
 
+TEST_CASE("whatever could start starts, reservations and quarantine apart") {
+  SUBCASE("without urgent work") { Try({.cautious = true}); }
+  SUBCASE("with urgent work") { Try({.cautious = true, .urgent = true}); }
+}
+
 const Resources kOne(1, 1, 1'000, 1, 0);
 const Resources kFour(4, 4, 4'000, 4, 0);
 const TeamId kTeam("a");
@@ -552,5 +557,27 @@
         std::vector<JobId>(3, JobId("gang")));
 }
 
+TEST_CASE("reserved room is used though an older job is ahead") {
+  const TeamId other("b");
+  Cell cell{Options()};
+  cell.SetTeam(kTeam, {3, {ZoneId("z")}, kUnlimited});
+  cell.SetTeam(other, {1, {ZoneId("z")}, kUnlimited});
+  AddWorker(cell, "w0", kFour);
+  AddJob(cell, "older", kTeam, BatchPolicy{}, 1, kFour, Priority::kUrgent);
+  REQUIRE(StartedBy(cell, kStart).size() == 1);
+  AddWorker(cell, "w1", kFour);
+  AddJob(cell, "gives way", other, BatchPolicy{}, 1, kFour);
+  REQUIRE(StartedBy(cell, kStart).size() == 1);
+  AddJob(cell, "newer", kTeam, BatchPolicy{}, 1, kFour, Priority::kUrgent);
+  const auto decisions = cell.Decide(kStart, {});
+  REQUIRE(decisions.size() == 1);  // Room on its way, reserved for the job.
+  REQUIRE(std::holds_alternative<Preempt>(decisions[0]));
+  cell.SetAdmission(VmId("w0"), WorkerAdmission::kClosed);
+  cell.Release({JobId("older"), 0}, AttemptOutcome::kStopped, true, kStart);
+  CHECK(StartedBy(cell, kStart).empty());
+  cell.Release({JobId("gives way"), 0}, AttemptOutcome::kStopped, true, kStart);
+  CHECK(StartedBy(cell, kStart) == std::vector{JobId("newer")});
+}
+
 }  // namespace
 }  // namespace azurepass::placement
