--- a/azurepass/placement/waiting_test.cc
+++ b/azurepass/placement/waiting_test.cc
@@ -478,13 +478,15 @@
   int last_job_ = 0;
 };
 
-constexpr uint64_t kSeeds = 150;
-constexpr int kCalls = 400;
+struct Length {
+  uint64_t seeds = 150;
+  int calls = 400;
+};
 
-void Try(const Kind& kind) {
-  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+void Try(const Kind& kind, const Length& length = {}) {
+  for (uint64_t seed = 1; seed <= length.seeds; ++seed) {
     CAPTURE(seed);
-    const std::string violation = World(seed, kind).Run(kCalls);
+    const std::string violation = World(seed, kind).Run(length.calls);
     REQUIRE(violation == "");
   }
 }
@@ -493,6 +495,11 @@
   Try({});
 }
 
+// So many workers grow that the log of these is begun anew several times.
+TEST_CASE("whatever could start starts, over a long time") {
+  Try({}, {.seeds = 4, .calls = 12'000});
+}
+
 TEST_CASE("whatever could start starts, a few looks at a time") {
   // One look at a kind of job may take 64 workers in each of two zones.
   Try({.budget = {.starts = 3, .candidates = 150}});
