Placement: a lasting task that failed is back within its users' bound

What callers saw: a task that lasts and fails now and then in a long life waited longer after each failure, at last for a minute, though there was room.

Cause: the back-off doubles with each failure of the task's whole life, and stops only at longest_backoff. For a task that lasts there is no last attempt, so that all of them get there.

After a sound run (30 s) the count of a lasting task begins anew; and while it fails at once its wait is bounded by longest_lasting_backoff, 3 s, half of the 6 s within which the users want it back.

--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -26,14 +26,14 @@
 namespace {
 
 // Before the n-th retry a task waits first_backoff * 2^(n-1), at most
-// longest_backoff, less a random part of up to half.
+// `longest`, less a random part of up to half.
 constexpr int kMaxDoublings = 6;
 constexpr uint8_t kMaxCounted = 250;  // Counters stop here.
 
-Duration BackoffOf(const Options& options, int retries, uint64_t random) {
+Duration BackoffOf(Duration first, Duration longest, int retries,
+                   uint64_t random) {
   const int doublings = std::clamp(retries - 1, 0, kMaxDoublings);
-  const Duration full = std::min(options.longest_backoff,
-                                 options.first_backoff * (1 << doublings));
+  const Duration full = std::min(longest, first * (1 << doublings));
   const double part = 0.5 + 0.5 * internal::UnitInterval(random);
   return Duration(
       static_cast<int64_t>(static_cast<double>(full.count()) * part));
@@ -149,6 +149,13 @@
                          MonotonicTime now) {
   Job& job = state_.jobs[ref.job];
   Task& task = job.tasks[ref.task];
+  const Options& options = state_.options;
+  const bool counts =
+      outcome == AttemptOutcome::kFailed || outcome == AttemptOutcome::kLost;
+  if (counts && job.spec.perpetual && now - task.since >= options.sound_run) {
+    task.failures = 0;
+    task.losses = 0;
+  }
   if (outcome == AttemptOutcome::kFailed && task.failures < kMaxCounted) {
     ++task.failures;
   }
@@ -157,19 +164,21 @@
   }
   // The first loss tells nothing about the task; later ones might.
   const int retries = task.failures + std::max(0, task.losses - 1);
-  const bool delayed = (outcome == AttemptOutcome::kFailed ||
-                        outcome == AttemptOutcome::kLost) &&
-                       retries > 0;
-  if (!delayed) {
+  if (!counts || retries == 0) {
     state_.Wait(ref);
     return;
   }
   task.no_token = false;
-  const uint64_t random = internal::MixBits(state_.options.seed) ^
+  const Duration longest =
+      job.spec.perpetual
+          ? std::min(options.longest_backoff, options.longest_lasting_backoff)
+          : options.longest_backoff;
+  const uint64_t random = internal::MixBits(options.seed) ^
                           static_cast<uint64_t>(job.number) << 24 ^
                           static_cast<uint64_t>(ref.task) << 8 ^
                           static_cast<uint64_t>(retries);
-  state_.Delay(ref, now + BackoffOf(state_.options, retries, random));
+  state_.Delay(
+      ref, now + BackoffOf(options.first_backoff, longest, retries, random));
 }
 
 void Cell::Impl::Release(const TaskId& id, AttemptOutcome outcome, bool requeue,
--- a/azurepass/placement/placement.h
+++ b/azurepass/placement/placement.h
@@ -98,6 +98,12 @@
   // A failed task waits so long before its next attempt, doubled each time.
   Duration first_backoff{1'000};
   Duration longest_backoff{60'000};
+  // The same bound for a task that lasts. It has to be back 6 s after its last
+  // end (the users' rule); half of that is left for permits and the start.
+  Duration longest_lasting_backoff{3'000};
+  // A task that lasts and ran for so long ran soundly: its earlier failures
+  // count no more. Ten times the longest wait, so that it is mostly at work.
+  Duration sound_run{30'000};
   // Bounds the retries to a part of the first starts; see retry_budget.h.
   bool bound_retries = true;
   // Tasks above a lowered allowance are stopped, or else run to their end.
