Placement: retries get their tokens in the order in which they were due

What callers saw: with the retry budget spent, one task got retry after retry while another like it waited for minutes.

Cause: a delayed task that found no token was delayed anew until the next one was expected, as all others were; which of them came first then was the order of a heap among equals.

Evidence: 40 tasks that fail at once, two tokens a second, 300 s: each should get its turn every 20 s; single tasks waited 155, 168 and 252 s. The new test failed so before.

Tasks whose back-off is over wait in one line for their tokens.

--- a/azurepass/placement/internal/cell_state.cc
+++ b/azurepass/placement/internal/cell_state.cc
@@ -197,30 +197,52 @@
   UpdateQueue(ref.job);
 }
 
+Task* CellState::Delayed(const internal::Delay& delay) {
+  Job& job = jobs[delay.ref.job];
+  if (job.number != delay.job_number) return nullptr;
+  Task& task = job.tasks[delay.ref.task];
+  const bool same = task.phase == TaskPhase::kDelayed && task.since == delay.at;
+  return same ? &task : nullptr;
+}
+
+void CellState::EndDelay(const internal::Delay& delay) {
+  Job& job = jobs[delay.ref.job];
+  job.tasks[delay.ref.task].no_token = false;
+  --job.delayed;
+  --teams[job.team].waiting;
+  teams[job.team].queued -= job.spec.task;
+  --queued;
+  Wait(delay.ref);
+}
+
 void CellState::EndDelays(MonotonicTime at) {
   while (!delays_.empty() && delays_.top().at <= at) {
     const internal::Delay due = delays_.top();
     delays_.pop();
-    Job& job = jobs[due.ref.job];
-    if (job.number != due.job_number) continue;
-    Task& task = job.tasks[due.ref.task];
-    if (task.phase != TaskPhase::kDelayed || task.since != due.at) continue;
-    --job.delayed;
-    --teams[job.team].waiting;
-    teams[job.team].queued -= job.spec.task;
-    --queued;
-    task.no_token = options.bound_retries && !retry_budget.Take(at);
-    if (task.no_token) {
-      Delay(due.ref, at + retry_budget.UntilNext());
+    Task* task = Delayed(due);
+    if (task == nullptr) continue;
+    if (options.bound_retries) {
+      task->no_token = true;
+      token_waiters_.push_back(due);
     } else {
-      Wait(due.ref);
+      EndDelay(due);
     }
   }
+  while (!token_waiters_.empty()) {
+    const internal::Delay first = token_waiters_.front();
+    const bool stale = Delayed(first) == nullptr;
+    if (!stale && !retry_budget.Take(at)) return;
+    token_waiters_.pop_front();
+    if (!stale) EndDelay(first);
+  }
 }
 
 std::optional<MonotonicTime> CellState::NextDelay() const {
-  if (delays_.empty()) return std::nullopt;
-  return delays_.top().at;
+  std::optional<MonotonicTime> next;
+  if (!delays_.empty()) next = delays_.top().at;
+  if (token_waiters_.empty()) return next;
+  const MonotonicTime token = retry_budget.Next();
+  return next ? std::min(*next, token) : token;
 }
 
 void CellState::EndTiers(MonotonicTime at) {
--- a/azurepass/placement/internal/cell_state.h
+++ b/azurepass/placement/internal/cell_state.h
@@ -118,6 +118,9 @@
   PassEnd pass_end[kPriorities];
 
  private:
+  // The task whose delay this is; nullptr when it is stale.
+  Task* Delayed(const internal::Delay& delay);
+  void EndDelay(const internal::Delay& delay);
   void UpdatePermitWaiters(Index job);
   void Enqueue(Index job);
   void Dequeue(Index job);
@@ -133,6 +136,9 @@
   std::priority_queue<internal::Delay, std::vector<internal::Delay>,
                       std::greater<>>
       delays_;
+  // Delays that are over but for a retry token, the first to be due in front.
+  // Invariant: the budget was asked for a token since the last one was added.
+  std::deque<internal::Delay> token_waiters_;
   // Something of a job ends; stale when the job's number differs.
   struct End {
     MonotonicTime at;
--- a/azurepass/placement/internal/retry_budget.h
+++ b/azurepass/placement/internal/retry_budget.h
@@ -26,10 +26,10 @@
     return true;
   }
 
-  // How long until the trickle alone has made the next token.
-  Duration UntilNext() const {
+  // When the trickle alone has made the next token. Requires a Take before.
+  MonotonicTime Next() const {
     const double seconds = std::max(0.0, 1 - tokens_) / kTokensPerSecond;
-    return Duration(static_cast<int64_t>(seconds * 1'000) + 1);
+    return *refilled_ + Duration(static_cast<int64_t>(seconds * 1'000) + 1);
   }
 
  private:
--- a/azurepass/placement/retry_test.cc
+++ b/azurepass/placement/retry_test.cc
@@ -3,9 +3,11 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "azurepass/placement/placement.h"
 
 namespace azurepass::placement {
@@ -135,5 +137,57 @@
   }
 }
 
+// All tasks of the jobs "fails" end at once, again and again.
+class FailingCell : public Fixture {
+ public:
+  FailingCell(int jobs, int tasks) : Fixture({.longest_backoff = seconds(1)}) {
+    for (int j = 0; j < jobs; ++j) Add(absl::StrCat("fails", j), tasks);
+  }
+
+  // Goes on until `until`; keeps the longest wait of each task.
+  void Run(MonotonicTime until) {
+    while (now < until) {
+      for (const TaskId& task : Starts()) {
+        if (const auto it = failed_.find(task); it != failed_.end()) {
+          longest[task] = std::max(longest[task],
+                                   duration_cast<Duration>(now - it->second));
+          failed_.erase(it);
+        }
+        if (task.job == JobId("sound")) continue;
+        Fail(task);
+        failed_[task] = now;
+      }
+      now += milliseconds(10);
+    }
+    // What still waits counts as well.
+    for (const auto& [task, at] : failed_) {
+      longest[task] =
+          std::max(longest[task], duration_cast<Duration>(now - at));
+    }
+  }
+  void FailSound(const TaskId& task) {
+    Fail(task);
+    failed_[task] = now;
+  }
+
+  std::map<TaskId, Duration> longest;
+
+ private:
+  std::map<TaskId, MonotonicTime> failed_;
+};
+
+TEST_CASE("retries take their turns") {
+  constexpr int kTasks = 40;
+  constexpr int kRetriesPerSecond = 2;  // When all tokens are spent.
+  FailingCell f(1, kTasks);
+  f.Run(kStart + seconds(300));
+  REQUIRE(f.longest.size() == kTasks);
+  const auto turn = seconds(kTasks / kRetriesPerSecond);
+  for (const auto& [task, waited] : f.longest) {
+    CAPTURE(task.index);
+    CHECK(waited <= turn + seconds(2));
+  }
+}
+
 }  // namespace
 }  // namespace azurepass::placement
