Placement: failures of others do not keep sound work from its retry

What callers saw: a task that failed once waited for a retry token as long as other jobs went on failing, in a cell with room.

Cause: the retry budget is the whole cell's, and each retry took a token, that of sound work as well as that of a job that fails wherever it runs.

Evidence: 300 jobs of one task, or ten of forty, that fail at once, and one sound job that fails once 30 s later: it did not start in the 30 s that were watched. The new test failed so before.

Only jobs that failed more than twice, and more often than they succeeded, take tokens; work that lasts takes none, as its back-off bounds it and there is no more of it than there is room for. A second test holds that jobs that always fail stay within the budget and two retries each.

--- a/azurepass/placement/internal/cell_state.cc
+++ b/azurepass/placement/internal/cell_state.cc
@@ -221,7 +221,7 @@
     delays_.pop();
     Task* task = Delayed(due);
     if (task == nullptr) continue;
-    if (options.bound_retries) {
+    if (options.bound_retries && RetryBudget::Bounds(jobs[due.ref.job])) {
       task->no_token = true;
       token_waiters_.push_back(due);
     } else {
--- a/azurepass/placement/internal/retry_budget.h
+++ b/azurepass/placement/internal/retry_budget.h
@@ -1,16 +1,20 @@
 // Bounds the retries of the whole cell to a fraction of its first starts, so
-// that a job which fails wherever it runs cannot fill the fleet with its own
+// that jobs which fail wherever they run cannot fill the fleet with their own
 // repetitions. A bucket of tokens: each first start adds kTokensPerStart, time
 // adds a trickle so that a cell with little traffic still retries, and each
-// retry takes one.
+// retry of such a job takes one. Others retry without: a job that failed little
+// or succeeds more often than not, and work that lasts, of which there is no
+// more than there is room for.
 
 #ifndef AZUREPASS_PLACEMENT_INTERNAL_RETRY_BUDGET_H_
 #define AZUREPASS_PLACEMENT_INTERNAL_RETRY_BUDGET_H_
 
 #include <algorithm>
+#include <cstdint>
 #include <optional>
 
 #include "azurepass/core/core.h"
+#include "azurepass/placement/internal/job.h"
 
 namespace azurepass::placement::internal {
 
@@ -18,6 +22,12 @@
  public:
   void OnFirstStart() { Add(kTokensPerStart); }
 
+  // Whether the job's retries take tokens.
+  static bool Bounds(const Job& job) {
+    return !job.spec.perpetual && job.outcomes.failures > kFreeFailures &&
+           job.outcomes.failures > job.outcomes.successes;
+  }
+
   // Takes one token; false when there is none at `now`.
   bool Take(MonotonicTime now) {
     Refill(now);
@@ -33,6 +43,8 @@
   }
 
  private:
+  // Of a job: what a bad worker may do to a sound one before it is found out.
+  static constexpr int32_t kFreeFailures = 2;
   static constexpr double kTokensPerStart = 0.1;
   static constexpr double kTokensPerSecond = 2;
   static constexpr double kMaxTokens = 100;
--- a/azurepass/placement/retry_test.cc
+++ b/azurepass/placement/retry_test.cc
@@ -152,6 +152,7 @@
           longest[task] = std::max(longest[task],
                                    duration_cast<Duration>(now - it->second));
           failed_.erase(it);
+          ++retries;
         }
         if (task.job == JobId("sound")) continue;
         Fail(task);
@@ -171,11 +172,45 @@
   }
 
   std::map<TaskId, Duration> longest;
+  int64_t retries = 0;
 
  private:
   std::map<TaskId, MonotonicTime> failed_;
 };
 
+TEST_CASE("failures of others do not keep sound work from its retry") {
+  struct Row {
+    int jobs;
+    int tasks;
+  };
+  for (const Row& row : {Row{1, 300}, Row{300, 1}, Row{10, 40}}) {
+    CAPTURE(row.jobs);
+    FailingCell f(row.jobs, row.tasks);
+    f.Add("sound", 1);
+    const TaskId sound{JobId("sound"), 0};
+    f.Run(kStart + seconds(30));
+    f.FailSound(sound);
+    f.Run(kStart + seconds(60));
+    CHECK(f.longest.at(sound) <= kBackWithin);
+  }
+}
+
+// What the budget is there for.
+TEST_CASE("jobs that always fail do not fill the cell with their retries") {
+  struct Row {
+    int jobs;
+    int tasks;
+  };
+  for (const Row& row : {Row{1, 300}, Row{300, 1}, Row{10, 40}}) {
+    CAPTURE(row.jobs);
+    FailingCell f(row.jobs, row.tasks);
+    f.Run(kStart + seconds(60));
+    // Two of each job; the bucket; a tenth of the first starts; two a second.
+    const int first_starts = row.jobs * row.tasks;
+    CHECK(f.retries <= 2 * row.jobs + 100 + first_starts / 10 + 2 * 60);
+  }
+}
+
 TEST_CASE("retries take their turns") {
   constexpr int kTasks = 40;
   constexpr int kRetriesPerSecond = 2;  // When all tokens are spent.
