Placement: room reserved for a job that may not start is given back

What callers saw: a task that was stopped to make room for an urgent one waited 70 s for "no_room" beside an empty worker, and nobody else ran there either.

Cause: room set aside for a job is kept until 60 s after it was due (10 s for urgent work), even where the job cannot use it: because its team's allowance here is gone, or its team's zones were changed.

A reservation whose job could not start for a second, whatever room it has, is dropped; one with a worker outside its team's zones is dropped at once. A second, since an allowance that is moved between partitions may be gone for a moment, and a gang would lose what was drained for it.

--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -219,7 +219,7 @@
   add(state_.NextDelay());
   add(state_.fleet.NextChange());
   for (const internal::Reservation& held : state_.reservations.all()) {
-    add(held.ends);
+    add(held.EndsAt());
   }
   if (!state_.checkpoints.empty()) {
     add(state_.checkpoints.front().since + state_.options.checkpoint_grace);
--- a/azurepass/placement/internal/decider.cc
+++ b/azurepass/placement/internal/decider.cc
@@ -504,19 +504,33 @@
   }
 }
 
-// Drops reservations that can no longer be kept or are long overdue.
+bool Decider::MayStart(Index index) const {
+  const Job& job = state_.jobs[index];
+  if (job.lane == kNone || job.is_expired(state_.now)) return false;
+  const Team& team = state_.teams[job.team];
+  const int32_t tasks = job.is_gang() ? job.waiting : 1;
+  return (team.committed + job.spec.task * tasks).FitsIn(team.terms.allowance);
+}
+
+bool Decider::IsUsable(Index index, const Team& team) const {
+  const Worker& worker = state_.fleet.worker(index);
+  return state_.fleet.IsOpen(worker) &&
+         state_.fleet.zone(worker.zone).in_service &&
+         std::find(team.zones.begin(), team.zones.end(), worker.zone) !=
+             team.zones.end();
+}
+
+// Drops reservations that can no longer be kept, that their jobs cannot use, or
+// that are long overdue.
 void Decider::ReviewReservations() {
+  state_.reservations.NoteIdle(state_.now,
+                               [&](Index job) { return MayStart(job); });
   std::vector<Index> void_ones;
   for (const Reservation& held : state_.reservations.all()) {
-    const bool usable =
-        std::all_of(held.workers.begin(), held.workers.end(), [&](Index w) {
-          const Worker& worker = state_.fleet.worker(w);
-          return state_.fleet.IsOpen(worker) &&
-                 state_.fleet.zone(worker.zone).in_service;
-        });
-    if (!usable || state_.now >= held.ends) {
-      void_ones.push_back(held.job);
-    }
+    const Team& team = state_.teams[state_.jobs[held.job].team];
+    const bool usable = std::all_of(held.workers.begin(), held.workers.end(),
+                                    [&](Index w) { return IsUsable(w, team); });
+    if (!usable || state_.now >= held.EndsAt()) void_ones.push_back(held.job);
   }
   for (Index job : void_ones) state_.DropReservation(job);
 }
--- a/azurepass/placement/internal/decider.h
+++ b/azurepass/placement/internal/decider.h
@@ -81,6 +81,10 @@
   void MakeRoomForUrgent();
   void MakeAllowanceForUrgent();
   void ReviewReservations();
+  // True when the job could start a task if there were room for it.
+  bool MayStart(Index job) const;
+  // True when the job may use the worker, its room apart.
+  bool IsUsable(Index worker, const Team& team) const;
   void PlanReservations();
   bool Plan(Index lane);
 
--- a/azurepass/placement/internal/reservations.cc
+++ b/azurepass/placement/internal/reservations.cc
@@ -51,7 +51,8 @@
                     .urgent = job.is_urgent(),
                     .due = places[0].at,
                     .ends = places[0].at + overdue,
-                    .workers = {}});
+                    .workers = {},
+                    .idle_since = std::nullopt});
   }
   auto it = std::find_if(
       all_.begin(), all_.end(),
--- a/azurepass/placement/internal/reservations.h
+++ b/azurepass/placement/internal/reservations.h
@@ -14,6 +14,8 @@
 #ifndef AZUREPASS_PLACEMENT_INTERNAL_RESERVATIONS_H_
 #define AZUREPASS_PLACEMENT_INTERNAL_RESERVATIONS_H_
 
+#include <algorithm>
+#include <optional>
 #include <vector>
 
 #include "azurepass/placement/internal/fleet.h"
@@ -29,6 +31,14 @@
   MonotonicTime due;    // When all of its room is expected to be free.
   MonotonicTime ends;   // Given up then, to be planned anew.
   std::vector<Index> workers;
+  // Since when the job could not start whatever room it has.
+  std::optional<MonotonicTime> idle_since;
+
+  // An allowance may be gone for a moment; longer, and others use the room.
+  static constexpr Duration kLongestIdle{1'000};
+  MonotonicTime EndsAt() const {
+    return idle_since ? std::min(ends, *idle_since + kLongestIdle) : ends;
+  }
 };
 
 // Where a task of a plan would go, and when.
@@ -58,6 +68,17 @@
   // aside for it, there when there is some, else elsewhere.
   void OnStarted(Fleet& fleet, Job& job, Index job_index, Index worker);
   void Drop(Fleet& fleet, Job& job, Index job_index);
+  // Notes for each whether its job could start at `now`, room apart.
+  template <class MayStart>
+  void NoteIdle(MonotonicTime now, MayStart may_start) {
+    for (Reservation& held : all_) {
+      if (may_start(held.job)) {
+        held.idle_since.reset();
+      } else if (!held.idle_since) {
+        held.idle_since = now;
+      }
+    }
+  }
 
  private:
   void Forget(Job& job, Index job_index);
--- a/azurepass/placement/waiting_test.cc
+++ b/azurepass/placement/waiting_test.cc
@@ -547,6 +547,20 @@
   return started;
 }
 
+// Goes on from wake to wake until the job starts. Returns how long it took.
+Duration UntilStarted(Cell& cell, const char* job) {
+  MonotonicTime now = kStart;
+  for (;;) {
+    const std::vector<JobId> started = StartedBy(cell, now);
+    if (std::count(started.begin(), started.end(), JobId(job)) > 0) {
+      return std::chrono::duration_cast<Duration>(now - kStart);
+    }
+    const auto wake = cell.NextWake();
+    REQUIRE(wake.has_value());
+    now = std::max(*wake, now + milliseconds(1));
+  }
+}
+
 TEST_CASE("a gang that the budget put off starts with the next call") {
   Cell cell{Options()};
   cell.SetTeam(kTeam, {1, {ZoneId("z")}, kUnlimited});
@@ -564,6 +578,36 @@
         std::vector<JobId>(3, JobId("gang")));
 }
 
+TEST_CASE("room reserved for a job that may not start is given back") {
+  const TeamId other("b");
+  Cell cell{Options()};
+  const TeamTerms terms{3, {ZoneId("z")}, kUnlimited};
+  cell.SetTeam(kTeam, terms);
+  cell.SetTeam(other, terms);
+  AddWorker(cell, "w0", kFour);
+  AddJob(cell, "gives way", other, BatchPolicy{}, 1, kFour);
+  REQUIRE(StartedBy(cell, kStart).size() == 1);
+  bool zone_gone = false;
+  Duration longest{0};  // Until the other is back.
+  SUBCASE("for want of allowance") { longest = Duration(1'000); }
+  SUBCASE("in a zone that it may not use any more") { zone_gone = true; }
+  JobSpec spec;
+  spec.queue = QueueId("q");
+  spec.task = kFour;
+  spec.priority = Priority::kUrgent;
+  cell.AddJob(JobId("urgent"), kTeam, spec, kStart);
+  const auto decisions = cell.Decide(kStart, {});
+  REQUIRE(decisions.size() == 1);
+  REQUIRE(std::holds_alternative<Preempt>(decisions[0]));
+  if (zone_gone) {
+    cell.SetTeam(kTeam, {3, {}, kUnlimited});
+  } else {
+    cell.SetTeam(kTeam, {3, {ZoneId("z")}, kOne});
+  }
+  cell.Release({JobId("gives way"), 0}, AttemptOutcome::kStopped, true, kStart);
+  CHECK(UntilStarted(cell, "gives way") <= longest);
+}
+
 TEST_CASE("reserved room is used though an older job is ahead") {
   const TeamId other("b");
   Cell cell{Options()};
