Placement: Cell wakes its caller when a reservation ends as overdue

What callers saw: room that was reserved for a job stayed unused after the job had become overdue, until something else called Decide.

Cause: an overdue job loses its reservation, but NextWake named only the reservation's own end.

Evidence: the new test failed before: the task started after 10 s, at the next wake of another kind, instead of 2 s.

--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -220,6 +220,11 @@
   add(state_.fleet.NextChange());
   for (const internal::Reservation& held : state_.reservations.all()) {
     add(held.EndsAt());
+    // It is given up when its job is overdue.
+    const Job& job = state_.jobs[held.job];
+    if (job.start_by && job.tier != internal::Tier::kOverdue) {
+      add(job.start_by->late);
+    }
   }
   if (!state_.checkpoints.empty()) {
     add(state_.checkpoints.front().since + state_.options.checkpoint_grace);
--- a/azurepass/placement/waiting_test.cc
+++ b/azurepass/placement/waiting_test.cc
@@ -608,6 +608,25 @@
   CHECK(UntilStarted(cell, "gives way") <= longest);
 }
 
+TEST_CASE("room reserved for a job is given back when that is overdue") {
+  const TeamId other("b");
+  Cell cell{Options()};
+  cell.SetTeam(kTeam, {3, {ZoneId("z")}, kUnlimited});
+  cell.SetTeam(other, {1, {ZoneId("z")}, kUnlimited});
+  AddWorker(cell, "w0", kFour);
+  AddJob(cell, "gives way", other, BatchPolicy{}, 1, kOne * 3);
+  REQUIRE(StartedBy(cell, kStart).size() == 1);
+  JobSpec spec;
+  spec.queue = QueueId("q");
+  spec.task = kFour;
+  spec.priority = Priority::kUrgent;
+  cell.AddJob(JobId("urgent"), kTeam, spec, kStart,
+              StartBy{kStart + seconds(1), kStart + seconds(2)});
+  REQUIRE(cell.Decide(kStart, {}).size() == 1);  // What is to leave stays.
+  AddJob(cell, "small", other, BatchPolicy{}, 1, kOne);
+  CHECK(UntilStarted(cell, "small") <= seconds(2));
+}
+
 TEST_CASE("reserved room is used though an older job is ahead") {
   const TeamId other("b");
   Cell cell{Options()};
