--- a/azurepass/placement/retry_test.cc
+++ b/azurepass/placement/retry_test.cc
@@ -218,9 +218,9 @@
   f.Run(kStart + seconds(300));
   REQUIRE(f.longest.size() == kTasks);
   const auto turn = seconds(kTasks / kRetriesPerSecond);
-  for (const auto& [task, waited] : f.longest) {
-    CAPTURE(task.index);
-    CHECK(waited <= turn + seconds(2));
+  for (const auto& entry : f.longest) {
+    CAPTURE(entry.first.index);
+    CHECK(entry.second <= turn + seconds(2));
   }
 }
 
--- a/azurepass/placement/waiting_test.cc
+++ b/azurepass/placement/waiting_test.cc
@@ -119,8 +119,8 @@
     spec.zone = zones_[zone].first;
     spec.rack = RackId(absl::StrCat("r", zone, "-", (w / 2) % 2));
     spec.service = ServiceId("s");
-    spec.capacity =
-        Resources(4 + Below(5), 1'000, 4'000 * (1 + Below(4)), 1'000, Below(3));
+    spec.capacity = Resources(4 + Below(5), 1'000,
+                              int64_t{4'000} * (1 + Below(4)), 1'000, Below(3));
     spec.labels.clear();
     if (OneIn(2)) spec.labels.push_back(kLabel);
   }
@@ -134,7 +134,7 @@
     }
     terms.allowance = kUnlimited;
     if (!OneIn(3)) {
-      terms.allowance[Dimension::kMillicores] = 2'000 * Below(20);
+      terms.allowance[Dimension::kMillicores] = int64_t{2'000} * Below(20);
     }
     cell_.SetTeam(TeamId(absl::StrCat("t", t)), terms);
   }
@@ -148,7 +148,8 @@
     // Nothing is ever learned of its run time, so it is not backfilled.
     spec.queue = QueueId(id.value());
     spec.tasks = 1 + Below(4);
-    spec.task = Resources(1, 1, 1'000 * (1 + Below(6)), 1, OneIn(5) ? 1 : 0);
+    spec.task =
+        Resources(1, 1, int64_t{1'000} * (1 + Below(6)), 1, OneIn(5) ? 1 : 0);
     spec.priority = OneIn(3) ? Priority::kLow : Priority::kNormal;
     if (kind_.urgent && OneIn(4)) spec.priority = Priority::kUrgent;
     spec.repeatable = !OneIn(5);
@@ -219,7 +220,7 @@
   void End() {
     const std::vector<TaskId> held = Held();
     if (held.empty()) return;
-    const TaskId id = held[Below(static_cast<int>(held.size()))];
+    const TaskId& id = held[Below(static_cast<int>(held.size()))];
     ModelJob& job = jobs_[id.job];
     ModelTask& task = job.tasks[id.index];
     constexpr AttemptOutcome kOutcomes[] = {
