Placement: narrow jobs are not starved by smaller ones either

What callers saw: a job with a label or a bound on each worker, one that lasts or an atomic gang stayed queued as long as small tasks of later jobs kept coming, with room for it in sum but on no one worker.

Cause: the reservation that keeps a job from being passed over for ever was never planned for narrow jobs, since the planner knew nothing of which workers they may take.

Evidence: the new test failed before in all four cases: large tasks had not started after 60 s of small ones.

The planner looks at the workers that the job may take, and counts its bound on each. It also leaves out tasks that last when it expects room, and counts of a scavenger the room that it takes. Not planned for: urgent narrow jobs, which make room for themselves; scavengers; and jobs with permits, which are in the queue only while a permit of 2 s is valid, and are asked about only where there is room already.

--- a/azurepass/placement/internal/decider.cc
+++ b/azurepass/placement/internal/decider.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <tuple>
 
 namespace azurepass::placement::internal {
@@ -184,17 +185,20 @@
     lane.blocked_since = state_.now;
     lane.blocked_pass = state_.passes;
   }
-  if (lane.key.narrow != 0) {
-    if (lane.key.priority == Priority::kUrgent) stuck_urgent_.push_back(index);
-    return;
-  }
-  if (WasPassedOver(lane) &&
+  if (MayReserve(lane) && WasPassedOver(lane) &&
       state_.now - *lane.blocked_since >= state_.options.reservation_after) {
     starving_.push_back(index);
   }
   if (lane.key.priority == Priority::kUrgent) stuck_urgent_.push_back(index);
 }
 
+bool Decider::MayReserve(const Lane& lane) const {
+  if (lane.key.narrow == 0) return true;
+  const JobSpec& spec = state_.jobs[lane.jobs.begin()->second].spec;
+  return lane.key.priority != Priority::kUrgent &&
+         !spec.constraints.needs_permit && !spec.scavenger;
+}
+
 bool Decider::WasPassedOver(const Lane& lane) const {
   const Team::Queue& queue = state_.teams[lane.team].queue(lane.key.priority);
   return lane.blocked_since && queue.passed_pass > lane.blocked_pass;
@@ -544,8 +548,11 @@
   if (job.reserved) return false;
   const ReservationPlanner planner(state_.fleet, state_.jobs, state_.run_times);
   const int32_t tasks = job.is_gang() ? job.waiting : 1;
+  const Team& of = state_.teams[job.team];
+  std::optional<std::vector<Index>> only;
+  if (job.is_narrow()) only = narrow_.Eligible(job, of, state_.now);
   std::vector<PlannedPlace> places =
-      planner.Plan(state_.teams[job.team], job, tasks, state_.now);
+      planner.Plan(of, job, tasks, state_.now, only);
   if (static_cast<int32_t>(places.size()) < tasks) {
     lane.blocked_since = state_.now;  // Tries again after as long.
     return false;
--- a/azurepass/placement/internal/decider.h
+++ b/azurepass/placement/internal/decider.h
@@ -61,6 +61,9 @@
   // True when an earlier call of this sweep looked at it in vain.
   bool IsSwept(const Lane& lane) const;
   void NoteBlocked(Index lane);
+  // Of narrow jobs not those that make room for themselves, whose permits end
+  // sooner than room drains, or that take what others leave.
+  bool MayReserve(const Lane& lane) const;
   bool WasPassedOver(const Lane& lane) const;
   void Inherit(Lane& lane, const Job& job) const;
   Turn TryJob(Index lane, Index job, Scope scope);
--- a/azurepass/placement/internal/reservations.cc
+++ b/azurepass/placement/internal/reservations.cc
@@ -108,9 +108,8 @@
   std::vector<std::pair<MonotonicTime, Resources>> ends;
   for (const TaskRef& ref : worker.tasks) {
     const Job& job = jobs_[ref.job];
-    if (job.is_service()) continue;
-    ends.emplace_back(ExpectedEnd(job, job.tasks[ref.task], now),
-                      job.spec.task);
+    if (job.is_service() || job.spec.perpetual) continue;
+    ends.emplace_back(ExpectedEnd(job, job.tasks[ref.task], now), job.room());
   }
   std::sort(ends.begin(), ends.end(),
             [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -129,18 +128,19 @@
   }
 }
 
-std::vector<PlannedPlace> ReservationPlanner::Plan(const Team& team,
-                                                   const Job& job,
-                                                   int32_t tasks,
-                                                   MonotonicTime now) const {
+std::vector<PlannedPlace> ReservationPlanner::Plan(
+    const Team& team, const Job& job, int32_t tasks, MonotonicTime now,
+    const std::optional<std::vector<Index>>& only) const {
   std::vector<PlannedPlace> places;
-  const auto workers = static_cast<int64_t>(fleet_.workers().size());
+  const auto workers =
+      static_cast<int64_t>(only ? only->size() : fleet_.workers().size());
   const int64_t budget = std::min<int64_t>(
       workers, std::max(kPlanWorkers, kPlanWorkersPerTask * tasks));
   // Spread the plans over the fleet when it is larger than the budget.
   const int64_t first = workers > budget ? (job.number * budget) % workers : 0;
   for (int64_t i = 0; i < budget; ++i) {
-    const auto index = static_cast<Index>((first + i) % workers);
+    const int64_t position = (first + i) % workers;
+    const Index index = only ? (*only)[position] : static_cast<Index>(position);
     const Worker& worker = fleet_.worker(index);
     if (!fleet_.IsOpen(worker) || worker.reserved_by != kNone) continue;
     if (worker.health.state != HealthState::kInService) continue;
@@ -149,7 +149,13 @@
         team.zones.end()) {
       continue;
     }
-    AddPlaces(index, job.spec.task, tasks, now, places);
+    int32_t most = tasks;
+    if (const int32_t bound = job.spec.constraints.max_per_worker; bound > 0) {
+      const auto here = job.on_workers.find(index);
+      most = std::min(
+          most, bound - (here == job.on_workers.end() ? 0 : here->second));
+    }
+    AddPlaces(index, job.spec.task, most, now, places);
   }
   std::stable_sort(
       places.begin(), places.end(),
--- a/azurepass/placement/internal/reservations.h
+++ b/azurepass/placement/internal/reservations.h
@@ -94,8 +94,10 @@
                      const RunTimes& run_times)
       : fleet_(fleet), jobs_(jobs), run_times_(run_times) {}
 
-  std::vector<PlannedPlace> Plan(const Team& team, const Job& job,
-                                 int32_t tasks, MonotonicTime now) const;
+  // With `only`, looks at those workers and no others.
+  std::vector<PlannedPlace> Plan(
+      const Team& team, const Job& job, int32_t tasks, MonotonicTime now,
+      const std::optional<std::vector<Index>>& only) const;
 
  private:
   // Adds the times at which `worker` has room for one, two, ... more tasks.
--- a/azurepass/placement/waiting_test.cc
+++ b/azurepass/placement/waiting_test.cc
@@ -12,6 +12,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -515,13 +516,15 @@
 const Resources kFour(4, 4, 4'000, 4, 0);
 const TeamId kTeam("a");
 
-void AddWorker(Cell& cell, const char* vm, const Resources& capacity) {
+void AddWorker(Cell& cell, const char* vm, const Resources& capacity,
+               const std::string& label = "") {
   cell.AddWorker({.vm = VmId(vm),
                   .zone = ZoneId("z"),
                   .rack = RackId("r"),
                   .service = ServiceId("s"),
                   .address = "",
-                  .capacity = capacity},
+                  .capacity = capacity,
+                  .labels = {label}},
                  WorkerAdmission::kOpen);
 }
 
@@ -579,6 +582,48 @@
         std::vector<JobId>(3, JobId("gang")));
 }
 
+// Small tasks end and others come, so that no worker is ever empty by itself.
+TEST_CASE("a narrow job is not starved by small tasks that keep coming") {
+  JobSpec large;
+  large.queue = QueueId("q");
+  large.task = kFour;
+  large.tasks = 2;
+  SUBCASE("one that lasts") {
+    large.perpetual = true;
+    large.policy = ServicePolicy{};
+  }
+  SUBCASE("one with a label") { large.constraints.label = kLabel; }
+  SUBCASE("one with a bound on each worker") {
+    large.constraints.max_per_worker = 1;
+  }
+  SUBCASE("an atomic gang") { large.policy = GangPolicy{.atomic = true}; }
+  Cell cell{Options()};
+  cell.SetTeam(kTeam, {1, {ZoneId("z")}, kUnlimited});
+  for (const char* vm : {"w0", "w1", "w2"}) AddWorker(cell, vm, kFour, kLabel);
+  AddJob(cell, "small", kTeam, BatchPolicy{}, 13, kOne);
+  std::deque<TaskId> running;
+  MonotonicTime now = kStart;
+  std::optional<MonotonicTime> started;
+  for (int i = 0; i < 600 && !started; ++i, now += milliseconds(100)) {
+    if (i == 1) {
+      cell.AddJob(JobId("large"), kTeam, large, now);
+      AddJob(cell, "later", kTeam, BatchPolicy{}, 10'000, kOne);
+    }
+    if (!running.empty()) {
+      cell.Release(running.front(), AttemptOutcome::kSucceeded, false, now);
+      running.pop_front();
+    }
+    for (const Decision& decision : cell.Decide(now, {})) {
+      const TaskId task = std::get<Start>(decision).task;
+      running.push_back(task);
+      if (task.job == JobId("large") && !started) started = now;
+    }
+  }
+  REQUIRE(started.has_value());
+  // The wait for a reservation, the end of backfill and what ran until then.
+  CHECK(*started - kStart <= seconds(2 + 10 + 2));
+}
+
 TEST_CASE("room reserved for a job that may not start is given back") {
   const TeamId other("b");
   Cell cell{Options()};
