--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -277,6 +277,79 @@
   CHECK(d.Count<AskPermits>() == 2);
 }
 
+// A line names each task that waits for long, and what would have to change.
+TEST_CASE("a task that waits for long is logged with its reason") {
+  Driver d({"vm-0"}, /*permits=*/true);
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {Step(2)};
+  spec.steps[0].job.constraints.needs_permit = true;
+  d.Do(AllowancesChanged{{{kTeam, Resources(9, 9, 500, 9'000, 0)}}});
+  d.Submit(1, spec);
+  d.AppendAll();
+  d.now += Duration(1'500);
+  d.Do(Tick{});
+  CHECK(d.Last<LogDecision>().kind == "waiting");
+  d.now += Duration(1'000);
+  d.Do(Tick{});
+  const auto& line = d.Last<LogDecision>();
+  CHECK(line.kind == "long_wait");
+  CHECK(StepOf(line.task.job)->request == kRequest);
+  CHECK(line.reason ==
+        "no_permit age_ms=2500 tasks=2 delayed=0 size=1000,512,0 team=intake "
+        "committed=0,0,0 allowance=500,9000,0 limit=-,-,- "
+        "permits=not_asking,granted:0,denied:0");
+}
+
+WorkflowSpec OfPermittedTasks(int32_t tasks, const Policy& policy) {
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {Step(tasks)};
+  spec.steps[0].job.policy = policy;
+  spec.steps[0].job.constraints.needs_permit = true;
+  return spec;
+}
+
+// A gang that cannot start as a whole took room and allowance for some of its
+// tasks in each look, so that the account's jobs behind it never asked (LOST).
+TEST_CASE("a gang that does not fit keeps no job from asking for permits") {
+  struct Case {
+    std::string what;
+    std::vector<std::string> vms;  // Each has room for eight tasks.
+    int64_t millicores;            // The account's allowance.
+    int32_t gang;
+    bool gang_asks;
+  };
+  const Case cases[] = {
+      {"no allowance for all of it", {"vm-0"}, 3'000, 4, false},
+      {"no room for all of it", {"vm-0"}, 100'000, 9, false},
+      {"fits", {"vm-0"}, 8'000, 7, true},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(c.what);
+    Driver d(c.vms, /*permits=*/true);
+    d.Do(AllowancesChanged{
+        {{kTeam, Resources(100, 100, c.millicores, 100'000, 0)}}});
+    d.Submit(1, OfPermittedTasks(c.gang, GangPolicy{.atomic = true}));
+    d.AppendAll();
+    CHECK(d.Count<AskPermits>() == (c.gang_asks ? 1 : 0));
+    if (c.gang_asks) continue;
+    // Its permits from a time at which there was more room.
+    d.Do(PermitsIssued{MakeJobId(kPartition, {kRequest, 0, 0}),
+                       {VmId("vm-0")},
+                       std::vector<Permit>{{VmId("vm-0"), "t"}},
+                       d.now + kPermitValidity});
+    d.Submit(2, OfPermittedTasks(1, BatchPolicy{}), kTeam,
+             RequestId("00000000000000aa"));
+    d.AppendAll();
+    d.now += Duration(100);
+    d.Do(Tick{});
+    REQUIRE(d.Count<AskPermits>() == 1);
+    CHECK(StepOf(d.Last<AskPermits>().job)->request ==
+          RequestId("00000000000000aa"));
+  }
+}
+
 std::vector<std::string> ManyVms() {
   std::vector<std::string> vms;
   vms.reserve(64);
@@ -292,6 +365,31 @@
   return spec;
 }
 
+// A question after the first named only as many workers as the job's tasks
+// need, always the first ones with room; others had taken it by the time of the
+// answer, over and over, with most workers idle (LOST).
+TEST_CASE("a later question names more workers than the job needs") {
+  const std::vector<std::string> vms = ManyVms();
+  Driver d(vms, /*permits=*/true);
+  d.Submit(1, OfPermittedTasks(9, BatchPolicy{}));
+  d.AppendAll();
+  const AskPermits first = d.Last<AskPermits>();
+  std::vector<Permit> permits;
+  for (const VmId& vm : first.workers) permits.push_back({vm, "t"});
+  d.Do(PermitsIssued{first.job, first.workers, permits,
+                     d.now + kPermitValidity});
+  d.AppendAll();
+  REQUIRE(d.Starts().size() == 9);
+  d.now += kPermitValidity;
+  d.Report(d.Starts()[8].first.value(), 1, d.Starts()[8].second.attempt,
+           WorkerEventKind::kStopped);
+  d.AppendAll();
+  d.now += Duration(100);
+  d.Do(Tick{});
+  REQUIRE(d.Count<AskPermits>() == 2);
+  CHECK(d.Last<AskPermits>().workers.size() == 30);
+}
+
 // Load: a backlog without room, longer than one look at the workers. Jobs
 // behind it that have room never asked for permits (LOST).
 TEST_CASE("a job with room asks for permits behind a backlog without room") {
