--- a/azurepass/placement/internal/cell_state.h
+++ b/azurepass/placement/internal/cell_state.h
@@ -105,6 +105,10 @@
   // Of the passes over the queues, one for each priority in each call.
   int64_t passes = 0;
   int64_t starts = 0;  // Made so far.
+  // Calls of Decide that ran out of candidates, and the one that follows them,
+  // are one sweep. It looks once at each lane of which nothing is remembered,
+  // so that the first of these do not use up the candidates of every call.
+  int64_t sweep = 1;
   // Starts made by the end of the latest pass of a priority, and when a pass
   // last looked at all lanes.
   struct PassEnd {
@@ -114,6 +118,9 @@
   PassEnd pass_end[kPriorities];
 
  private:
+  // The task whose delay this is; nullptr when it is stale.
+  Task* Delayed(const internal::Delay& delay);
+  void EndDelay(const internal::Delay& delay);
   void UpdatePermitWaiters(Index job);
   void Enqueue(Index job);
   void Dequeue(Index job);
@@ -129,6 +136,9 @@
   std::priority_queue<internal::Delay, std::vector<internal::Delay>,
                       std::greater<>>
       delays_;
+  // Delays that are over but for a retry token, the first to be due in front.
+  // Invariant: the budget was asked for a token since the last one was added.
+  std::deque<internal::Delay> token_waiters_;
   // Something of a job ends; stale when the job's number differs.
   struct End {
     MonotonicTime at;
--- a/azurepass/placement/internal/decider.cc
+++ b/azurepass/placement/internal/decider.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <tuple>
 
 namespace azurepass::placement::internal {
@@ -47,6 +48,7 @@
   if (!has_more_) RunPriority(Priority::kNormal);
   if (!has_more_) RunPriority(Priority::kLow);
   PlanReservations();
+  if (!out_of_candidates_) ++state_.sweep;
   return std::move(decisions_);
 }
 
@@ -128,6 +130,11 @@
       passes_over = true;
       continue;
     }
+    if (IsSwept(lane)) {
+      Block(index, lane.reason);
+      passes_over = true;
+      continue;
+    }
     const Turn turn = TryLane(index);  // Invalidates the loop when it started.
     if (turn == Turn::kStarted && passes_over) {
       queue.passed_pass = state_.passes;
@@ -162,6 +169,10 @@
   return !MayFitGrown(lane.key.size, std::max(lane.checked, queue.seen));
 }
 
+bool Decider::IsSwept(const Lane& lane) const {
+  return lane.checked == GrowthLog::kNever && lane.stuck_sweep == state_.sweep;
+}
+
 // Notes that the lane's turn came in this pass and found no room.
 void Decider::NoteBlocked(Index index) {
   Lane& lane = state_.lanes[index];
@@ -174,17 +185,20 @@
     lane.blocked_since = state_.now;
     lane.blocked_pass = state_.passes;
   }
-  if (lane.key.narrow != 0) {
-    if (lane.key.priority == Priority::kUrgent) stuck_urgent_.push_back(index);
-    return;
-  }
-  if (WasPassedOver(lane) &&
+  if (MayReserve(lane) && WasPassedOver(lane) &&
       state_.now - *lane.blocked_since >= state_.options.reservation_after) {
     starving_.push_back(index);
   }
   if (lane.key.priority == Priority::kUrgent) stuck_urgent_.push_back(index);
 }
 
+bool Decider::MayReserve(const Lane& lane) const {
+  if (lane.key.narrow == 0) return true;
+  const JobSpec& spec = state_.jobs[lane.jobs.begin()->second].spec;
+  return lane.key.priority != Priority::kUrgent &&
+         !spec.constraints.needs_permit && !spec.scavenger;
+}
+
 bool Decider::WasPassedOver(const Lane& lane) const {
   const Team::Queue& queue = state_.teams[lane.team].queue(lane.key.priority);
   return lane.blocked_since && queue.passed_pass > lane.blocked_pass;
@@ -212,19 +226,24 @@
     lane.gained += TimesFits(lane.key.size, worker.free, kMaxTasksPerJob);
   });
   lane.checked = growth.end();
-  return lane.gained >= lane.missing ? Scope::kAll : Scope::kNothing;
+  if (lane.gained < lane.missing) return Scope::kNothing;
+  // Until it is searched for, which the budget may put off to a later call.
+  state_.Settle(lane, false);
+  return Scope::kAll;
 }
 
 // One that found no room has some again only where a worker grew that the job
 // may take.
 Decider::Scope Decider::ScopeOfNarrow(const Lane& lane) const {
   const Job& job = state_.jobs[lane.jobs.begin()->second];
-  if (!job.permit_valid) return Scope::kAll;
+  const bool needs_permit = job.spec.constraints.needs_permit;
+  if (needs_permit && !job.permit_valid) return Scope::kAll;
   bool fits = false;
   state_.fleet.growth().ForEachSince(lane.checked, [&](Index w) {
-    fits = fits ||
-           (lane.key.size.FitsIn(state_.fleet.worker(w).free) &&
-            std::binary_search(job.permitted.begin(), job.permitted.end(), w));
+    fits =
+        fits || (lane.key.size.FitsIn(state_.fleet.worker(w).free) &&
+                 (!needs_permit || std::binary_search(job.permitted.begin(),
+                                                      job.permitted.end(), w)));
   });
   return fits ? Scope::kAll : Scope::kNothing;
 }
@@ -306,6 +325,7 @@
   Lane& lane = state_.lanes[index];
   lane.reason = reason;
   lane.stuck_pass = state_.passes;
+  lane.stuck_sweep = state_.sweep;
   if (reason == WaitReason::kAllowance && lane.key.narrow != 0 &&
       lane.key.priority == Priority::kUrgent) {
     over_allowance_.push_back(index);
@@ -318,6 +338,30 @@
   return Turn::kStuck;
 }
 
+Found Decider::Look(Index job_index, Scope scope) {
+  const Job& job = state_.jobs[job_index];
+  const Team& team = state_.teams[job.team];
+  if (job.is_narrow()) {
+    return narrow_.Find(job, job_index, team, state_.now, steps_);
+  }
+  return search_.Find(job, job_index, team, state_.now, steps_,
+                      scope == Scope::kCandidates ? &candidates_ : nullptr);
+}
+
+bool Decider::TryReserved(Index lane, Index first, Scope scope) {
+  for (const Reservation& held : state_.reservations.all()) {
+    const Job& job = state_.jobs[held.job];
+    if (held.job == first || job.lane != lane) continue;
+    if (job.is_expired(state_.now)) continue;
+    const Index index = held.job;
+    const Found found = Look(index, scope);
+    if (found.places.empty()) continue;
+    StartAll(index, found);  // Ends the reservation.
+    return true;
+  }
+  return false;
+}
+
 WaitReason Decider::ReasonFor(const Team& team, const Found& found) const {
   const bool any_open =
       std::any_of(team.zones.begin(), team.zones.end(), [&](Index zone) {
@@ -343,16 +387,18 @@
     return Block(lane_index, WaitReason::kAllowance);
   }
   const GrowthLog::Position end = state_.fleet.growth().end();
-  Found found =
-      job.is_narrow()
-          ? narrow_.Find(job, job_index, team, state_.now, steps_)
-          : search_.Find(job, job_index, team, state_.now, steps_,
-                         scope == Scope::kCandidates ? &candidates_ : nullptr);
+  Found found = Look(job_index, scope);
   if (!found.places.empty()) {
     StartAll(job_index, found);
     return Turn::kStarted;
   }
-  if (found.out_of_budget) return Turn::kOutOfBudget;
+  if (!found.out_of_budget && TryReserved(lane_index, job_index, scope)) {
+    return Turn::kStarted;
+  }
+  if (found.out_of_budget) {
+    out_of_candidates_ = true;
+    return Turn::kOutOfBudget;
+  }
   const WaitReason reason = ReasonFor(team, found);
   Remember(state_.lanes[lane_index], scope, found, end);
   return Block(lane_index, reason);
@@ -462,19 +508,33 @@
   }
 }
 
-// Drops reservations that can no longer be kept or are long overdue.
+bool Decider::MayStart(Index index) const {
+  const Job& job = state_.jobs[index];
+  if (job.lane == kNone || job.is_expired(state_.now)) return false;
+  const Team& team = state_.teams[job.team];
+  const int32_t tasks = job.is_gang() ? job.waiting : 1;
+  return (team.committed + job.spec.task * tasks).FitsIn(team.terms.allowance);
+}
+
+bool Decider::IsUsable(Index index, const Team& team) const {
+  const Worker& worker = state_.fleet.worker(index);
+  return state_.fleet.IsOpen(worker) &&
+         state_.fleet.zone(worker.zone).in_service &&
+         std::find(team.zones.begin(), team.zones.end(), worker.zone) !=
+             team.zones.end();
+}
+
+// Drops reservations that can no longer be kept, that their jobs cannot use, or
+// that are long overdue.
 void Decider::ReviewReservations() {
+  state_.reservations.NoteIdle(state_.now,
+                               [&](Index job) { return MayStart(job); });
   std::vector<Index> void_ones;
   for (const Reservation& held : state_.reservations.all()) {
-    const bool usable =
-        std::all_of(held.workers.begin(), held.workers.end(), [&](Index w) {
-          const Worker& worker = state_.fleet.worker(w);
-          return state_.fleet.IsOpen(worker) &&
-                 state_.fleet.zone(worker.zone).in_service;
-        });
-    if (!usable || state_.now >= held.ends) {
-      void_ones.push_back(held.job);
-    }
+    const Team& team = state_.teams[state_.jobs[held.job].team];
+    const bool usable = std::all_of(held.workers.begin(), held.workers.end(),
+                                    [&](Index w) { return IsUsable(w, team); });
+    if (!usable || state_.now >= held.EndsAt()) void_ones.push_back(held.job);
   }
   for (Index job : void_ones) state_.DropReservation(job);
 }
@@ -488,8 +548,11 @@
   if (job.reserved) return false;
   const ReservationPlanner planner(state_.fleet, state_.jobs, state_.run_times);
   const int32_t tasks = job.is_gang() ? job.waiting : 1;
+  const Team& of = state_.teams[job.team];
+  std::optional<std::vector<Index>> only;
+  if (job.is_narrow()) only = narrow_.Eligible(job, of, state_.now);
   std::vector<PlannedPlace> places =
-      planner.Plan(state_.teams[job.team], job, tasks, state_.now);
+      planner.Plan(of, job, tasks, state_.now, only);
   if (static_cast<int32_t>(places.size()) < tasks) {
     lane.blocked_since = state_.now;  // Tries again after as long.
     return false;
--- a/azurepass/placement/internal/decider.h
+++ b/azurepass/placement/internal/decider.h
@@ -58,10 +58,18 @@
   bool IsSurelyBlocked(const Lane& lane) const;
   // False when no worker that grew since has room for `size`.
   bool MayFitGrown(const Resources& size, GrowthLog::Position since) const;
+  // True when an earlier call of this sweep looked at it in vain.
+  bool IsSwept(const Lane& lane) const;
   void NoteBlocked(Index lane);
+  // Of narrow jobs not those that make room for themselves, whose permits end
+  // sooner than room drains, or that take what others leave.
+  bool MayReserve(const Lane& lane) const;
   bool WasPassedOver(const Lane& lane) const;
   void Inherit(Lane& lane, const Job& job) const;
   Turn TryJob(Index lane, Index job, Scope scope);
+  Found Look(Index job, Scope scope);
+  // Starts a job of the lane that is not its first, in room reserved for it.
+  bool TryReserved(Index lane, Index first, Scope scope);
   // Puts the workers to look at into `candidates_`.
   Scope ScopeOf(Lane& lane);
   Scope ScopeOfGang(Lane& lane) const;
@@ -76,6 +84,10 @@
   void MakeRoomForUrgent();
   void MakeAllowanceForUrgent();
   void ReviewReservations();
+  // True when the job could start a task if there were room for it.
+  bool MayStart(Index job) const;
+  // True when the job may use the worker, its room apart.
+  bool IsUsable(Index worker, const Team& team) const;
   void PlanReservations();
   bool Plan(Index lane);
 
@@ -93,6 +105,7 @@
   bool full_pass_ = false;              // This pass looks at all lanes.
   std::vector<Index> candidates_;
   bool has_more_ = false;
+  bool out_of_candidates_ = false;
 };
 
 }  // namespace azurepass::placement::internal
