Sessions count a worker's lives and revoke what they did not order

What callers saw: a start of a worker's former life that was carried out in the new one ran there unasked until its lease ended, beside the same task on another worker; and a record of the former life's events could acknowledge those of the new one, which were then forgotten unread.

Cause: the number of an event told no life, and after the list with which a session opens nobody compared what a worker lists with what was ordered. Of starts sent twice, the first sending was forgotten with the second one's answer, though it may still meet a new life.

Mend: sessions number lives, over all sessions of a process; events and acknowledgements carry the number (in no format: workers don't know it). What a list shows beyond the opening list and the session's own orders is revoked. A start with an unanswered sending is followed beyond its answer, into the next session, and barred in a new life before anything is said of it.

--- a/azurepass/core/core.h
+++ b/azurepass/core/core.h
@@ -516,6 +516,9 @@
   WorkerEventKind kind = WorkerEventKind::kStarted;
   std::string detail{};
   std::string checkpoint{};  // Names the progress that was kept, if it has one.
+  // Of the worker, which may restart under its id and number its events anew;
+  // counted by the owner's process, and in no format.
+  int64_t life = 0;
 };
 // Measured use of one attempt; lags behind the truth.
 struct Usage {
--- a/azurepass/endpoint/client.cc
+++ b/azurepass/endpoint/client.cc
@@ -6,6 +6,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <string>
@@ -113,7 +114,8 @@
   void Handle(Inbox message);
   void OnRequest(Request request);
   void Begin(const Open& open);
-  void KeepDoubtful(const VmId& vm, const Session& session);
+  // What the next session with that worker has to know of this one.
+  void Keep(const VmId& vm, const Session& session);
   void Tell(const VmId& vm, int64_t number, internal::Event event);
   void Perform(const VmId& vm, Entry& entry,
                std::vector<internal::Output> outputs);
@@ -126,12 +128,13 @@
   Options options_;
   int64_t sessions_begun_ = 0;
   int64_t failures_ = 0;
+  int64_t last_life_ = 0;  // The highest of all sessions that were closed.
   std::optional<MonotonicTime> authorized_until_;
   std::map<VmId, std::unique_ptr<Entry>> entries_;
   // Of sessions that were closed, for the next one under the same epoch.
   struct DoubtfulStarts {
     Epoch epoch;
-    std::vector<AttemptId> starts;
+    std::vector<internal::DoubtfulStart> starts;
   };
   std::map<VmId, DoubtfulStarts> doubtful_;
   std::unique_ptr<internal::HttpCarrier> http_;  // Null: a carrier was given.
@@ -156,35 +159,35 @@
 }
 
 void Client::Impl::OnRequest(Request request) {
-  std::visit(Visitor{[this](const Open& open) { Begin(open); },
-                     [this](endpoint::Send& send) {
-                       const auto found = entries_.find(send.vm);
-                       if (found == entries_.end()) return;
-                       Tell(send.vm, found->second->number,
-                            internal::Ordered{std::move(send.orders)});
-                     },
-                     [this](const Acknowledge& acknowledge) {
-                       const auto found = entries_.find(acknowledge.vm);
-                       if (found == entries_.end()) return;
-                       Tell(acknowledge.vm, found->second->number,
-                            internal::Recorded{acknowledge.number});
-                     },
-                     [this](const Close& close) {
-                       const auto found = entries_.find(close.vm);
-                       if (found == entries_.end()) return;
-                       KeepDoubtful(close.vm, found->second->session);
-                       entries_.erase(found);
-                     },
-                     [this](const Authorize& authorize) {
-                       authorized_until_ = authorize.until;
-                       for (auto& [vm, entry] : entries_) {
-                         Perform(
-                             vm, *entry,
-                             entry->session.Handle(
-                                 internal::Authorized{authorize.until}, Now()));
-                       }
-                     }},
-             request);
+  std::visit(
+      Visitor{[this](const Open& open) { Begin(open); },
+              [this](endpoint::Send& send) {
+                const auto found = entries_.find(send.vm);
+                if (found == entries_.end()) return;
+                Tell(send.vm, found->second->number,
+                     internal::Ordered{std::move(send.orders)});
+              },
+              [this](const Acknowledge& acknowledge) {
+                const auto found = entries_.find(acknowledge.vm);
+                if (found == entries_.end()) return;
+                Tell(acknowledge.vm, found->second->number,
+                     internal::Recorded{acknowledge.number, acknowledge.life});
+              },
+              [this](const Close& close) {
+                const auto found = entries_.find(close.vm);
+                if (found == entries_.end()) return;
+                Keep(close.vm, found->second->session);
+                entries_.erase(found);
+              },
+              [this](const Authorize& authorize) {
+                authorized_until_ = authorize.until;
+                for (auto& [vm, entry] : entries_) {
+                  Perform(vm, *entry,
+                          entry->session.Handle(
+                              internal::Authorized{authorize.until}, Now()));
+                }
+              }},
+      request);
 }
 
 void Client::Impl::Begin(const Open& open) {
@@ -192,15 +195,16 @@
   const MonotonicTime now = Now();
   const uint64_t seed = std::hash<std::string>()(vm.value());
   const auto former = entries_.find(vm);
-  if (former != entries_.end()) KeepDoubtful(vm, former->second->session);
-  std::vector<AttemptId> doubtful;
+  if (former != entries_.end()) Keep(vm, former->second->session);
+  internal::Former inherited;
+  inherited.life = last_life_;
   if (auto kept = doubtful_.extract(vm);
       !kept.empty() && kept.mapped().epoch == open.epoch) {
-    doubtful = std::move(kept.mapped().starts);
+    inherited.doubtful = std::move(kept.mapped().starts);
   }
   auto entry = std::make_unique<Entry>(
       loop_, Session(vm, open.epoch, options_, authorized_until_, seed,
-                     doubtful, now));
+                     inherited, now));
   entry->number = ++sessions_begun_;
   entry->partition = open.partition;
   entry->address = open.worker.address;
@@ -209,8 +213,9 @@
   Perform(vm, kept, kept.session.Start(now));
 }
 
-void Client::Impl::KeepDoubtful(const VmId& vm, const Session& session) {
-  std::vector<AttemptId> starts = session.Doubtful();
+void Client::Impl::Keep(const VmId& vm, const Session& session) {
+  last_life_ = std::max(last_life_, session.life());
+  std::vector<internal::DoubtfulStart> starts = session.Doubtful();
   if (starts.empty()) return;
   doubtful_[vm] = {session.epoch(), std::move(starts)};
 }
--- a/azurepass/endpoint/endpoint.h
+++ b/azurepass/endpoint/endpoint.h
@@ -47,7 +47,8 @@
 // far as the worker still keeps them. So an attempt that is neither running nor
 // reported does not run there and will not. A worker that restarted opens its
 // session anew under the same epoch; the outcome of each start that it was sent
-// before follows in Events.
+// before follows in Events. What it begins to run later without an order of
+// this session is told to stop.
 struct SessionOpened {
   VmId vm;
   Epoch epoch;
@@ -105,11 +106,13 @@
   VmId vm;
   std::vector<Order> orders;
 };
-// All events up to this number are recorded: the worker may forget them. Until
-// then it keeps them, and gives them again to a later owner.
+// All events of that life of the worker up to this number are recorded: the
+// worker may forget them. Until then it keeps them, and gives them again to a
+// later owner.
 struct Acknowledge {
   VmId vm;
   int64_t number = 0;
+  int64_t life = 0;
 };
 // Starts without an outcome are revoked if the session is opened again under
 // the same epoch; another epoch fences them.
--- a/azurepass/endpoint/internal/session.cc
+++ b/azurepass/endpoint/internal/session.cc
@@ -57,14 +57,21 @@
 
 Session::Session(VmId vm, Epoch epoch, const Options& options,
                  std::optional<MonotonicTime> authorized_until, uint64_t seed,
-                 const std::vector<AttemptId>& doubtful, MonotonicTime now)
+                 const Former& former, MonotonicTime now)
     : vm_(std::move(vm)),
       epoch_(epoch),
       options_(options),
       random_(seed),
       authorized_until_(authorized_until),
-      token_received_(now) {
-  for (const AttemptId& attempt : doubtful) Revoke(attempt, now, now);
+      token_received_(now),
+      life_(former.life + 1) {
+  for (const DoubtfulStart& start : former.doubtful) {
+    if (start.ran) {
+      running_[start.attempt] = true;
+    } else {
+      Revoke(start.attempt, now, now);
+    }
+  }
 }
 
 std::vector<Output> Session::Start(MonotonicTime now) {
@@ -121,14 +128,16 @@
   lists.events = answer.events;
   lists.running = answer.running;
   lists.more_events = answer.more_events;
-  Report(std::move(answer));
+  Report(std::move(answer), now);
   SettleRevoked(lists, now);
+  RevokeUnknown(lists, now);
 }
 
 // What was sent may have met the new life already, which then carries it out
 // like any other order.
 void Session::OnRestart(MonotonicTime now) {
   opened_ = false;
+  ++life_;
   delivered_ = 0;
   acknowledged_ = 0;
   const std::deque<PendingOrder> former = std::exchange(orders_, {});
@@ -139,8 +148,12 @@
   }
   for (size_t i = 0; i < former.size(); ++i) {
     const PendingOrder& pending = former[i];
-    if (!IsStart(pending.order) || pending.seen) continue;
-    if (pending.doubtful || i < sent) {
+    if (!IsStart(pending.order)) continue;
+    const bool open = pending.doubtful || i < sent;
+    if (pending.seen) {
+      const auto runs = running_.find(AttemptOf(pending.order));
+      if (runs != running_.end()) runs->second = runs->second || open;
+    } else if (open) {
       Revoke(AttemptOf(pending.order), pending.given, now);
     } else {
       ReportNotStarted(AttemptOf(pending.order), pending.given,
@@ -212,6 +225,8 @@
   } else if (WithholdRefusal(pending, answer)) {
     Note(attempt, StartStep::kRefused, pending.given, now);
     if (!pending.seen) Revoke(attempt, pending.given, now);
+  } else if (!pending.seen) {
+    running_[attempt] = pending.doubtful;  // Unless it is refused.
   }
 }
 
@@ -238,7 +253,7 @@
 }
 
 void Session::OnRecorded(const Recorded& recorded) {
-  if (recorded.number > delivered_) return;  // Of the worker's former life.
+  if (recorded.life != life_ || recorded.number > delivered_) return;
   acknowledged_ = std::max(acknowledged_, recorded.number);
   if (awaiting_record_ && acknowledged_ == delivered_) {
     awaiting_record_ = false;
@@ -330,15 +345,21 @@
     const bool runs = Lists(answer, attempt);
     const bool told = Tells(answer, attempt);
     pending.seen = runs || told;
-    if (!runs || told) continue;
-    Note(attempt, StartStep::kRuns, pending.given, now);
-    ReportAnswer(attempt, WorkerEventKind::kStarted, "");
+    if (runs && !told) {
+      Note(attempt, StartStep::kRuns, pending.given, now);
+      ReportAnswer(attempt, WorkerEventKind::kStarted, "");
+    }
+    if (pending.seen && !TellsEnd(answer, attempt)) {
+      running_[attempt] = pending.doubtful;
+    }
   }
 }
 
 void Session::NoteUnanswered(PendingOrder& pending, MonotonicTime now) {
   if (!IsStart(pending.order)) return;
   pending.doubtful = true;
+  const auto runs = running_.find(AttemptOf(pending.order));
+  if (runs != running_.end()) runs->second = true;
   Note(AttemptOf(pending.order), StartStep::kUnanswered, pending.given, now);
 }
 
@@ -366,6 +387,7 @@
     if (Lists(answer, attempt)) {
       Note(attempt, StartStep::kRuns, revoked.given, now);
       ReportAnswer(attempt, WorkerEventKind::kStarted, "");
+      running_[attempt] = true;
     } else if (!TellsEnd(answer, attempt)) {
       ReportNotStarted(attempt, revoked.given, "revoked", now);
     }
@@ -384,6 +406,8 @@
   event.attempt = attempt;
   event.kind = kind;
   event.detail = std::move(detail);
+  event.life = life_;
+  Follow(event);
   outputs_.emplace_back(Update(Events{vm_, epoch_, {std::move(event)}, {}}));
 }
 
@@ -421,16 +445,51 @@
   for (WorkerEvent& event : answer.events) {
     if (event.number != 0) continue;
     if (IsRefusal(event) && revoked_.contains(event.attempt)) continue;
+    event.life = life_;
+    if (IsRefusal(event)) Follow(event);
     events.events.push_back(std::move(event));
   }
   if (!events.events.empty()) outputs_.emplace_back(Update(std::move(events)));
 }
 
-void Session::Report(ExchangeAnswer answer) {
+void Session::Follow(const WorkerEvent& event) {
+  if (event.kind == WorkerEventKind::kStarted) {
+    running_.try_emplace(event.attempt, false);
+  } else {
+    running_.erase(event.attempt);
+  }
+}
+
+void Session::AdoptListed(const ExchangeAnswer& answer, MonotonicTime now) {
+  const std::map<AttemptId, bool> former = std::exchange(running_, {});
+  for (const AttemptId& attempt : answer.running) running_[attempt] = false;
+  for (const auto& [attempt, doubtful] : former) {
+    if (!doubtful) continue;
+    if (Lists(answer, attempt)) {
+      running_[attempt] = true;
+    } else {
+      Revoke(attempt, now, now);
+    }
+  }
+}
+
+void Session::RevokeUnknown(const ExchangeAnswer& answer, MonotonicTime now) {
+  for (const AttemptId& attempt : answer.running) {
+    const bool ordered = std::any_of(
+        orders_.begin(), orders_.end(), [&](const PendingOrder& pending) {
+          return IsStart(pending.order) && AttemptOf(pending.order) == attempt;
+        });
+    if (!ordered && !running_.contains(attempt)) Revoke(attempt, now, now);
+  }
+}
+
+void Session::Report(ExchangeAnswer answer, MonotonicTime now) {
   Events events{vm_, epoch_, {}, std::move(answer.usage)};
   for (WorkerEvent& event : answer.events) {
     if (event.number <= delivered_) continue;
     delivered_ = event.number;
+    event.life = life_;
+    Follow(event);
     events.events.push_back(std::move(event));
   }
   if (!events.events.empty() || !events.usage.empty()) {
@@ -438,9 +497,16 @@
   }
   const bool was_unreachable = std::exchange(unreachable_, false);
   if (!std::exchange(opened_, true)) {
+    AdoptListed(answer, now);
     outputs_.emplace_back(Update(SessionOpened{
         vm_, epoch_, WithPendingStarts(std::move(answer.running))}));
   } else if (was_unreachable) {
+    std::erase_if(running_, [&](const auto& entry) {
+      return !Lists(answer, entry.first);
+    });
+    for (const AttemptId& attempt : answer.running) {
+      running_.try_emplace(attempt, false);
+    }
     outputs_.emplace_back(Update(
         Reachable{vm_, epoch_, WithPendingStarts(std::move(answer.running))}));
   }
@@ -459,17 +525,26 @@
   return running;
 }
 
-std::vector<AttemptId> Session::Doubtful() const {
-  std::vector<AttemptId> doubtful;
+std::vector<DoubtfulStart> Session::Doubtful() const {
+  std::map<AttemptId, bool> doubtful;  // Whether it ran.
   for (size_t i = 0; i < orders_.size(); ++i) {
     const PendingOrder& pending = orders_[i];
     const bool sent = pending.doubtful || i < orders_sent_;
-    if (IsStart(pending.order) && sent && !pending.seen) {
-      doubtful.push_back(AttemptOf(pending.order));
+    if (!IsStart(pending.order) || !sent) continue;
+    const AttemptId& attempt = AttemptOf(pending.order);
+    if (!pending.seen) {
+      doubtful[attempt] = false;
+    } else if (running_.contains(attempt)) {
+      doubtful[attempt] = true;
     }
   }
-  for (const auto& [attempt, revoked] : revoked_) doubtful.push_back(attempt);
-  return doubtful;
+  for (const auto& [attempt, open] : running_) {
+    if (open) doubtful[attempt] = true;
+  }
+  for (const auto& [attempt, revoked] : revoked_) doubtful[attempt] = false;
+  std::vector<DoubtfulStart> starts;
+  for (const auto& [attempt, ran] : doubtful) starts.push_back({attempt, ran});
+  return starts;
 }
 
 bool Session::MaySend(MonotonicTime now) const {
--- a/azurepass/endpoint/internal/session.h
+++ b/azurepass/endpoint/internal/session.h
@@ -22,6 +22,13 @@
 // Its lease's end is then counted from the receipt of the token that the probes
 // bring, and no other token is accepted until the worker answers a probe, so
 // that the end announced stays true.
+//
+// A worker that restarts under its id begins a new life, in which it numbers
+// its events anew and knows of no stop. Calls of the former life without an
+// answer may be carried out in it. So a start that had such a call is followed
+// beyond a positive answer: if the list with which the new life opens lacks it,
+// it is revoked there before anything is said of it. What a worker lists later
+// without an order of this session is revoked, too.
 
 #ifndef AZUREPASS_ENDPOINT_INTERNAL_SESSION_H_
 #define AZUREPASS_ENDPOINT_INTERNAL_SESSION_H_
@@ -65,9 +72,10 @@
 struct Authorized {
   MonotonicTime until;
 };
-// The owner has recorded all events up to this number.
+// The owner has recorded all events of that life up to this number.
 struct Recorded {
   int64_t number = 0;
+  int64_t life = 0;
 };
 using Event = std::variant<Ordered, Answered, FencedBy, Unanswered, Woken,
                            Authorized, Recorded>;
@@ -91,13 +99,25 @@
 };
 using Output = std::variant<Exchange, Wake, Update, StartNoted>;
 
+// A start that may be carried out though nothing is heard of it.
+struct DoubtfulStart {
+  AttemptId attempt;
+  // Another sending of it was: it may begin anew in a new life alone.
+  bool ran = false;
+
+  friend bool operator==(const DoubtfulStart&, const DoubtfulStart&) = default;
+};
+// What a session takes over from former ones with its worker.
+struct Former {
+  int64_t life = 0;                       // The last one that they counted.
+  std::vector<DoubtfulStart> doubtful{};  // Of the same epoch.
+};
+
 class Session {
  public:
-  // `doubtful` are starts of a former session under the same epoch, as its
-  // Doubtful() told them.
   Session(VmId vm, Epoch epoch, const Options& options,
           std::optional<MonotonicTime> authorized_until, uint64_t seed,
-          const std::vector<AttemptId>& doubtful, MonotonicTime now);
+          const Former& former, MonotonicTime now);
 
   std::vector<Output> Start(MonotonicTime now);
   std::vector<Output> Handle(Event event, MonotonicTime now);
@@ -105,8 +125,9 @@
   // Nothing comes after Fenced.
   bool ended() const { return ended_; }
   Epoch epoch() const { return epoch_; }
-  // The starts that the worker may carry out though nothing was heard of them.
-  std::vector<AttemptId> Doubtful() const;
+  // The worker's life, by our count; it grows with each restart.
+  int64_t life() const { return life_; }
+  std::vector<DoubtfulStart> Doubtful() const;
 
  private:
   struct PendingOrder {
@@ -134,7 +155,12 @@
   // The worker has begun a new life: orders for the former one are void.
   void OnRestart(MonotonicTime now);
   void TakeToken(ExchangeAnswer& answer, MonotonicTime now);
-  void Report(ExchangeAnswer answer);
+  void Report(ExchangeAnswer answer, MonotonicTime now);
+  // By the list with which the session opens: what else this life may run.
+  void AdoptListed(const ExchangeAnswer& answer, MonotonicTime now);
+  void RevokeUnknown(const ExchangeAnswer& answer, MonotonicTime now);
+  // Keeps running_ by an event that is passed on.
+  void Follow(const WorkerEvent& event);
   // Passes on the events of number 0, except refusals of doubtful starts.
   void ReportAnswers(ExchangeAnswer& answer);
   void OnSettled(const PendingOrder& pending, OrderOutcome outcome,
@@ -171,7 +197,8 @@
   std::string token_;
   // When token_ was received; before there is one, when the session began.
   MonotonicTime token_received_;
-  int64_t delivered_ = 0;     // The last event passed on.
+  int64_t life_ = 0;
+  int64_t delivered_ = 0;     // The last event of this life passed on.
   int64_t acknowledged_ = 0;  // The last one recorded; at most delivered_.
   // The next exchange waits for the record of what was passed on, for the
   // worker would answer it at once. Past its time it goes out all the same, to
@@ -201,6 +228,10 @@
   };
   std::map<AttemptId, Revoked> revoked_;
 
+  // What may run there by what was passed on, and whether a sending of its
+  // start had no answer. No end of it was passed on.
+  std::map<AttemptId, bool> running_;
+
   std::vector<Output> outputs_;  // Of the event in hand.
 };
 
--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -138,7 +138,7 @@
   // Decides a record: it counts at once and is appended soon.
   internal::Sequence Decide(Record record);
   // Acknowledges the worker's events once all that they led to is appended.
-  void AcknowledgeLater(const VmId& vm, int64_t number);
+  void AcknowledgeLater(AcknowledgeEvents action);
   void AcknowledgeAppended();
 
   // --- owner_recovery.cc
--- a/azurepass/partition/owner_journal.cc
+++ b/azurepass/partition/owner_journal.cc
@@ -207,8 +207,8 @@
 
 // Records are appended in the order in which they were added, so that the
 // latest one added stands for all that the events led to.
-void Owner::Impl::AcknowledgeLater(const VmId& vm, int64_t number) {
-  acknowledgements_.push_back({last_added_, {vm, number}});
+void Owner::Impl::AcknowledgeLater(AcknowledgeEvents action) {
+  acknowledgements_.push_back({last_added_, std::move(action)});
   AcknowledgeAppended();
 }
 
--- a/azurepass/partition/owner_recording_test.cc
+++ b/azurepass/partition/owner_recording_test.cc
@@ -110,6 +110,37 @@
   CHECK(d.Starts().size() == 12);
 }
 
+// Events that came before the owner was ready may be of two lives: the number
+// of the first one's last event acknowledged those of the second.
+TEST_CASE("of a worker's lives the last one's events are acknowledged") {
+  struct Case {
+    std::vector<std::pair<int64_t, int64_t>> reported;  // Life and number.
+    int64_t life;
+    int64_t number;
+  };
+  const Case cases[] = {{{{1, 7}}, 1, 7},
+                        {{{1, 7}, {2, 3}}, 2, 3},
+                        {{{1, 7}, {2, 3}, {2, 0}}, 2, 3},
+                        {{{2, 3}, {3, 0}}, 2, 3}};
+  for (const Case& c : cases) {
+    CAPTURE(c.life);
+    Driver d({"vm-0"}, false, RecordingFirst());
+    WorkerReported report{VmId("vm-0"), Epoch{1}, {}, {}};
+    for (const auto& [life, number] : c.reported) {
+      WorkerEvent event;
+      event.number = number;
+      event.life = life;
+      event.attempt = {{JobId("p.1"), 1}, 1};
+      event.kind = WorkerEventKind::kStopped;
+      report.events.push_back(event);
+    }
+    d.Do(report);
+    d.AppendAll();
+    CHECK(d.Last<AcknowledgeEvents>().life == c.life);
+    CHECK(d.Last<AcknowledgeEvents>().number == c.number);
+  }
+}
+
 TEST_CASE("a leaving owner leaves ends to its successor, and is done sooner") {
   Driver d({"vm-0"}, false, RecordingFirst());
   d.Submit(1, OneStep(2));
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -302,9 +302,13 @@
 
 void Owner::Impl::Acknowledge(const Worker& worker,
                               const std::vector<WorkerEvent>& handled) {
-  int64_t last = 0;
-  for (const WorkerEvent& event : handled) last = std::max(last, event.number);
-  if (last > 0) AcknowledgeLater(worker.spec.vm, last);
+  // A worker has forgotten what it reported in a former life.
+  std::pair<int64_t, int64_t> last;
+  for (const WorkerEvent& event : handled) {
+    if (event.number > 0) last = std::max(last, {event.life, event.number});
+  }
+  if (last.second == 0) return;
+  AcknowledgeLater({worker.spec.vm, last.second, last.first});
 }
 
 void Owner::Impl::On(const WorkerFenced& event) {
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -388,11 +388,12 @@
   VmId vm;
   std::vector<Order> orders;
 };
-// All that follows from the worker's events up to this number is appended: it
-// may forget them.
+// All that follows from the events of that life of the worker up to this number
+// is appended: it may forget them.
 struct AcknowledgeEvents {
   VmId vm;
   int64_t number = 0;
+  int64_t life = 0;
 };
 // Ask the service that issues permits about these workers. Answered by
 // PermitsIssued.
--- a/azurepass/scheduling/internal/hops.cc
+++ b/azurepass/scheduling/internal/hops.cc
@@ -142,7 +142,7 @@
       ends_.clear();
       open_ends_ = 0;
     }
-    ends_[reported.vm].push_back({event.number, now});
+    ends_[reported.vm].push_back({{event.life, event.number}, now});
     ++open_ends_;
   }
 }
@@ -154,7 +154,8 @@
   std::vector<ListedEnd>& ends = found->second;
   const auto open =
       std::find_if(ends.begin(), ends.end(), [&](const ListedEnd& listed) {
-        return listed.number > acknowledged.number;
+        return listed.number >
+               std::pair(acknowledged.life, acknowledged.number);
       });
   for (auto end = ends.begin(); end != open; ++end) {
     Record(Hop::kEnd, now - end->at);
--- a/azurepass/scheduling/internal/hops.h
+++ b/azurepass/scheduling/internal/hops.h
@@ -91,7 +91,7 @@
     std::chrono::nanoseconds processor{0};
   };
   struct ListedEnd {
-    int64_t number = 0;
+    std::pair<int64_t, int64_t> number;  // And before it, the worker's life.
     MonotonicTime at;
   };
 
--- a/azurepass/scheduling/internal/partition_task.cc
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -282,7 +282,7 @@
             peers_.workers.Send(endpoint::Send{a.vm, std::move(a.orders)});
           },
           [this](const partition::AcknowledgeEvents& a) {
-            peers_.workers.Send(endpoint::Acknowledge{a.vm, a.number});
+            peers_.workers.Send(endpoint::Acknowledge{a.vm, a.number, a.life});
           },
           [this](partition::AskPermits& a) { AskPermits(a); },
           [this](partition::Answer& a) { Answer(a); },
