--- a/azurepass/endpoint/internal/session.cc
+++ b/azurepass/endpoint/internal/session.cc
@@ -543,6 +543,7 @@
   }
   for (const auto& [attempt, revoked] : revoked_) doubtful[attempt] = false;
   std::vector<DoubtfulStart> starts;
+  starts.reserve(doubtful.size());
   for (const auto& [attempt, ran] : doubtful) starts.push_back({attempt, ran});
   return starts;
 }
