escrow: a turn passes though another dimension is in motion

What callers would see: an account of which nothing runs, as long as an owner that is away has the turn and the memory of another partition comes and goes (found by review).

Cause: a turn that brings nothing is passed after 2 s without a change of what is in its reach, counted in all limited dimensions, also in those that are not short.

--- a/azurepass/escrow/escrow.h
+++ b/azurepass/escrow/escrow.h
@@ -80,7 +80,7 @@
 // not short, or holds a unit for each partition that waits.
 std::optional<PartitionId> NextTurn(const Book& book, const Resources& limit);
 
-// What the partition holds, and what is free.
+// What the partition holds, and what is free, in the dimensions that are short.
 Resources InReach(const Book& book, const Resources& limit,
                   const PartitionId& partition);
 
--- a/azurepass/escrow/escrow_test.cc
+++ b/azurepass/escrow/escrow_test.cc
@@ -409,5 +409,45 @@
   }
 }
 
+// The owner of p-away has a turn and is away. p-1's small tasks come and go, so
+// what is in reach changes in each few rounds; p-2 waits for 30 of 100.
+TEST_CASE("the turn of an owner that is away passes beside small work") {
+  const Resources limit = SlotLimit(100);
+  Book book;
+  book = Settle(book, limit, PartitionId("p-away"), {{}, Slots(80), Slots(80)});
+  book.lines.at(PartitionId("p-away")).granted = Resources();
+  std::vector<Busy> all;
+  all.emplace_back(1, Kind{Slots(5), 2});
+  all.emplace_back(2, Kind{Slots(30), 4}).Add(1'000);
+  TurnWatch turns;
+  for (int round = 0; round < 400; ++round) {
+    if (round % 3 == 0) all[0].Add(1 + round % 2);
+    for (Busy& busy : all) busy.Round(book, limit, round);
+    turns.Round(book, limit);
+  }
+  MESSAGE("p-1 started ", all[0].started(), ", p-2 started ", all[1].started());
+  CHECK(all[1].started() > 10);
+}
+
+// The same by a dimension in which the limit is not short.
+TEST_CASE("a turn passes though another dimension is in motion") {
+  Resources limit = SlotLimit(100);
+  limit[Dimension::kMemoryMib] = 1'000;
+  Book book;
+  book = Settle(book, limit, PartitionId("p-away"), {{}, Slots(80), Slots(80)});
+  book.lines.at(PartitionId("p-away")).granted = Resources();
+  std::vector<Busy> all;
+  all.emplace_back(1, Kind{Resources(0, 0, 0, 300, 0), 2});
+  all.emplace_back(2, Kind{Slots(30), 4}).Add(1'000);
+  TurnWatch turns;
+  for (int round = 0; round < 400; ++round) {
+    if (round % 4 == 0) all[0].Add(1);
+    for (Busy& busy : all) busy.Round(book, limit, round);
+    turns.Round(book, limit);
+  }
+  MESSAGE("p-1 started ", all[0].started(), ", p-2 started ", all[1].started());
+  CHECK(all[1].started() > 10);
+}
+
 }  // namespace
 }  // namespace azurepass::escrow
--- a/azurepass/escrow/settle.cc
+++ b/azurepass/escrow/settle.cc
@@ -356,8 +356,7 @@
                   const PartitionId& partition) {
   Resources in_reach;
   const auto line = book.lines.find(partition);
-  for (Dimension d : kAllDimensions) {
-    if (IsUnlimited(limit[d])) continue;
+  for (Dimension d : ShortDimensions(book, limit)) {
     in_reach[d] = std::max<int64_t>(0, limit[d] - SumGranted(book, d));
     if (line != book.lines.end()) in_reach[d] += line->second.granted[d];
   }
