escrow: small work of its own does not end a partition's turn

What callers would see: a large task or gang that never starts beside small ones of its account in the same partition (found by review).

Cause: a turn ended when its partition had started anything. It ends now when the partition has started the unit that it published.

--- a/azurepass/escrow/escrow_test.cc
+++ b/azurepass/escrow/escrow_test.cc
@@ -449,5 +449,44 @@
   CHECK(all[1].started() > 10);
 }
 
+// A partition whose first job in rank takes 80, with small tasks of its own
+// behind it that start wherever there is allowance.
+TEST_CASE("a turn outlives the small work of its own partition") {
+  const Resources limit = SlotLimit(100);
+  const PartitionId mixed("p-9");
+  for (const int64_t length : {2, 5, 9, 15}) {
+    std::vector<Busy> all;
+    for (int i = 0; i < 4; ++i) {
+      all.emplace_back(i, Kind{Slots(5), length + i}).Add(100'000);
+    }
+    std::vector<int64_t> ends;  // Of the small tasks of the mixed one.
+    int64_t started = 0;
+    int64_t large_until = 0;
+    Book book;
+    TurnWatch turns;
+    for (int round = 0; round < 600; ++round) {
+      for (Busy& busy : all) busy.Round(book, limit, round);
+      std::erase_if(ends, [&](int64_t end) { return end <= round; });
+      const bool large = round >= 20;
+      int64_t used = std::ssize(ends) * 5 + (large_until > round ? 80 : 0);
+      const int64_t waits = large_until > round ? 0 : 80;
+      book = Settle(book, limit, mixed,
+                    {Slots(used), Slots(used + 100 + (large ? waits : 0)),
+                     Slots(large && waits > 0 ? 80 : 5)});
+      const int64_t usable = Usable(book, limit, mixed)[kSlots];
+      if (large && waits > 0 && used + 80 <= usable) {
+        large_until = round + 5;
+        used += 80;
+        ++started;
+      }
+      for (; used + 5 <= usable; used += 5) ends.push_back(round + length);
+      turns.Round(book, limit);
+    }
+    MESSAGE("small tasks of ", length, " rounds: large starts ", started);
+    CAPTURE(length);
+    CHECK(started > 3);
+  }
+}
+
 }  // namespace
 }  // namespace azurepass::escrow
--- a/azurepass/escrow/settle.cc
+++ b/azurepass/escrow/settle.cc
@@ -11,7 +11,7 @@
 // for less than a unit starts nothing; what the rounding leaves goes by turns,
 // in whole units. Where the fair part of a partition is less than a unit, the
 // one whose turn it is gets a unit before the rest is cut. Its turn ends when
-// it has started something, or when somebody passes it. A partition keeps no
+// it has started its unit, or when somebody passes it. A partition keeps no
 // more than its part beyond what is in use.
 
 #include <algorithm>
@@ -308,12 +308,15 @@
   const auto [found, is_new] = settled.lines.try_emplace(partition);
   Line& line = found->second;
   if (is_new) line.turn = LastTurn(book) + 1;
+  // A turn is for the unit: small tasks of its partition don't end it.
   bool has_started = false;
+  bool has_whole_unit = true;
   for (Dimension d : kAllDimensions) {
     if (IsUnlimited(limit[d])) continue;
     has_started |= need.committed[d] > line.held[d];
+    has_whole_unit &= need.committed[d] >= line.held[d] + line.unit[d];
   }
-  if (has_started && NextTurn(book, limit) == partition) {
+  if (has_started && has_whole_unit && NextTurn(book, limit) == partition) {
     line.turn = LastTurn(book) + 1;
   }
   line.held = need.committed;
