escrow: a line that wants nothing for a moment keeps its place

What callers would see: a partition whose want goes and comes back is the first in the order of turns and interrupts whoever has the turn (found by review).

Cause: the line is erased when it wants and has nothing, and made anew with the first place while its owner may still use the grant.

Test: "what wants nothing for a moment keeps its place in the order"; before, the book in the store had "turn":0.

--- a/azurepass/escrow/broker.cc
+++ b/azurepass/escrow/broker.cc
@@ -292,7 +292,10 @@
     if (before == book.lines.end()) return settled;
     const Resources floor = Resources::Min(
         before->second.granted, ObeyedBound(partition, team, demand));
-    Line& line = settled.lines[id];
+    // A line that wants nothing any more keeps its place while it is granted.
+    const auto [kept, is_gone] = settled.lines.try_emplace(id);
+    Line& line = kept->second;
+    if (is_gone) line.turn = before->second.turn;
     line.granted = Resources::Max(line.granted, floor);
     if (line.granted == before->second.granted &&
         line.turn == before->second.turn &&
--- a/azurepass/escrow/broker_test.cc
+++ b/azurepass/escrow/broker_test.cc
@@ -279,5 +279,25 @@
   }
 }
 
+// Settle erases a line that is all zero; what the owner may still use makes it
+// anew.
+TEST_CASE("what wants nothing for a moment keeps its place in the order") {
+  constexpr int64_t kLimit = 100;
+  Account a;
+  a.owners[1]->Want(20, kLimit, 10);
+  a.For(Duration(600));
+  a.owners[0]->Want(50, kLimit, 10);
+  a.For(Duration(2'500));
+  a.owners[0]->Want(0, kLimit, 10);
+  a.For(Duration(50));
+  a.owners[0]->Want(50, kLimit, 10);
+  a.For(Duration(400));
+  a.store.Port(0).Send(store::Get{BookKey(kTeam), a.books.address()});
+  const auto reply = a.books.Take();
+  const std::string book = std::get<store::Value>(reply).entry->value;
+  CAPTURE(book);
+  CHECK(book.find("\"turn\":0") == std::string::npos);
+}
+
 }  // namespace
 }  // namespace azurepass::escrow
