escrow: a surplus is seen soon where a unit is large

Cause: a process that holds a surplus reads the book soon only while less than an eighth of the limit is free; a unit may be larger than that. Now it does while less than half of the limit is free.

--- a/azurepass/escrow/broker.cc
+++ b/azurepass/escrow/broker.cc
@@ -250,7 +250,7 @@
 
   Duration RefreshOf(const PartitionId& id, const Book& book,
                      const Demand& demand) const {
-    constexpr int64_t kLittle = 8;  // Parts of the limit.
+    constexpr int64_t kLittle = 2;  // Parts of the limit.
     Line line = LineOf(book, id);
     line.wanted = demand.need.wanted;
     const bool may_be_lacked = AnyLimited(demand.limit, [&](Dimension d) {
--- a/azurepass/escrow/broker_test.cc
+++ b/azurepass/escrow/broker_test.cc
@@ -279,6 +279,22 @@
   }
 }
 
+// The first holds 700 for a want of 400; 100 are free, which is an eighth.
+TEST_CASE("a surplus is given back soon where a unit is large") {
+  constexpr int64_t kLimit = 800;
+  Account a;
+  a.owners[0]->Want(560, kLimit, 10);
+  a.Until(Duration(5'000), [&a] { return a.owners[0]->committed() == 560; });
+  a.For(Duration(2'500));
+  a.owners[0]->Want(400, kLimit, 10);
+  a.For(Duration(600));
+  a.owners[1]->Want(300, kLimit, 300);
+  const Duration took = a.Until(
+      Duration(8'000), [&a] { return a.owners[1]->committed() == 300; });
+  MESSAGE("until it has its unit: ", took.count(), " ms");
+  CHECK(took <= kFromFallToUse);
+}
+
 // Settle erases a line that is all zero; what the owner may still use makes it
 // anew.
 TEST_CASE("what wants nothing for a moment keeps its place in the order") {
