Placement: a gang without places is not what the next start takes

What callers would see: an account whose limit is kept free for a gang that has no places in that partition, while a smaller job that could start waits (found by review).

Cause: the unit that an owner names in its demands was checked against the sum of free room. A gang without permits is in no queue, so that no search finds it without room. Now the open workers must have places for all of it. Permits denied and bounds a worker are still not counted.

Test: owner_workflows_test "a gang without places here is not what the next start takes"; before, the unit was 12,000 for a gang of two, of which one fits.

--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -629,5 +629,40 @@
   CHECK(d.Starts()[1].first == other);
 }
 
+// Room for the gang in sum, but only on one worker for one task of it: it asks
+// for no permits, so that nobody ever finds it without room.
+TEST_CASE("a gang without places here is not what the next start takes") {
+  Driver d({"vm-0", "vm-1"}, /*permits=*/true);
+  d.Do(AllowancesChanged{{{kTeam, Resources(100, 100, 3'000, 100'000, 0)}}});
+  WorkflowSpec first;
+  first.queue = kQueue;
+  first.steps = {Step(1)};
+  first.steps[0].job.task[Dimension::kMillicores] = 3'000;
+  d.Submit(1, first);
+  d.AppendAll();
+  REQUIRE(d.Starts().size() == 1);
+  WorkflowSpec gang = OfPermittedTasks(2, GangPolicy{.atomic = true});
+  gang.steps[0].job.task[Dimension::kMillicores] = 6'000;
+  d.Submit(2, gang, kTeam, RequestId("00000000000000aa"));
+  const WorkflowSpec small = OfPermittedTasks(1, BatchPolicy{});
+  d.Submit(3, small, kTeam, RequestId("00000000000000bb"));
+  d.AppendAll();
+  d.now += seconds(3);
+  d.Do(Tick{});
+  CHECK(d.Count<AskPermits>() == 0);
+  const std::vector<AllowanceDemand> demands = d.Last<ReportDemand>().demands;
+  const auto of_team =
+      std::find_if(demands.begin(), demands.end(),
+                   [](const auto& demand) { return demand.team == kTeam; });
+  REQUIRE(of_team != demands.end());
+  CHECK(of_team->unit[Dimension::kMillicores] ==
+        small.steps[0].job.task[Dimension::kMillicores]);
+  // Allowance for all: the gang still does not ask, the small one does.
+  d.Do(AllowancesChanged{{{kTeam, Resources(100, 100, 90'000, 100'000, 0)}}});
+  d.now += seconds(3);
+  d.Do(Tick{});
+  CHECK(d.Count<AskPermits>() == 1);
+}
+
 }  // namespace
 }  // namespace azurepass::partition
--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -44,6 +44,18 @@
   return job.spec.task * (job.is_gang() ? job.waiting : 1);
 }
 
+// Whether the open workers have room for all that wait of a gang, whatever else
+// it needs of them.
+bool HasPlaces(const internal::Fleet& fleet, const Job& job) {
+  int32_t missing = job.waiting;
+  for (const internal::Worker& worker : fleet.workers()) {
+    if (missing <= 0) break;
+    if (!fleet.IsOpen(worker)) continue;
+    missing -= internal::TimesFits(job.room(), worker.free, missing);
+  }
+  return missing <= 0;
+}
+
 }  // namespace
 
 std::string_view WaitReasonName(WaitReason reason) {
@@ -460,6 +472,7 @@
     if (job.team != team || job.waiting == 0) return true;
     const Resources size = StartSizeOf(job);
     if (!size.FitsIn(room)) return true;
+    if (job.is_gang() && !HasPlaces(state.fleet, job)) return true;
     first = job.rank();
     unit = size;
     return false;
