--- a/azurepass/escrow/escrow_test.cc
+++ b/azurepass/escrow/escrow_test.cc
@@ -414,7 +414,7 @@
 // Mean use by the others, in percent of what the lasting work leaves them,
 // beside a claim that cannot be met while that work lasts.
 int64_t UseBesideClaim(int64_t rounds, bool with_claim) {
-  constexpr int kLength = 600;
+  constexpr int64_t kLength = 600;
   const Resources limit = SlotLimit(100);
   std::vector<Busy> all;
   all.emplace_back(0, Kind{Slots(30), kLasts}).Add(1);
