--- a/azurepass/escrow/escrow.h
+++ b/azurepass/escrow/escrow.h
@@ -9,10 +9,9 @@
 //   1. For one book and one limit the sum of U over all partitions is at most
 //      the limit: grants are used as they are while their sum is within the
 //      limit, else they are scaled down by limit / sum.
-//   2. Only p's owner changes p's grant; others may pass p's turn. It raises it
-//   only out of what the book
-//      leaves free, so a partition that still reads an older book uses no more
-//      than the newer one grants it.
+//   2. Only p's owner changes p's grant; others may pass p's turn. It raises
+//      the grant only out of what the book leaves free, so a partition that
+//      still reads an older book uses no more than the newer one grants it.
 //   3. The owner obeys a lower grant before it writes it, so that what it gives
 //      back is no longer in use when somebody else takes it.
 //   4. A grant belongs to the partition, not to its owner: a crash frees
