--- a/azurepass/scheduling/internal/partition_task.cc
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -332,7 +332,9 @@
 
 void PartitionTask::ReportDemand(const partition::ReportDemand& report) {
   if (!owner_ || !configuration_ || !configuration_->configuration) return;
-  escrow::Demands demands{options_.partition.id, obeyed_grant_, {}};
+  // Before it owns, the owner does not know what runs: nothing is given back.
+  const int64_t obeyed = owner_->owns() ? obeyed_grant_ : 0;
+  escrow::Demands demands{options_.partition.id, obeyed, {}};
   for (const auto& [team, contract] :
        configuration_->configuration->contracts) {
     demands.teams[team].limit = contract.upper_limit;
