An end that is heard while the owner opens is over

Cause: while an owner waits for other workers, a worker's first list is kept and its later events are gathered. At the end of that wait the events were taken in first, then the list, which still named the attempt that had just ended: an orphan, to be stopped, whose end never comes again.

Mend: an end takes its attempt off the list that is kept.

With starts recorded first an owner waits for nobody, so that this was not met on the platform.

--- a/azurepass/partition/owner_recording_test.cc
+++ b/azurepass/partition/owner_recording_test.cc
@@ -244,5 +244,33 @@
         RefusalCode::kStaleConfiguration);
 }
 
+// A worker that was heard of twice while the owner waited for others was closed
+// for ever: its list was taken in after the end that came later, and the run
+// that it names was stopped and waited for.
+TEST_CASE("an end that is heard while the owner opens is over") {
+  Options options = ForPlatform();
+  options.record_starts_first = false;
+  Driver d({"vm-0", "vm-1"}, /*permits=*/false, options);
+  d.Submit(1, TwoSteps());
+  d.AppendAll();
+  REQUIRE(!d.Starts().empty());
+  const auto [vm, start] = d.Starts().front();
+  const std::vector<Batch> batches = d.batches;
+  d.Own(2, std::nullopt, batches, {});
+  d.Open(vm.value(), {start.attempt});
+  d.Report(vm.value(), 1, start.attempt, WorkerEventKind::kSucceeded);
+  d.actions.clear();
+  d.Open(vm == VmId("vm-0") ? "vm-1" : "vm-0");
+  d.AppendAll();
+  for (const Action& action : d.actions) {
+    const auto* sent = std::get_if<SendOrders>(&action);
+    if (sent == nullptr) continue;
+    for (const Order& order : sent->orders) {
+      const auto* stop = std::get_if<StopTask>(&order);
+      CHECK((stop == nullptr || stop->attempt != start.attempt));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace azurepass::partition
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -291,8 +291,13 @@
   // be a record more to wait for.
   if (In<Releasing>()) return;
   if (In<Opening>()) {
-    std::move(event.events.begin(), event.events.end(),
-              std::back_inserter(worker->unread));
+    for (WorkerEvent& e : event.events) {
+      // The list that is kept is older than this.
+      if (e.kind != WorkerEventKind::kStarted) {
+        std::erase(worker->running, e.attempt);
+      }
+      worker->unread.push_back(std::move(e));
+    }
     return;
   }
   for (const WorkerEvent& e : event.events) HandleWorkerEvent(*worker, e);
