--- a/azurepass/daemons/node.cc
+++ b/azurepass/daemons/node.cc
@@ -31,7 +31,6 @@
   constexpr Duration kFirstRetry{50};
   endpoint::Options options;
   options.lease = cell.timing.worker_lease;
-  options.lease_margin = cell.timing.worker_lease_margin;
   options.hold = cell.timing.worker_hold;
   options.request_timeout = kAnswerTime;
   options.retry_delay = kFirstRetry;
--- a/azurepass/daemons/scheduler_main.cc
+++ b/azurepass/daemons/scheduler_main.cc
@@ -27,7 +27,6 @@
 endpoint::Options EndpointOptions(const settings::CellSettings& cell) {
   endpoint::Options options;
   options.lease = cell.timing.worker_lease;
-  options.lease_margin = cell.timing.worker_lease_margin;
   options.hold = cell.timing.worker_hold;
   return options;
 }
--- a/azurepass/endpoint/client.cc
+++ b/azurepass/endpoint/client.cc
@@ -58,8 +58,8 @@
               [](const ExchangeFenced& fenced) -> internal::Event {
                 return FencedBy{fenced.theirs};
               },
-              [&](const ExchangeFailed&) -> internal::Event {
-                return Unanswered{channel};
+              [&](const ExchangeFailed& failed) -> internal::Event {
+                return Unanswered{channel, failed.replaced};
               }},
       result);
 }
--- a/azurepass/endpoint/endpoint.h
+++ b/azurepass/endpoint/endpoint.h
@@ -68,11 +68,21 @@
 };
 // No answer, twice in a row. `lease_until` is the moment by which whatever ran
 // there under our lease has certainly stopped (margin included), unless
-// Reachable or SessionOpened comes before.
+// Reachable or SessionOpened comes before. `last_answer` is when the worker
+// answered last; without an answer, when the session began.
 struct Unreachable {
   VmId vm;
   Epoch epoch;
   MonotonicTime lease_until;
+  MonotonicTime last_answer;
+};
+// Another worker answers at the address: this one has ended, and all that it
+// ran with it. Told once in a session. The session goes on, in case the worker
+// comes back.
+struct Replaced {
+  VmId vm;
+  Epoch epoch;
+  MonotonicTime last_answer;  // As in Unreachable.
 };
 // Answers again after Unreachable, same epoch. `running` as in SessionOpened.
 struct Reachable {
@@ -80,8 +90,8 @@
   Epoch epoch;
   std::vector<AttemptId> running;
 };
-using Update =
-    std::variant<SessionOpened, Events, Fenced, Unreachable, Reachable>;
+using Update = std::variant<SessionOpened, Events, Fenced, Unreachable,
+                            Reachable, Replaced>;
 
 // --- Requests to the client
 
@@ -127,9 +137,11 @@
 using Request = std::variant<Open, Send, Acknowledge, Close, Authorize>;
 
 struct Options {
-  Duration lease{15'000};        // A worker keeps running this long unrenewed.
-  Duration lease_margin{1'000};  // Added before a lapsed lease is trusted.
-  Duration hold{4'000};          // How long a worker holds an empty answer.
+  Duration lease{15'000};  // A worker keeps running this long unrenewed.
+  // Added to an unrenewed lease before it is trusted to have lapsed: for the
+  // worker to stop what it runs. Slow clocks are allowed for beside it.
+  Duration lease_margin{1'000};
+  Duration hold{4'000};             // How long a worker holds an empty answer.
   Duration request_timeout{2'000};  // Beyond the hold.
   // A start that the worker has not taken by then is not sent any more: what
   // allowed it may have changed.
@@ -193,6 +205,7 @@
 };
 struct ExchangeFailed {
   std::string message;
+  bool replaced = false;  // Another worker answered at the address.
 };
 using ExchangeResult =
     std::variant<ExchangeAnswer, ExchangeFenced, ExchangeFailed>;
--- a/azurepass/endpoint/internal/session.cc
+++ b/azurepass/endpoint/internal/session.cc
@@ -14,6 +14,8 @@
 // A hold is at most this part of the lease, so that a renewal or two may fail.
 constexpr int kHoldsPerLease = 3;
 constexpr int kMaxDoublings = 16;
+// A worker's clock may run slow by one part of this many.
+constexpr int kClockDrift = 50;
 
 const AttemptId& AttemptOf(const Order& order) {
   return std::visit([](const auto& o) -> const AttemptId& { return o.attempt; },
@@ -93,9 +95,7 @@
             ended_ = true;
             outputs_.emplace_back(Update(Fenced{vm_, epoch_, fenced.theirs}));
           },
-          [&](const Unanswered& unanswered) {
-            OnUnanswered(unanswered.channel, now);
-          },
+          [&](const Unanswered& unanswered) { OnUnanswered(unanswered, now); },
           [&](const Woken& woken) { OnWoken(woken.channel, now); },
           [&](const Authorized& authorized) {
             authorized_until_ = authorized.until;
@@ -230,13 +230,16 @@
   }
 }
 
-void Session::OnUnanswered(Channel channel, MonotonicTime now) {
-  if (channel == Channel::kOrders) {
+void Session::OnUnanswered(const Unanswered& unanswered, MonotonicTime now) {
+  if (unanswered.replaced && !std::exchange(replaced_, true)) {
+    outputs_.emplace_back(Update(Replaced{vm_, epoch_, token_received_}));
+  }
+  if (unanswered.channel == Channel::kOrders) {
     orders_busy_ = false;
     const size_t sent = std::exchange(orders_sent_, 0);
     for (size_t i = 0; i < sent; ++i) NoteUnanswered(orders_[i], now);
     orders_waiting_ = true;
-    outputs_.emplace_back(Wake{channel, Backoff(++orders_failures_)});
+    outputs_.emplace_back(Wake{Channel::kOrders, Backoff(++orders_failures_)});
     return;
   }
   held_busy_ = false;
@@ -246,10 +249,11 @@
       revoked.stage = RevokeStage::kStopped;
     }
   }
-  outputs_.emplace_back(Wake{channel, Backoff(++held_failures_)});
+  outputs_.emplace_back(Wake{Channel::kHeld, Backoff(++held_failures_)});
   if (held_failures_ < kFailuresToUnreachable || unreachable_) return;
   unreachable_ = true;
-  outputs_.emplace_back(Update(Unreachable{vm_, epoch_, LeaseUntil()}));
+  outputs_.emplace_back(
+      Update(Unreachable{vm_, epoch_, LeaseUntil(), token_received_}));
 }
 
 void Session::OnRecorded(const Recorded& recorded) {
@@ -553,7 +557,8 @@
 }
 
 MonotonicTime Session::LeaseUntil() const {
-  return token_received_ + options_.lease + options_.lease_margin;
+  return token_received_ + options_.lease + options_.lease / kClockDrift +
+         options_.lease_margin;
 }
 
 // Between half and the whole of the doubled delay.
--- a/azurepass/endpoint/internal/session.h
+++ b/azurepass/endpoint/internal/session.h
@@ -64,6 +64,7 @@
 };
 struct Unanswered {
   Channel channel = Channel::kHeld;
+  bool replaced = false;  // Another worker answered at the address.
 };
 // A Wake is due.
 struct Woken {
@@ -141,7 +142,7 @@
   void OnAnswered(Answered answered, MonotonicTime now);
   void OnHeldAnswer(ExchangeAnswer answer, MonotonicTime now);
   void OnOrdersAnswer(ExchangeAnswer answer, MonotonicTime now);
-  void OnUnanswered(Channel channel, MonotonicTime now);
+  void OnUnanswered(const Unanswered& unanswered, MonotonicTime now);
   void OnWoken(Channel channel, MonotonicTime now);
 
   // Puts both channels to work, as far as they may be.
@@ -193,6 +194,7 @@
 
   bool opened_ = false;       // The worker has accepted the epoch.
   bool unreachable_ = false;  // Told, and not answered since.
+  bool replaced_ = false;     // Told.
   bool ended_ = false;
   std::string token_;
   // When token_ was received; before there is one, when the session began.
--- a/azurepass/endpoint/internal/session_late_test.cc
+++ b/azurepass/endpoint/internal/session_late_test.cc
@@ -211,7 +211,9 @@
                                Lapse(at, serial);
                              });
                        },
-                       [](const Fenced&) {}},
+                       [](const Fenced&) {},
+                       // No other worker comes to this one's address.
+                       [](const Replaced&) { FAIL("replaced"); }},
                update);
   }
   void Lapse(size_t at, int64_t serial) {
--- a/azurepass/endpoint/internal/session_test.cc
+++ b/azurepass/endpoint/internal/session_test.cc
@@ -48,8 +48,8 @@
     return exchange.request.list ? "held-list" : "held";
   }
   static std::string NameOf(const Update& update) {
-    static const char* const names[] = {"opened", "events", "fenced",
-                                        "unreachable", "reachable"};
+    static const char* const names[] = {"opened",      "events",    "fenced",
+                                        "unreachable", "reachable", "replaced"};
     return names[update.index()];
   }
   std::string Text() const {
@@ -115,6 +115,25 @@
   }
 };
 
+// Guards against tasks that wait for the lease of a worker that has ended, and
+// whose address another worker has taken over.
+TEST_CASE("a worker whose address another one has is told as replaced, once") {
+  for (const Channel channel : {Channel::kHeld, Channel::kOrders}) {
+    Fixture f;
+    f.Open();
+    const MonotonicTime last_answer = f.now;
+    f.now += kSecond;
+    if (channel == Channel::kOrders) f.On(Ordered{{Start(0)}});
+    CHECK(f.On(Unanswered{channel, true}) == "replaced wake ");
+    CHECK(f.Get<Replaced>(0).last_answer == last_answer);
+    CHECK(f.Get<Replaced>(0).epoch == Epoch{3});
+    f.now += kSecond;
+    f.On(Woken{channel});
+    const std::string again = f.On(Unanswered{channel, true});
+    CHECK(again.find("replaced") == std::string::npos);
+  }
+}
+
 TEST_CASE("events come before the list, and none comes twice") {
   Fixture f;
   CHECK(f.Begin() == "held-list ");
@@ -481,8 +500,11 @@
   f.now += kSecond;
   // The start was not taken in time.
   CHECK(f.On(Unanswered{Channel::kHeld}) == "wake unreachable events ");
-  CHECK(f.Get<Unreachable>(1).lease_until ==
-        received + f.options.lease + f.options.lease_margin);
+  const auto told = f.Get<Unreachable>(1);
+  CHECK(told.last_answer == received);
+  // Its clock may be 2% slow.
+  CHECK(told.lease_until == received + f.options.lease + f.options.lease / 50 +
+                                f.options.lease_margin);
 }
 
 TEST_CASE("a restarted worker opens anew and gets none of the old orders") {
--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -150,6 +150,7 @@
   void On(WorkerReported event);
   void On(const WorkerFenced& event);
   void On(const WorkerUnreachable& event);
+  void On(const WorkerReplaced& event);
   void BeginOpening();
   void AddRecoveredJob(const JobId& id, const internal::LedgerJob& job);
   void FinishOpening();
@@ -168,6 +169,8 @@
   void AdoptEnded(const VmId& vm, const WorkerEvent& event);
   void StopOrphan(internal::Worker& worker, const AttemptId& attempt);
   void HandleLapsedSessions();
+  void LogStopped(const internal::Worker& worker, const std::string& proof,
+                  MonotonicTime last_answer);
   void HandleOverdueAttempts();
   void ReopenWorker(internal::Worker& worker);
   void HandleLostWorker(internal::Worker& worker, const std::string& reason);
--- a/azurepass/partition/internal/worker_table.h
+++ b/azurepass/partition/internal/worker_table.h
@@ -44,9 +44,10 @@
 // Everything that this owner started on the worker has stopped by `lapses`.
 struct SessionUnreachable {
   MonotonicTime lapses;
+  MonotonicTime last_answer;  // Of the worker.
 };
-// Nothing that this or a former owner started runs on the worker. The session
-// was requested again.
+// Nothing that this or a former owner started runs on the worker: its lease has
+// lapsed, or it was replaced. The session was requested again.
 struct SessionLapsed {};
 // The VM is not in the VM list, and nothing runs on it.
 struct SessionGone {};
--- a/azurepass/partition/owner_fuzz_test.cc
+++ b/azurepass/partition/owner_fuzz_test.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr int kRunLength = 120;
+constexpr uint64_t kReplacedRuns = 200;
 constexpr uint64_t kMaxRunsToViolation = 3'000;
 constexpr uint64_t kRunsWithoutViolation = 300;
 
@@ -72,6 +73,22 @@
   return "";
 }
 
+// Guards against a task that runs twice because an owner, or its successor,
+// trusts too early that a worker was replaced.
+TEST_CASE("random worlds in which other workers take over addresses") {
+  for (uint64_t seed = 1; seed <= kReplacedRuns; ++seed) {
+    CAPTURE(seed);
+    std::vector<Command> commands = RandomCommands(seed, kRunLength);
+    for (Command& command : commands) {
+      const bool silent = command.kind == CommandKind::kDisconnectWorker ||
+                          command.kind == CommandKind::kVmGone;
+      if (silent)
+        command = {CommandKind::kVmGone, command.a, kAddressTakenOver};
+    }
+    CHECK(RunWorld({}, seed, commands, FormerOwner::kKeepsSending) == "");
+  }
+}
+
 // A former owner is paused with queued tasks, which its successor starts. Then
 // a worker reboots, and so loses the successor's epoch, and the former owner
 // resumes and opens a session there.
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -54,6 +54,12 @@
   return std::holds_alternative<SessionGone>(worker.session);
 }
 
+// Nothing that was started there runs any more.
+bool IsStopped(const Worker& worker) {
+  return IsGone(worker) ||
+         std::holds_alternative<SessionLapsed>(worker.session);
+}
+
 }  // namespace
 
 void Owner::Impl::BeginOpening() {
@@ -340,19 +346,44 @@
   if (!IsOpen(*worker)) return;
   const MonotonicTime lapses =
       options_.testing.ignore_worker_lease ? now_ : event.lease_until;
-  workers_.SetSession(*worker, SessionUnreachable{lapses});
+  workers_.SetSession(*worker, SessionUnreachable{lapses, event.last_answer});
   SetAdmission(*worker);
   ApplyVmList();
 }
 
+void Owner::Impl::On(const WorkerReplaced& event) {
+  Worker* worker = workers_.Find(event.vm);
+  if (event.epoch != epoch_ || !loaded() || worker == nullptr) return;
+  if (IsStopped(*worker)) return;
+  const bool ours = !std::holds_alternative<SessionOpening>(worker->session);
+  workers_.SetSession(*worker, SessionLapsed{});
+  worker->draining.clear();
+  if (ours) ReopenWorker(*worker);
+  LogStopped(*worker, "replaced", event.last_answer);
+  if (!In<Opening>()) HandleLostWorker(*worker, "the worker was replaced");
+  SetAdmission(*worker);
+}
+
+// Tells by which proof nothing runs on the worker any more, and how long it was
+// silent before.
+void Owner::Impl::LogStopped(const Worker& worker, const std::string& proof,
+                             MonotonicTime last_answer) {
+  const auto silent = std::chrono::duration_cast<Duration>(now_ - last_answer);
+  Log("worker_stopped", {}, 0, worker.spec.vm,
+      proof + ", silent for " + std::to_string(silent.count()) + " ms, " +
+          std::to_string(worker.tasks.size()) + " tasks");
+}
+
 void Owner::Impl::HandleLapsedSessions() {
   for (const VmId& vm : workers_.LapsedWorkers(now_)) {
     Worker& worker = *workers_.Find(vm);
-    const bool ours =
-        std::holds_alternative<SessionUnreachable>(worker.session);
+    const auto* ours = std::get_if<SessionUnreachable>(&worker.session);
+    const MonotonicTime last_answer =
+        ours == nullptr ? fenced_at_ : ours->last_answer;
     workers_.SetSession(worker, SessionLapsed{});
     worker.draining.clear();
-    if (ours) ReopenWorker(worker);
+    if (ours != nullptr) ReopenWorker(worker);
+    LogStopped(worker, "lease lapsed", last_answer);
     if (!In<Opening>()) HandleLostWorker(worker, "the worker's lease lapsed");
   }
 }
@@ -381,7 +412,8 @@
       workers_.SetLostAt(*attempt, std::nullopt);
       workers_.SetSession(*worker,
                           SessionUnreachable{now_ + options_.worker_lease +
-                                             options_.worker_lease_margin});
+                                                 options_.worker_lease_margin,
+                                             now_});
       SetAdmission(*worker);
       ReopenWorker(*worker);
     } else {
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -640,6 +640,37 @@
   CHECK(d.Starts()[1].first == other);
 }
 
+// Guards against a task that waits for the lease of a worker that was replaced.
+// The owner may have given the worker up for unreachable before, or may have
+// taken the partition over since and not have reached it at all.
+TEST_CASE("a task of a worker that was replaced starts elsewhere at once") {
+  for (const bool unreachable : {false, true}) {
+    CAPTURE(unreachable);
+    Driver d({"vm-0", "vm-1"});
+    WorkflowSpec spec;
+    spec.queue = kQueue;
+    spec.steps = {MakeStep(1)};
+    d.Submit(1, spec);
+    d.CompleteAppends();
+    const VmId running_on = d.Starts()[0].first;
+    d.now += seconds(1);
+    if (unreachable) {
+      d.Handle(WorkerUnreachable{running_on, Epoch{1}, d.now + seconds(9)});
+    }
+    d.Handle(
+        WorkerReplaced{running_on, Epoch{0}});  // A former owner's session.
+    CHECK(d.Starts().size() == 1);
+    d.Handle(WorkerReplaced{running_on, Epoch{1}});
+    d.Handle(WorkerReplaced{running_on, Epoch{1}});  // Of the next session.
+    d.CompleteAppends();
+    d.now += seconds(2);
+    d.Handle(Tick{});
+    d.CompleteAppends();
+    REQUIRE(d.Starts().size() == 2);
+    CHECK(d.Starts()[1].first != running_on);
+  }
+}
+
 // In sum there is room for the gang, but only one of its tasks fits on a
 // worker. It requests no permits, so no attempt to start it shows that it lacks
 // room.
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -347,6 +347,14 @@
   Epoch epoch;
   // By then the worker has stopped everything that it ran for this owner.
   MonotonicTime lease_until;
+  MonotonicTime last_answer{};  // When the worker answered last.
+};
+// The worker has ended, and everything that it ran with it, because another
+// worker has taken over its address.
+struct WorkerReplaced {
+  VmId vm;
+  Epoch epoch;
+  MonotonicTime last_answer{};
 };
 
 struct RequestReceived {
@@ -364,7 +372,7 @@
                  SnapshotWritten, ConfigurationChanged, FreshnessChanged,
                  AllowancesChanged, VmListChanged, PermitsIssued,
                  WorkerSessionOpened, WorkerReported, WorkerFenced,
-                 WorkerUnreachable, RequestReceived, Tick>;
+                 WorkerUnreachable, WorkerReplaced, RequestReceived, Tick>;
 
 // ---------------------------------------------------------------------------
 // Actions
--- a/azurepass/partition/testing/world.h
+++ b/azurepass/partition/testing/world.h
@@ -60,6 +60,9 @@
   kConfigurationStale,
   kConfigurationFresh,
 };
+// In `b` of kVmGone: another worker has the address. The random commands do not
+// draw it.
+inline constexpr int kAddressTakenOver = -1;
 inline constexpr int kCommandKinds =
     static_cast<int>(CommandKind::kConfigurationFresh) + 1;
 struct Command {
@@ -105,6 +108,7 @@
     MonotonicTime lease_limit{};
     std::optional<MonotonicTime> failing_since;
     bool unreachable = false;
+    bool replaced = false;  // Told.
     // Orders that the worker has not confirmed, with the time of sending.
     std::vector<std::pair<MonotonicTime, Order>> orders;
     int64_t acknowledged = 0;
@@ -203,6 +207,7 @@
   std::vector<WorkerSpec> specs_;
   std::map<VmId, FakeWorker> workers_;
   std::map<VmId, bool> disconnected_;
+  std::map<VmId, bool> replaced_;  // Another worker has its address.
   std::map<VmId, VmState> vms_;
   std::vector<Process> processes_;
   Epoch epoch_;
--- a/azurepass/partition/testing/world_workers.cc
+++ b/azurepass/partition/testing/world_workers.cc
@@ -33,6 +33,7 @@
             return std::to_string(e.events.size()) + " events";
           },
           [](const WorkerUnreachable&) { return std::string("unreachable"); },
+          [](const WorkerReplaced&) { return std::string("replaced"); },
           [](const WorkerFenced&) { return std::string("fenced"); },
           [](const auto&) { return std::string("other"); }},
       event);
@@ -59,6 +60,7 @@
     case CommandKind::kVmGone:
       worker.Reboot();
       disconnected_[vm] = true;
+      replaced_[vm] = command.b == kAddressTakenOver;
       vms_.erase(vm);
       break;
     case CommandKind::kVmLeaving:
@@ -67,7 +69,7 @@
       break;
     default:
       if (vms_.contains(vm) && vms_[vm] == VmState::kLive) return;
-      if (!vms_.contains(vm)) disconnected_[vm] = false;
+      if (!vms_.contains(vm)) disconnected_[vm] = replaced_[vm] = false;
       vms_[vm] = VmState::kLive;
       break;
   }
@@ -96,7 +98,10 @@
   if (process.authorized_until && now_ >= *process.authorized_until) return;
   const bool lost = lose_worker_replies_ && random_() % kLoseOneExchangeIn == 0;
   FakeWorker& worker = workers_.at(vm);
-  if (disconnected_[vm]) {
+  if (replaced_[vm]) {
+    if (std::exchange(session.replaced, true)) return;
+    SendUpdate(index, vm, WorkerReplaced{vm, session.epoch, now_});
+  } else if (disconnected_[vm]) {
     OnExchangeFailed(index, vm, session);
   } else if (session.token == 0 ||
              (session.unreachable && now_ >= session.lease_limit)) {
--- a/azurepass/scheduling/internal/partition_task.cc
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -196,7 +196,11 @@
             }
           },
           [this](const endpoint::Unreachable& u) {
-            Feed(partition::WorkerUnreachable{u.vm, u.epoch, u.lease_until});
+            Feed(partition::WorkerUnreachable{u.vm, u.epoch, u.lease_until,
+                                              u.last_answer});
+          },
+          [this](const endpoint::Replaced& u) {
+            Feed(partition::WorkerReplaced{u.vm, u.epoch, u.last_answer});
           },
           [this](endpoint::Reachable& u) {
             Feed(partition::WorkerSessionOpened{u.vm, u.epoch,
--- a/azurepass/settings/settings.cc
+++ b/azurepass/settings/settings.cc
@@ -132,6 +132,8 @@
     read("worker_lease_ms", timing.worker_lease, kShortest);
     read("worker_lease_margin_ms", timing.worker_lease_margin, Duration(0));
     read("worker_hold_ms", timing.worker_hold, kShortest);
+    Duration granted = kLongest;
+    read("worker_lease_limit_ms", granted, kShortest);
     read("freshness_max_age_ms", timing.freshness_max_age, kShortest);
     read("watch_wait_ms", timing.watch_wait, kShortest);
     read("vm_list_interval_ms", timing.vm_list_interval, kShortest);
@@ -140,6 +142,8 @@
     read("append_spacing_ms", timing.append_spacing, Duration(0));
     read("kept_after_end_ms", timing.kept_after_end, Duration(0));
     CheckTogether(timing, reader);
+    timing.worker_lease = std::min(timing.worker_lease, granted);
+    timing.worker_hold = std::min(timing.worker_hold, granted / 2);
     return timing;
   }
 
--- a/azurepass/settings/settings.h
+++ b/azurepass/settings/settings.h
@@ -40,10 +40,12 @@
 
 // Time spans and budgets; the defaults fit a cell of today's size.
 struct Timing {
-  Duration member_lease{2'500};   // A silent process loses its partitions.
-  Duration worker_lease{15'000};  // A silent owner's workers stop.
-  // Before a lapsed worker lease is trusted; covers the age of the evidence on
-  // which an owner goes on through an outage of the store.
+  Duration member_lease{2'500};  // A silent process loses its partitions.
+  // A silent owner's workers stop. No longer than workers grant.
+  Duration worker_lease{15'000};
+  // Before a new owner trusts that a former one's worker lease has lapsed;
+  // covers the age of the evidence on which an owner goes on through an outage
+  // of the store.
   Duration worker_lease_margin{3'500};
   Duration worker_hold{4'000};        // Of a worker's empty answer.
   Duration freshness_max_age{3'000};  // Older configuration starts nothing.
--- a/azurepass/settings/settings_test.cc
+++ b/azurepass/settings/settings_test.cc
@@ -83,6 +83,32 @@
   }
 }
 
+TEST_CASE("the worker lease and the hold keep within what workers grant") {
+  struct Case {
+    const char* limit;
+    Duration lease;
+    Duration hold;
+  };
+  const Case cases[] = {
+      {"", Duration(6'000), Duration(2'000)},
+      {", \"worker_lease_limit_ms\": 10000", Duration(6'000), Duration(2'000)},
+      {", \"worker_lease_limit_ms\": 5000", Duration(5'000), Duration(2'000)},
+      {", \"worker_lease_limit_ms\": 3000", Duration(3'000), Duration(1'500)},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(c.limit);
+    const std::string timing =
+        std::string("\"timing\": {\"worker_lease_ms\": 6000, ") +
+        "\"worker_hold_ms\": 2000" + c.limit + "}, \"partitions\"";
+    auto loaded =
+        ParseCell(Replaced(kGoodCell, "\"partitions\"", timing), "cell.json");
+    const auto* cell = std::get_if<CellSettings>(&loaded);
+    REQUIRE(cell != nullptr);
+    CHECK(cell->timing.worker_lease == c.lease);
+    CHECK(cell->timing.worker_hold == c.hold);
+  }
+}
+
 TEST_CASE("the settings files that come with the source are valid") {
   struct Case {
     const char* file;
