A large value of the store is read once, however long it takes

Cause: a configuration of 300 KB takes longer over a link of 2 Mbit/s than a call to the store may. Each reading was given up after 1 s, repeated up to five times beside itself, and asked for a second time by a listing after the watch had carried it.

Change: http::Request::stall_timeout, with which the timeout ends with the answer's first byte and each further part extends the call; store::Progress, by which the hedge neither repeats a reading that is coming nor learns from its duration; the watch's own document is decoded, as Changes that are complete below a prefix, in place of the second listing.

Ruled out: a longer timeout for all calls (a silent connection would hold an append as long).

The http and hedge tests don't build against the code before.

--- a/azurepass/configuration/register.cc
+++ b/azurepass/configuration/register.cc
@@ -67,6 +67,60 @@
   for (const auto& [id, value] : configuration.services) visit(id, value);
 }
 
+// Removes what is held below the prefixes and not in `present`, unless it was
+// written after `at`. Returns whether anything was removed.
+bool RemoveOthersBelow(Configuration& configuration,
+                       const std::vector<std::string>& prefixes,
+                       const std::set<RecordId>& present, Revision at) {
+  if (prefixes.empty()) return false;
+  std::vector<RecordId> absent;
+  ForEachRecord(configuration, [&](const auto& id, const auto& /*value*/) {
+    if (present.contains(RecordId(id))) return;
+    const std::string key = StoreKey(id);
+    if (std::any_of(prefixes.begin(), prefixes.end(),
+                    [&](const auto& p) { return key.starts_with(p); })) {
+      absent.emplace_back(id);
+    }
+  });
+  bool removed = false;
+  for (const RecordId& id : absent) {
+    removed |= internal::RemoveOlder(configuration, id, at);
+  }
+  return removed;
+}
+
+// FNV-1a, as every process computes it alike.
+class Hasher {
+ public:
+  void Add(std::string_view text) {
+    for (const char c : text) AddByte(static_cast<unsigned char>(c));
+    AddByte(0);
+  }
+  void Add(int64_t number) {
+    for (int shift = 0; shift < 64; shift += 8) {
+      AddByte(
+          static_cast<unsigned char>(static_cast<uint64_t>(number) >> shift));
+    }
+  }
+  uint64_t value() const { return value_; }
+
+ private:
+  void AddByte(unsigned char byte) {
+    value_ = (value_ ^ byte) * 0x100000001b3ULL;
+  }
+  uint64_t value_ = 0xcbf29ce484222325ULL;
+};
+
+uint64_t DigestOf(const Configuration& configuration) {
+  Hasher hasher;
+  ForEachRecord(configuration, [&](const auto& id, const auto& value) {
+    hasher.Add(StoreKey(id));
+    hasher.Add(value.version);
+  });
+  // Within what a signed number of a message holds.
+  return std::max<uint64_t>(1, hasher.value() >> 1);
+}
+
 }  // namespace
 
 std::string HashSecret(std::string_view secret) {
@@ -100,7 +154,12 @@
   return best;
 }
 
-Register::Register() : configuration_(std::make_shared<Configuration>()) {}
+Register::Register() { Hold(std::make_shared<Configuration>()); }
+
+void Register::Hold(std::shared_ptr<const Configuration> configuration) {
+  digest_ = DigestOf(*configuration);
+  configuration_ = std::move(configuration);
+}
 
 bool Register::Replace(const store::Listing& listing) {
   if (listing.revision < cursor_) return false;
@@ -119,19 +178,21 @@
   next->revision = std::max(next->revision, listing.revision);
   last_removal_ = std::max(last_removal_, listing.revision);
   cursor_ = listing.revision;
-  configuration_ = std::move(next);
+  Hold(std::move(next));
   return changed;
 }
 
 bool Register::Apply(const store::Changes& changes) {
   if (changes.revision < cursor_) return false;
   cursor_ = changes.revision;
-  if (changes.changes.empty()) return false;
+  if (changes.changes.empty() && changes.complete_below.empty()) return false;
   auto next = std::make_shared<Configuration>(*configuration_);
+  std::set<RecordId> present;
   bool changed = false;
   for (const store::Change& change : changes.changes) {
     const std::optional<RecordId> id = internal::ParseStoreKey(change.key);
     if (!id) continue;
+    present.insert(*id);
     if (!change.entry) {
       changed |= internal::RemoveOlder(*next, *id, changes.revision);
       last_removal_ = changes.revision;
@@ -141,14 +202,18 @@
     if (!record) ++unreadable_;
     if (record) changed |= internal::PutNewer(*next, *record);
   }
+  changed |= RemoveOthersBelow(*next, changes.complete_below, present,
+                               changes.revision);
+  // A peer may hold a record that came and went between the two revisions.
+  if (!changes.complete_below.empty()) last_removal_ = changes.revision;
   next->revision = std::max(next->revision, changes.revision);
-  configuration_ = std::move(next);
+  Hold(std::move(next));
   return changed;
 }
 
 bool Register::Adopt(const entry::ConfigurationPulled& pulled) {
   const Configuration& theirs = pulled.configuration;
-  if (theirs.revision <= revision()) return false;
+  if (pulled.withheld || theirs.revision <= revision()) return false;
   if (pulled.since && *pulled.since > revision()) return false;
   auto next = std::make_shared<Configuration>(*configuration_);
   std::set<RecordId> present;
@@ -163,18 +228,26 @@
   }
   next->revision = theirs.revision;
   cursor_ = std::max(cursor_, theirs.revision);
-  configuration_ = std::move(next);
+  Hold(std::move(next));
   return changed;
 }
 
-entry::ConfigurationPulled Register::Since(Revision after) const {
+entry::ConfigurationPulled Register::Answer(
+    const entry::PullConfiguration& pull) const {
+  const Revision after = pull.after;
   entry::ConfigurationPulled pulled;
+  pulled.since = after;
+  pulled.configuration.revision = revision();
+  if (pull.digest == digest_ || after >= revision()) return pulled;
+  if (!pull.content) {
+    pulled.withheld = true;
+    return pulled;
+  }
   if (after < last_removal_) {
+    pulled.since.reset();
     pulled.configuration = *configuration_;
     return pulled;
   }
-  pulled.since = after;
-  pulled.configuration.revision = revision();
   CopyNewer(configuration_->contracts, after, pulled.configuration.contracts);
   CopyNewer(configuration_->keys, after, pulled.configuration.keys);
   CopyNewer(configuration_->zones, after, pulled.configuration.zones);
--- a/azurepass/http/client.cc
+++ b/azurepass/http/client.cc
@@ -142,6 +142,9 @@
     std::string bytes;
     Callback callback;
     MonotonicTime due;
+    std::optional<Duration> stall_timeout;
+    std::function<void(int64_t)> on_progress;
+    int64_t received = 0;  // Bytes of the answer.
     int64_t number = 0;
     Connection* connection = nullptr;  // Null while it waits for one.
   };
@@ -181,6 +184,7 @@
   void ArmExpiry();
   void Expire();
   void Forget(const Call& call) { due_.erase({call.due, call.number}); }
+  void OnProgress(Call& call);
 
   task::Loop& loop_;
   ClientOptions options_;
@@ -206,6 +210,8 @@
   const MonotonicTime now = BootClock::now();
   call->bytes = Encode(request);
   call->due = now + request.timeout;
+  call->stall_timeout = request.stall_timeout;
+  call->on_progress = request.on_progress;
   call->number = ++calls_;
   due_[{call->due, call->number}] = call.get();
   ArmExpiry();
@@ -360,15 +366,20 @@
 }
 
 void Client::Impl::Receive(Connection& connection) {
+  const int64_t before = connection.call->received;
   while (true) {
     GError* raw_error = nullptr;
     const gssize count =
         g_socket_receive(connection.socket.get(), receive_buffer_.data(),
                          receive_buffer_.size(), nullptr, &raw_error);
     const Error error(raw_error);
-    if (count < 0 && WouldBlock(error.get())) return;
+    if (count < 0 && WouldBlock(error.get())) {
+      if (connection.call->received > before) OnProgress(*connection.call);
+      return;
+    }
     if (count < 0) return Fail(connection, error->message);
     traffic_.bytes_received += count;
+    connection.call->received += count;
     const Progress progress =
         count == 0 ? connection.reader.End()
                    : connection.reader.Read(std::string_view(
@@ -378,8 +389,22 @@
       return Fail(connection,
                   count == 0 ? "connection broken" : "not a response");
     }
-    if (static_cast<size_t>(count) < receive_buffer_.size()) return;
+    if (static_cast<size_t>(count) < receive_buffer_.size()) {
+      return OnProgress(*connection.call);
+    }
+  }
+}
+
+// Nothing of the client is touched after the callback, which may destroy it.
+void Client::Impl::OnProgress(Call& call) {
+  if (call.stall_timeout) {
+    Forget(call);
+    call.due = BootClock::now() + *call.stall_timeout;
+    due_[{call.due, call.number}] = &call;
+    ArmExpiry();
   }
+  const auto on_progress = call.on_progress;
+  if (on_progress) on_progress(call.received);
 }
 
 // Nothing of the client is touched after a callback, which may destroy it.
@@ -394,7 +419,7 @@
   const FailureKind kind =
       connection.sent > 0 ? FailureKind::kNoAnswer : FailureKind::kNotSent;
   const std::unique_ptr<Call> call = Detach(connection, /*keep=*/false);
-  call->callback(Failure{kind, message});
+  call->callback(Failure{kind, message, call->received});
 }
 
 // Takes the call off its connection, which serves the next one or is closed.
--- a/azurepass/http/http.h
+++ b/azurepass/http/http.h
@@ -19,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -52,6 +53,7 @@
 struct Failure {
   FailureKind kind = FailureKind::kNotSent;
   std::string message;
+  int64_t received = 0;  // Bytes of an answer that did not come whole.
 };
 using Result = std::variant<Response, Failure>;
 
@@ -66,6 +68,13 @@
   std::string body;     // JSON, or empty.
   Duration timeout{0};  // From now to the end of the answer.
   std::vector<std::pair<std::string, std::string>> headers{};
+  // With it, `timeout` ends with the first byte of the answer, and from then on
+  // the call fails when nothing more has come for so long. For answers that may
+  // be large for the link.
+  std::optional<Duration> stall_timeout{};
+  // Called, if set, with the bytes of the answer so far, whenever some have
+  // come and more are to follow.
+  std::function<void(int64_t received)> on_progress{};
 };
 
 // What went over the wire, headers included.
--- a/azurepass/http/http_test.cc
+++ b/azurepass/http/http_test.cc
@@ -4,9 +4,11 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <vector>
 
 #include "azurepass/testing/await.h"
+#include "azurepass/testing/slow_peer.h"
 
 namespace azurepass::http {
 namespace {
@@ -154,5 +156,60 @@
   CHECK_THROWS_AS(held.get(), std::future_error);  // Its promise is gone.
 }
 
+// What is sent to a peer behind a narrow link, and how much of it came.
+struct SlowCall {
+  SlowCall(const testing::SlowPeerOptions& options,
+           std::optional<Duration> stall_timeout)
+      : peer(loop, options) {
+    loop.Start();
+    Request request{"GET", peer.address(), "/", "", kShort};
+    request.stall_timeout = stall_timeout;
+    request.on_progress = [this](int64_t received) {
+      parts.push_back(received);
+    };
+    result = caller.Send(request);
+    loop.Stop();
+  }
+
+  task::Loop loop;
+  testing::SlowPeer peer;
+  testing::HttpCaller caller{loop};
+  std::vector<int64_t> parts;
+  Result result;
+};
+
+// Guards against a document that is given up and asked for again and again
+// because the link takes longer for it than a call may take.
+TEST_CASE("an answer that keeps coming may take longer than the timeout") {
+  // The second part is what the client reads at a time.
+  for (const size_t part : {size_t{1'000}, size_t{16'384}}) {
+    CAPTURE(part);
+    testing::SlowPeerOptions options;
+    options.body = std::string(60 * part, 'x');  // 300 ms.
+    options.bytes_per_step = part;
+    SlowCall bounded(options, std::nullopt);
+    CHECK(Kind(bounded.result) == FailureKind::kNoAnswer);
+    SlowCall patient(options, kShort);
+    CHECK(Body(patient.result) == options.body);
+    REQUIRE(patient.parts.size() > 2);
+    CHECK(std::is_sorted(patient.parts.begin(), patient.parts.end()));
+    CHECK(patient.parts.back() < std::ssize(options.body) + 100);
+  }
+}
+
+TEST_CASE("an answer that stops in the middle fails, and tells what had come") {
+  testing::SlowPeerOptions options;
+  options.body = std::string(60'000, 'x');
+  options.stall_after = 10'000;
+  options.whole_from = 2;
+  for (const bool drops : {false, true}) {
+    CAPTURE(drops);
+    options.drops = drops;
+    const SlowCall call(options, kShort);
+    CHECK(Kind(call.result) == FailureKind::kNoAnswer);
+    CHECK(std::get<Failure>(call.result).received == 10'000);
+  }
+}
+
 }  // namespace
 }  // namespace azurepass::http
--- a/azurepass/store/hedge.cc
+++ b/azurepass/store/hedge.cc
@@ -8,6 +8,10 @@
 // it was the first one that wrote it, and that is a success. Were the value
 // overwritten since, the conflict is told as it is, as a late answer would be.
 //
+// An answer of which a part has come is not asked for again: a second one would
+// only share the link with the first. How long it takes says nothing of when
+// others are overdue; its first part does.
+//
 // A failure is told once no call is under way any more; "unknown" outweighs
 // "unavailable", because one of the calls may have had its effect.
 
@@ -71,11 +75,17 @@
     MonotonicTime sent;
     Reply reply;
   };
-  using Inbox = std::variant<Request, Answered>;
+  struct Progressed {
+    int64_t id = 0;
+    MonotonicTime sent;
+    Progress progress;
+  };
+  using Inbox = std::variant<Request, Answered, Progressed>;
   struct Open {
     Request request;
     int tries = 0;
     int under_way = 0;
+    bool answering = false;        // A part of an answer has come.
     MonotonicTime due;             // When it is asked again.
     std::optional<Error> failure;  // The weightiest so far.
   };
@@ -85,7 +95,8 @@
                          std::visit([this](auto& r) { On(std::move(r)); },
                                     request);
                        },
-                       [this](Answered& answered) { OnAnswered(answered); }},
+                       [this](Answered& answered) { OnAnswered(answered); },
+                       [this](const Progressed& p) { OnProgressed(p); }},
                message);
   }
 
@@ -117,8 +128,8 @@
     const MonotonicTime now = Now();
     open.due = now + Delay() * (1 << (open.tries - 1));
     std::visit(
-        Visitor{[&](const Get& r) { Forward<GetReply>(id, now, r); },
-                [&](const List& r) { Forward<ListReply>(id, now, r); },
+        Visitor{[&](const Get& r) { ForwardRead<GetReply>(id, now, r); },
+                [&](const List& r) { ForwardRead<ListReply>(id, now, r); },
                 [&](const Put& r) { Forward<WriteReply>(id, now, r); },
                 [&](const RenewLease& r) { Forward<RenewReply>(id, now, r); },
                 [](const auto&) {}},
@@ -134,6 +145,31 @@
     store_.Send(std::move(request));
   }
 
+  template <class ReplyType, class R>
+  void ForwardRead(int64_t id, MonotonicTime sent, R request) {
+    request.progress_to =
+        mailbox_.address().template Map<Progress>([id, sent](Progress part) {
+          return Inbox(Progressed{id, sent, part});
+        });
+    Forward<ReplyType>(id, sent, std::move(request));
+  }
+
+  void OnProgressed(const Progressed& progressed) {
+    const auto found = open_.find(progressed.id);
+    if (found == open_.end()) return;
+    Open& open = found->second;
+    if (!std::exchange(open.answering, true)) {
+      Learn(progressed.sent);
+      due_.erase({open.due, progressed.id});
+      Arm();
+    }
+    std::visit(
+        Visitor{[&](const Get& r) { r.progress_to.Send(progressed.progress); },
+                [&](const List& r) { r.progress_to.Send(progressed.progress); },
+                [](const auto&) {}},
+        open.request);
+  }
+
   void OnAnswered(Answered& answered) {
     const auto found = open_.find(answered.id);
     if (found == open_.end()) return;  // Another call was answered first.
@@ -142,7 +178,7 @@
     const Error* error = std::visit(
         [](const auto& reply) { return ErrorIn(reply); }, answered.reply);
     if (error == nullptr || !TellsNothing(*error)) {
-      Learn(answered.sent);
+      if (!open.answering) Learn(answered.sent);
       Settle(open, answered.reply);
       return Finish(answered.id, answered.reply);
     }
--- a/azurepass/store/hedge_test.cc
+++ b/azurepass/store/hedge_test.cc
@@ -26,6 +26,15 @@
                                 loop_.Quit();
                               })});
   }
+  void Read() {
+    hedge_.address().Send(List{
+        "prefix/", "", 1'000, task::Address<ListReply>([this](ListReply reply) {
+          listed.push_back(std::move(reply));
+          loop_.Quit();
+        }),
+        task::Address<Progress>(
+            [this](Progress p) { progress = p.received; })});
+  }
   void Answer(size_t call, WriteReply reply) {
     std::get<Put>(calls.at(call)).reply_to.Send(std::move(reply));
   }
@@ -38,6 +47,8 @@
 
   std::vector<Request> calls;
   std::vector<WriteReply> replies;
+  std::vector<ListReply> listed;
+  int64_t progress = 0;  // Told of the reading.
 
  private:
   task::Loop loop_;
@@ -105,5 +116,36 @@
   CHECK(f.calls.size() == 1);
 }
 
+// Guards against readings of one large value that share a narrow link with each
+// other, so that none of them ends.
+TEST_CASE("a reading of which a part has come is not asked for again") {
+  Fixture f;
+  f.Read();
+  f.Turn(kShort);
+  REQUIRE(f.calls.size() == 1);
+  std::get<List>(f.calls[0]).progress_to.Send(Progress{1'000});
+  f.Turn(Duration(300));
+  CHECK(f.calls.size() == 1);
+  CHECK(f.progress == 1'000);
+  std::get<List>(f.calls[0])
+      .reply_to.Send(Error{ErrorCode::kUnavailable, "stalled"});
+  f.Turn();
+  REQUIRE(f.listed.size() == 1);
+  CHECK(std::holds_alternative<Error>(f.listed[0]));
+}
+
+TEST_CASE("a reading of which nothing has come is asked for again") {
+  Fixture f;
+  f.Read();
+  f.Turn();
+  REQUIRE(f.calls.size() == 2);
+  std::get<List>(f.calls[1]).progress_to.Send(Progress{1'000});
+  f.Turn(Duration(300));
+  CHECK(f.calls.size() == 2);
+  std::get<List>(f.calls[1]).reply_to.Send(Listing{});
+  f.Turn();
+  CHECK(f.listed.size() == 1);
+}
+
 }  // namespace
 }  // namespace azurepass::store
--- a/azurepass/store/store.h
+++ b/azurepass/store/store.h
@@ -89,6 +89,9 @@
 struct Changes {
   std::vector<Change> changes;
   Revision revision;
+  // Prefixes below which `changes` has all that there is: other keys there were
+  // removed, at `revision` at the latest.
+  std::vector<std::string> complete_below{};
 };
 
 using GetReply = std::variant<Value, Error>;
@@ -105,9 +108,15 @@
 
 // --- Requests
 
+// A part of an answer has come, and more is to follow.
+struct Progress {
+  int64_t received = 0;  // Bytes so far.
+};
+
 struct Get {
   std::string key;
   task::Address<GetReply> reply_to;
+  task::Address<Progress> progress_to{};  // May be left out.
 };
 // All keys that start with `prefix`, from `from` on, at most `limit` of them.
 struct List {
@@ -115,6 +124,7 @@
   std::string from;
   int64_t limit = 1'000;
   task::Address<ListReply> reply_to;
+  task::Address<Progress> progress_to{};  // May be left out.
 };
 // Writes if the key's version is `expected` (always, when that is empty).
 struct Put {
@@ -197,8 +207,9 @@
 };
 
 // Stands between those who ask and the store, and asks again when an answer is
-// overdue; see hedge.cc for why that is safe. Watches, leases that are asked
-// for or given back, deletions and writes without a condition pass unchanged.
+// overdue and none of it has come; see hedge.cc for why that is safe. Watches,
+// leases that are asked for or given back, deletions and writes without a
+// condition pass unchanged.
 class Hedge {
  public:
   Hedge(task::Loop& loop, HedgeOptions options, task::Address<Request> store);
