Peers tell their revision; records travel from one of them at a time

Cause: without the store each process asked up to 64 peers twice a second for the configuration, and each of them sent the whole, because the revision of a listing differs between processes that hold the same records.

Change: a pull tells the digest of the records held. Who holds the same answers with its revision alone, and so does who is asked for evidence only; the keeper then asks one peer at a time for the records, with 5 s for the answer. Register no longer tells a delta across a change that was complete below a prefix.

Old builds read the new question and answer it with records, as before.

Tests: 30 peers with a newer configuration, the first of which fails; the same records read at different times.

--- a/azurepass/configuration/configuration.h
+++ b/azurepass/configuration/configuration.h
@@ -93,9 +93,13 @@
   // Takes in a peer's answer to PullConfiguration{revision()}.
   bool Adopt(const entry::ConfigurationPulled& pulled);
 
-  // Answers a peer that holds `after`: only what changed since when that is
-  // exact, the whole otherwise.
-  entry::ConfigurationPulled Since(Revision after) const;
+  // Answers a peer: nothing but the revision when it holds the same records or
+  // wants no content; only what changed since `pull.after` when that is exact;
+  // the whole otherwise.
+  entry::ConfigurationPulled Answer(const entry::PullConfiguration& pull) const;
+  // The same records have the same digest in every process, whenever they were
+  // read; never 0, below 2^63.
+  uint64_t digest() const { return digest_; }
 
   std::shared_ptr<const Configuration> configuration() const {
     return configuration_;
@@ -108,7 +112,11 @@
   int64_t unreadable() const { return unreadable_; }
 
  private:
+  // Puts the configuration in force, with its digest.
+  void Hold(std::shared_ptr<const Configuration> configuration);
+
   std::shared_ptr<const Configuration> configuration_;
+  uint64_t digest_ = 0;
   Revision cursor_;
   Revision last_removal_;  // No record was removed after it.
   int64_t unreadable_ = 0;
@@ -238,6 +246,8 @@
   Duration watch_wait{500};       // One held request; well below both.
   Duration peer_interval{500};    // Between rounds of asking peers.
   Duration peer_timeout{1'000};
+  // Of an answer with records, of which one is under way at a time.
+  Duration content_timeout{5'000};
   Duration min_backoff{100};  // After a failed request, jittered.
   Duration max_backoff{1'000};
   int64_t peer_fanout = 3;       // Peers asked for a confirmation.
--- a/azurepass/configuration/keeper.cc
+++ b/azurepass/configuration/keeper.cc
@@ -1,7 +1,10 @@
 // The keeper: follows the store, and pulls from peers while it does not answer.
 //
 // Peers are asked only without contact: a few in the first round and while one
-// of them confirms; all of them, for the evidence of an outage, otherwise.
+// of them confirms; all of them, for the evidence of an outage, otherwise. They
+// tell their contact and revision alone. The records are asked for from one of
+// those that hold newer ones, one at a time: the whole from each of them would
+// fill the link, so that none arrived in time.
 
 #include <glog/logging.h>
 
@@ -19,7 +22,9 @@
 
 struct Pulled {
   MemberId peer;
+  std::string address;
   MonotonicTime sent;
+  bool content = false;  // Records were asked for.
   entry::CallResult result;
 };
 using Inner = std::variant<Message, follow::Event, Pulled>;
@@ -107,21 +112,27 @@
     const bool few = lonely_rounds_ == 0 || !confirmed_by_.empty();
     const int64_t bound = few ? options_.peer_fanout : options_.max_witnesses;
     if (static_cast<int64_t>(asked.size()) > bound) asked.resize(bound);
-    for (const Peer& peer : asked) Pull(peer);
+    for (const Peer& peer : asked) {
+      Pull(peer.member, peer.address, /*content=*/false);
+    }
     ++lonely_rounds_;
   }
 
-  void Pull(const Peer& peer) {
+  void Pull(const MemberId& member, const std::string& address, bool content) {
     const MonotonicTime sent = Now();
-    client_.Send({peer.address, entry::PullConfiguration{register_.revision()},
-                  options_.peer_timeout,
-                  mailbox_.address().Map<entry::CallResult>(
-                      [member = peer.member, sent](entry::CallResult result) {
-                        return Pulled{member, sent, std::move(result)};
-                      })});
+    client_.Send(
+        {address,
+         entry::PullConfiguration{register_.revision(), register_.digest(),
+                                  content},
+         content ? options_.content_timeout : options_.peer_timeout,
+         mailbox_.address().Map<entry::CallResult>(
+             [member, address, sent, content](entry::CallResult result) {
+               return Pulled{member, address, sent, content, std::move(result)};
+             })});
   }
 
   void OnPulled(Pulled pulled) {
+    if (pulled.content) content_asked_ = false;
     const auto* failure = std::get_if<entry::Failure>(&pulled.result);
     if (failure != nullptr && failure->refused) {
       freshness_.OnPeerRefused(pulled.peer, pulled.sent);
@@ -133,6 +144,9 @@
     // Another process may answer at an address that was a peer's.
     if (answer == nullptr || answer->member != pulled.peer) return;
     register_.Adopt(*answer);
+    if (answer->withheld && !std::exchange(content_asked_, true)) {
+      Pull(pulled.peer, pulled.address, /*content=*/true);
+    }
     freshness_.OnPeerAnswered({pulled.peer, answer->configuration.revision,
                                answer->store_contact_age, answer->in_contact},
                               pulled.sent);
@@ -143,7 +157,7 @@
   void OnAnswerPull(const AnswerPull& asked) {
     const MonotonicTime now = Now();
     const bool behind = register_.revision() < freshness_.accepted();
-    entry::ConfigurationPulled pulled = register_.Since(asked.request.after);
+    entry::ConfigurationPulled pulled = register_.Answer(asked.request);
     pulled.member = options_.member;
     pulled.store_contact_age =
         behind ? Duration::max() : freshness_.store_contact_age(now);
@@ -209,8 +223,9 @@
   Freshness freshness_;
   std::mt19937_64 random_;
   std::vector<Peer> peers_;
-  int64_t lonely_rounds_ = 0;  // Of asking peers, since the last contact.
-  MemberId confirmed_by_;      // In the latest verdict; empty when by none.
+  int64_t lonely_rounds_ = 0;   // Of asking peers, since the last contact.
+  MemberId confirmed_by_;       // In the latest verdict; empty when by none.
+  bool content_asked_ = false;  // A call for records is under way.
   std::vector<task::Address<Update>> subscribers_;
   Update told_;  // The latest update sent.
   task::Timer peer_timer_;
--- a/azurepass/configuration/keeper_test.cc
+++ b/azurepass/configuration/keeper_test.cc
@@ -182,6 +182,66 @@
   CHECK(update.configuration->zones.size() == 2);
 }
 
+// The load: an outage of the store for some 30 processes, of which one lacks a
+// large configuration that all others hold. Guards against 30 whole
+// configurations on its way to it at a time, none of which arrives in time.
+TEST_CASE("records are asked for from one peer at a time") {
+  constexpr int kPeers = 30;
+  task::Loop loop;
+  FakeStore store(loop);
+  store.control().Send(SetFaults{std::nullopt, {true, 0, Duration(0)}});
+  int content_open = 0;
+  int most_content_open = 0;
+  int content_calls = 0;
+  int evidence_calls = 0;
+  task::Timer answer(loop);
+  Register theirs;
+  theirs.Replace({{{StoreKey(ZoneId("a")),
+                    codec::Write(ZoneRecord{ZoneId("a"), false, 0}).dump(), 3}},
+                  Revision{7}});
+  Keeper keeper(
+      loop, ShortOptions(0), store.Port(0),
+      task::Address<entry::Call>([&](const entry::Call& call) {
+        const auto pull = std::get<entry::PullConfiguration>(call.request);
+        entry::ConfigurationPulled pulled = theirs.Answer(pull);
+        pulled.member = MemberId("peer-" + call.peer);
+        pulled.in_contact = true;
+        if (!pull.content) {
+          ++evidence_calls;
+          return call.reply_to.Send(entry::Response(std::move(pulled)));
+        }
+        ++content_calls;
+        most_content_open = std::max(most_content_open, ++content_open);
+        // The first one fails, as over a link that is too narrow.
+        answer.After(Duration(150), [&, call, pulled] {
+          --content_open;
+          if (content_calls == 1) {
+            return call.reply_to.Send(
+                entry::Failure{entry::FailureCode::kNotSent, "timeout"});
+          }
+          call.reply_to.Send(entry::Response(pulled));
+        });
+      }));
+  Inbox<Update> updates;
+  keeper.address().Send(Subscribe{updates.address()});
+  PeersChanged peers;
+  for (int i = 0; i < kPeers; ++i) {
+    const std::string name = std::to_string(i);
+    peers.peers.push_back({MemberId("peer-" + name), name, /*gone=*/false});
+  }
+  const task::Address<PeersChanged> address = keeper.address();
+  address.Send(std::move(peers));
+  loop.Start();
+  const Update update = updates.TakeUntil([](const Update& u) {
+    return std::holds_alternative<ConfirmedByPeer>(u.verdict);
+  });
+  loop.Stop();
+  CHECK(update.configuration->zones.size() == 1);
+  CHECK(evidence_calls > 3);
+  CHECK(content_calls == 2);
+  CHECK(most_content_open == 1);
+}
+
 TEST_CASE("a keeper behind a change it knows of is no witness") {
   Cluster cluster(1);
   cluster.Start();
--- a/azurepass/configuration/register_test.cc
+++ b/azurepass/configuration/register_test.cc
@@ -57,15 +57,67 @@
   CHECK(held.configuration() == before);
 }
 
+// Guards against whole configurations that travel between processes which hold
+// the same one, because they read it at different times.
+TEST_CASE("a peer that holds the same records is told the revision alone") {
+  Register early;
+  Register late;
+  early.Replace({{ZoneEntry("a", false, 3)}, Revision{5}});
+  late.Replace({{ZoneEntry("a", false, 3)}, Revision{9}});
+  CHECK(early.digest() == late.digest());
+  const auto answer = late.Answer({early.revision(), early.digest(), false});
+  CHECK_FALSE(answer.withheld);
+  CHECK(answer.since == early.revision());
+  CHECK(answer.configuration.zones.empty());
+  early.Adopt(answer);
+  CHECK(early.revision() == Revision{9});
+  CHECK(early.configuration()->zones.size() == 1);
+
+  late.Replace({{ZoneEntry("a", false, 10)}, Revision{10}});
+  CHECK(early.digest() != late.digest());
+  const auto withheld = late.Answer({early.revision(), early.digest(), false});
+  CHECK(withheld.withheld);
+  CHECK(withheld.configuration.zones.empty());
+  CHECK_FALSE(early.Adopt(withheld));
+  CHECK(early.revision() == Revision{9});
+  early.Adopt(late.Answer({early.revision(), early.digest(), true}));
+  CHECK(early.digest() == late.digest());
+  // Nothing is withheld from who is not behind.
+  CHECK_FALSE(early.Answer({Revision{10}, 1, false}).withheld);
+}
+
+TEST_CASE("a change that is complete below a prefix removes the rest there") {
+  ServiceRecord service;
+  service.service = ServiceId("s");
+  const store::Entry kept{StoreKey(service.service),
+                          codec::Write(service).dump(), 3};
+  Register held;
+  held.Replace({{kept, ZoneEntry("a", false, 3), ZoneEntry("b", false, 3)},
+                Revision{3}});
+  store::Changes changes{{{StoreKey(ZoneId("b")), ZoneEntry("b", true, 5)},
+                          {StoreKey(ZoneId("c")), ZoneEntry("c", false, 5)}},
+                         Revision{5},
+                         {std::string(kPrefix) + "zones/"}};
+  CHECK(held.Apply(changes));
+  const auto& zones = held.configuration()->zones;
+  CHECK(zones.size() == 2);
+  CHECK(zones.at(ZoneId("b")).in_service);
+  CHECK(zones.contains(ZoneId("c")));
+  CHECK(held.configuration()->services.size() == 1);
+  // Who is further back gets the whole, for something was removed since.
+  CHECK_FALSE(held.Answer({Revision{4}}).since.has_value());
+  CHECK(held.Answer({Revision{5}}).since.has_value());
+}
+
 TEST_CASE("a delta is given only when nothing was removed since") {
   Register held;
   held.Replace({{ZoneEntry("a", true, 1)}, Revision{1}});
   held.Apply({{{StoreKey(ZoneId("b")), ZoneEntry("b", true, 2)}}, Revision{2}});
-  CHECK(held.Since(Revision{1}).since == Revision{1});
-  CHECK(held.Since(Revision{1}).configuration.zones.size() == 1);
+  CHECK(held.Answer({Revision{1}}).since == Revision{1});
+  CHECK(held.Answer({Revision{1}}).configuration.zones.size() == 1);
   held.Apply({{{StoreKey(ZoneId("a")), {}}}, Revision{3}});
-  CHECK_FALSE(held.Since(Revision{2}).since.has_value());
-  CHECK(held.Since(Revision{3}).since == Revision{3});
+  CHECK_FALSE(held.Answer({Revision{2}}).since.has_value());
+  CHECK(held.Answer({Revision{3}}).since == Revision{3});
 }
 
 // The store's history of a few zones, and what it would answer.
@@ -165,7 +217,7 @@
     }
     default: {
       const int64_t asked = Pick(0, now);
-      held.Adopt(registers[Pick(0, 2)].Since(Revision{asked}));
+      held.Adopt(registers[Pick(0, 2)].Answer({Revision{asked}}));
     }
   }
 }
--- a/azurepass/entry/entry.h
+++ b/azurepass/entry/entry.h
@@ -48,8 +48,13 @@
   std::vector<MemberNews> news;
 };
 // Asks for what changed after a revision, when the store cannot be reached.
+// Asks for the peer's contact with the store, and for what it holds of the
+// configuration beyond `after`. With `content` false, records are left out of
+// the answer.
 struct PullConfiguration {
   Revision after;
+  uint64_t digest = 0;  // Of the records that the asker holds; 0: not told.
+  bool content = true;
 };
 // Asks the peer to put a question to the service that issues permits, which
 // answers each of our VMs in turn.
@@ -73,11 +78,13 @@
 };
 // The configuration of the peer. With `since`, which is then the revision asked
 // for, only the records that were written after it, and none was removed;
-// without, the whole.
+// without, the whole. `withheld`: of the configuration only the revision is
+// told, though the records differ from those of the asker.
 struct ConfigurationPulled {
   MemberId member;  // Who answers.
   Configuration configuration;
   std::optional<Revision> since;
+  bool withheld = false;
   Duration store_contact_age{0};  // Duration::max(): never confirmed.
   bool in_contact = false;  // The peer's latest request to the store succeeded.
 };
--- a/azurepass/entry/internal/message_formats.cc
+++ b/azurepass/entry/internal/message_formats.cc
@@ -208,10 +208,19 @@
 template <>
 struct Format<Wire<entry::PullConfiguration>> {
   static Wire<entry::PullConfiguration> Read(ObjectReader& reader) {
-    return {{Revision{Count(reader, "after")}}};
+    entry::PullConfiguration pull;
+    pull.after = Revision{Count(reader, "after")};
+    // Processes of a former build tell neither.
+    if (reader.Has("digest")) {
+      pull.digest = static_cast<uint64_t>(Count(reader, "digest"));
+    }
+    if (reader.Has("content")) pull.content = reader.Bool("content");
+    return {pull};
   }
   static Json Write(const Wire<entry::PullConfiguration>& wire) {
-    return {{"after", wire.value.after.value}};
+    return {{"after", wire.value.after.value},
+            {"digest", wire.value.digest},
+            {"content", wire.value.content}};
   }
 };
 
@@ -520,6 +529,7 @@
     pulled.member = reader.Name<MemberId>("member");
     pulled.configuration = reader.Object<Configuration>("configuration");
     if (reader.Has("since")) pulled.since = Revision{Count(reader, "since")};
+    if (reader.Has("withheld")) pulled.withheld = reader.Bool("withheld");
     pulled.store_contact_age = Age(reader, "store_contact_age_ms");
     pulled.in_contact = reader.Bool("in_contact");
     return {pulled};
@@ -531,6 +541,7 @@
                 {"store_contact_age_ms", pulled.store_contact_age.count()},
                 {"in_contact", pulled.in_contact}};
     if (pulled.since) out["since"] = pulled.since->value;
+    if (pulled.withheld) out["withheld"] = true;
     return out;
   }
 };
