The silence of lost workers as a hop; events' names checked against their number

The owner tells with worker_stopped how long the worker was silent; its hop worker_stop has count, p50 and p99 on the metrics address and in the log. The names of events in the hops' line were a list shorter than the events since WorkerReplaced came (on_= without a name); a static_assert compares them now.

--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -369,9 +369,14 @@
 void Owner::Impl::LogStopped(const Worker& worker, const std::string& proof,
                              MonotonicTime last_answer) {
   const auto silent = std::chrono::duration_cast<Duration>(now_ - last_answer);
-  Log("worker_stopped", {}, 0, worker.spec.vm,
-      proof + ", silent for " + std::to_string(silent.count()) + " ms, " +
-          std::to_string(worker.tasks.size()) + " tasks");
+  Emit(LogDecision{"worker_stopped",
+                   {},
+                   0,
+                   worker.spec.vm,
+                   environment_.configuration->revision,
+                   proof + " silent_ms=" + std::to_string(silent.count()) +
+                       " tasks=" + std::to_string(worker.tasks.size()),
+                   silent});
 }
 
 void Owner::Impl::HandleLapsedSessions() {
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -465,6 +465,8 @@
   VmId vm;
   Revision revision;
   std::string reason;
+  // Of "worker_stopped": since the worker's last answer.
+  std::optional<Duration> silent{};
 };
 
 using Action =
--- a/azurepass/scheduling/internal/hops.cc
+++ b/azurepass/scheduling/internal/hops.cc
@@ -17,19 +17,22 @@
 
 using metrics::Histogram;
 
-constexpr std::array<std::string_view, kHops> kHopNames = {
-    "submit", "cancel",  "read", "append", "permit", "first_start",
-    "order",  "confirm", "end",  "timer",  "message"};
+constexpr auto kHopNames = std::to_array<std::string_view>(
+    {"submit", "cancel", "read", "append", "permit", "first_start", "order",
+     "confirm", "end", "worker_stop", "timer", "message"});
+static_assert(kHopNames.size() == kHops);
 
 // In the order of the alternatives of partition::Event.
-constexpr std::array<std::string_view, std::variant_size_v<partition::Event>>
-    kEventNames = {"claim_won",   "release_wanted", "claim_lost",
-                   "loaded",      "load_failed",    "appended",
-                   "found",       "append_unknown", "append_failed",
-                   "snapshot",    "configuration",  "freshness",
-                   "allowances",  "workers",        "permits",
-                   "session",     "reported",       "fenced",
-                   "unreachable", "request",        "tick"};
+constexpr auto kEventNames = std::to_array<std::string_view>(
+    {"claim_won",   "release_wanted", "claim_lost",
+     "loaded",      "load_failed",    "appended",
+     "found",       "append_unknown", "append_failed",
+     "snapshot",    "configuration",  "freshness",
+     "allowances",  "workers",        "permits",
+     "session",     "reported",       "fenced",
+     "unreachable", "replaced",       "request",
+     "tick"});
+static_assert(kEventNames.size() == std::variant_size_v<partition::Event>);
 
 Hop HopOf(const partition::JobRequest& request) {
   return std::visit(
@@ -207,6 +210,8 @@
     if (const auto step = StepOf(decision.task.job)) {
       End(Hop::kFirstStart, accepted_, step->request.value(), now);
     }
+  } else if (decision.kind == "worker_stopped" && decision.silent) {
+    Record(Hop::kWorkerStop, *decision.silent);
   } else if (decision.kind == "requeue" || decision.kind == "end") {
     // Ended before its order, or its answer.
     decided_.erase({decision.task, decision.attempt});
--- a/azurepass/scheduling/internal/hops.h
+++ b/azurepass/scheduling/internal/hops.h
@@ -36,10 +36,11 @@
   kOrder,       // Decided to ordered: the append of the start.
   kConfirm,     // Ordered to the worker's answer.
   kEnd,         // An end's arrival to its acknowledgement: its append.
+  kWorkerStop,  // A lost worker's last answer to the proof that it has stopped.
   kTimer,       // A timer's time to its call, a message's sending to its
   kMessage,     // delivery: both grow when the loop has more work than time.
 };
-inline constexpr size_t kHops = 11;
+inline constexpr size_t kHops = 12;
 std::string_view HopName(Hop hop);
 
 // The processor time of the calling thread.
--- a/azurepass/scheduling/internal/hops_test.cc
+++ b/azurepass/scheduling/internal/hops_test.cc
@@ -175,5 +175,17 @@
   CHECK(text.find("hop=\"permit\"") == std::string::npos);
 }
 
+TEST_CASE(
+    "a lost worker's silence is counted when it is known to have stopped") {
+  HopMeter meter;
+  meter.OnAction(Decision("worker_stopped"), At(0));
+  CHECK(meter.Figures(Hop::kWorkerStop).count == 0);
+  partition::LogDecision stopped = Decision("worker_stopped");
+  stopped.silent = Duration(2'500);
+  meter.OnAction(stopped, At(0));
+  CHECK(meter.Figures(Hop::kWorkerStop).count == 1);
+  CHECK(meter.Figures(Hop::kWorkerStop).sum == milliseconds(2'500));
+}
+
 }  // namespace
 }  // namespace azurepass::scheduling
