An owner's copy of the configuration is complete beyond its own revision

Two processes that list the same contracts at different times hold revisions 44 and 51; the owner's does not rise until a contract changes, and the owner refused each submission of a frontend at 51 as not seen yet, for as long.

Change: the keeper tells up to which revision its copy is complete (the cursor of its watch, which moves with each answer), and the owner compares with that.

Evidence: the owner's case of 51 at a copy of revision 0 that is complete through 51 was refused before.

--- a/azurepass/configuration/configuration.h
+++ b/azurepass/configuration/configuration.h
@@ -263,6 +263,9 @@
   Verdict verdict;
   MonotonicTime valid_until;      // The verdict holds no longer than this.
   Duration store_contact_age{0};  // Duration::max(): never.
+  // All changes of the store up to here are in `configuration`, whose own
+  // revision may be lower.
+  Revision complete_through{};
   // See Freshness::OthersCutUntil: before it nobody else can have changed
   // anything in the store.
   std::optional<MonotonicTime> others_cut_until;
--- a/azurepass/configuration/keeper.cc
+++ b/azurepass/configuration/keeper.cc
@@ -175,8 +175,8 @@
   Update MakeUpdate(MonotonicTime now) const {
     Freshness::Decision decision = freshness_.Decide(register_.revision(), now);
     return {register_.configuration(), std::move(decision.verdict),
-            decision.valid_until, freshness_.store_contact_age(now),
-            freshness_.OthersCutUntil(now)};
+            decision.valid_until,      freshness_.store_contact_age(now),
+            register_.cursor(),        freshness_.OthersCutUntil(now)};
   }
 
   // Tells subscribers what is new, and sets the time to look again.
@@ -193,6 +193,7 @@
     const bool same = update.configuration == told_.configuration &&
                       update.verdict.index() == told_.verdict.index() &&
                       (!may_start || update.valid_until == told_.valid_until) &&
+                      update.complete_through == told_.complete_through &&
                       update.others_cut_until == told_.others_cut_until;
     if (same) return;
     LogChange(update);
--- a/azurepass/configuration/keeper_test.cc
+++ b/azurepass/configuration/keeper_test.cc
@@ -62,6 +62,18 @@
                                     reply.address()});
     return std::get<store::Written>(reply.Take()).version;
   }
+  // Below another prefix than the configuration's.
+  int64_t WriteOther() {
+    Inbox<store::WriteReply> reply;
+    store_.Port(-1).Send(
+        store::Put{"other/key", "value", std::nullopt, "", reply.address()});
+    return std::get<store::Written>(reply.Take()).version;
+  }
+  Update AwaitThrough(int64_t index, int64_t revision) {
+    return inboxes_[index]->TakeUntil([revision](const Update& update) {
+      return update.complete_through.value >= revision;
+    });
+  }
   template <class Expected>
   Update Await(int64_t index) {
     return inboxes_[index]->TakeUntil([](const Update& update) {
@@ -242,6 +254,16 @@
   CHECK(most_content_open == 1);
 }
 
+TEST_CASE("a copy is complete through revisions without a change of it") {
+  Cluster cluster(1);
+  cluster.Start();
+  const int64_t zone = cluster.WriteZone("plovdiv-a", false);
+  cluster.AwaitRevision(0, zone);
+  const int64_t other = cluster.WriteOther();
+  const Update update = cluster.AwaitThrough(0, other);
+  CHECK(update.configuration->revision.value < other);
+}
+
 TEST_CASE("a keeper behind a change it knows of is no witness") {
   Cluster cluster(1);
   cluster.Start();
--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -13,6 +13,7 @@
 #ifndef AZUREPASS_PARTITION_INTERNAL_OWNER_IMPL_H_
 #define AZUREPASS_PARTITION_INTERNAL_OWNER_IMPL_H_
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -52,7 +53,13 @@
   std::shared_ptr<const Configuration> configuration =
       std::make_shared<Configuration>();
   bool may_start = false;
+  Revision complete_through;  // See FreshnessChanged.
   Allowances allowances;
+
+  // Whether the configuration held has all that one of this revision has.
+  bool Covers(Revision revision) const {
+    return revision <= std::max(configuration->revision, complete_through);
+  }
   std::optional<std::map<VmId, VmState>> vms;
   std::map<VmId, WorkerSpec> workers;  // Workers that described themselves.
 };
--- a/azurepass/partition/owner.cc
+++ b/azurepass/partition/owner.cc
@@ -102,8 +102,11 @@
 }
 
 void Owner::Impl::On(FreshnessChanged event) {
-  environment_.may_start = event.may_start;
-  placement_due_ = true;
+  environment_.complete_through = event.complete_through;
+  if (std::exchange(environment_.may_start, event.may_start) !=
+      event.may_start) {
+    placement_due_ = true;
+  }
 }
 
 void Owner::Impl::On(AllowancesChanged event) {
--- a/azurepass/partition/owner_requests.cc
+++ b/azurepass/partition/owner_requests.cc
@@ -131,7 +131,7 @@
     return NotRun(RefusalCode::kShuttingDown, "The owner is shutting down.",
                   kConfigurationRetryAfter);
   }
-  if (request.revision > configuration.revision) {
+  if (!environment_.Covers(request.revision)) {
     return NotRun(RefusalCode::kStaleConfiguration,
                   "The owner has not seen this configuration yet.",
                   kConfigurationRetryAfter);
--- a/azurepass/partition/owner_test.cc
+++ b/azurepass/partition/owner_test.cc
@@ -298,5 +298,31 @@
   CHECK(commit.Withdraw(internal::Sequence{2}));
 }
 
+// Guards against an owner that refuses each submission until the next change of
+// the configuration, because it read the same one earlier than the frontend,
+// when the store's revision was lower.
+TEST_CASE("a revision that the owner's copy is complete through is not ahead") {
+  struct Case {
+    Revision complete_through;
+    bool accepted;
+  };
+  for (const Case& c : {Case{{}, false}, Case{{50}, false}, Case{{51}, true},
+                        Case{{60}, true}}) {
+    CAPTURE(c.complete_through.value);
+    Driver d;
+    d.TakeOver();
+    d.Handle(FreshnessChanged{true, c.complete_through});
+    d.Handle(RequestReceived{RequestToken{1},
+                             SubmitJob{PartitionId("p"), kTeam, RequestId("r"),
+                                       MakeJobSpec(), Revision{51}},
+                             d.now + seconds(10)});
+    if (c.accepted) {
+      CHECK(d.Count<Answer>() == 0);  // Until it is appended.
+    } else {
+      CHECK(d.LastRefusal().code == RefusalCode::kStaleConfiguration);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace azurepass::partition
--- a/azurepass/partition/owner_workflows.cc
+++ b/azurepass/partition/owner_workflows.cc
@@ -108,13 +108,12 @@
     return NotRun(RefusalCode::kShuttingDown, "The owner is shutting down.",
                   kConfigurationRetryAfter);
   }
-  // The revisions are not compared if the owner finds what it needs: they are
-  // those of the store, and grow without any change of the configuration.
+  // The revisions are not compared if the owner finds what it needs.
   auto queue = configuration.queues.find(request.spec.queue);
   const bool known = queue != configuration.queues.end() &&
                      (!queue->second.needs_key ||
                       configuration.contracts.contains(request.team));
-  if (!known && request.revision > configuration.revision) {
+  if (!known && !environment_.Covers(request.revision)) {
     return NotRun(RefusalCode::kStaleConfiguration,
                   "The owner has not seen this configuration yet.",
                   kConfigurationRetryAfter);
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -286,9 +286,12 @@
 struct ConfigurationChanged {
   std::shared_ptr<const Configuration> configuration;
 };
-// Tells whether the configuration is fresh enough to start tasks.
+// Tells whether the configuration is fresh enough to start tasks, and up to
+// which revision of the store it is complete. That may be beyond the
+// configuration's own revision, for the store's grows with other changes, too.
 struct FreshnessChanged {
   bool may_start = false;
+  Revision complete_through{};
 };
 // The allowances that the escrow currently grants to this partition.
 struct AllowancesChanged {
--- a/azurepass/scheduling/internal/partition_task.cc
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -107,7 +107,7 @@
 void PartitionTask::OnHold(const Hold& hold) {
   DropOwner();
   epoch_ = hold.epoch;
-  told_may_start_ = false;
+  told_freshness_ = {};
   obeyed_grant_ = 0;
   const task::Address<Inbox> inbox = mailbox_.address();
   const Epoch epoch = epoch_;
@@ -247,9 +247,14 @@
     freshness_timer_.After(Until(configuration_->valid_until, now),
                            [this] { Feed(partition::Tick{}); });
   }
-  if (may_start == told_may_start_) return;
-  told_may_start_ = may_start;
-  PerformAll(owner_->Handle(partition::FreshnessChanged{may_start}, now));
+  const Revision through =
+      configuration_ ? configuration_->complete_through : Revision{};
+  if (may_start == told_freshness_.may_start &&
+      through == told_freshness_.complete_through) {
+    return;
+  }
+  told_freshness_ = {may_start, through};
+  PerformAll(owner_->Handle(told_freshness_, now));
 }
 
 void PartitionTask::TellConfiguration() {
--- a/azurepass/scheduling/internal/partition_task.h
+++ b/azurepass/scheduling/internal/partition_task.h
@@ -159,7 +159,7 @@
 
   std::optional<configuration::Update> configuration_;
   std::optional<vmlist::Snapshot> vms_;
-  bool told_may_start_ = false;
+  partition::FreshnessChanged told_freshness_;
   int64_t obeyed_grant_ = 0;
   std::map<TeamId, escrow::Allowance> allowances_;
   std::vector<partition::AllowanceDemand> demands_;
