--- a/azurepass/configuration/configuration.h
+++ b/azurepass/configuration/configuration.h
@@ -97,9 +97,9 @@
   // wants no content; only what changed since `pull.after` when that is exact;
   // the whole otherwise.
   entry::ConfigurationPulled Answer(const entry::PullConfiguration& pull) const;
-  // The same records have the same digest in every process, whenever they were
-  // read; never 0, below 2^63.
-  uint64_t digest() const { return digest_; }
+  // SHA-256 of the keys and versions of all records: the same records have the
+  // same digest in every process, whenever they were read.
+  const std::string& digest() const { return digest_; }
 
   std::shared_ptr<const Configuration> configuration() const {
     return configuration_;
@@ -116,7 +116,7 @@
   void Hold(std::shared_ptr<const Configuration> configuration);
 
   std::shared_ptr<const Configuration> configuration_;
-  uint64_t digest_ = 0;
+  std::string digest_;
   Revision cursor_;
   Revision last_removal_;  // No record was removed after it.
   int64_t unreadable_ = 0;
--- a/azurepass/configuration/freshness_test.cc
+++ b/azurepass/configuration/freshness_test.cc
@@ -170,7 +170,8 @@
   for (const auto& c : cases) {
     CHECK(MayStart(c.verdict) == c.may_start);
     CHECK(ToString(c.verdict) == c.text);
-    const Update update{nullptr, c.verdict, At(10), Duration(0), std::nullopt};
+    const Update update{nullptr,     c.verdict,  At(10),
+                        Duration(0), Revision{}, std::nullopt};
     CHECK(update.MayStart(At(9)) == c.may_start);
     CHECK_FALSE(update.MayStart(At(10)));  // Also in a paused process.
   }
--- a/azurepass/configuration/register.cc
+++ b/azurepass/configuration/register.cc
@@ -89,48 +89,27 @@
   return removed;
 }
 
-// FNV-1a, as every process computes it alike.
-class Hasher {
- public:
-  void Add(std::string_view text) {
-    for (const char c : text) AddByte(static_cast<unsigned char>(c));
-    AddByte(0);
-  }
-  void Add(int64_t number) {
-    for (int shift = 0; shift < 64; shift += 8) {
-      AddByte(
-          static_cast<unsigned char>(static_cast<uint64_t>(number) >> shift));
-    }
-  }
-  uint64_t value() const { return value_; }
-
- private:
-  void AddByte(unsigned char byte) {
-    value_ = (value_ ^ byte) * 0x100000001b3ULL;
-  }
-  uint64_t value_ = 0xcbf29ce484222325ULL;
-};
+// In lower-case hexadecimal.
+std::string Sha256(std::string_view text) {
+  gchar* checksum = g_compute_checksum_for_data(
+      G_CHECKSUM_SHA256, reinterpret_cast<const guchar*>(text.data()),
+      text.size());
+  std::string hexadecimal = checksum;
+  g_free(checksum);
+  return hexadecimal;
+}
 
-uint64_t DigestOf(const Configuration& configuration) {
-  Hasher hasher;
+std::string DigestOf(const Configuration& configuration) {
+  std::string versions;
   ForEachRecord(configuration, [&](const auto& id, const auto& value) {
-    hasher.Add(StoreKey(id));
-    hasher.Add(value.version);
+    versions += StoreKey(id) + '\n' + std::to_string(value.version) + '\n';
   });
-  // Within what a signed number of a message holds.
-  return std::max<uint64_t>(1, hasher.value() >> 1);
+  return Sha256(versions);
 }
 
 }  // namespace
 
-std::string HashSecret(std::string_view secret) {
-  gchar* digest = g_compute_checksum_for_data(
-      G_CHECKSUM_SHA256, reinterpret_cast<const guchar*>(secret.data()),
-      secret.size());
-  std::string text = digest;
-  g_free(digest);
-  return text;
-}
+std::string HashSecret(std::string_view secret) { return Sha256(secret); }
 
 std::optional<KeyRecord> FindKey(const Configuration& configuration,
                                  std::string_view secret) {
--- a/azurepass/configuration/register_test.cc
+++ b/azurepass/configuration/register_test.cc
@@ -83,7 +83,7 @@
   early.Adopt(late.Answer({early.revision(), early.digest(), true}));
   CHECK(early.digest() == late.digest());
   // Nothing is withheld from who is not behind.
-  CHECK_FALSE(early.Answer({Revision{10}, 1, false}).withheld);
+  CHECK_FALSE(early.Answer({Revision{10}, "other", false}).withheld);
 }
 
 TEST_CASE("a change that is complete below a prefix removes the rest there") {
--- a/azurepass/entry/entry.h
+++ b/azurepass/entry/entry.h
@@ -53,7 +53,7 @@
 // the answer.
 struct PullConfiguration {
   Revision after;
-  uint64_t digest = 0;  // Of the records that the asker holds; 0: not told.
+  std::string digest{};  // Of the records that the asker holds, if told.
   bool content = true;
 };
 // Asks the peer to put a question to the service that issues permits, which
--- a/azurepass/entry/internal/message_formats.cc
+++ b/azurepass/entry/internal/message_formats.cc
@@ -211,9 +211,7 @@
     entry::PullConfiguration pull;
     pull.after = Revision{Count(reader, "after")};
     // Processes of a former build tell neither.
-    if (reader.Has("digest")) {
-      pull.digest = static_cast<uint64_t>(Count(reader, "digest"));
-    }
+    if (reader.Has("digest")) pull.digest = reader.String("digest");
     if (reader.Has("content")) pull.content = reader.Bool("content");
     return {pull};
   }
--- a/azurepass/entry/internal/message_formats_test.cc
+++ b/azurepass/entry/internal/message_formats_test.cc
@@ -69,7 +69,8 @@
       partition::ExplainJob{TeamId("t"), JobId("p.1")},
       GetStatus{},
       Gossip{{NewsOf("a"), NewsOf("b")}},
-      PullConfiguration{Revision{8}}};
+      PullConfiguration{Revision{8}},
+      PullConfiguration{Revision{8}, "digest", false}};
   for (const Request& request : requests) {
     const std::string body = EncodeRequest(request);
     auto decoded = DecodeRequest(PathOf(request), body, kMaxBytes);
--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -55,13 +55,13 @@
   bool may_start = false;
   Revision complete_through;  // See FreshnessChanged.
   Allowances allowances;
+  std::optional<std::map<VmId, VmState>> vms;
+  std::map<VmId, WorkerSpec> workers;  // Workers that described themselves.
 
   // Whether the configuration held has all that one of this revision has.
   bool Covers(Revision revision) const {
     return revision <= std::max(configuration->revision, complete_through);
   }
-  std::optional<std::map<VmId, VmState>> vms;
-  std::map<VmId, WorkerSpec> workers;  // Workers that described themselves.
 };
 
 }  // namespace azurepass::partition::internal
