--- a/review/stand/cell.cpp
+++ b/review/stand/cell.cpp
@@ -20,11 +20,12 @@
 namespace {
 
 // A port that was free a moment ago, below the range from which the kernel
-// picks the ports of connections, so that it stays free over a restart.
+// picks the ports of connections, so that it stays free over a restart. Scripts
+// that run beside each other begin at different places.
 int FreePort() {
-  static std::mt19937 random(std::random_device{}());
+  static int next = 20'000 + getpid() * 64 % 11'968;
   while (true) {
-    const int port = std::uniform_int_distribution<int>(20'000, 32'000)(random);
+    const int port = next++;
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
