--- a/azurepass/codec/codec.h
+++ b/azurepass/codec/codec.h
@@ -248,6 +248,11 @@
   static Json Write(const QueueRecord& value);
 };
 template <>
+struct Format<FormerQueue> {
+  static FormerQueue Read(ObjectReader& reader);
+  static Json Write(const FormerQueue& value);
+};
+template <>
 struct Format<ServiceRecord> {
   static ServiceRecord Read(ObjectReader& reader);
   static Json Write(const ServiceRecord& value);
--- a/azurepass/codec/configuration_formats.cc
+++ b/azurepass/codec/configuration_formats.cc
@@ -1,6 +1,7 @@
 // The formats of what operators decide: contracts, keys, zones, queues,
 // services.
 
+#include <charconv>
 #include <cstdint>
 #include <limits>
 #include <string>
@@ -17,6 +18,8 @@
 // writer settles a lost answer. Nobody else needs it.
 void SkipChangeId(ObjectReader& reader) { reader.String("change", ""); }
 
+constexpr int kHexadecimal = 16;
+
 }  // namespace
 
 PermitTerms Format<PermitTerms>::Read(ObjectReader& reader) {
@@ -72,6 +75,37 @@
   return out;
 }
 
+FormerQueue Format<FormerQueue>::Read(ObjectReader& reader) {
+  FormerQueue former;
+  former.queue = reader.Name<QueueId>("queue");
+  former.service = reader.Name<ServiceId>("service");
+  const std::string route = reader.String("route");
+  const char* end = route.data() + route.size();
+  const auto parsed =
+      std::from_chars(route.data(), end, former.route, kHexadecimal);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    reader.Fail(ErrorCode::kOutOfRange, "route",
+                "must be a hash in hexadecimal");
+  }
+  former.needs_key = reader.Bool("needs_key", true);
+  if (reader.Has("permits")) {
+    former.permits = reader.Object<PermitTerms>("permits");
+  }
+  return former;
+}
+
+Json Format<FormerQueue>::Write(const FormerQueue& value) {
+  char route[2 * sizeof(value.route)];
+  const auto end = std::to_chars(std::begin(route), std::end(route),
+                                 value.route, kHexadecimal);
+  Json out = {{"queue", value.queue.value()},
+              {"service", value.service.value()},
+              {"route", std::string(std::begin(route), end.ptr)}};
+  if (!value.needs_key) out["needs_key"] = false;
+  if (value.permits) out["permits"] = codec::Write(*value.permits);
+  return out;
+}
+
 ServiceRecord Format<ServiceRecord>::Read(ObjectReader& reader) {
   ServiceRecord service;
   service.service = reader.Name<ServiceId>("service");
--- a/azurepass/configuration/configuration.h
+++ b/azurepass/configuration/configuration.h
@@ -93,6 +93,9 @@
   // Takes in a peer's answer to PullConfiguration{revision()}.
   bool Adopt(const entry::ConfigurationPulled& pulled);
 
+  // Adds queues of earlier configurations that this process may not have seen.
+  void Recall(const std::vector<FormerQueue>& queues);
+
   // Answers a peer: nothing but the revision when it holds the same records or
   // wants no content; only what changed since `pull.after` when that is exact;
   // the whole otherwise.
@@ -112,8 +115,9 @@
   int64_t unreadable() const { return unreadable_; }
 
  private:
-  // Puts the configuration in force, with its digest.
-  void Hold(std::shared_ptr<const Configuration> configuration);
+  // Puts the configuration in force, with its digest. Adds to its former queues
+  // those of the configuration before.
+  void Hold(std::shared_ptr<Configuration> configuration);
 
   std::shared_ptr<const Configuration> configuration_;
   std::string digest_;
@@ -250,6 +254,8 @@
   Duration content_timeout{5'000};
   Duration min_backoff{100};  // After a failed request, jittered.
   Duration max_backoff{1'000};
+  // Until queues that the store's archive lacks are recorded there.
+  Duration queue_record_delay{2'000};
   int64_t peer_fanout = 3;       // Peers asked for a confirmation.
   int64_t max_witnesses = 64;    // Peers asked for evidence of an outage.
   int64_t page_entries = 1'000;  // Of a listing.
--- a/azurepass/configuration/keeper.cc
+++ b/azurepass/configuration/keeper.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "azurepass/configuration/configuration.h"
+#include "azurepass/configuration/internal/queue_archive.h"
 #include "azurepass/follow/follow.h"
 
 namespace azurepass::configuration {
@@ -27,13 +28,19 @@
   bool content = false;  // Records were asked for.
   entry::CallResult result;
 };
-using Inner = std::variant<Message, follow::Event, Pulled>;
+using Inner =
+    std::variant<Message, follow::Event, Pulled, internal::QueuesRecalled>;
 
 follow::Options FollowOptionsOf(const Options& options) {
   return {std::string(kPrefix), options.watch_wait,   options.min_backoff,
           options.max_backoff,  options.page_entries, options.seed};
 }
 
+internal::QueueArchiveOptions ArchiveOptionsOf(const Options& options) {
+  return {options.queue_record_delay, options.min_backoff, options.max_backoff,
+          options.seed};
+}
+
 }  // namespace
 
 class Keeper::Impl {
@@ -47,6 +54,7 @@
         peer_timer_(loop),
         expiry_timer_(loop),
         mailbox_(loop, [this](Inner m) { Handle(std::move(m)); }),
+        archive_(loop, ArchiveOptionsOf(options_), store, mailbox_.address()),
         follower_(loop, FollowOptionsOf(options_), std::move(store),
                   mailbox_.address()) {
     peer_timer_.Every(options_.peer_interval, [this] { AskPeers(); });
@@ -58,7 +66,10 @@
   void Handle(Inner message) {
     std::visit(Visitor{[this](Message& m) { HandleMessage(std::move(m)); },
                        [this](follow::Event& m) { OnStoreEvent(m); },
-                       [this](Pulled& m) { OnPulled(std::move(m)); }},
+                       [this](Pulled& m) { OnPulled(std::move(m)); },
+                       [this](const internal::QueuesRecalled& m) {
+                         register_.Recall(m.queues);
+                       }},
                message);
     Publish();
   }
@@ -198,6 +209,10 @@
     if (same) return;
     LogChange(update);
     told_ = update;
+    // Without a revision no configuration was read yet.
+    if (update.configuration->revision > Revision{}) {
+      archive_.Record(update.configuration);
+    }
     for (const auto& subscriber : subscribers_) subscriber.Send(update);
   }
 
@@ -232,6 +247,7 @@
   task::Timer peer_timer_;
   task::Timer expiry_timer_;
   task::Mailbox<Inner> mailbox_;
+  internal::QueueArchive archive_;
   follow::Follower follower_;
 };
 
--- a/azurepass/configuration/keeper_test.cc
+++ b/azurepass/configuration/keeper_test.cc
@@ -27,6 +27,7 @@
   options.peer_timeout = Duration(200);
   options.min_backoff = Duration(20);
   options.max_backoff = Duration(100);
+  options.queue_record_delay = Duration(20);
   options.seed = static_cast<uint64_t>(index) + 1;
   return options;
 }
@@ -62,6 +63,49 @@
                                     reply.address()});
     return std::get<store::Written>(reply.Take()).version;
   }
+  int64_t WriteQueue(const std::string& service) {
+    QueueRecord queue;
+    queue.queue = QueueId("grade");
+    queue.service = ServiceId(service);
+    queue.path_prefix = "/grade/";
+    Inbox<store::WriteReply> reply;
+    store_.Port(-1).Send(store::Put{StoreKey(queue.queue),
+                                    codec::Write(queue).dump(), std::nullopt,
+                                    "", reply.address()});
+    return std::get<store::Written>(reply.Take()).version;
+  }
+  // Returns whether the archive of queues names the service within 2 s.
+  bool AwaitRecorded(const std::string& service) {
+    for (int i = 0; i < 100; ++i) {
+      Inbox<store::GetReply> reply;
+      store_.Port(-1).Send(store::Get{"cluster/queues", reply.address()});
+      const auto value = std::get<store::Value>(reply.Take());
+      if (value.entry &&
+          value.entry->value.find(service) != std::string::npos) {
+        return true;
+      }
+      Inbox<int64_t> nothing;
+      nothing.TakeWithin(Duration(20));
+    }
+    return false;
+  }
+  // Adds a keeper that has seen no configuration yet. After Start.
+  void AddKeeper() {
+    const auto index = static_cast<int64_t>(keepers_.size());
+    inboxes_.push_back(std::make_unique<Inbox<Update>>());
+    keepers_.push_back(std::make_unique<Keeper>(
+        loop_, ShortOptions(index), store_.Port(index),
+        task::Address<entry::Call>([](const entry::Call& call) {
+          call.reply_to.Send(
+              entry::Failure{entry::FailureCode::kNotSent, "cut"});
+        })));
+    keepers_.back()->address().Send(Subscribe{inboxes_.back()->address()});
+  }
+  Update AwaitFormerQueue(int64_t index) {
+    return inboxes_[index]->TakeUntil([](const Update& update) {
+      return !update.configuration->former_queues.empty();
+    });
+  }
   // Below another prefix than the configuration's.
   int64_t WriteOther() {
     Inbox<store::WriteReply> reply;
@@ -137,6 +181,20 @@
   }
 }
 
+// Guards against a process that starts after a queue moved and takes a repeated
+// submission for a new one, because it has not seen the earlier service.
+TEST_CASE("a keeper that starts late recalls the queues of before") {
+  Cluster cluster(2);
+  cluster.Start();
+  cluster.AwaitRevision(0, cluster.WriteQueue("intake"));
+  REQUIRE(cluster.AwaitRecorded("intake"));
+  cluster.WriteQueue("vision");
+  cluster.AddKeeper();
+  const Update update = cluster.AwaitFormerQueue(2);
+  REQUIRE(update.configuration->former_queues.size() == 1);
+  CHECK(update.configuration->former_queues[0].service == ServiceId("intake"));
+}
+
 TEST_CASE("a keeper cut from the store learns from its peers") {
   Cluster cluster(3);
   cluster.Start();
--- a/azurepass/configuration/register.cc
+++ b/azurepass/configuration/register.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "azurepass/configuration/configuration.h"
+#include "azurepass/configuration/internal/former_queues.h"
 #include "azurepass/configuration/internal/records.h"
 
 namespace azurepass::configuration {
@@ -135,11 +136,20 @@
 
 Register::Register() { Hold(std::make_shared<Configuration>()); }
 
-void Register::Hold(std::shared_ptr<const Configuration> configuration) {
+void Register::Hold(std::shared_ptr<Configuration> configuration) {
+  if (configuration_ != nullptr) {
+    internal::KeepFormerQueues(*configuration_, *configuration);
+  }
   digest_ = DigestOf(*configuration);
   configuration_ = std::move(configuration);
 }
 
+void Register::Recall(const std::vector<FormerQueue>& queues) {
+  auto next = std::make_shared<Configuration>(*configuration_);
+  if (!internal::AddFormerQueues(queues, *next)) return;
+  configuration_ = std::move(next);
+}
+
 bool Register::Replace(const store::Listing& listing) {
   if (listing.revision < cursor_) return false;
   auto next = std::make_shared<Configuration>(*configuration_);
--- a/azurepass/configuration/register_test.cc
+++ b/azurepass/configuration/register_test.cc
@@ -45,6 +45,79 @@
   }
 }
 
+QueueRecord MakeQueue(const std::string& name, const std::string& service,
+                      const std::string& prefix) {
+  QueueRecord queue;
+  queue.queue = QueueId(name);
+  queue.service = ServiceId(service);
+  queue.host = "h";
+  queue.path_prefix = prefix;
+  return queue;
+}
+
+// Guards against accepted jobs that can't be found once their queue is renamed
+// or given to another service.
+TEST_CASE("queues of earlier configurations are kept where they differ") {
+  struct Case {
+    std::string name;
+    std::vector<std::vector<QueueRecord>> configurations;
+    std::vector<QueueRecord> former;
+  };
+  const QueueRecord at_intake = MakeQueue("a", "intake", "/a/");
+  const QueueRecord at_vision = MakeQueue("a", "vision", "/a/");
+  const QueueRecord renamed = MakeQueue("b", "intake", "/a/");
+  QueueRecord slower = at_intake;
+  slower.stretch = 2;
+  QueueRecord with_permits = at_intake;
+  with_permits.permits = PermitTerms{Duration(1), {}, Duration(2'000)};
+  const Case cases[] = {
+      {"unchanged", {{at_intake}, {at_intake}}, {}},
+      {"other objective", {{at_intake}, {slower}}, {}},
+      {"other service", {{at_intake}, {at_vision}}, {at_intake}},
+      {"there and back", {{at_intake}, {at_vision}, {at_intake}}, {at_vision}},
+      {"other name", {{at_intake}, {renamed}}, {at_intake}},
+      {"removed", {{at_intake}, {}}, {at_intake}},
+      {"permits end", {{with_permits}, {at_intake}}, {with_permits}},
+      {"two queues swap prefixes",
+       {{at_intake, MakeQueue("c", "vision", "/c/")},
+        {MakeQueue("a", "intake", "/c/"), MakeQueue("c", "vision", "/a/")}},
+       {at_intake, MakeQueue("c", "vision", "/c/")}},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(c.name);
+    Register held;
+    int64_t revision = 0;
+    for (const auto& queues : c.configurations) {
+      store::Listing listing;
+      listing.revision = Revision{++revision};
+      for (const QueueRecord& queue : queues) {
+        listing.entries.push_back(
+            {StoreKey(queue.queue), codec::Write(queue).dump(), revision});
+      }
+      held.Replace(listing);
+    }
+    std::vector<FormerQueue> expected;
+    expected.reserve(c.former.size());
+    for (const QueueRecord& queue : c.former) {
+      expected.push_back(ToFormerQueue(queue));
+    }
+    CHECK(held.configuration()->former_queues == expected);
+  }
+}
+
+TEST_CASE("recalled queues are added unless they are in force") {
+  Register held;
+  const QueueRecord now = MakeQueue("a", "vision", "/a/");
+  held.Replace(
+      {{{StoreKey(now.queue), codec::Write(now).dump(), 1}}, Revision{1}});
+  const std::string digest = held.digest();
+  const FormerQueue before = ToFormerQueue(MakeQueue("a", "intake", "/a/"));
+  held.Recall({before, ToFormerQueue(now)});
+  held.Recall({before});
+  CHECK(held.configuration()->former_queues == std::vector{before});
+  CHECK(held.digest() == digest);
+}
+
 TEST_CASE("older answers change nothing") {
   Register held;
   held.Replace({{ZoneEntry("a", false, 7)}, Revision{8}});
--- a/azurepass/core/core.cc
+++ b/azurepass/core/core.cc
@@ -94,6 +94,53 @@
 
 TeamId PublicTeam() { return TeamId("public"); }
 
+uint64_t RouteHash(std::string_view host, std::string_view path_prefix) {
+  // FNV-1a, 64 bits. Neither text contains a zero byte.
+  constexpr uint64_t kOffset = 14695981039346656037ULL;
+  constexpr uint64_t kPrime = 1099511628211ULL;
+  uint64_t hash = kOffset;
+  const auto add = [&hash](unsigned char byte) {
+    hash = (hash ^ byte) * kPrime;
+  };
+  for (const char c : host) add(static_cast<unsigned char>(c));
+  add(0);
+  for (const char c : path_prefix) add(static_cast<unsigned char>(c));
+  return hash;
+}
+
+FormerQueue ToFormerQueue(const QueueRecord& queue) {
+  return {queue.queue, queue.service, RouteHash(queue.host, queue.path_prefix),
+          queue.needs_key, queue.permits};
+}
+
+const QueueRecord* FindSuccessor(const Configuration& configuration,
+                                 const QueueId& name) {
+  const auto same_name = configuration.queues.find(name);
+  if (same_name != configuration.queues.end()) return &same_name->second;
+  const std::vector<FormerQueue>& former = configuration.former_queues;
+  const auto latest =
+      std::find_if(former.rbegin(), former.rend(),
+                   [&](const FormerQueue& f) { return f.queue == name; });
+  if (latest == former.rend()) return nullptr;
+  for (const auto& [id, queue] : configuration.queues) {
+    if (RouteHash(queue.host, queue.path_prefix) == latest->route) {
+      return &queue;
+    }
+  }
+  return nullptr;
+}
+
+std::optional<PermitTerms> FindPermitTerms(const Configuration& configuration,
+                                           const QueueId& name) {
+  const QueueRecord* successor = FindSuccessor(configuration, name);
+  if (successor != nullptr && successor->permits) return successor->permits;
+  const std::vector<FormerQueue>& former = configuration.former_queues;
+  const auto latest = std::find_if(
+      former.rbegin(), former.rend(),
+      [&](const FormerQueue& f) { return f.queue == name && f.permits; });
+  return latest == former.rend() ? std::nullopt : latest->permits;
+}
+
 std::string_view WorkflowStateName(WorkflowState state) {
   switch (state) {
     case WorkflowState::kQueued:
--- a/azurepass/core/core.h
+++ b/azurepass/core/core.h
@@ -421,7 +421,7 @@
   Duration per_call{0};
   std::chrono::microseconds per_worker{0};
   Duration validity{0};
-  bool operator==(const PermitTerms&) const = default;
+  auto operator<=>(const PermitTerms&) const = default;
 };
 
 // A queue that is open to all teams, or without `needs_key` to everybody.
@@ -440,6 +440,22 @@
   bool operator==(const QueueRecord&) const = default;
 };
 
+// Returns a hash of the host and the path prefix by which requests are matched
+// to a queue. It is the same in every process and release.
+uint64_t RouteHash(std::string_view host, std::string_view path_prefix);
+
+// A queue as an earlier configuration had it. Jobs that were accepted then stay
+// in the service and under the queue name of that time.
+struct FormerQueue {
+  QueueId queue;
+  ServiceId service;
+  uint64_t route = 0;  // RouteHash of its host and path prefix.
+  bool needs_key = true;
+  std::optional<PermitTerms> permits;
+  auto operator<=>(const FormerQueue&) const = default;
+};
+FormerQueue ToFormerQueue(const QueueRecord& queue);
+
 // A service that operators declared; its workers are found at run time.
 struct ServiceRecord {
   ServiceId service;
@@ -456,9 +472,26 @@
   std::map<ZoneId, ZoneRecord> zones;  // A zone without a record is in service.
   std::map<QueueId, QueueRecord> queues;
   std::map<ServiceId, ServiceRecord> services;
+  // Those that differ from the queue of the same name in `queues`, the oldest
+  // first; at most kMaxFormerQueues.
+  std::vector<FormerQueue> former_queues;
   bool operator==(const Configuration&) const = default;
 };
 
+inline constexpr size_t kMaxFormerQueues = 4'096;
+
+// Returns the queue that has the route of the queue `name`: the one of that
+// name, else the one that took over its host and path prefix. Null if there is
+// none.
+const QueueRecord* FindSuccessor(const Configuration& configuration,
+                                 const QueueId& name);
+
+// Returns the terms of the permits that jobs of the queue `name` need. If the
+// queue and its successor issue none, these are the latest that it had; empty
+// if it never had any.
+std::optional<PermitTerms> FindPermitTerms(const Configuration& configuration,
+                                           const QueueId& name);
+
 // ---------------------------------------------------------------------------
 // Workers
 
--- a/azurepass/entry/entry.h
+++ b/azurepass/entry/entry.h
@@ -67,7 +67,7 @@
                  partition::ExplainJob, GetStatus, Gossip, PullConfiguration,
                  partition::SubmitWorkflow, partition::GetWorkflow,
                  partition::CancelWorkflow, partition::CountWaiting,
-                 RelayPermits>;
+                 RelayPermits, partition::FindWorkflow>;
 
 // --- Responses
 
--- a/azurepass/entry/internal/message_formats.cc
+++ b/azurepass/entry/internal/message_formats.cc
@@ -274,6 +274,21 @@
   }
 };
 
+template <>
+struct Format<Wire<partition::FindWorkflow>> {
+  static Wire<partition::FindWorkflow> Read(ObjectReader& reader) {
+    return {{reader.Name<PartitionId>("partition"), reader.Name<TeamId>("team"),
+             reader.Name<RequestId>("request"),
+             Revision{Count(reader, "revision")}}};
+  }
+  static Json Write(const Wire<partition::FindWorkflow>& wire) {
+    return {{"partition", wire.value.partition.value()},
+            {"team", wire.value.team.value()},
+            {"request", wire.value.request.value()},
+            {"revision", wire.value.revision.value}};
+  }
+};
+
 template <>
 struct Format<Wire<entry::RelayPermits>> {
   static Wire<entry::RelayPermits> Read(ObjectReader& reader) {
@@ -561,7 +576,8 @@
     "/v1/status",        "/v1/gossip",
     "/v1/pull",          "/v1/submit-workflow",
     "/v1/get-workflow",  "/v1/cancel-workflow",
-    "/v1/count-waiting", "/v1/permits"};
+    "/v1/count-waiting", "/v1/permits",
+    "/v1/find-workflow"};
 static_assert(std::size(kPaths) == std::variant_size_v<Request>);
 
 constexpr std::string_view kKinds[] = {"job",      "explanation",   "status",
--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -220,13 +220,20 @@
   // --- owner_workflows.cc
   void DispatchTo(RequestToken token, const SubmitWorkflow& r,
                   MonotonicTime deadline);
+  void DispatchTo(RequestToken token, const FindWorkflow& r,
+                  MonotonicTime deadline);
   void DispatchTo(RequestToken token, const GetWorkflow& r,
                   MonotonicTime deadline);
   void DispatchTo(RequestToken token, const CancelWorkflow& r,
                   MonotonicTime deadline);
   void DispatchTo(RequestToken token, const CountWaiting& r,
                   MonotonicTime deadline);
+  // Answers a submission of a workflow that was accepted before, or is being
+  // recorded. Returns false if there is none.
+  bool AnswerRepeated(RequestToken token, const TeamId& team,
+                      const RequestId& request, MonotonicTime deadline);
   std::optional<Refusal> RefuseWorkflow(const SubmitWorkflow& request) const;
+  std::optional<Refusal> RefuseQueue(const SubmitWorkflow& request) const;
   // Returns the workflow, or answers the request with a refusal and returns
   // null.
   const internal::LedgerWorkflow* FindOrRefuse(RequestToken token,
--- a/azurepass/partition/owner_workflows.cc
+++ b/azurepass/partition/owner_workflows.cc
@@ -77,18 +77,7 @@
 
 void Owner::Impl::DispatchTo(RequestToken token, const SubmitWorkflow& r,
                              MonotonicTime deadline) {
-  if (const LedgerWorkflow* workflow = live_.FindWorkflow(r.request)) {
-    if (workflow->submitted.team == r.team) {
-      Reply(token, ViewWorkflow(r.request));
-    } else {
-      Refuse(token, RefusalCode::kRequestConflict, Effect::kNotRun,
-             "The request id was used by another team.");
-    }
-    return;
-  }
-  if (const auto sequence = requests_.FindWorkflowSubmission(r.request)) {
-    return WaitForAppend(token, *sequence, deadline);
-  }
+  if (AnswerRepeated(token, r.team, r.request, deadline)) return;
   if (std::optional<Refusal> refusal = RefuseWorkflow(r)) {
     Reply(token, *std::move(refusal));
     return;
@@ -101,27 +90,71 @@
   WaitForAppend(token, sequence, deadline);
 }
 
-std::optional<Refusal> Owner::Impl::RefuseWorkflow(
+bool Owner::Impl::AnswerRepeated(RequestToken token, const TeamId& team,
+                                 const RequestId& request,
+                                 MonotonicTime deadline) {
+  if (const LedgerWorkflow* workflow = live_.FindWorkflow(request)) {
+    if (workflow->submitted.team == team) {
+      Reply(token, ViewWorkflow(request));
+    } else {
+      Refuse(token, RefusalCode::kRequestConflict, Effect::kNotRun,
+             "The request id was used by another team.");
+    }
+    return true;
+  }
+  const auto sequence = requests_.FindWorkflowSubmission(request);
+  if (sequence) WaitForAppend(token, *sequence, deadline);
+  return sequence.has_value();
+}
+
+// "Gone" lets the sender submit the workflow elsewhere. From then on no
+// submission is accepted here, because this owner knows that the queue belongs
+// to another service.
+void Owner::Impl::DispatchTo(RequestToken token, const FindWorkflow& r,
+                             MonotonicTime deadline) {
+  if (AnswerRepeated(token, r.team, r.request, deadline)) return;
+  if (!environment_.Covers(r.revision)) {
+    Refuse(token, RefusalCode::kStaleConfiguration, Effect::kNotRun,
+           "The owner has not seen this configuration yet.",
+           kConfigurationRetryAfter);
+    return;
+  }
+  Refuse(token, RefusalCode::kGone, Effect::kNotRun,
+         "There is no such workflow.");
+}
+
+std::optional<Refusal> Owner::Impl::RefuseQueue(
     const SubmitWorkflow& request) const {
   const Configuration& configuration = *environment_.configuration;
-  if (In<Releasing>()) {
-    return NotRun(RefusalCode::kShuttingDown, "The owner is shutting down.",
-                  kConfigurationRetryAfter);
-  }
   // The revisions are not compared if the owner finds what it needs.
   auto queue = configuration.queues.find(request.spec.queue);
   const bool known = queue != configuration.queues.end() &&
                      (!queue->second.needs_key ||
                       configuration.contracts.contains(request.team));
-  if (!known && !environment_.Covers(request.revision)) {
+  const bool is_served = known && (options_.service.empty() ||
+                                   queue->second.service == options_.service);
+  if (is_served) return std::nullopt;
+  if (!environment_.Covers(request.revision)) {
     return NotRun(RefusalCode::kStaleConfiguration,
                   "The owner has not seen this configuration yet.",
                   kConfigurationRetryAfter);
   }
-  if (!known) {
-    return NotRun(RefusalCode::kNotFound,
-                  "There is no such queue, or the team has no contract.");
+  if (known || request.revision < configuration.revision) {
+    return NotRun(RefusalCode::kStaleConfiguration,
+                  "The queue has changed since the request was routed.",
+                  kConfigurationRetryAfter);
+  }
+  return NotRun(RefusalCode::kNotFound,
+                "There is no such queue, or the team has no contract.");
+}
+
+std::optional<Refusal> Owner::Impl::RefuseWorkflow(
+    const SubmitWorkflow& request) const {
+  if (In<Releasing>()) {
+    return NotRun(RefusalCode::kShuttingDown, "The owner is shutting down.",
+                  kConfigurationRetryAfter);
   }
+  if (auto refusal = RefuseQueue(request)) return refusal;
   if (auto refusal = RefuseShape(request)) return refusal;
   const int64_t waiting =
       live_.QueueOf(request.team).tasks + requests_.PendingTasks(request.team);
@@ -219,9 +252,18 @@
 
 void Owner::Impl::DispatchTo(RequestToken token, const CountWaiting& r,
                              MonotonicTime /*deadline*/) {
-  auto found = unstarted_.find(r.queue);
-  Reply(token, WaitingCount{
-                   found == unstarted_.end() ? 0 : std::ssize(found->second)});
+  WaitingCount count;
+  for (const auto& [queue, workflows] : unstarted_) {
+    // Workflows that were accepted while the queue had another name count too.
+    const QueueRecord* successor =
+        queue == r.queue ? nullptr
+                         : FindSuccessor(*environment_.configuration, queue);
+    if (queue == r.queue ||
+        (successor != nullptr && successor->queue == r.queue)) {
+      count.workflows += std::ssize(workflows);
+    }
+  }
+  Reply(token, count);
 }
 
 // An end is shown once its record is appended.
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -62,6 +62,56 @@
   CHECK(d.Starts().size() == starts);
 }
 
+// Returns a configuration in which the queue belongs to the service.
+ConfigurationChanged MoveQueue(const std::string& service, int64_t revision) {
+  auto configuration = std::make_shared<Configuration>();
+  configuration->revision = Revision{revision};
+  configuration->contracts[kTeam].team = kTeam;
+  configuration->queues[kQueue].queue = kQueue;
+  configuration->queues[kQueue].service = ServiceId(service);
+  return {configuration};
+}
+
+// Guards against a job that runs in two services because its submission was
+// repeated after its queue had moved.
+TEST_CASE("the owner of a queue's former service finds, but accepts no more") {
+  Options options = PlatformOptions();
+  options.service = ServiceId("p");
+  Driver d({"vm-0"}, /*permits=*/false, options);
+  const auto find = [&](const RequestId& request, int64_t revision) {
+    d.Handle(RequestReceived{
+        RequestToken{50},
+        FindWorkflow{kPartition, kTeam, request, Revision{revision}},
+        d.now + seconds(10)});
+    return d.Last<Answer>().response;
+  };
+  d.Submit(1, TwoStepWorkflow());
+  d.CompleteAppends();
+  // This owner has not seen that the queue moves: it may yet accept workflows.
+  CHECK(std::get<Refusal>(find(RequestId("1"), 5)).code ==
+        RefusalCode::kStaleConfiguration);
+  d.Handle(MoveQueue("q", 5));
+  CHECK(std::get<Refusal>(find(RequestId("1"), 5)).code == RefusalCode::kGone);
+  CHECK(std::holds_alternative<WorkflowView>(find(kRequest, 5)));
+  d.Submit(2, TwoStepWorkflow(), kTeam, RequestId("1"));
+  CHECK(std::get<Refusal>(d.Last<Answer>().response).code ==
+        RefusalCode::kStaleConfiguration);
+  d.Submit(3, TwoStepWorkflow());
+  CHECK(std::holds_alternative<WorkflowView>(d.Last<Answer>().response));
+}
+
+TEST_CASE("a find waits for a submission that is being recorded") {
+  Driver d;
+  d.Submit(1, TwoStepWorkflow());
+  d.Handle(RequestReceived{RequestToken{2},
+                           FindWorkflow{kPartition, kTeam, kRequest, {}},
+                           d.now + seconds(10)});
+  CHECK(d.Count<Answer>() == 0);
+  d.CompleteAppends();
+  CHECK(d.Count<Answer>() == 2);
+  CHECK(std::holds_alternative<WorkflowView>(d.Last<Answer>().response));
+}
+
 TEST_CASE("a cancelled workflow stops its running tasks and starts no more") {
   Driver d;
   d.Submit(1, TwoStepWorkflow());
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -90,6 +90,16 @@
   WorkflowSpec spec;
   Revision revision;  // The sender's configuration.
 };
+// Returns the workflow if it was accepted here, like SubmitWorkflow, but
+// accepts none. Sent before a submission elsewhere, if the queue had another
+// service. "Gone" is final for workflows that are submitted under this
+// configuration or an older one.
+struct FindWorkflow {
+  PartitionId partition;
+  TeamId team;
+  RequestId request;
+  Revision revision;  // The sender's configuration.
+};
 struct GetWorkflow {
   PartitionId partition;
   TeamId team;
@@ -111,7 +121,7 @@
 };
 using JobRequest =
     std::variant<SubmitJob, GetJob, CancelJob, ExplainJob, SubmitWorkflow,
-                 GetWorkflow, CancelWorkflow, CountWaiting>;
+                 GetWorkflow, CancelWorkflow, CountWaiting, FindWorkflow>;
 using JobResponse = std::variant<JobView, placement::Explanation, Refusal,
                                  WorkflowView, WaitingCount>;
 
@@ -481,6 +491,9 @@
 // The owner
 
 struct Options {
+  // The partition's service. Workflows of queues of other services are refused;
+  // if it is empty, none are.
+  ServiceId service;
   // Minimum between two appends; derived from the write budget.
   Duration append_spacing{0};
   int64_t snapshot_every = 200;  // In batches.
--- a/azurepass/routing/admission.cc
+++ b/azurepass/routing/admission.cc
@@ -4,7 +4,9 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <set>
 #include <type_traits>
+#include <utility>
 
 #include "azurepass/routing/internal/dispatcher_impl.h"
 
@@ -28,6 +30,73 @@
   return {code, Effect::kNotRun, std::move(message), retry_after};
 }
 
+Refusal UnknownLayoutRefusal() {
+  return NotRunRefusal(
+      RefusalCode::kUnavailable,
+      "the partitions of the queue's service are not known yet",
+      kRetryAfterUnknownLayout);
+}
+
+// Sets the request to send to the partition that the queue has now.
+void RouteToPartition(const Configuration& configuration,
+                      const QueueRecord& queue,
+                      const caller::SubmitWorkflow& request,
+                      internal::PendingRequest& pending) {
+  partition::SubmitWorkflow submit{pending.partition, pending.team,
+                                   request.request, request.spec,
+                                   configuration.revision};
+  submit.spec.queue = queue.queue;
+  for (WorkflowStep& step : submit.spec.steps) {
+    step.job.queue = queue.queue;
+    step.job.max_attempts = queue.max_attempts;
+    step.job.priority = PriorityOf(queue);
+    step.job.constraints.needs_permit = queue.permits.has_value();
+  }
+  pending.request = std::move(submit);
+}
+
+void RouteToPartition(const Configuration& /*configuration*/,
+                      const QueueRecord& /*queue*/,
+                      const caller::GetWorkflow& request,
+                      internal::PendingRequest& pending) {
+  pending.request =
+      partition::GetWorkflow{pending.partition, pending.team, request.request};
+}
+
+void RouteToPartition(const Configuration& /*configuration*/,
+                      const QueueRecord& /*queue*/,
+                      const caller::CancelWorkflow& request,
+                      internal::PendingRequest& pending) {
+  pending.request = partition::CancelWorkflow{pending.partition, pending.team,
+                                              request.request};
+}
+
+// Adds a partition that may have the workflow. A submission looks there first,
+// because the workflow must not be accepted twice.
+void AddFormerPlace(const PartitionId& partition, const TeamId& team,
+                    const caller::SubmitWorkflow& request,
+                    internal::PendingRequest& pending) {
+  pending.alternatives.insert(pending.alternatives.begin(),
+                              {pending.partition, std::move(pending.request)});
+  pending.partition = partition;
+  pending.request = partition::FindWorkflow{partition, team, request.request,
+                                            /*revision=*/{}};
+}
+
+void AddFormerPlace(const PartitionId& partition, const TeamId& team,
+                    const caller::GetWorkflow& request,
+                    internal::PendingRequest& pending) {
+  pending.alternatives.push_back(
+      {partition, partition::GetWorkflow{partition, team, request.request}});
+}
+
+void AddFormerPlace(const PartitionId& partition, const TeamId& team,
+                    const caller::CancelWorkflow& request,
+                    internal::PendingRequest& pending) {
+  pending.alternatives.push_back(
+      {partition, partition::CancelWorkflow{partition, team, request.request}});
+}
+
 }  // namespace
 
 void Dispatcher::Impl::OnIncoming(const caller::Incoming& incoming) {
@@ -147,43 +216,109 @@
   if (auto refusal = Authenticate(incoming.key, queue->needs_key, pending)) {
     return refusal;
   }
-  std::vector<PartitionId> partitions = PartitionsOf(queue->service);
-  if (partitions.empty()) {
-    return NotRunRefusal(
-        RefusalCode::kUnavailable,
-        "the partitions of the queue's service are not known yet",
-        kRetryAfterUnknownLayout);
-  }
+  pending.queue = queue->queue;
+  pending.to = request.to;
+  pending.revision = configuration.revision;
   if constexpr (std::is_same_v<Request, caller::CountWaiting>) {
-    pending.partition = partitions.front();
-    pending.count_partitions = std::move(partitions);
+    pending.count_partitions = CountPartitionsOf(*queue);
+    if (PartitionsOf(queue->service).empty()) return UnknownLayoutRefusal();
+    pending.partition = pending.count_partitions.front();
+    pending.request = partition::CountWaiting{pending.partition, queue->queue};
+    return std::nullopt;
   } else {
-    pending.partition =
-        ChoosePartition(partitions, pending.team, request.request);
+    return RouteTo(*queue, request, pending);
+  }
+}
+
+template <class Request>
+std::optional<Refusal> Dispatcher::Impl::RouteTo(
+    const QueueRecord& queue, const Request& request,
+    PendingRequest& pending) const {
+  const auto places = FormerPlacesOf(queue, pending.team, request.request);
+  pending.partition = ChoosePartition(PartitionsOf(queue.service), pending.team,
+                                      request.request);
+  if (pending.partition.empty() || !places) return UnknownLayoutRefusal();
+  pending.alternatives.clear();
+  RouteToPartition(*update_->configuration, queue, request, pending);
+  for (const FormerPlace& place : *places) {
+    AddFormerPlace(place.partition, place.team, request, pending);
   }
+  return std::nullopt;
+}
+
+std::optional<Refusal> Dispatcher::Impl::RouteAgain(
+    PendingRequest& pending) const {
+  if (!update_) return std::nullopt;
+  const Configuration& configuration = *update_->configuration;
+  const partition::JobRequest& last = pending.alternatives.empty()
+                                          ? pending.request
+                                          : pending.alternatives.back().request;
+  const auto* submit = std::get_if<partition::SubmitWorkflow>(&last);
+  if (submit == nullptr || pending.revision == configuration.revision) {
+    return std::nullopt;
+  }
+  pending.revision = configuration.revision;
+  const QueueRecord* queue =
+      configuration::FindQueue(configuration, pending.to.host, pending.to.path);
+  if (queue == nullptr) {
+    return NotRunRefusal(RefusalCode::kNotFound, "there is no such queue");
+  }
+  if (queue->needs_key == pending.key.empty()) {
+    return NotRunRefusal(RefusalCode::kStaleConfiguration,
+                         "the queue's rule about keys has changed",
+                         kRetryAfter);
+  }
+  const bool same =
+      queue->queue == submit->spec.queue &&
+      submit->partition == ChoosePartition(PartitionsOf(queue->service),
+                                           pending.team, submit->request);
+  if (same) return std::nullopt;
   pending.queue = queue->queue;
-  if constexpr (std::is_same_v<Request, caller::SubmitWorkflow>) {
-    partition::SubmitWorkflow submit{pending.partition, pending.team,
-                                     request.request, request.spec,
-                                     configuration.revision};
-    submit.spec.queue = queue->queue;
-    for (WorkflowStep& step : submit.spec.steps) {
-      step.job.queue = queue->queue;
-      step.job.max_attempts = queue->max_attempts;
-      step.job.priority = PriorityOf(*queue);
-      step.job.constraints.needs_permit = queue->permits.has_value();
+  const caller::SubmitWorkflow request{pending.to, submit->request,
+                                       submit->spec};
+  return RouteTo(*queue, request, pending);
+}
+
+std::optional<std::vector<Dispatcher::Impl::FormerPlace>>
+Dispatcher::Impl::FormerPlacesOf(const QueueRecord& queue, const TeamId& team,
+                                 const RequestId& request) const {
+  const Configuration& configuration = *update_->configuration;
+  const std::vector<FormerQueue>& former = configuration.former_queues;
+  if (former.empty()) return std::vector<FormerPlace>();
+  const uint64_t route = RouteHash(queue.host, queue.path_prefix);
+  std::set<std::pair<PartitionId, TeamId>> known{
+      {ChoosePartition(PartitionsOf(queue.service), team, request), team}};
+  std::vector<FormerPlace> places;
+  for (const FormerQueue& earlier : former) {
+    if (earlier.route != route) continue;
+    // The account of workflows that needed a key is unknown without one.
+    if (earlier.needs_key && !queue.needs_key) continue;
+    const TeamId owner = earlier.needs_key ? team : PublicTeam();
+    const PartitionId partition =
+        ChoosePartition(PartitionsOf(earlier.service), owner, request);
+    // The layout of a service that was removed is not read any more.
+    if (partition.empty() && configuration.services.contains(earlier.service)) {
+      return std::nullopt;
     }
-    pending.request = std::move(submit);
-  } else if constexpr (std::is_same_v<Request, caller::GetWorkflow>) {
-    pending.request = partition::GetWorkflow{pending.partition, pending.team,
-                                             request.request};
-  } else if constexpr (std::is_same_v<Request, caller::CancelWorkflow>) {
-    pending.request = partition::CancelWorkflow{pending.partition, pending.team,
-                                                request.request};
-  } else {
-    pending.request = partition::CountWaiting{pending.partition, queue->queue};
+    if (partition.empty() || !known.insert({partition, owner}).second) continue;
+    places.push_back({partition, owner});
   }
-  return std::nullopt;
+  return places;
+}
+
+std::vector<PartitionId> Dispatcher::Impl::CountPartitionsOf(
+    const QueueRecord& queue) const {
+  const uint64_t route = RouteHash(queue.host, queue.path_prefix);
+  std::set<ServiceId> services{queue.service};
+  for (const FormerQueue& earlier : update_->configuration->former_queues) {
+    if (earlier.route == route) services.insert(earlier.service);
+  }
+  std::vector<PartitionId> partitions;
+  for (const ServiceId& service : services) {
+    const std::vector<PartitionId> more = PartitionsOf(service);
+    partitions.insert(partitions.end(), more.begin(), more.end());
+  }
+  return partitions;
 }
 
 std::vector<PartitionId> Dispatcher::Impl::PartitionsOf(
@@ -293,6 +428,10 @@
   text.Counter("azurepass_routing_routed_total", "Requests taken.", routed_);
   text.Counter("azurepass_routing_retries_total", "Calls sent again.",
                retried_);
+  text.Counter("azurepass_routing_looked_elsewhere_total",
+               "Requests sent to another partition because the first one has "
+               "no such workflow.",
+               looked_elsewhere_);
   text.Counter("azurepass_routing_retries_put_off_total",
                "Retries that had to wait for the budget.", retries_put_off_);
   for (const auto& [code, count] : refused_) {
--- a/azurepass/routing/dispatcher.cc
+++ b/azurepass/routing/dispatcher.cc
@@ -101,6 +101,10 @@
           from_caller ? CheckConfigurationInForce() : std::nullopt) {
     return GiveUp(pending, *std::move(stale));
   }
+  for (size_t i = 0; i < pending.alternatives.size(); ++i) {
+    if (OwnerOf(pending.partition) != nullptr) break;
+    RotateAlternatives(pending);
+  }
   const membership::Claim* claim = OwnerOf(pending.partition);
   if (claim == nullptr) {
     LOG(INFO) << "event=wait_for_owner kind="
@@ -161,7 +165,7 @@
   std::visit(
       Visitor{[&](const entry::Failure& failure) {
                 if (failure.code == entry::FailureCode::kNoAnswer) {
-                  pending.may_have_run = true;
+                  internal::SetMayHaveRun(pending);
                 }
                 ScheduleRetry(pending, failure.message);
               },
@@ -181,7 +185,7 @@
                               OnRefused(pending, refusal);
                             },
                             [&](const auto&) {
-                              pending.may_have_run = true;
+                              internal::SetMayHaveRun(pending);
                               GiveUp(pending,
                                      {RefusalCode::kInternal,
                                       Effect::kUnknown,
@@ -195,11 +199,37 @@
 
 void Dispatcher::Impl::OnRefused(PendingRequest& pending,
                                  const Refusal& refusal) {
-  if (refusal.effect == Effect::kUnknown) pending.may_have_run = true;
+  if (refusal.effect == Effect::kUnknown) internal::SetMayHaveRun(pending);
+  if (refusal.code == RefusalCode::kGone && !pending.alternatives.empty()) {
+    return TryNextAlternative(pending);
+  }
   if (IsRetryable(refusal.code)) return ScheduleRetry(pending, refusal.message);
   Finish(pending, internal::WithOverallEffect(pending, refusal));
 }
 
+void Dispatcher::Impl::TryNextAlternative(PendingRequest& pending) {
+  LOG(INFO) << "event=not_there kind=" << internal::KindOf(pending.request)
+            << " " << internal::SubjectOf(pending.request)
+            << " team=" << pending.team.value()
+            << " partition=" << pending.partition.value()
+            << " next=" << pending.alternatives.front().partition.value();
+  ++looked_elsewhere_;
+  pending.partition = std::move(pending.alternatives.front().partition);
+  pending.request = std::move(pending.alternatives.front().request);
+  pending.alternatives.erase(pending.alternatives.begin());
+  pending.backoff = Duration(0);
+  SendOrAwaitOwner(pending);
+}
+
+void Dispatcher::Impl::RotateAlternatives(PendingRequest& pending) {
+  if (pending.alternatives.empty() || internal::IsSubmission(pending)) return;
+  pending.alternatives.push_back(
+      {std::move(pending.partition), std::move(pending.request)});
+  pending.partition = std::move(pending.alternatives.front().partition);
+  pending.request = std::move(pending.alternatives.front().request);
+  pending.alternatives.erase(pending.alternatives.begin());
+}
+
 void Dispatcher::Impl::ScheduleRetry(PendingRequest& pending,
                                      const std::string& reason) {
   LOG(INFO) << "event=retry kind=" << internal::KindOf(pending.request) << " "
@@ -223,10 +253,11 @@
 
 MonotonicTime Dispatcher::Impl::GiveUpTime(
     const PendingRequest& pending) const {
-  if (!internal::IsSubmission(pending.request)) return pending.deadline;
+  if (!internal::IsSubmission(pending)) return pending.deadline;
   const bool may_have_run =
       pending.may_have_run ||
-      std::holds_alternative<internal::AwaitingAnswer>(pending.wait_state);
+      (std::holds_alternative<internal::AwaitingAnswer>(pending.wait_state) &&
+       !internal::IsRead(pending.request));
   return std::min(
       pending.deadline,
       pending.since + (may_have_run ? options_.unknown_submit_timeout
@@ -276,7 +307,7 @@
   if (now >= GiveUpTime(pending)) {
     const bool sent =
         std::holds_alternative<internal::AwaitingAnswer>(pending.wait_state);
-    if (sent) pending.may_have_run = true;
+    if (sent) internal::SetMayHaveRun(pending);
     return GiveUp(pending, {RefusalCode::kUnavailable, Effect::kNotRun,
                             sent ? "the owner did not answer in time"
                                  : "no owner could be reached in time",
@@ -288,6 +319,10 @@
                         now + pending.backoff + Jitter(pending.backoff));
   }
   if (pending.attempts > 0) ++retried_;
+  if (std::optional<Refusal> refusal = RouteAgain(pending)) {
+    return GiveUp(pending, *std::move(refusal));
+  }
+  RotateAlternatives(pending);
   SendOrAwaitOwner(pending);
 }
 
@@ -356,7 +391,7 @@
     if (found == pending_.end()) continue;  // Removed along with its count.
     PendingRequest& pending = found->second;
     if (std::holds_alternative<internal::AwaitingAnswer>(pending.wait_state)) {
-      pending.may_have_run = true;
+      internal::SetMayHaveRun(pending);
     }
     GiveUp(pending, {RefusalCode::kUnauthenticated, Effect::kNotRun,
                      "the key was withdrawn", std::nullopt});
--- a/azurepass/routing/dispatcher_test.cc
+++ b/azurepass/routing/dispatcher_test.cc
@@ -97,6 +97,47 @@
     }
     dispatcher_.views().Send(view);
   }
+  // Configures a queue below "/lots/" of this service. s1 owns the partition of
+  // intake, s2 that of vision.
+  void SetMovableQueue(const std::string& service, int64_t revision,
+                       const std::vector<FormerQueue>& former,
+                       bool intake_has_owner = true) {
+    Configuration configuration = TestConfiguration();
+    configuration.revision = Revision{revision};
+    configuration.former_queues = former;
+    configuration.queues[QueueId("lots")] = MovableQueue(service);
+    layout::Layouts layouts;
+    membership::View view;
+    view.known = true;
+    for (const auto& [name, member] :
+         {std::pair("intake", "s1"), std::pair("vision", "s2")}) {
+      const ServiceId id(name);
+      configuration.services[id].service = id;
+      layouts[id] = {id, 1, {}};
+      const std::string address = std::string(member) + ":1";
+      view.members[MemberId(member)].record.member = MemberId(member);
+      view.members[MemberId(member)].record.address = address;
+      if (id == ServiceId("intake") && !intake_has_owner) continue;
+      view.claims[layout::PartitionOf(id, 0)] = {MemberId(member), address,
+                                                 Epoch{1}, 1};
+    }
+    dispatcher_.layouts().Send(
+        {std::make_shared<const layout::Layouts>(layouts)});
+    dispatcher_.views().Send(view);
+    SetConfiguration(configuration);
+  }
+  void SetMovedQueue(bool intake_has_owner) {
+    SetMovableQueue("vision", 8, {ToFormerQueue(MovableQueue("intake"))},
+                    intake_has_owner);
+  }
+  static QueueRecord MovableQueue(const std::string& service) {
+    QueueRecord queue;
+    queue.queue = QueueId("lots");
+    queue.service = ServiceId(service);
+    queue.host = "h";
+    queue.path_prefix = "/lots/";
+    return queue;
+  }
   // Sets the owner of partition p; with an empty member it has none.
   void SetOwner(const std::string& member, int64_t epoch) {
     membership::View view;
@@ -199,6 +240,138 @@
   CHECK(std::get<JobView>(harness->ExpectAnswer(number)).id == JobId("p.1"));
 }
 
+// A dispatcher that has seen the queue below "/lots/" move from intake to
+// vision. s1 owns intake's partition, s2 vision's.
+std::unique_ptr<DispatcherHarness> MakeMovedQueue(
+    bool intake_has_owner = true) {
+  auto harness = std::make_unique<DispatcherHarness>();
+  harness->SetMovedQueue(intake_has_owner);
+  return harness;
+}
+
+// Guards against accepted jobs that are answered with "gone", and against a
+// second acceptance, after a configuration has moved their queue.
+TEST_CASE("a moved queue's workflows are looked up in its former service") {
+  const caller::Destination to{"h", "/lots/5c0e7a21d94b36f8"};
+  const RequestId request("5c0e7a21d94b36f8");
+  const entry::CallResult view =
+      entry::Response(WorkflowView{request, TeamId("rilapak"), {}});
+  const entry::CallResult gone = Refuse(RefusalCode::kGone);
+  struct Case {
+    std::string name;
+    caller::Request request;
+    std::vector<std::string> peers;  // In the order of the calls.
+    std::vector<entry::CallResult> results;
+    bool found;
+  };
+  const Case cases[] = {
+      {"a get of a new workflow",
+       caller::GetWorkflow{to, request},
+       {"s2:1"},
+       {view},
+       true},
+      {"a get of an earlier one",
+       caller::GetWorkflow{to, request},
+       {"s2:1", "s1:1"},
+       {gone, view},
+       true},
+      {"a get of none",
+       caller::GetWorkflow{to, request},
+       {"s2:1", "s1:1"},
+       {gone, gone},
+       false},
+      {"a cancellation of an earlier one",
+       caller::CancelWorkflow{to, request},
+       {"s2:1", "s1:1"},
+       {gone, view},
+       true},
+      {"the owner that has it can't be reached at first",
+       caller::GetWorkflow{to, request},
+       {"s2:1", "s1:1", "s1:1"},
+       {gone, Fail(entry::FailureCode::kNotSent), view},
+       true},
+      {"the other owner can't be reached",
+       caller::GetWorkflow{to, request},
+       {"s2:1", "s1:1"},
+       {Fail(entry::FailureCode::kNotSent), view},
+       true},
+      {"a repeated submission",
+       caller::SubmitWorkflow{to, request, {}},
+       {"s1:1"},
+       {view},
+       true},
+      {"a first submission",
+       caller::SubmitWorkflow{to, request, {}},
+       {"s1:1", "s2:1"},
+       {gone, view},
+       true},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(c.name);
+    auto harness = MakeMovedQueue();
+    const int64_t number = harness->SendRequest(c.request);
+    for (size_t i = 0; i < c.results.size(); ++i) {
+      REQUIRE(harness->WaitForCalls(i + 1));
+      CHECK(harness->calls[i].peer == c.peers[i]);
+      harness->calls[i].reply_to.Send(c.results[i]);
+    }
+    const caller::Response response = harness->ExpectAnswer(number);
+    CHECK(std::holds_alternative<WorkflowView>(response) == c.found);
+    CHECK(harness->calls.size() == c.peers.size());
+  }
+}
+
+TEST_CASE("an owner that can't be reached is not taken for one without a job") {
+  auto harness = MakeMovedQueue(/*intake_has_owner=*/false);
+  const caller::Destination to{"h", "/lots/5c0e7a21d94b36f8"};
+  const RequestId request("5c0e7a21d94b36f8");
+  const int64_t get =
+      harness->SendRequest(caller::GetWorkflow{to, request}, Duration(100));
+  REQUIRE(harness->WaitForCalls(1));
+  harness->calls[0].reply_to.Send(Refuse(RefusalCode::kGone));
+  CHECK(harness->ExpectRefusal(get).code == RefusalCode::kUnavailable);
+  const int64_t submission = harness->SendRequest(
+      caller::SubmitWorkflow{to, request, {}}, Duration(100));
+  CHECK(harness->ExpectRefusal(submission).effect == Effect::kNotRun);
+  CHECK(harness->calls.size() == 1);
+}
+
+// Guards against a second acceptance by a submission that was on its way to the
+// former service when its queue moved.
+TEST_CASE("a submission under way is routed again when its queue has moved") {
+  DispatcherHarness harness;
+  harness.SetMovableQueue("intake", 7, {});
+  const int64_t number = harness.SendRequest(caller::SubmitWorkflow{
+      {"h", "/lots/5c0e7a21d94b36f8"}, RequestId("5c0e7a21d94b36f8"), {}});
+  REQUIRE(harness.WaitForCalls(1));
+  CHECK(harness.calls[0].peer == "s1:1");
+  harness.SetMovedQueue(true);
+  harness.calls[0].reply_to.Send(Fail(entry::FailureCode::kNoAnswer));
+  REQUIRE(harness.WaitForCalls(2));
+  CHECK(harness.calls[1].peer == "s1:1");
+  CHECK(std::get<partition::FindWorkflow>(harness.calls[1].request).revision ==
+        Revision{8});
+  harness.calls[1].reply_to.Send(Refuse(RefusalCode::kGone));
+  REQUIRE(harness.WaitForCalls(3));
+  CHECK(harness.calls[2].peer == "s2:1");
+  CHECK(std::holds_alternative<partition::SubmitWorkflow>(
+      harness.calls[2].request));
+  harness.calls[2].reply_to.Send(entry::Response(WorkflowView{}));
+  CHECK(std::holds_alternative<WorkflowView>(harness.ExpectAnswer(number)));
+}
+
+TEST_CASE("a moved queue counts the workflows of both services") {
+  auto harness = MakeMovedQueue();
+  const int64_t number =
+      harness->SendRequest(caller::CountWaiting{{"h", "/lots/"}});
+  REQUIRE(harness->WaitForCalls(2));
+  for (const entry::Call& call : harness->calls) {
+    call.reply_to.Send(entry::Response(partition::WaitingCount{3}));
+  }
+  CHECK(std::get<partition::WaitingCount>(harness->ExpectAnswer(number))
+            .workflows == 6);
+}
+
 TEST_CASE("answers in another order are matched to their own requests") {
   auto harness = DispatcherHarness::WithOwner();
   std::vector<int64_t> numbers;
--- a/azurepass/routing/internal/dispatcher_impl.h
+++ b/azurepass/routing/internal/dispatcher_impl.h
@@ -76,6 +76,27 @@
   std::optional<Refusal> RouteWorkflow(const caller::Incoming& incoming,
                                        const Request& request,
                                        PendingRequest& pending) const;
+  // Where a workflow of the queue may have been accepted under an earlier
+  // configuration.
+  struct FormerPlace {
+    PartitionId partition;
+    TeamId team;
+  };
+  // Returns nothing while the partitions of a former service are not known yet.
+  std::optional<std::vector<FormerPlace>> FormerPlacesOf(
+      const QueueRecord& queue, const TeamId& team,
+      const RequestId& request) const;
+  // Sets the partition, the request and the alternatives by the queue, or
+  // returns a refusal.
+  template <class Request>
+  std::optional<Refusal> RouteTo(const QueueRecord& queue,
+                                 const Request& request,
+                                 PendingRequest& pending) const;
+  // Routes a submission to the service that its queue has now, if that has
+  // changed since it was routed. Returns a refusal if the queue was removed.
+  std::optional<Refusal> RouteAgain(PendingRequest& pending) const;
+  // Returns the partitions of the queue's service, and of those that it had.
+  std::vector<PartitionId> CountPartitionsOf(const QueueRecord& queue) const;
   // Returns all partitions of a service, in the order of their numbers.
   std::vector<PartitionId> PartitionsOf(const ServiceId& service) const;
   void BeginStatus(const operators::CellCall& call);
@@ -90,6 +111,12 @@
   void Send(PendingRequest& pending, const membership::Claim& claim);
   void OnAttemptResult(const AttemptResult& called);
   void OnRefused(PendingRequest& pending, const Refusal& refusal);
+  // Sends the next alternative instead of the current request.
+  void TryNextAlternative(PendingRequest& pending);
+  // Moves the current request behind the other alternatives, so that an owner
+  // that can't be reached doesn't hide the others. Not for submissions, whose
+  // order matters.
+  static void RotateAlternatives(PendingRequest& pending);
   void ScheduleRetry(PendingRequest& pending, const std::string& reason);
   void BackOffUntil(PendingRequest& pending, MonotonicTime until);
   void SetAlarm(PendingRequest& pending, MonotonicTime at);
@@ -154,7 +181,8 @@
 
   int64_t routed_ = 0;
   int64_t retried_ = 0;
-  int64_t retries_put_off_ = 0;  // Deferred because the budget was empty.
+  int64_t looked_elsewhere_ = 0;  // Requests sent to another partition.
+  int64_t retries_put_off_ = 0;   // Deferred because the budget was empty.
   std::map<std::string_view, int64_t> refused_;  // By refusal code.
   metrics::Histogram latency_;
   task::Timer timer_;
--- a/azurepass/routing/internal/pending_request.h
+++ b/azurepass/routing/internal/pending_request.h
@@ -55,6 +55,12 @@
 };
 using WaitState = std::variant<AwaitingOwner, AwaitingAnswer, BackingOff>;
 
+// A request to another partition. See PendingRequest::alternatives.
+struct Alternative {
+  PartitionId partition;
+  partition::JobRequest request;
+};
+
 struct PendingRequest {
   PendingId id;
   Origin origin;
@@ -62,7 +68,14 @@
   TeamId team;    // Empty for a request of an operator.
   KeyId key;      // Empty for an operator or a queue that needs no key.
   QueueId queue;  // Set for requests about workflows only.
+  caller::Destination to{};  // Likewise.
+  Revision revision{};       // Of the configuration that routed it.
   PartitionId partition;
+  // Sent one after another while the owners answer that they have no such
+  // workflow. Used for a queue whose earlier workflows may be in another
+  // partition. For a submission, only the last request submits; those before it
+  // look the workflow up.
+  std::vector<Alternative> alternatives{};
   std::vector<PartitionId>
       count_partitions{};    // All partitions of a count; else empty.
   MonotonicTime since;       // The time of acceptance.
@@ -77,13 +90,21 @@
   MonotonicTime alarm;  // Time of the next check; see dispatcher_impl.h.
 };
 
-// Returns "submit", "get", "cancel", "explain" or "count", for log lines.
+// Returns "submit", "get", "cancel", "explain", "count" or "find", for log
+// lines.
 std::string_view KindOf(const partition::JobRequest& request);
 
-// Returns whether the request changes no state: gets, explains and counts.
+// Returns whether the request changes no state: gets, finds, explains and
+// counts.
 bool IsRead(const partition::JobRequest& request);
 
 bool IsSubmission(const partition::JobRequest& request);
+// Returns whether the caller's request is a submission. The request sent now
+// may be one that looks the workflow up.
+bool IsSubmission(const PendingRequest& pending);
+
+// Notes that an attempt of the current request may have had an effect.
+void SetMayHaveRun(PendingRequest& pending);
 
 // Returns a log field that identifies the request: its request id, job or
 // queue, as a quoted value.
@@ -97,9 +118,8 @@
 // Returns the remaining wait of a held GetJob, or 0 for all other requests.
 Duration WaitLeft(const PendingRequest& pending, MonotonicTime now);
 
-// Returns the refusal with its effect corrected for all attempts of the
-// request: always "not run" for a read, else "unknown" if an attempt may have
-// had an effect.
+// Returns the refusal with its effect corrected for all attempts: "unknown" if
+// one of them may have had an effect, else "not run" if the request is a read.
 Refusal WithOverallEffect(const PendingRequest& pending, Refusal refusal);
 
 // Sends the response to the caller or operator. Call at most once for each
--- a/azurepass/routing/pending_request.cc
+++ b/azurepass/routing/pending_request.cc
@@ -25,7 +25,8 @@
               [](const partition::SubmitWorkflow&) { return "submit"; },
               [](const partition::GetWorkflow&) { return "get"; },
               [](const partition::CancelWorkflow&) { return "cancel"; },
-              [](const partition::CountWaiting&) { return "count"; }},
+              [](const partition::CountWaiting&) { return "count"; },
+              [](const partition::FindWorkflow&) { return "find"; }},
       request);
 }
 
@@ -33,7 +34,8 @@
   return std::holds_alternative<partition::GetJob>(request) ||
          std::holds_alternative<partition::ExplainJob>(request) ||
          std::holds_alternative<partition::GetWorkflow>(request) ||
-         std::holds_alternative<partition::CountWaiting>(request);
+         std::holds_alternative<partition::CountWaiting>(request) ||
+         std::holds_alternative<partition::FindWorkflow>(request);
 }
 
 bool IsSubmission(const partition::JobRequest& request) {
@@ -41,6 +43,16 @@
          std::holds_alternative<partition::SubmitWorkflow>(request);
 }
 
+bool IsSubmission(const PendingRequest& pending) {
+  return IsSubmission(pending.request) ||
+         (!pending.alternatives.empty() &&
+          IsSubmission(pending.alternatives.back().request));
+}
+
+void SetMayHaveRun(PendingRequest& pending) {
+  if (!IsRead(pending.request)) pending.may_have_run = true;
+}
+
 std::string SubjectOf(const partition::JobRequest& request) {
   return std::visit(
       Visitor{
@@ -53,6 +65,9 @@
           [](const partition::GetWorkflow& r) {
             return "request=" + Quoted(r.request.value());
           },
+          [](const partition::FindWorkflow& r) {
+            return "request=" + Quoted(r.request.value());
+          },
           [](const partition::CancelWorkflow& r) {
             return "request=" + Quoted(r.request.value());
           },
@@ -82,6 +97,10 @@
                 submit.revision = revision;
                 return submit;
               },
+              [&](partition::FindWorkflow find) -> entry::Request {
+                find.revision = revision;
+                return find;
+              },
               [&](partition::GetJob get) -> entry::Request {
                 get.wait = WaitLeft(pending, now);
                 return get;
@@ -91,10 +110,10 @@
 }
 
 Refusal WithOverallEffect(const PendingRequest& pending, Refusal refusal) {
-  if (IsRead(pending.request)) {
-    refusal.effect = Effect::kNotRun;
-  } else if (pending.may_have_run) {
+  if (pending.may_have_run) {
     refusal.effect = Effect::kUnknown;
+  } else if (IsRead(pending.request)) {
+    refusal.effect = Effect::kNotRun;
   }
   return refusal;
 }
--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -101,6 +101,7 @@
     PartitionTaskOptions options;
     options.partition = settings;
     options.owner = OwnerOptions(options_);
+    options.owner.service = settings.service;
     options.nonce = options_.nonce;
     PartitionTaskPeers peers{peers_.store, peers_.workers, peers_.broker,
                              peers_.permits, mailbox_.address()};
