A step gets its permits whatever becomes of its queue

Cause: a step's record says that it needs permits, but their terms were looked up by the queue's name at acceptance; without a queue of that name the owner tried again for ever.

Change: the terms are those of the queue's successor (its name, else its host and path prefix), or the latest that the queue had. A step whose turn comes after its queue began to issue permits needs one. The objective is looked up in the same way; priority and attempts are in the record already.

--- a/azurepass/configuration/internal/queue_archive.cc
+++ b/azurepass/configuration/internal/queue_archive.cc
@@ -133,21 +133,19 @@
 }
 
 void QueueArchive::OnWritten(const Written& written) {
-  std::visit(Visitor{[this](const store::Written& done) {
-                       version_ = done.version;
-                       recorded_ = std::set<FormerQueue>(writing_.begin(),
-                                                         writing_.end());
-                       LOG(INFO)
-                           << "event=queues_recorded queues=" << writing_.size()
-                           << " revision=" << done.version;
-                     },
-                     [this](const store::Conflict& conflict) {
-                       if (conflict.current) Accept(*conflict.current);
-                     },
-                     [this](const store::Error& error) {
-                       ScheduleRetry(error, "write");
-                     }},
-             written.reply);
+  std::visit(
+      Visitor{
+          [this](const store::Written& done) {
+            version_ = done.version;
+            recorded_ = std::set<FormerQueue>(writing_.begin(), writing_.end());
+            LOG(INFO) << "event=queues_recorded queues=" << writing_.size()
+                      << " revision=" << done.version;
+          },
+          [this](const store::Conflict& conflict) {
+            if (conflict.current) Accept(*conflict.current);
+          },
+          [this](const store::Error& error) { ScheduleRetry(error, "write"); }},
+      written.reply);
   writing_.clear();
   if (!timer_.active() && !IsComplete()) ScheduleRead();
 }
--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -18,6 +18,11 @@
 // order. The other half continues where the previous scan ended, so that jobs
 // that keep waiting do not prevent requests for those behind them.
 //
+// A job needs permits if its queue issued them when it was accepted, or if the
+// queue's successor does when its turn comes. The queue may have been renamed
+// or removed since, or issue none any more; the terms are then those of its
+// successor, or the latest that it had.
+//
 // The set of workers that the service names for a job does not change; only the
 // permits expire. So the first request of a job lists all workers that could
 // run it, and later requests list those that have room now and either were
@@ -201,13 +206,13 @@
 void Owner::Impl::EmitPermitRequest(const LedgerJob& job, JobPermits& permits,
                                     std::vector<VmId> with_room) {
   const JobSpec& spec = job.submitted.spec;
-  auto queue = environment_.configuration->queues.find(spec.queue);
-  if (queue == environment_.configuration->queues.end() ||
-      !queue->second.permits) {
+  const std::optional<PermitTerms> terms =
+      FindPermitTerms(*environment_.configuration, spec.queue);
+  if (!terms) {
     permits.next_request = now_ + options_.permit_retry;
     return;
   }
-  RequestPermits request{job.submitted.job, {}, *queue->second.permits};
+  RequestPermits request{job.submitted.job, {}, *terms};
   if (permits.answered) {
     request.workers = std::move(with_room);
   } else {
--- a/azurepass/partition/owner_workflows.cc
+++ b/azurepass/partition/owner_workflows.cc
@@ -70,6 +70,18 @@
   return std::nullopt;
 }
 
+// Returns whether the queue `name` has issued permits only since some of its
+// jobs were accepted.
+bool PermitsHaveBegun(const Configuration& configuration, const QueueId& name) {
+  const QueueRecord* queue = FindSuccessor(configuration, name);
+  return queue != nullptr && queue->permits &&
+         std::any_of(configuration.former_queues.begin(),
+                     configuration.former_queues.end(),
+                     [&](const FormerQueue& former) {
+                       return former.queue == name && !former.permits;
+                     });
+}
+
 }  // namespace
 
 // ---------------------------------------------------------------------------
@@ -357,9 +369,12 @@
   if (times == nullptr || job == nullptr || times->released) return;
   times->released = true;
   times->accepted = now_;
-  cell_.AddJob(id, job->submitted.team, job->submitted.spec, now_,
-               StartByOf(id));
-  if (job->submitted.spec.constraints.needs_permit) permits_[id];
+  JobSpec spec = job->submitted.spec;
+  if (PermitsHaveBegun(*environment_.configuration, spec.queue)) {
+    spec.constraints.needs_permit = true;
+  }
+  cell_.AddJob(id, job->submitted.team, spec, now_, StartByOf(id));
+  if (spec.constraints.needs_permit) permits_[id];
   placement_due_ = true;
 }
 
@@ -369,13 +384,13 @@
   const LedgerWorkflow* workflow = live_.WorkflowOf(id);
   if (!step || workflow == nullptr) return std::nullopt;
   const WorkflowSubmitted& submitted = workflow->submitted;
-  const auto& queues = environment_.configuration->queues;
-  const auto queue = queues.find(submitted.spec.queue);
-  if (queue == queues.end()) return std::nullopt;
+  const QueueRecord* queue =
+      FindSuccessor(*environment_.configuration, submitted.spec.queue);
+  if (queue == nullptr) return std::nullopt;
   const MonotonicTime origin = submitted.spec.first
                                    ? DueTimeOf(*workflow, step->occurrence)
                                    : ToMonotonic(submitted.accepted);
-  return internal::StartByOf(submitted.spec, queue->second, step->step, origin);
+  return internal::StartByOf(submitted.spec, *queue, step->step, origin);
 }
 
 void Owner::Impl::RemoveUnstarted(const JobId& job) {
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -236,6 +236,93 @@
   CHECK(d.State() == WorkflowState::kRunning);
 }
 
+// Returns a configuration with these queues, after one with kQueue.
+ConfigurationChanged ChangeQueues(const std::vector<QueueRecord>& queues,
+                                  bool had_permits) {
+  auto configuration = std::make_shared<Configuration>();
+  configuration->revision = Revision{5};
+  Contract contract;
+  contract.team = kTeam;
+  contract.zones = {ZoneId("zone-a")};
+  configuration->contracts[kTeam] = contract;
+  for (const QueueRecord& queue : queues) {
+    configuration->queues[queue.queue] = queue;
+  }
+  QueueRecord former;
+  former.queue = kQueue;
+  former.service = ServiceId("p");
+  if (had_permits) {
+    former.permits = PermitTerms{Duration(15), std::chrono::microseconds(210),
+                                 kPermitValidity};
+  }
+  configuration->former_queues = {ToFormerQueue(former)};
+  return {configuration};
+}
+
+// Guards against steps that wait for ever because the permits that they need
+// are looked up by a queue name that the configuration has no more.
+TEST_CASE("a step gets its permits whatever becomes of its queue") {
+  QueueRecord with_permits;
+  with_permits.queue = kQueue;
+  with_permits.service = ServiceId("p");
+  with_permits.permits = PermitTerms{Duration(15), {}, kPermitValidity};
+  QueueRecord without_permits = with_permits;
+  without_permits.permits.reset();
+  QueueRecord renamed = with_permits;
+  renamed.queue = QueueId("other");
+  QueueRecord renamed_without = renamed;
+  renamed_without.permits.reset();
+  QueueRecord elsewhere = renamed;
+  elsewhere.path_prefix = "/elsewhere/";
+  struct Case {
+    std::string name;
+    bool accepted_with_permits;
+    std::vector<QueueRecord> queues;
+    bool asks;
+  };
+  const Case cases[] = {
+      {"renamed", true, {renamed}, true},
+      {"renamed, and its permits end", true, {renamed_without}, true},
+      {"its permits end", true, {without_permits}, true},
+      {"removed", true, {}, true},
+      {"removed, while another queue issues permits", true, {elsewhere}, true},
+      {"its permits begin", false, {with_permits}, true},
+      {"renamed, and its permits begin", false, {renamed}, true},
+      {"removed, without permits", false, {}, false},
+      {"another queue issues permits",
+       false,
+       {without_permits, elsewhere},
+       false},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(c.name);
+    Driver d({"vm-0"}, c.accepted_with_permits);
+    WorkflowSpec spec = TwoStepWorkflow();
+    spec.steps[0].job.tasks = 1;
+    for (WorkflowStep& step : spec.steps) {
+      step.job.constraints.needs_permit = c.accepted_with_permits;
+    }
+    d.Submit(1, spec);
+    d.CompleteAppends();
+    if (c.accepted_with_permits) {
+      const RequestPermits asked = d.Last<RequestPermits>();
+      d.Handle(PermitsIssued{asked.job, asked.workers,
+                             std::vector<Permit>{{VmId("vm-0"), "t"}},
+                             d.now + kPermitValidity});
+    }
+    REQUIRE(d.Starts().size() == 1);
+    const int asked_before = d.Count<RequestPermits>();
+    d.Handle(ChangeQueues(c.queues, c.accepted_with_permits));
+    d.Report("vm-0", 1, d.Starts()[0].second.attempt,
+             WorkerEventKind::kSucceeded);
+    d.CompleteAppends();
+    d.now += seconds(1);
+    d.Handle(Tick{});
+    CHECK(d.Count<RequestPermits>() - asked_before == (c.asks ? 1 : 0));
+    CHECK(d.Starts().size() == (c.asks ? 1 : 2));
+  }
+}
+
 TEST_CASE("tasks start only on workers with a valid permit, and carry it") {
   Driver d({"vm-0", "vm-1", "vm-2"}, /*permits=*/true);
   WorkflowSpec spec;
