A cancellation counts for a submission that is being recorded

Cause: GET and cancellations were answered from the live ledger, which has a submission only once its record is appended.

Change: the cancellation is recorded behind the submission, and no step is released in between. It stays when its caller's time is over. GET waits for the record's fate. If the submission is withdrawn, those that wait are answered at once.

Tests: seven in owner_workflows_test, among them "a cancellation waits for the submission that is being recorded".

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -240,6 +240,14 @@
                                                const TeamId& team,
                                                const RequestId& request);
   WorkflowView ViewWorkflow(const RequestId& request) const;
+  // Adds a record of the cancellation, or waits for the one that is under way.
+  void RecordCancellation(RequestToken token, const RequestId& request,
+                          MonotonicTime deadline);
+  // Withdraws a cancellation that is in no batch; its requests are answered
+  // that there is no such workflow.
+  void WithdrawCancellation(const RequestId& request);
+  // Dispatches the requests again that waited for the submission.
+  void AnswerSubmitted(const RequestId& request);
   bool IsNearEnd(const internal::LedgerWorkflow& workflow) const;
   void AnswerEnded(const RequestId& request);
   void OnWorkflowSubmitted(const RequestId& request);
--- a/azurepass/partition/internal/request_table.cc
+++ b/azurepass/partition/internal/request_table.cc
@@ -18,6 +18,9 @@
   if (const auto* held = std::get_if<UntilEnded>(&request.waits_for)) {
     by_workflow_[held->request].insert(token);
   }
+  if (const auto* held = std::get_if<UntilSubmitted>(&request.waits_for)) {
+    by_submission_[held->workflow].insert(token);
+  }
   due_.insert({due, token});
   requests_.insert_or_assign(token, Entry{std::move(request), due});
 }
@@ -47,6 +50,11 @@
     tokens->second.erase(token);
     if (tokens->second.empty()) by_workflow_.erase(tokens);
   }
+  if (const auto* held = std::get_if<UntilSubmitted>(&request.waits_for)) {
+    auto tokens = by_submission_.find(held->workflow);
+    tokens->second.erase(token);
+    if (tokens->second.empty()) by_submission_.erase(tokens);
+  }
   return request;
 }
 
@@ -82,6 +90,13 @@
   return {found->second.begin(), found->second.end()};
 }
 
+std::vector<RequestToken> RequestTable::WaitingForSubmission(
+    const RequestId& workflow) const {
+  auto found = by_submission_.find(workflow);
+  if (found == by_submission_.end()) return {};
+  return {found->second.begin(), found->second.end()};
+}
+
 std::vector<RequestToken> RequestTable::All() const {
   std::vector<RequestToken> tokens;
   tokens.reserve(requests_.size());
--- a/azurepass/partition/internal/request_table.h
+++ b/azurepass/partition/internal/request_table.h
@@ -39,8 +39,14 @@
 struct UntilEnded {
   RequestId request;
 };
-using WaitsFor =
-    std::variant<UntilOwning, UntilAppended, UntilChanged, UntilEnded>;
+// Waits until the submission of a workflow is appended or withdrawn. Then the
+// request is dispatched again.
+struct UntilSubmitted {
+  RequestId workflow;
+  JobRequest request;
+};
+using WaitsFor = std::variant<UntilOwning, UntilAppended, UntilChanged,
+                              UntilEnded, UntilSubmitted>;
 
 struct WaitingRequest {
   WaitsFor waits_for;
@@ -73,6 +79,9 @@
   std::vector<RequestToken> WaitingForJob(const JobId& job) const;
   // Returns the tokens that wait for the end of the workflow.
   std::vector<RequestToken> WaitingForWorkflow(const RequestId& request) const;
+  // Returns the tokens that wait for the submission of the workflow.
+  std::vector<RequestToken> WaitingForSubmission(
+      const RequestId& workflow) const;
   std::vector<RequestToken> All() const;
   std::vector<RequestToken> WaitingForOwning() const;
   int64_t size() const { return std::ssize(requests_); }
@@ -103,6 +112,8 @@
   std::set<std::pair<MonotonicTime, RequestToken>> due_;  // All of requests_.
   std::map<JobId, std::set<RequestToken>> by_job_;        // UntilChanged.
   std::map<RequestId, std::set<RequestToken>> by_workflow_;  // UntilEnded.
+  std::map<RequestId, std::set<RequestToken>>
+      by_submission_;  // UntilSubmitted.
   std::map<Sequence, PendingRecord> records_;
   std::map<std::pair<TeamId, RequestId>, Sequence> submissions_;
   std::map<JobId, Sequence> cancellations_;
--- a/azurepass/partition/owner_journal.cc
+++ b/azurepass/partition/owner_journal.cc
@@ -174,6 +174,7 @@
                        live_.Apply(r);
                        OnWorkflowSubmitted(r.request);
                        AnswerRecord(sequence);
+                       AnswerSubmitted(r.request);
                      },
                      [&](const WorkflowCancelled& r) {
                        CancelWorkflowTasks(r.request);
--- a/azurepass/partition/owner_requests.cc
+++ b/azurepass/partition/owner_requests.cc
@@ -246,27 +246,34 @@
 
 void Owner::Impl::AnswerDue() {
   for (RequestToken token : requests_.Due(now_)) {
-    const WaitingRequest waiting = *requests_.Find(token);
-    std::visit(Visitor{[&](const UntilOwning&) {
-                         Refuse(token, RefusalCode::kUnavailable,
-                                Effect::kNotRun,
-                                "The partition's new owner is not ready yet.",
-                                kBusyRetryAfter);
-                       },
-                       [&](const UntilAppended& w) {
-                         AnswerDueAppend(token, w.sequence, waiting.deadline);
-                       },
-                       [&](const UntilChanged& w) {
-                         if (options_.testing.drop_long_poll_answer) {
-                           requests_.Take(token);
-                         } else {
-                           Reply(token, View(w.job));
-                         }
-                       },
-                       [&](const internal::UntilEnded& w) {
-                         Reply(token, ViewWorkflow(w.request));
-                       }},
-               waiting.waits_for);
+    const WaitingRequest* found = requests_.Find(token);
+    if (found == nullptr) continue;  // Answered together with another one.
+    const WaitingRequest waiting = *found;
+    std::visit(
+        Visitor{[&](const UntilOwning&) {
+                  Refuse(token, RefusalCode::kUnavailable, Effect::kNotRun,
+                         "The partition's new owner is not ready yet.",
+                         kBusyRetryAfter);
+                },
+                [&](const UntilAppended& w) {
+                  AnswerDueAppend(token, w.sequence, waiting.deadline);
+                },
+                [&](const UntilChanged& w) {
+                  if (options_.testing.drop_long_poll_answer) {
+                    requests_.Take(token);
+                  } else {
+                    Reply(token, View(w.job));
+                  }
+                },
+                [&](const internal::UntilEnded& w) {
+                  Reply(token, ViewWorkflow(w.request));
+                },
+                [&](const internal::UntilSubmitted&) {
+                  Refuse(token, RefusalCode::kDeadlineExceeded, Effect::kNotRun,
+                         "The store has not taken the submission yet.",
+                         kBusyRetryAfter);
+                }},
+        waiting.waits_for);
   }
 }
 
@@ -287,7 +294,13 @@
     const bool last = record.tokens.empty();
     if (last) {
       commit_.Withdraw(sequence);
-      requests_.TakeRecord(sequence);
+      const auto withdrawn = requests_.TakeRecord(sequence);
+      const auto* submitted =
+          std::get_if<WorkflowSubmitted>(&withdrawn->record);
+      if (submitted != nullptr) {
+        WithdrawCancellation(submitted->request);
+        AnswerSubmitted(submitted->request);
+      }
     }
     Refuse(token, code, last ? Effect::kNotRun : Effect::kUnknown,
            "The store did not take the record in time.", kBusyRetryAfter);
@@ -317,6 +330,10 @@
                 return JobResponse(ViewWorkflow(r.request));
               },
               [&](const WorkflowCancelled& r) {
+                if (committed_.FindWorkflow(r.request) == nullptr) {
+                  return JobResponse(
+                      NotRun(RefusalCode::kGone, "There is no such workflow."));
+                }
                 return JobResponse(ViewWorkflow(r.request));
               },
               [](const auto&) {
--- a/azurepass/partition/owner_workflows.cc
+++ b/azurepass/partition/owner_workflows.cc
@@ -22,6 +22,7 @@
 using internal::LedgerWorkflow;
 using internal::Releasing;
 using internal::Sequence;
+using internal::WaitingRequest;
 
 namespace {
 
@@ -202,6 +203,12 @@
 // answered as soon as the end is appended.
 void Owner::Impl::DispatchTo(RequestToken token, const GetWorkflow& r,
                              MonotonicTime deadline) {
+  if (live_.FindWorkflow(r.request) == nullptr &&
+      requests_.FindWorkflowSubmission(r.request)) {
+    requests_.Add(token, {internal::UntilSubmitted{r.request, r}, deadline},
+                  deadline);
+    return;
+  }
   const LedgerWorkflow* workflow = FindOrRefuse(token, r.team, r.request);
   if (workflow == nullptr) return;
   const bool waits = options_.completion_wait > Duration(0) &&
@@ -239,8 +246,21 @@
   for (const RequestToken token : tokens) Reply(token, view);
 }
 
+// The cancellation of a workflow whose submission is being recorded is recorded
+// behind it, so that it takes effect whenever the submission does.
 void Owner::Impl::DispatchTo(RequestToken token, const CancelWorkflow& r,
                              MonotonicTime deadline) {
+  const auto submission = requests_.FindWorkflowSubmission(r.request);
+  if (submission && live_.FindWorkflow(r.request) == nullptr) {
+    const auto& submitted =
+        std::get<WorkflowSubmitted>(requests_.FindRecord(*submission)->record);
+    if (!r.team.empty() && submitted.team != r.team) {
+      Refuse(token, RefusalCode::kForbidden, Effect::kNotRun,
+             "The workflow belongs to another team.");
+      return;
+    }
+    return RecordCancellation(token, r.request, deadline);
+  }
   const LedgerWorkflow* workflow = FindOrRefuse(token, r.team, r.request);
   if (workflow == nullptr) return;
   const bool over = internal::IsFinal(ViewWorkflow(r.request).state);
@@ -248,20 +268,46 @@
     Reply(token, ViewWorkflow(r.request));
     return;
   }
+  RecordCancellation(token, r.request, deadline);
+}
+
+void Owner::Impl::RecordCancellation(RequestToken token,
+                                     const RequestId& request,
+                                     MonotonicTime deadline) {
   std::optional<Sequence> sequence =
-      requests_.FindWorkflowCancellation(r.request);
+      requests_.FindWorkflowCancellation(request);
   if (!sequence && In<Releasing>()) {
     Refuse(token, RefusalCode::kShuttingDown, Effect::kNotRun,
            "The owner is shutting down.", kConfigurationRetryAfter);
     return;
   }
   if (!sequence) {
-    sequence = last_added_ = commit_.Add(WorkflowCancelled{r.request});
-    requests_.AddRecord(*sequence, WorkflowCancelled{r.request});
+    sequence = last_added_ = commit_.Add(WorkflowCancelled{request});
+    requests_.AddRecord(*sequence, WorkflowCancelled{request});
   }
   WaitForAppend(token, *sequence, deadline);
 }
 
+void Owner::Impl::WithdrawCancellation(const RequestId& request) {
+  const std::optional<Sequence> sequence =
+      requests_.FindWorkflowCancellation(request);
+  if (!sequence || !commit_.IsWaiting(*sequence)) return;
+  commit_.Withdraw(*sequence);
+  const auto record = requests_.TakeRecord(*sequence);
+  for (const RequestToken token : record->tokens) {
+    Refuse(token, RefusalCode::kGone, Effect::kNotRun,
+           "The workflow's submission was withdrawn.");
+  }
+}
+
+void Owner::Impl::AnswerSubmitted(const RequestId& request) {
+  for (const RequestToken token : requests_.WaitingForSubmission(request)) {
+    WaitingRequest waiting = *requests_.Take(token);
+    auto& held = std::get<internal::UntilSubmitted>(waiting.waits_for);
+    Dispatch(token, std::move(held.request), waiting.deadline);
+  }
+}
+
 void Owner::Impl::DispatchTo(RequestToken token, const CountWaiting& r,
                              MonotonicTime /*deadline*/) {
   WaitingCount count;
@@ -305,7 +351,8 @@
   if (!submitted.spec.first && !workflow.started) {
     unstarted_[submitted.spec.queue].insert(request);
   }
-  ReleaseSteps(request);
+  // A cancellation that is under way was asked for before the acceptance.
+  if (!requests_.FindWorkflowCancellation(request)) ReleaseSteps(request);
   Emit(LogDecision{"accept",
                    {JobId(request.value()), 0},
                    0,
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -112,6 +112,108 @@
   CHECK(std::holds_alternative<WorkflowView>(d.Last<Answer>().response));
 }
 
+// Asks for a call about kRequest, with a deadline of 2 s.
+void Ask(Driver& d, int64_t token, JobRequest request) {
+  d.Handle(RequestReceived{RequestToken{token}, std::move(request),
+                           d.now + seconds(2)});
+}
+
+// Returns the response to the token; fails if there are none or several.
+JobResponse ResponseTo(const Driver& d, int64_t token) {
+  std::vector<JobResponse> responses;
+  for (const Action& action : d.actions) {
+    const auto* answer = std::get_if<Answer>(&action);
+    if (answer != nullptr && answer->token.value == token) {
+      responses.push_back(answer->response);
+    }
+  }
+  REQUIRE(responses.size() == 1);
+  return responses.front();
+}
+
+// Guards against a job that runs after the cancellation that came while its
+// submission was being recorded was acknowledged.
+TEST_CASE("a cancellation waits for the submission that is being recorded") {
+  Driver d;
+  d.Submit(1, TwoStepWorkflow());
+  Ask(d, 2, CancelWorkflow{kPartition, kTeam, kRequest});
+  CHECK(d.Count<Answer>() == 0);
+  d.CompleteAppends();
+  CHECK(std::get<WorkflowView>(ResponseTo(d, 2)).state ==
+        WorkflowState::kCancelled);
+  CHECK(d.Starts().empty());
+  CHECK(d.State() == WorkflowState::kCancelled);
+}
+
+TEST_CASE("a cancellation takes effect though its caller has given up") {
+  Driver d;
+  d.Submit(1, TwoStepWorkflow());
+  Ask(d, 2, CancelWorkflow{kPartition, kTeam, kRequest});
+  d.now += seconds(3);
+  d.Handle(Tick{});
+  CHECK(std::get<Refusal>(ResponseTo(d, 2)).effect == Effect::kUnknown);
+  d.CompleteAppends();
+  CHECK(d.Starts().empty());
+  CHECK(d.State() == WorkflowState::kCancelled);
+}
+
+TEST_CASE("another team's cancellation of a submission under way is refused") {
+  Driver d;
+  d.Submit(1, TwoStepWorkflow());
+  Ask(d, 2, CancelWorkflow{kPartition, TeamId("other"), kRequest});
+  CHECK(std::get<Refusal>(ResponseTo(d, 2)).code == RefusalCode::kForbidden);
+  d.CompleteAppends();
+  CHECK(d.Starts().size() == 2);
+}
+
+// Guards against "gone" for a job that is accepted a moment later.
+TEST_CASE("a get waits for the submission that is being recorded") {
+  Driver d;
+  d.Submit(1, TwoStepWorkflow());
+  Ask(d, 2, GetWorkflow{kPartition, kTeam, kRequest});
+  Ask(d, 3, GetWorkflow{kPartition, TeamId("other"), kRequest});
+  CHECK(d.Count<Answer>() == 0);
+  d.CompleteAppends();
+  CHECK(std::holds_alternative<WorkflowView>(ResponseTo(d, 2)));
+  CHECK(std::get<Refusal>(ResponseTo(d, 3)).code == RefusalCode::kForbidden);
+}
+
+TEST_CASE("a get of a submission with an unknown outcome ends in time") {
+  Driver d;
+  d.Submit(1, TwoStepWorkflow());
+  Ask(d, 2, GetWorkflow{kPartition, kTeam, kRequest});
+  d.now += seconds(3);
+  d.Handle(Tick{});
+  CHECK(std::get<Refusal>(ResponseTo(d, 2)).code ==
+        RefusalCode::kDeadlineExceeded);
+}
+
+TEST_CASE("a withdrawn submission answers those that waited for it") {
+  Options options = PlatformOptions();
+  options.append_timeout = Duration(1'000);
+  Driver d({"vm-0"}, /*permits=*/false, options);
+  d.Submit(1, TwoStepWorkflow());
+  d.FailAppend();
+  Ask(d, 2, GetWorkflow{kPartition, kTeam, kRequest});
+  Ask(d, 3, CancelWorkflow{kPartition, kTeam, kRequest});
+  d.now += Duration(1'000);
+  d.Handle(Tick{});
+  CHECK(std::get<Refusal>(ResponseTo(d, 1)).effect == Effect::kNotRun);
+  CHECK(std::get<Refusal>(ResponseTo(d, 2)).code == RefusalCode::kGone);
+  CHECK(std::get<Refusal>(ResponseTo(d, 3)).code == RefusalCode::kGone);
+  CHECK(d.Starts().empty());
+}
+
+TEST_CASE("an owner that is deposed sends waiting calls to its successor") {
+  Driver d;
+  d.Submit(1, TwoStepWorkflow());
+  Ask(d, 2, GetWorkflow{kPartition, kTeam, kRequest});
+  Ask(d, 3, CancelWorkflow{kPartition, kTeam, kRequest});
+  d.Handle(ClaimLost{});
+  CHECK(std::get<Refusal>(ResponseTo(d, 2)).code == RefusalCode::kNotOwner);
+  CHECK(std::get<Refusal>(ResponseTo(d, 3)).code == RefusalCode::kNotOwner);
+}
+
 TEST_CASE("a cancelled workflow stops its running tasks and starts no more") {
   Driver d;
   d.Submit(1, TwoStepWorkflow());
