A wide lasting step is divided over the partitions of its service

Cause: a step has the places of one partition. Tasks that last don't make room for the rest.

The front end answers a submission or a cancellation once all partitions have. Nothing passes between owners, so their losses and lost answers are those that single workflows stand already.

Open: the division is even, so a part that is wider than its places waits.

--- a/azurepass/codec/core_formats.cc
+++ b/azurepass/codec/core_formats.cc
@@ -129,6 +129,10 @@
       MakePolicy(reader.Choice("policy", kPolicies, {PolicyKind::kBatch}));
   spec.priority = reader.Choice("priority", kPriorities, {Priority::kNormal});
   spec.tasks = static_cast<int32_t>(reader.Int("tasks", 1, kMaxTasksPerJob, 1));
+  spec.share.parts =
+      static_cast<int32_t>(reader.Int("parts", 1, kMaxTasksPerJob, 1));
+  spec.share.part =
+      static_cast<int32_t>(reader.Int("part", 0, spec.share.parts - 1, 0));
   spec.task = reader.Object<Resources>("task");
   if (reader.ok() && spec.task[Dimension::kSlots] < 1) {
     reader.Fail(ErrorCode::kOutOfRange, "task.slots", "must be at least 1");
@@ -160,6 +164,10 @@
               {"task", codec::Write(value.task)},
               {"run_time_ms", value.declared_run_time.count()},
               {"repeatable", value.repeatable}};
+  if (value.share.parts != 1) {
+    out["parts"] = value.share.parts;
+    out["part"] = value.share.part;
+  }
   if (value.deadline) out["deadline_ms"] = value.deadline->count();
   if (value.constraints != Constraints{}) {
     out["constraints"] = codec::Write(value.constraints);
--- a/azurepass/core/core.h
+++ b/azurepass/core/core.h
@@ -272,13 +272,24 @@
 
 inline constexpr int32_t kMaxAttempts = 5;  // Starts of one repeatable task.
 
+// The tasks of a job that one partition runs, if the job is divided over
+// several: those whose index modulo `parts` is `part`. Invariant: 0 <= part <
+// parts.
+struct TaskShare {
+  int32_t part = 0;
+  int32_t parts = 1;
+  bool Contains(int32_t index) const { return index % parts == part; }
+  bool operator==(const TaskShare&) const = default;
+};
+
 // What a caller asks for. Invariants once accepted: 1 <= tasks <=
-// kMaxTasksPerJob; task.slots >= 1; every amount >= 0.
+// kMaxTasksPerJob; share.parts <= tasks; task.slots >= 1; every amount >= 0.
 struct JobSpec {
   QueueId queue;
   Policy policy = BatchPolicy{};
   Priority priority = Priority::kNormal;
   int32_t tasks = 1;
+  TaskShare share;                   // The part of `tasks` that runs here.
   Resources task;                    // The size of each task.
   Duration declared_run_time{0};     // A hint; 0 when unknown.
   bool repeatable = true;            // False: a task is started at most once.
@@ -371,6 +382,9 @@
   RequestId request;
   TeamId team;
   WorkflowState state = WorkflowState::kQueued;
+  // Partitions that its tasks are divided over; 0 if that is not known any
+  // more, which is so some time after its end.
+  int32_t parts = 1;
 };
 
 // ---------------------------------------------------------------------------
--- a/azurepass/daemons/frontend.cc
+++ b/azurepass/daemons/frontend.cc
@@ -27,6 +27,7 @@
   routing::Options options;
   options.member = all.process.member;
   options.seed = RandomNumber();
+  options.min_divided_tasks = all.cell.budgets.min_divided_tasks;
   for (const auto& partition : all.cell.partitions) {
     options.partitions.push_back({partition.id, partition.service});
   }
--- a/azurepass/daemons/node.cc
+++ b/azurepass/daemons/node.cc
@@ -57,6 +57,7 @@
   options.attempt_timeout = kAttemptTimeout;
   options.not_run_submit_timeout = kSubmitPatience;
   options.unknown_submit_timeout = kUnknownPatience;
+  options.min_divided_tasks = settings.cell.budgets.min_divided_tasks;
   return options;
 }
 
--- a/azurepass/entry/internal/message_formats.cc
+++ b/azurepass/entry/internal/message_formats.cc
@@ -309,12 +309,16 @@
     view.request = reader.Name<RequestId>("request");
     view.team = reader.Name<TeamId>("team");
     view.state = reader.Choice("state", kWorkflowStates);
+    view.parts =
+        static_cast<int32_t>(reader.Int("parts", 0, kMaxTasksPerJob, 1));
     return {view};
   }
   static Json Write(const Wire<WorkflowView>& wire) {
-    return {{"request", wire.value.request.value()},
-            {"team", wire.value.team.value()},
-            {"state", WorkflowStateName(wire.value.state)}};
+    Json out = {{"request", wire.value.request.value()},
+                {"team", wire.value.team.value()},
+                {"state", WorkflowStateName(wire.value.state)}};
+    if (wire.value.parts != 1) out["parts"] = wire.value.parts;
+    return out;
   }
 };
 
--- a/azurepass/partition/internal/ledger.cc
+++ b/azurepass/partition/internal/ledger.cc
@@ -25,6 +25,17 @@
          state == TaskState::kUnknown;
 }
 
+// Tasks that run in another partition are final from the beginning.
+std::vector<TaskSnapshot> InitialTasks(const JobSpec& spec) {
+  std::vector<TaskSnapshot> tasks(spec.tasks);
+  for (int32_t index = 0; index < spec.tasks; ++index) {
+    if (spec.share.Contains(index)) continue;
+    tasks[index].state = TaskState::kCancelled;
+    tasks[index].reason = "in another partition";
+  }
+  return tasks;
+}
+
 }  // namespace
 
 // A lost attempt of a service is attributed to the machine, because services
@@ -179,7 +190,7 @@
       job.team = submitted.team;
       job.spec = spec;
       job.accepted = submitted.accepted;
-      Add({std::move(job), false, std::vector<TaskSnapshot>(spec.tasks)});
+      Add({std::move(job), false, InitialTasks(spec)});
     }
   }
 }
--- a/azurepass/partition/internal/request_table.cc
+++ b/azurepass/partition/internal/request_table.cc
@@ -6,7 +6,10 @@
 
 int64_t TasksOf(const WorkflowSpec& spec) {
   int64_t tasks = 0;
-  for (const WorkflowStep& step : spec.steps) tasks += step.job.tasks;
+  for (const WorkflowStep& step : spec.steps) {
+    const TaskShare& share = step.job.share;
+    tasks += (step.job.tasks - share.part + share.parts - 1) / share.parts;
+  }
   return tasks * spec.occurrences;
 }
 
--- a/azurepass/partition/internal/request_table.h
+++ b/azurepass/partition/internal/request_table.h
@@ -19,7 +19,7 @@
 
 namespace azurepass::partition::internal {
 
-// Returns the number of tasks of all steps in all occurrences.
+// Returns the number of tasks of all steps in all occurrences that run here.
 int64_t TasksOf(const WorkflowSpec& spec);
 
 // Waits for the end of recovery.
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -88,7 +88,10 @@
 void Owner::Impl::OnWorkflowRecovered(
     const internal::LedgerWorkflow& workflow) {
   const WorkflowSubmitted& submitted = workflow.submitted;
-  if (!submitted.spec.first && StateOf(workflow) == WorkflowState::kQueued) {
+  const bool first_part = submitted.spec.steps.empty() ||
+                          submitted.spec.steps.front().job.share.part == 0;
+  if (!submitted.spec.first && first_part &&
+      StateOf(workflow) == WorkflowState::kQueued) {
     unstarted_[submitted.spec.queue].insert(submitted.request);
   }
   ReleaseSteps(submitted.request);
--- a/azurepass/partition/owner_requests.cc
+++ b/azurepass/partition/owner_requests.cc
@@ -38,6 +38,10 @@
                   "A job has between 1 and " + std::to_string(kMaxTasksPerJob) +
                       " tasks.");
   }
+  if (spec.share != TaskShare{}) {
+    return NotRun(RefusalCode::kInvalidRequest,
+                  "Only workflows are divided over partitions.");
+  }
   if (!spec.task.IsNonNegative() || spec.task[Dimension::kSlots] < 1) {
     return NotRun(RefusalCode::kInvalidRequest,
                   "A task needs at least one slot, and no amount below 0.");
--- a/azurepass/partition/owner_workflows.cc
+++ b/azurepass/partition/owner_workflows.cc
@@ -50,6 +50,12 @@
                       std::to_string(kMaxTasksPerJob) +
                       " tasks, and no amount below 0.");
   }
+  const TaskShare& share = step.job.share;
+  if (share.part < 0 || share.part >= share.parts ||
+      share.parts > step.job.tasks) {
+    return NotRun(RefusalCode::kInvalidRequest,
+                  "A step has no more parts than tasks.");
+  }
   return std::nullopt;
 }
 
@@ -83,6 +89,12 @@
                      });
 }
 
+// Returns the number of the part of the workflow that runs here. The caller is
+// told about part 0.
+int32_t PartOf(const WorkflowSpec& spec) {
+  return spec.steps.empty() ? 0 : spec.steps.front().job.share.part;
+}
+
 }  // namespace
 
 // ---------------------------------------------------------------------------
@@ -144,8 +156,11 @@
   const bool known = queue != configuration.queues.end() &&
                      (!queue->second.needs_key ||
                       configuration.contracts.contains(request.team));
+  // The other parts of a workflow follow the first one, which this service has
+  // accepted.
   const bool is_served = known && (options_.service.empty() ||
-                                   queue->second.service == options_.service);
+                                   queue->second.service == options_.service ||
+                                   PartOf(request.spec) > 0);
   if (is_served) return std::nullopt;
   if (!environment_.Covers(request.revision)) {
     return NotRun(RefusalCode::kStaleConfiguration,
@@ -332,6 +347,8 @@
   const LedgerWorkflow* committed = committed_.FindWorkflow(request);
   if (live == nullptr || committed == nullptr) return view;
   view.team = live->submitted.team;
+  const std::vector<WorkflowStep>& steps = live->submitted.spec.steps;
+  view.parts = steps.empty() ? 0 : steps.front().job.share.parts;
   view.state = StateOf(*committed);
   if (!internal::IsFinal(view.state) && live->started) {
     view.state = WorkflowState::kRunning;
@@ -348,7 +365,8 @@
     jobs_.Add(job, now_, live_.Find(job)->submitted.spec.deadline);
   }
   const WorkflowSubmitted& submitted = workflow.submitted;
-  if (!submitted.spec.first && !workflow.started) {
+  if (!submitted.spec.first && !workflow.started &&
+      PartOf(submitted.spec) == 0) {
     unstarted_[submitted.spec.queue].insert(request);
   }
   // A cancellation that is under way was asked for before the acceptance.
@@ -421,6 +439,11 @@
     spec.constraints.needs_permit = true;
   }
   cell_.AddJob(id, job->submitted.team, spec, now_, StartByOf(id));
+  for (int32_t index = 0; index < std::ssize(job->tasks); ++index) {
+    if (azurepass::IsFinal(job->tasks[index].state)) {
+      cell_.CancelTask({id, index});
+    }
+  }
   if (spec.constraints.needs_permit) permits_[id];
   placement_due_ = true;
 }
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -299,6 +299,77 @@
   CHECK(d.State() == WorkflowState::kRunning);
 }
 
+// Returns part `part` of two of a step of five perpetual tasks.
+WorkflowSpec HalfOfPerpetualStep(int32_t part) {
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {MakeStep(5)};
+  spec.steps[0].job.policy = ServicePolicy{};
+  spec.steps[0].job.perpetual = true;
+  spec.steps[0].job.share = {part, 2};
+  return spec;
+}
+
+std::vector<int32_t> StartedIndexes(const Driver& d) {
+  std::vector<int32_t> indexes;
+  for (const auto& [vm, start] : d.Starts()) {
+    indexes.push_back(start.attempt.task.index);
+  }
+  std::sort(indexes.begin(), indexes.end());
+  return indexes;
+}
+
+// Guards against tasks that two partitions start, or none.
+TEST_CASE("the parts of a divided step start each task once") {
+  Driver even;
+  Driver odd;
+  even.Submit(1, HalfOfPerpetualStep(0));
+  odd.Submit(1, HalfOfPerpetualStep(1));
+  even.CompleteAppends();
+  odd.CompleteAppends();
+  CHECK(StartedIndexes(even) == std::vector<int32_t>{0, 2, 4});
+  CHECK(StartedIndexes(odd) == std::vector<int32_t>{1, 3});
+  CHECK(std::get<WorkflowView>(even.Last<Answer>().response).parts == 2);
+  CHECK(odd.State() == WorkflowState::kRunning);
+}
+
+TEST_CASE("a new owner starts no task of another part") {
+  Driver d;
+  d.Submit(1, HalfOfPerpetualStep(1));
+  d.CompleteAppends();
+  std::vector<Batch> journal = d.batches;
+  Driver next;
+  next.TakeOver(2, std::nullopt, journal, {"vm-0"});
+  next.now += seconds(60);  // The tasks' worker doesn't list them.
+  next.Handle(Tick{});
+  next.OpenWorkerSession("vm-0");
+  next.now += seconds(60);
+  next.Handle(Tick{});
+  next.CompleteAppends();
+  CHECK(StartedIndexes(next) == std::vector<int32_t>{1, 3});
+}
+
+TEST_CASE("a part is counted as waiting where the caller is answered") {
+  for (const int32_t part : {0, 1}) {
+    CAPTURE(part);
+    Driver d({"vm-0"}, /*permits=*/true);
+    WorkflowSpec spec = HalfOfPerpetualStep(part);
+    spec.steps[0].job.constraints.needs_permit = true;
+    d.Submit(1, spec);
+    d.CompleteAppends();
+    CHECK(d.WaitingWorkflows() == (part == 0 ? 1 : 0));
+  }
+}
+
+TEST_CASE("a step has no more parts than tasks") {
+  Driver d;
+  WorkflowSpec spec = HalfOfPerpetualStep(0);
+  spec.steps[0].job.share = {0, 6};
+  d.Submit(1, spec);
+  CHECK(std::get<Refusal>(d.Last<Answer>().response).code ==
+        RefusalCode::kInvalidRequest);
+}
+
 TEST_CASE("an occurrence starts when it is due, not before") {
   Driver d;
   WorkflowSpec spec;
--- a/azurepass/routing/admission.cc
+++ b/azurepass/routing/admission.cc
@@ -240,6 +240,10 @@
   if (pending.partition.empty() || !places) return UnknownLayoutRefusal();
   pending.alternatives.clear();
   RouteToPartition(*update_->configuration, queue, request, pending);
+  if (auto* submit = std::get_if<partition::SubmitWorkflow>(&pending.request)) {
+    const int32_t parts = PartsOf(queue, submit->spec);
+    if (parts > 1) submit->spec.steps.front().job.share = {0, parts};
+  }
   for (const FormerPlace& place : *places) {
     AddFormerPlace(place.partition, place.team, request, pending);
   }
@@ -254,7 +258,8 @@
                                           ? pending.request
                                           : pending.alternatives.back().request;
   const auto* submit = std::get_if<partition::SubmitWorkflow>(&last);
-  if (submit == nullptr || pending.revision == configuration.revision) {
+  if (submit == nullptr || pending.answer ||
+      pending.revision == configuration.revision) {
     return std::nullopt;
   }
   pending.revision = configuration.revision;
@@ -321,6 +326,39 @@
   return partitions;
 }
 
+std::vector<PartitionId> Dispatcher::Impl::SiblingsOf(
+    const PartitionId& partition) const {
+  for (const auto& [service, layout] : *layouts_) {
+    std::vector<PartitionId> partitions = layout::PartitionsOf(layout);
+    if (std::find(partitions.begin(), partitions.end(), partition) !=
+        partitions.end()) {
+      return partitions;
+    }
+  }
+  for (const Partition& configured : options_.partitions) {
+    if (configured.id == partition) return PartitionsOf(configured.service);
+  }
+  return {partition};
+}
+
+// Perpetual tasks hold their places, so a step that is wider than its places in
+// one partition would never be complete. Tasks that end make room for the rest.
+int32_t Dispatcher::Impl::PartsOf(const QueueRecord& queue,
+                                  const WorkflowSpec& spec) const {
+  if (options_.min_divided_tasks == 0 || spec.steps.size() != 1 ||
+      spec.occurrences != 1) {
+    return 1;
+  }
+  const JobSpec& job = spec.steps.front().job;
+  if (!job.perpetual || job.constraints.one_rack ||
+      std::holds_alternative<GangPolicy>(job.policy) ||
+      job.tasks < options_.min_divided_tasks) {
+    return 1;
+  }
+  const auto partitions = std::ssize(PartitionsOf(queue.service));
+  return static_cast<int32_t>(std::min<int64_t>(partitions, job.tasks));
+}
+
 std::vector<PartitionId> Dispatcher::Impl::PartitionsOf(
     const ServiceId& service) const {
   const auto layout = layouts_->find(service);
@@ -428,6 +466,10 @@
   text.Counter("azurepass_routing_routed_total", "Requests taken.", routed_);
   text.Counter("azurepass_routing_retries_total", "Calls sent again.",
                retried_);
+  text.Counter("azurepass_routing_parts_sent_total",
+               "Requests for further parts of workflows that are divided over "
+               "partitions.",
+               parts_sent_);
   text.Counter("azurepass_routing_looked_elsewhere_total",
                "Requests sent to another partition because the first one has "
                "no such workflow.",
--- a/azurepass/routing/dispatcher.cc
+++ b/azurepass/routing/dispatcher.cc
@@ -176,7 +176,7 @@
                               Finish(pending, explanation);
                             },
                             [&](const WorkflowView& workflow) {
-                              Finish(pending, workflow);
+                              OnWorkflow(pending, workflow);
                             },
                             [&](const partition::WaitingCount& count) {
                               Finish(pending, count);
@@ -200,6 +200,9 @@
 void Dispatcher::Impl::OnRefused(PendingRequest& pending,
                                  const Refusal& refusal) {
   if (refusal.effect == Effect::kUnknown) internal::SetMayHaveRun(pending);
+  if (refusal.code == RefusalCode::kGone && pending.answer) {
+    return SendNextPart(pending);
+  }
   if (refusal.code == RefusalCode::kGone && !pending.alternatives.empty()) {
     return TryNextAlternative(pending);
   }
@@ -207,6 +210,65 @@
   Finish(pending, internal::WithOverallEffect(pending, refusal));
 }
 
+void Dispatcher::Impl::OnWorkflow(PendingRequest& pending,
+                                  const WorkflowView& workflow) {
+  if (!pending.answer) {
+    pending.other_parts = OtherPartsOf(pending, workflow);
+    pending.answer = workflow;
+    // The caller's request has had its effect on part 0.
+    if (!pending.other_parts.empty()) pending.may_have_run = true;
+    pending.alternatives.clear();
+  }
+  SendNextPart(pending);
+}
+
+std::vector<internal::Alternative> Dispatcher::Impl::OtherPartsOf(
+    const PendingRequest& pending, const WorkflowView& workflow) const {
+  if (workflow.parts == 1) return {};
+  const std::vector<PartitionId> siblings = SiblingsOf(pending.partition);
+  const auto first =
+      std::find(siblings.begin(), siblings.end(), pending.partition) -
+      siblings.begin();
+  // A workflow whose number of parts is not known may be in any partition.
+  const int64_t parts =
+      workflow.parts == 0
+          ? std::ssize(siblings)
+          : std::min<int64_t>(workflow.parts, std::ssize(siblings));
+  const partition::JobRequest& last = pending.alternatives.empty()
+                                          ? pending.request
+                                          : pending.alternatives.back().request;
+  std::vector<internal::Alternative> others;
+  for (int64_t part = 1; part < parts; ++part) {
+    const PartitionId& partition =
+        siblings[(first + part) % std::ssize(siblings)];
+    if (const auto* first_part = std::get_if<partition::SubmitWorkflow>(&last);
+        first_part != nullptr && workflow.parts != 0) {
+      partition::SubmitWorkflow submit = *first_part;
+      submit.partition = partition;
+      submit.team = workflow.team;
+      submit.spec.steps.front().job.share = {static_cast<int32_t>(part),
+                                             workflow.parts};
+      others.push_back({partition, std::move(submit)});
+    }
+    if (std::holds_alternative<partition::CancelWorkflow>(pending.request)) {
+      others.push_back(
+          {partition, partition::CancelWorkflow{partition, workflow.team,
+                                                workflow.request}});
+    }
+  }
+  return others;
+}
+
+void Dispatcher::Impl::SendNextPart(PendingRequest& pending) {
+  if (pending.other_parts.empty()) return Finish(pending, *pending.answer);
+  pending.partition = std::move(pending.other_parts.front().partition);
+  pending.request = std::move(pending.other_parts.front().request);
+  pending.other_parts.erase(pending.other_parts.begin());
+  pending.backoff = Duration(0);
+  ++parts_sent_;
+  SendOrAwaitOwner(pending);
+}
+
 void Dispatcher::Impl::TryNextAlternative(PendingRequest& pending) {
   LOG(INFO) << "event=not_there kind=" << internal::KindOf(pending.request)
             << " " << internal::SubjectOf(pending.request)
--- a/azurepass/routing/dispatcher_test.cc
+++ b/azurepass/routing/dispatcher_test.cc
@@ -372,6 +372,109 @@
             .workflows == 6);
 }
 
+caller::SubmitWorkflow SubmitPerpetual(int32_t tasks) {
+  caller::SubmitWorkflow submit{
+      {"h", "/lots/5c0e7a21d94b36f8"}, RequestId("5c0e7a21d94b36f8"), {}};
+  submit.spec.steps.resize(1);
+  submit.spec.steps[0].job.policy = ServicePolicy{};
+  submit.spec.steps[0].job.perpetual = true;
+  submit.spec.steps[0].job.tasks = tasks;
+  return submit;
+}
+
+Options DividingOptions() {
+  Options options = TestOptions();
+  options.min_divided_tasks = 8;
+  return options;
+}
+
+entry::CallResult ViewOfParts(int32_t parts,
+                              WorkflowState state = WorkflowState::kQueued) {
+  return entry::Response(WorkflowView{RequestId("5c0e7a21d94b36f8"),
+                                      TeamId("rilapak"), state, parts});
+}
+
+// Guards against a lasting step that waits for ever, because it is wider than
+// the workers that may run it in one partition.
+TEST_CASE("a wide perpetual step is divided over all partitions") {
+  DispatcherHarness harness(DividingOptions());
+  harness.SetLayout(3);
+  const int64_t number = harness.SendRequest(SubmitPerpetual(34));
+  std::set<std::string> peers;
+  for (int32_t part = 0; part < 3; ++part) {
+    REQUIRE(harness.WaitForCalls(part + 1));
+    CHECK(harness.answers[number].empty());
+    const entry::Call& call = harness.calls[part];
+    const auto& sent = std::get<partition::SubmitWorkflow>(call.request);
+    CHECK(sent.spec.steps[0].job.share == TaskShare{part, 3});
+    CHECK(sent.spec.steps[0].job.tasks == 34);
+    peers.insert(call.peer);
+    call.reply_to.Send(ViewOfParts(3));
+  }
+  CHECK(std::holds_alternative<WorkflowView>(harness.ExpectAnswer(number)));
+  CHECK(peers.size() == 3);
+  CHECK(harness.calls.size() == 3);
+}
+
+TEST_CASE("only workflows of one wide perpetual step are divided") {
+  caller::SubmitWorkflow two_steps = SubmitPerpetual(34);
+  two_steps.spec.steps.push_back(two_steps.spec.steps[0]);
+  caller::SubmitWorkflow repeated = SubmitPerpetual(34);
+  repeated.spec.occurrences = 2;
+  caller::SubmitWorkflow batch = SubmitPerpetual(34);
+  batch.spec.steps[0].job.perpetual = false;
+  caller::SubmitWorkflow gang = SubmitPerpetual(34);
+  gang.spec.steps[0].job.policy = GangPolicy{};
+  for (const auto& submit :
+       {SubmitPerpetual(7), two_steps, repeated, batch, gang}) {
+    DispatcherHarness harness(DividingOptions());
+    harness.SetLayout(3);
+    harness.SendRequest(submit);
+    REQUIRE(harness.WaitForCalls(1));
+    const auto& sent =
+        std::get<partition::SubmitWorkflow>(harness.calls[0].request);
+    CHECK(sent.spec.steps[0].job.share == TaskShare{});
+  }
+}
+
+TEST_CASE("a submission is not answered as not run once a part is accepted") {
+  DispatcherHarness harness(DividingOptions());
+  harness.SetLayout(3);
+  const int64_t number = harness.SendRequest(SubmitPerpetual(34));
+  REQUIRE(harness.WaitForCalls(1));
+  harness.calls[0].reply_to.Send(ViewOfParts(3));
+  REQUIRE(harness.WaitForCalls(2));
+  harness.calls[1].reply_to.Send(Refuse(RefusalCode::kQueueFull));
+  CHECK(harness.ExpectRefusal(number).effect == Effect::kUnknown);
+}
+
+// Guards against tasks that run on after the cancellation was acknowledged.
+TEST_CASE("a cancellation is answered once all parts are cancelled") {
+  for (const int32_t parts : {3, 0}) {
+    CAPTURE(parts);
+    DispatcherHarness harness(DividingOptions());
+    harness.SetLayout(3);
+    const int64_t number = harness.SendRequest(caller::CancelWorkflow{
+        {"h", "/lots/5c0e7a21d94b36f8"}, RequestId("5c0e7a21d94b36f8")});
+    REQUIRE(harness.WaitForCalls(1));
+    harness.calls[0].reply_to.Send(
+        ViewOfParts(parts, WorkflowState::kCancelled));
+    REQUIRE(harness.WaitForCalls(2));
+    harness.calls[1].reply_to.Send(Fail(entry::FailureCode::kNoAnswer));
+    REQUIRE(harness.WaitForCalls(3));
+    CHECK(harness.calls[2].peer == harness.calls[1].peer);
+    harness.calls[2].reply_to.Send(Refuse(RefusalCode::kGone));
+    REQUIRE(harness.WaitForCalls(4));
+    CHECK(harness.answers[number].empty());
+    harness.calls[3].reply_to.Send(ViewOfParts(parts));
+    const auto view = std::get<WorkflowView>(harness.ExpectAnswer(number));
+    CHECK(view.state == WorkflowState::kCancelled);
+    CHECK(std::set<std::string>{harness.calls[0].peer, harness.calls[1].peer,
+                                harness.calls[3].peer}
+              .size() == 3);
+  }
+}
+
 TEST_CASE("answers in another order are matched to their own requests") {
   auto harness = DispatcherHarness::WithOwner();
   std::vector<int64_t> numbers;
--- a/azurepass/routing/internal/dispatcher_impl.h
+++ b/azurepass/routing/internal/dispatcher_impl.h
@@ -97,6 +97,10 @@
   std::optional<Refusal> RouteAgain(PendingRequest& pending) const;
   // Returns the partitions of the queue's service, and of those that it had.
   std::vector<PartitionId> CountPartitionsOf(const QueueRecord& queue) const;
+  // Returns the partitions of the service that the partition belongs to.
+  std::vector<PartitionId> SiblingsOf(const PartitionId& partition) const;
+  // Returns the number of partitions that the workflow is divided over.
+  int32_t PartsOf(const QueueRecord& queue, const WorkflowSpec& spec) const;
   // Returns all partitions of a service, in the order of their numbers.
   std::vector<PartitionId> PartitionsOf(const ServiceId& service) const;
   void BeginStatus(const operators::CellCall& call);
@@ -111,6 +115,14 @@
   void Send(PendingRequest& pending, const membership::Claim& claim);
   void OnAttemptResult(const AttemptResult& called);
   void OnRefused(PendingRequest& pending, const Refusal& refusal);
+  // Answers the caller, once all partitions that the workflow is divided over
+  // have answered.
+  void OnWorkflow(PendingRequest& pending, const WorkflowView& workflow);
+  // Returns the requests for the other parts of the workflow, whose part 0 has
+  // answered the current request.
+  std::vector<internal::Alternative> OtherPartsOf(
+      const PendingRequest& pending, const WorkflowView& workflow) const;
+  void SendNextPart(PendingRequest& pending);
   // Sends the next alternative instead of the current request.
   void TryNextAlternative(PendingRequest& pending);
   // Moves the current request behind the other alternatives, so that an owner
@@ -181,6 +193,7 @@
 
   int64_t routed_ = 0;
   int64_t retried_ = 0;
+  int64_t parts_sent_ = 0;        // Requests for parts of divided workflows.
   int64_t looked_elsewhere_ = 0;  // Requests sent to another partition.
   int64_t retries_put_off_ = 0;   // Deferred because the budget was empty.
   std::map<std::string_view, int64_t> refused_;  // By refusal code.
--- a/azurepass/routing/internal/pending_request.h
+++ b/azurepass/routing/internal/pending_request.h
@@ -5,6 +5,7 @@
 #define AZUREPASS_ROUTING_INTERNAL_PENDING_REQUEST_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -76,6 +77,11 @@
   // partition. For a submission, only the last request submits; those before it
   // look the workflow up.
   std::vector<Alternative> alternatives{};
+  // The answer for the caller, once part 0 of a workflow that is divided over
+  // partitions has given it, and the requests to the other partitions that are
+  // still to be answered, the current one excluded.
+  std::optional<WorkflowView> answer{};
+  std::vector<Alternative> other_parts{};
   std::vector<PartitionId>
       count_partitions{};    // All partitions of a count; else empty.
   MonotonicTime since;       // The time of acceptance.
--- a/azurepass/routing/routing.h
+++ b/azurepass/routing/routing.h
@@ -99,6 +99,10 @@
   Duration status_timeout{1'500};  // Of each call for a cell status.
   // Unanswered requests allowed for each team; further ones are refused.
   int64_t max_open_per_team = 1'024;
+  // A workflow of one step with at least so many perpetual tasks is divided
+  // over all partitions of its service; 0: none is. Processes of versions
+  // without such workflows can't read them.
+  int64_t min_divided_tasks = 0;
   RetryBudgetOptions retries;
   uint64_t seed = 1;  // Seeds the random numbers for jitter.
 };
--- a/azurepass/settings/settings.cc
+++ b/azurepass/settings/settings.cc
@@ -185,6 +185,8 @@
         reader.Int("snapshot_every", 1, kMaxCount, budgets.snapshot_every);
     budgets.partition_workers = reader.Int("partition_workers", 1, kMaxCount,
                                            budgets.partition_workers);
+    budgets.min_divided_tasks = reader.Int("min_divided_tasks", 0, kMaxCount,
+                                           budgets.min_divided_tasks);
     return budgets;
   }
 };
--- a/azurepass/settings/settings.h
+++ b/azurepass/settings/settings.h
@@ -65,6 +65,8 @@
   int64_t snapshot_every = 200;  // Journal batches.
   // Workers of a partition, about, where a service is spread over several.
   int64_t partition_workers = 64;
+  // See routing::Options.
+  int64_t min_divided_tasks = 0;
   bool operator==(const Budgets&) const = default;
 };
 
--- a/azurepass/settings/settings_test.cc
+++ b/azurepass/settings/settings_test.cc
@@ -53,6 +53,9 @@
   const Case cases[] = {
       {"\"store_address\"", "\"stor_address\"", "store_address"},
       {"127.0.0.1:7001", "", "store_address"},
+      {"\"partitions\"",
+       "\"budgets\": {\"min_divided_tasks\": -1}, \"partitions\"",
+       "budgets.min_divided_tasks"},
       {"127.0.0.1:7001", "store.example:7001", "store_address"},
       {"127.0.0.1:7002", "127.0.0.1:70020", "vm_list_address"},
       {"127.0.0.1:7002", "127.0.0.1", "vm_list_address"},
