A submission that arrives after its cancellation is refused

Callers could see a job run after its cancellation was acknowledged: the submission was still on its way (a slow link, a retry of a front end, a part of a divided workflow) when the cancellation was answered with "gone", and was then accepted.

Change: an owner remembers cancellations of workflows that it does not know, by account and id, for 30 s and at most 10,000 of them, and refuses submissions of them as not run.

Test: "a submission that arrives after its cancellation is refused"; on the code before the submission is accepted and the test fails.

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -246,6 +246,9 @@
   // Withdraws a cancellation that is in no batch; its requests are answered
   // that there is no such workflow.
   void WithdrawCancellation(const RequestId& request);
+  // Remembers that the workflow was cancelled though it is unknown here.
+  void RememberCancelled(const TeamId& team, const RequestId& request);
+  bool WasCancelled(const TeamId& team, const RequestId& request) const;
   // Dispatches the requests again that waited for the submission.
   void AnswerSubmitted(const RequestId& request);
   bool IsNearEnd(const internal::LedgerWorkflow& workflow) const;
@@ -360,6 +363,11 @@
   internal::RequestTable requests_;
   internal::JobTable jobs_;
   placement::Cell cell_;
+  // Workflows that were cancelled before any submission of them arrived, with
+  // the time until which one is refused; in the order of these times.
+  std::map<std::pair<TeamId, RequestId>, MonotonicTime> cancelled_unknown_;
+  std::deque<std::pair<MonotonicTime, std::pair<TeamId, RequestId>>>
+      cancelled_unknown_order_;
   // Tasks whose start waits for the append of its record.
   std::map<internal::Sequence, TaskId> held_starts_;
   std::vector<AttemptId>
--- a/azurepass/partition/owner_workflows.cc
+++ b/azurepass/partition/owner_workflows.cc
@@ -28,6 +28,9 @@
 
 constexpr Duration kBusyRetryAfter{1'000};
 constexpr Duration kConfigurationRetryAfter{200};
+// Longer than a submission may be on its way, retries included.
+constexpr Duration kLateSubmission{30'000};
+constexpr size_t kMaxCancelledUnknown = 10'000;
 
 Refusal NotRun(RefusalCode code, std::string message,
                std::optional<Duration> retry_after = std::nullopt) {
@@ -182,6 +185,10 @@
     return NotRun(RefusalCode::kShuttingDown, "The owner is shutting down.",
                   kConfigurationRetryAfter);
   }
+  if (WasCancelled(request.team, request.request)) {
+    return NotRun(RefusalCode::kUnavailable,
+                  "The workflow was cancelled before this submission arrived.");
+  }
   if (auto refusal = RefuseQueue(request)) return refusal;
   if (auto refusal = RefuseShape(request)) return refusal;
   const int64_t waiting =
@@ -276,6 +283,8 @@
     }
     return RecordCancellation(token, r.request, deadline);
   }
+  if (live_.FindWorkflow(r.request) == nullptr)
+    RememberCancelled(r.team, r.request);
   const LedgerWorkflow* workflow = FindOrRefuse(token, r.team, r.request);
   if (workflow == nullptr) return;
   const bool over = internal::IsFinal(ViewWorkflow(r.request).state);
@@ -315,6 +324,29 @@
   }
 }
 
+void Owner::Impl::RememberCancelled(const TeamId& team,
+                                    const RequestId& request) {
+  while (!cancelled_unknown_order_.empty() &&
+         (cancelled_unknown_order_.front().first <= now_ ||
+          cancelled_unknown_order_.size() >= kMaxCancelledUnknown)) {
+    const auto& [until, oldest] = cancelled_unknown_order_.front();
+    const auto found = cancelled_unknown_.find(oldest);
+    if (found != cancelled_unknown_.end() && found->second == until) {
+      cancelled_unknown_.erase(found);
+    }
+    cancelled_unknown_order_.pop_front();
+  }
+  const MonotonicTime until = now_ + kLateSubmission;
+  cancelled_unknown_[{team, request}] = until;
+  cancelled_unknown_order_.emplace_back(until, std::pair(team, request));
+}
+
+bool Owner::Impl::WasCancelled(const TeamId& team,
+                               const RequestId& request) const {
+  const auto found = cancelled_unknown_.find({team, request});
+  return found != cancelled_unknown_.end() && now_ < found->second;
+}
+
 void Owner::Impl::AnswerSubmitted(const RequestId& request) {
   for (const RequestToken token : requests_.WaitingForSubmission(request)) {
     WaitingRequest waiting = *requests_.Take(token);
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -178,6 +178,24 @@
   CHECK(std::get<Refusal>(ResponseTo(d, 3)).code == RefusalCode::kForbidden);
 }
 
+// Guards against a job that runs after its cancellation was acknowledged,
+// because a submission of it was still on its way.
+TEST_CASE("a submission that arrives after its cancellation is refused") {
+  Driver d;
+  Ask(d, 1, CancelWorkflow{kPartition, kTeam, kRequest});
+  CHECK(std::get<Refusal>(ResponseTo(d, 1)).code == RefusalCode::kGone);
+  d.now += seconds(29);
+  d.Submit(2, TwoStepWorkflow());
+  CHECK(std::get<Refusal>(ResponseTo(d, 2)).effect == Effect::kNotRun);
+  d.Submit(3, TwoStepWorkflow(), kTeam, RequestId("1"));
+  d.CompleteAppends();
+  CHECK(std::holds_alternative<WorkflowView>(ResponseTo(d, 3)));
+  d.now += seconds(1);
+  d.Submit(4, TwoStepWorkflow());
+  d.CompleteAppends();
+  CHECK(std::holds_alternative<WorkflowView>(ResponseTo(d, 4)));
+}
+
 TEST_CASE("a get of a submission with an unknown outcome ends in time") {
   Driver d;
   d.Submit(1, TwoStepWorkflow());
