A submission that is routed again is divided anew

A submission that waited while its queue moved to a service with one partition kept the share of its first route, so that two thirds of its tasks would have been run by nobody.

Test: "a divided submission that is routed again is divided anew" fails without the change.

--- a/azurepass/routing/admission.cc
+++ b/azurepass/routing/admission.cc
@@ -51,6 +51,7 @@
     step.job.max_attempts = queue.max_attempts;
     step.job.priority = PriorityOf(queue);
     step.job.constraints.needs_permit = queue.permits.has_value();
+    step.job.share = {};  // It may have been divided by an earlier route.
   }
   pending.request = std::move(submit);
 }
--- a/azurepass/routing/dispatcher_test.cc
+++ b/azurepass/routing/dispatcher_test.cc
@@ -437,6 +437,26 @@
   }
 }
 
+// Guards against tasks that no partition runs, because a step was divided for
+// the service that its queue had before.
+TEST_CASE("a divided submission that is routed again is divided anew") {
+  DispatcherHarness harness(DividingOptions());
+  harness.SetLayout(3);
+  const int64_t number = harness.SendRequest(SubmitPerpetual(34));
+  REQUIRE(harness.WaitForCalls(1));
+  harness.SetMovedQueue(true);  // To a service with one partition.
+  harness.calls[0].reply_to.Send(Refuse(RefusalCode::kStaleConfiguration));
+  REQUIRE(harness.WaitForCalls(2));
+  harness.calls[1].reply_to.Send(Refuse(RefusalCode::kGone));
+  REQUIRE(harness.WaitForCalls(3));
+  const auto& sent =
+      std::get<partition::SubmitWorkflow>(harness.calls[2].request);
+  CHECK(harness.calls[2].peer == "s2:1");
+  CHECK(sent.spec.steps[0].job.share == TaskShare{});
+  harness.calls[2].reply_to.Send(ViewOfParts(1));
+  CHECK(std::holds_alternative<WorkflowView>(harness.ExpectAnswer(number)));
+}
+
 TEST_CASE("a submission is not answered as not run once a part is accepted") {
   DispatcherHarness harness(DividingOptions());
   harness.SetLayout(3);
