--- a/azurepass/configuration/internal/queue_archive.cc
+++ b/azurepass/configuration/internal/queue_archive.cc
@@ -54,7 +54,7 @@
       backoff_(options.min_backoff),
       random_(static_cast<std::minstd_rand::result_type>(options.seed)),
       timer_(loop),
-      mailbox_(loop, [this](Message m) { Handle(m); }) {}
+      mailbox_(loop, [this](const Message& m) { Handle(m); }) {}
 
 void QueueArchive::Record(std::shared_ptr<const Configuration> configuration) {
   if (configuration == configuration_) return;
