--- a/azurepass/routing/routing.h
+++ b/azurepass/routing/routing.h
@@ -9,7 +9,10 @@
 //      selects for (team, request id) among those of its queue's service, so
 //      that a retry goes to the same partition. A job id contains its
 //      partition. A count of waiting workflows goes to all partitions of the
-//      service.
+//      service. If the queue had another service in an earlier configuration,
+//      a workflow is looked up there too, a submission before it is submitted.
+//      A workflow with many perpetual tasks is divided over all partitions of
+//      the service; the first one selected has part 0.
 //   3. Owner: the partition's owner is looked up in the membership view. If
 //      there is none, the request waits for the next owner until its deadline,
 //      a submission until its timeout in Options if that is earlier.
