--- a/azurepass/partition/owner_test.cc
+++ b/azurepass/partition/owner_test.cc
@@ -38,7 +38,7 @@
 // CompleteAppend().
 class Driver {
  public:
-  explicit Driver(Options options = {})
+  explicit Driver(const Options& options = {})
       : owner_(options, PartitionId("p"), OneWorker(), 7) {
     auto configuration = std::make_shared<Configuration>();
     Contract contract;
