A client that closes its sending side after a request gets its answer

What callers saw: a request with a half-close right behind it got an empty end of the connection.

Cause: the server took the end of what a client sends for its departure, cut the connection and told the owner that the request was abandoned. HTTP/1.1 allows the half-close. What tells a client that has left is a reset, or a write that fails. So only a reset counts now, and the answer to a half-closed client ends its connection, since libsoup would keep it open.

The test that a client that "hangs up" is reported closed its socket without a reset, which is a half-close for the server.

--- a/azurepass/caller/caller_test.cc
+++ b/azurepass/caller/caller_test.cc
@@ -167,14 +167,13 @@
       "POST /v1/jobs HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer k\r\n"
       "Content-Length: " +
       std::to_string(body.size()) + "\r\n\r\n" + body;
-  {
-    httpserver::testing::RawClient gone(server.listening_on());
-    gone.Send(bytes);
-    CHECK(TurnUntil(loop, [&] {
-      gone.Finished();
-      return listener.incoming.size() == 1;
-    }));
-  }
+  httpserver::testing::RawClient gone(server.listening_on());
+  gone.Send(bytes);
+  CHECK(TurnUntil(loop, [&] {
+    gone.Finished();
+    return listener.incoming.size() == 1;
+  }));
+  gone.Reset();
   CHECK(TurnUntil(loop, [&] { return listener.abandoned == 1; }));
 
   httpserver::testing::RawClient stays(server.listening_on());
--- a/azurepass/httpserver/httpserver.cc
+++ b/azurepass/httpserver/httpserver.cc
@@ -8,7 +8,7 @@
 //   kReading    for the client: headers and body. read_timeout runs.
 //   kHandling   for our owner. The message is paused; libsoup does not look at
 //               the socket meanwhile, so a source of ours tells when the client
-//               hangs up. answer_timeout runs.
+//               resets the connection. answer_timeout runs.
 //   kWriting    for the client to take the answer. write_timeout runs.
 //
 //   kRefused    for nothing: the connection is about to be taken from libsoup.
@@ -152,7 +152,7 @@
     State state = State::kReading;
     SoupServerMessage* message = nullptr;  // Held by a reference.
     GSocket* second_handle = nullptr;      // In kReading.
-    GSource* hang_up = nullptr;            // In kHandling.
+    GSource* reset = nullptr;              // In kHandling.
     gulong disconnected = 0;               // Signal handler of message.
     bool counted = false;                  // In open_requests_.
     task::Timer timeout;
@@ -166,8 +166,7 @@
   void OnEnded(SoupServerMessage* message);
   void OnDisconnected(SoupServerMessage* message);
   void OnReadTimeout(ExchangeId id);
-  void WatchForHangUp(Exchange& exchange);
-  gboolean OnSocketReadable(ExchangeId id, GSocket* socket);
+  void WatchForReset(Exchange& exchange);
   void Abandon(ExchangeId id);
   void SetResponse(Exchange& exchange, const Response& response);
   // Ends the connection without a word.
@@ -383,7 +382,7 @@
   g_clear_object(&exchange->second_handle);
   ++open_requests_;
   soup_server_message_pause(message);
-  WatchForHangUp(*exchange);
+  WatchForReset(*exchange);
   exchange->timeout.After(options_.answer_timeout, [this, id] {
     Answer(id, ToResponse({RefusalCode::kDeadlineExceeded, Effect::kUnknown,
                            "no answer in time", Duration(1'000)}));
@@ -391,29 +390,25 @@
   handler_(Received{id, std::move(request)});
 }
 
-void Server::Impl::WatchForHangUp(Exchange& exchange) {
+// The end of what the client sends is no reset: it may wait for the answer.
+void Server::Impl::WatchForReset(Exchange& exchange) {
   GSocket* socket = soup_server_message_get_socket(exchange.message);
   if (socket == nullptr) return;
   struct Context {
     Impl* self;
     ExchangeId id;
   };
-  exchange.hang_up = g_socket_create_source(socket, G_IO_IN, nullptr);
-  const auto callback =
-      +[](GSocket* readable, GIOCondition, gpointer data) -> gboolean {
+  exchange.reset = g_socket_create_source(
+      socket, static_cast<GIOCondition>(G_IO_HUP | G_IO_ERR), nullptr);
+  const auto callback = +[](GSocket*, GIOCondition, gpointer data) -> gboolean {
     const Context context = *static_cast<Context*>(data);
-    return context.self->OnSocketReadable(context.id, readable);
+    context.self->Abandon(context.id);
+    return G_SOURCE_REMOVE;
   };
   g_source_set_callback(
-      exchange.hang_up, G_SOURCE_FUNC(callback), new Context{this, exchange.id},
+      exchange.reset, G_SOURCE_FUNC(callback), new Context{this, exchange.id},
       [](gpointer data) { delete static_cast<Context*>(data); });
-  g_source_attach(exchange.hang_up, loop_.context());
-}
-
-gboolean Server::Impl::OnSocketReadable(ExchangeId id, GSocket* socket) {
-  // A next request that came early is read by libsoup after the answer.
-  if (internal::PeerHungUp(socket)) Abandon(id);
-  return G_SOURCE_REMOVE;
+  g_source_attach(exchange.reset, loop_.context());
 }
 
 void Server::Impl::Abandon(ExchangeId id) {
@@ -441,16 +436,19 @@
     const std::string seconds = RetryAfterSeconds(*response.retry_after);
     soup_message_headers_replace(headers, "Retry-After", seconds.c_str());
   }
-  if (draining_) soup_message_headers_replace(headers, "Connection", "close");
+  GSocket* socket = soup_server_message_get_socket(exchange.message);
+  const bool half_closed = socket != nullptr && internal::PeerHungUp(socket);
+  if (!draining_ && !half_closed) return;
+  soup_message_headers_replace(headers, "Connection", "close");
 }
 
 void Server::Impl::Answer(ExchangeId id, const Response& response) {
   Exchange* exchange = Find(id);
   if (exchange == nullptr || exchange->state != State::kHandling) return;
   exchange->state = State::kWriting;
-  if (exchange->hang_up != nullptr) {
-    g_source_destroy(exchange->hang_up);
-    g_clear_pointer(&exchange->hang_up, g_source_unref);
+  if (exchange->reset != nullptr) {
+    g_source_destroy(exchange->reset);
+    g_clear_pointer(&exchange->reset, g_source_unref);
   }
   SetResponse(*exchange, response);
   exchange->timeout.After(options_.write_timeout, [this, id] {
@@ -523,9 +521,9 @@
   auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
   Exchange& exchange = *found->second;
-  if (exchange.hang_up != nullptr) {
-    g_source_destroy(exchange.hang_up);
-    g_source_unref(exchange.hang_up);
+  if (exchange.reset != nullptr) {
+    g_source_destroy(exchange.reset);
+    g_source_unref(exchange.reset);
   }
   g_clear_object(&exchange.second_handle);
   g_signal_handler_disconnect(exchange.message, exchange.disconnected);
--- a/azurepass/httpserver/httpserver.h
+++ b/azurepass/httpserver/httpserver.h
@@ -17,6 +17,9 @@
 //     refused with the effect "unknown".
 //
 // Every refusal has a JSON body: Format<Refusal>.
+//
+// A client may close its sending side after a request and still gets its
+// answer; one that resets the connection has abandoned its request.
 
 #ifndef AZUREPASS_HTTPSERVER_HTTPSERVER_H_
 #define AZUREPASS_HTTPSERVER_HTTPSERVER_H_
@@ -74,7 +77,7 @@
 };
 
 // Events for the owner. A request is Received once; Abandoned follows when its
-// client went away before the answer, which then has nowhere to go.
+// client reset the connection before the answer, which then has nowhere to go.
 struct Received {
   ExchangeId id;
   Request request;
--- a/azurepass/httpserver/lingering_close.cc
+++ b/azurepass/httpserver/lingering_close.cc
@@ -17,6 +17,8 @@
 }
 
 bool PeerHungUp(GSocket* socket) {
+  // A socket of libsoup may be in blocking mode.
+  if (g_socket_condition_check(socket, G_IO_IN) == 0) return false;
   char byte = 0;
   GInputVector vector = {&byte, 1};
   gint flags = G_SOCKET_MSG_PEEK;
--- a/azurepass/httpserver/testing/raw_client.cc
+++ b/azurepass/httpserver/testing/raw_client.cc
@@ -2,7 +2,10 @@
 
 #include "azurepass/httpserver/testing/raw_client.h"
 
+#include <sys/socket.h>
+
 #include <array>
+#include <utility>
 
 namespace azurepass::httpserver::testing {
 
@@ -23,12 +26,23 @@
   g_object_unref(socket_);
 }
 
+void RawClient::Reset() {
+  const linger at_once{1, 0};
+  setsockopt(g_socket_get_fd(socket_), SOL_SOCKET, SO_LINGER, &at_once,
+             sizeof(at_once));
+  g_socket_close(socket_, nullptr);
+  closed_ = true;
+}
+
 bool RawClient::Finished() {
   if (!unsent_.empty()) {
     const gssize sent = g_socket_send(socket_, unsent_.data(), unsent_.size(),
                                       nullptr, nullptr);
     if (sent > 0) unsent_.erase(0, sent);
   }
+  if (unsent_.empty() && std::exchange(close_sending_, false)) {
+    g_socket_shutdown(socket_, FALSE, TRUE, nullptr);
+  }
   std::array<char, 4'096> buffer;
   while (!closed_) {
     GError* error = nullptr;
--- a/azurepass/httpserver/testing/raw_client.h
+++ b/azurepass/httpserver/testing/raw_client.h
@@ -20,6 +20,10 @@
 
   bool connected() const { return connected_; }
   void Send(const std::string& bytes) { unsent_ += bytes; }
+  // Closes the sending side once all bytes are sent.
+  void CloseSending() { close_sending_ = true; }
+  // Ends the connection with a reset.
+  void Reset();
   // Sends and receives what it can; true once the server has closed.
   bool Finished();
   const std::string& received() const { return received_; }
@@ -28,6 +32,7 @@
   GSocket* socket_;
   bool connected_ = false;
   bool closed_ = false;
+  bool close_sending_ = false;
   std::string unsent_;
   std::string received_;
 };
