--- a/azurepass/routing/admission.cc
+++ b/azurepass/routing/admission.cc
@@ -132,6 +132,7 @@
 
 std::optional<Refusal> Dispatcher::Impl::Admit(const caller::Incoming& incoming,
                                                PendingRequest& pending) const {
+  if (stopped_) return ShuttingDownRefusal();
   if (std::optional<Refusal> stale = CheckConfigurationInForce()) return stale;
   const bool names_queue =
       std::visit(Visitor{[](const caller::Submit&) { return false; },
@@ -415,6 +416,7 @@
 }
 
 void Dispatcher::Impl::OnOperator(const operators::CellCall& call) {
+  if (stopped_) return call.reply_to.Send(ShuttingDownRefusal());
   const auto* explain = std::get_if<operators::ExplainJob>(&call.request);
   if (explain == nullptr) return BeginStatus(call);
   PendingRequest pending;
--- a/azurepass/routing/dispatcher.cc
+++ b/azurepass/routing/dispatcher.cc
@@ -29,6 +29,11 @@
 
 }  // namespace
 
+Refusal Dispatcher::Impl::ShuttingDownRefusal() {
+  return {RefusalCode::kShuttingDown, Effect::kNotRun,
+          "this process is shutting down; ask another one", kRetryAfter};
+}
+
 Dispatcher::Impl::Impl(task::Loop& loop, Options options,
                        task::Address<entry::Call> peers)
     : loop_(loop),
@@ -61,6 +66,7 @@
               FinishStatus(called.number);
           },
           [this](const Drain&) { OnDrain(); },
+          [this](const Stop&) { OnStop(); },
           [this](const metrics::Scrape& scrape) { Report(scrape); }},
       message);
 }
@@ -498,6 +504,22 @@
   for (const PendingId& id : held) SendOrAwaitOwner(pending_.at(id));
 }
 
+void Dispatcher::Impl::OnStop() {
+  stopped_ = true;
+  std::vector<PendingId> open;
+  open.reserve(pending_.size());
+  for (const auto& [id, pending] : pending_) open.push_back(id);
+  for (const PendingId& id : open) {
+    auto found = pending_.find(id);
+    if (found == pending_.end()) continue;  // Removed along with its count.
+    PendingRequest& pending = found->second;
+    if (std::holds_alternative<internal::AwaitingAnswer>(pending.wait_state)) {
+      internal::SetMayHaveRun(pending);
+    }
+    GiveUp(pending, ShuttingDownRefusal());
+  }
+}
+
 Dispatcher::Dispatcher(task::Loop& loop, Options options,
                        task::Address<entry::Call> peers)
     : impl_(
@@ -520,6 +542,7 @@
   return impl_->address();
 }
 task::Address<Drain> Dispatcher::drain() const { return impl_->address(); }
+task::Address<Stop> Dispatcher::stop() const { return impl_->address(); }
 task::Address<metrics::Scrape> Dispatcher::metrics() const {
   return impl_->address();
 }
--- a/azurepass/routing/dispatcher_test.cc
+++ b/azurepass/routing/dispatcher_test.cc
@@ -698,6 +698,35 @@
   CHECK(std::holds_alternative<JobView>(harness->ExpectAnswer(number)));
 }
 
+// Guards against requests that a process leaves unanswered when it exits.
+TEST_CASE("before the process exits, what is open is answered by its effect") {
+  auto harness = DispatcherHarness::WithOwner();
+  const int64_t sent = harness->SendRequest(Submit(), kLongTimeout);
+  const int64_t read = harness->SendRequest(Get("p.1", kLongTimeout));
+  REQUIRE(harness->WaitForCalls(2));
+  harness->SetOwner("", 2);
+  const int64_t waits = harness->SendRequest(Submit(), kLongTimeout);
+  harness->dispatcher().stop().Send(Stop{});
+  const int64_t late = harness->SendRequest(Submit(), kLongTimeout);
+  const struct {
+    int64_t number;
+    Effect effect;
+  } cases[] = {{sent, Effect::kUnknown},
+               {read, Effect::kNotRun},
+               {waits, Effect::kNotRun},
+               {late, Effect::kNotRun}};
+  for (const auto& request : cases) {
+    CAPTURE(request.number);
+    const auto answer = harness->ExpectAnswer(request.number);
+    REQUIRE(std::holds_alternative<Refusal>(answer));
+    const auto& refusal = std::get<Refusal>(answer);
+    CHECK(refusal.code == RefusalCode::kShuttingDown);
+    CHECK(refusal.effect == request.effect);
+    CHECK(refusal.retry_after.has_value());
+  }
+  CHECK(harness->calls.size() == 2);
+}
+
 TEST_CASE("the retries of all requests together stay within the budget") {
   constexpr int kRequests = 200;
   Options options = TestOptions();
--- a/azurepass/routing/internal/dispatcher_impl.h
+++ b/azurepass/routing/internal/dispatcher_impl.h
@@ -45,7 +45,7 @@
   using Message =
       std::variant<caller::Event, operators::CellCall, configuration::Update,
                    membership::View, layout::Update, AttemptResult,
-                   StatusResult, Drain, metrics::Scrape>;
+                   StatusResult, Drain, Stop, metrics::Scrape>;
   task::Address<Message> address() const { return mailbox_.address(); }
 
  private:
@@ -143,6 +143,8 @@
   void OnUpdate(configuration::Update update);
   void OnView(membership::View view);
   void OnDrain();
+  void OnStop();
+  static Refusal ShuttingDownRefusal();
   const membership::Claim* OwnerOf(const PartitionId& partition) const;
   // Returns the time at which the request is refused if it is still unanswered.
   MonotonicTime GiveUpTime(const PendingRequest& pending) const;
@@ -165,6 +167,7 @@
   std::shared_ptr<const layout::Layouts> layouts_ =
       std::make_shared<layout::Layouts>();
   bool draining_ = false;
+  bool stopped_ = false;  // Every request is refused.
 
   int64_t last_id_ = 0;
   std::map<PendingId, PendingRequest> pending_;
--- a/azurepass/routing/routing.h
+++ b/azurepass/routing/routing.h
@@ -114,6 +114,10 @@
 // waiting for a change, and so are later ones. Other requests are still served.
 struct Drain {};
 
+// Sent before the process exits: every request is answered at once, with the
+// effect that is known of it, and so are later ones.
+struct Stop {};
+
 // Accepts requests, sends each to the owner of its partition, and answers it
 // once unless its caller abandons it.
 class Dispatcher {
@@ -131,6 +135,7 @@
   // Needed for services whose partitions are not in Options::partitions.
   task::Address<layout::Update> layouts() const;
   task::Address<Drain> drain() const;
+  task::Address<Stop> stop() const;
   task::Address<metrics::Scrape> metrics() const;
 
  private:
