A shutdown lasts as long as clients have connections open

What callers saw: LOST on real processes.

Cause: the process ended at the first moment at which no request was open, and what came later on kept connections was cut with it. The server did not know its connections: libsoup tells of a request only once it reads one, so that a connection between requests was not counted. Connections over the limit, and those in the listener's queue at the drain, ended without a word as well.

Now the server keeps a record of each connection until it is closed and watches it between requests. Leave() announces the end in answers from SIGTERM on; Drain() takes in what waits to be accepted, answers what comes on kept connections, and refuses those without a request with 503 when the time is over, which is true of whatever crosses it. The last answer lingers: libsoup would close with unread bytes, which resets the connection and may cost the client the answer. A request that libsoup has read ahead is answered too; what the kernel has received is compared with what the requests take up. Drained means that no connection is open, so it can't be undone. The node's steps follow ShutdownPlan, so that all end within the grace period (settings: termination_grace_ms in place of drain_timeout_ms).

Tests: ten cases of httpserver_test.

--- a/azurepass/caller/caller.cc
+++ b/azurepass/caller/caller.cc
@@ -26,8 +26,8 @@
        task::Address<Event> listener, std::vector<metrics::Source> sources);
 
   std::string listening_on() const { return server_.listening_on(); }
-  void Drain(task::Address<Drained> done) {
-    mailbox_.address().Send(StartDrain{std::move(done)});
+  void Drain(Duration idle_time, task::Address<Drained> done) {
+    mailbox_.address().Send(StartDrain{idle_time, std::move(done)});
   }
   void Leave() { mailbox_.address().Send(StartLeaving{}); }
 
@@ -37,6 +37,7 @@
     Response response;
   };
   struct StartDrain {
+    Duration idle_time;
     task::Address<Drained> done;
   };
   struct StartLeaving {};
@@ -85,15 +86,20 @@
 }
 
 void Server::Impl::Handle(Message message) {
-  std::visit(
-      Visitor{
-          [this](const Answered& a) { Finish(a.number, ToHttp(a.response)); },
-          [this](const StartDrain& drain) {
-            server_.Drain([done = drain.done] { done.Send(Drained{}); });
-          },
-          [this](const StartLeaving&) { endpoint_.Leave(); },
-          [this](const metrics::Scrape& scrape) { Report(scrape); }},
-      message);
+  std::visit(Visitor{[this](const Answered& a) {
+                       Finish(a.number, ToHttp(a.response));
+                     },
+                     [this](const StartDrain& drain) {
+                       server_.Drain(drain.idle_time, [done = drain.done] {
+                         done.Send(Drained{});
+                       });
+                     },
+                     [this](const StartLeaving&) {
+                       endpoint_.Leave();
+                       server_.Leave();
+                     },
+                     [this](const metrics::Scrape& scrape) { Report(scrape); }},
+             message);
 }
 
 void Server::Impl::HandleHttp(httpserver::Event event) {
@@ -173,8 +179,8 @@
 
 void Server::Leave() { impl_->Leave(); }
 
-void Server::Drain(task::Address<Drained> done) {
-  impl_->Drain(std::move(done));
+void Server::Drain(Duration idle_time, task::Address<Drained> done) {
+  impl_->Drain(idle_time, std::move(done));
 }
 
 }  // namespace azurepass::caller
--- a/azurepass/caller/caller.h
+++ b/azurepass/caller/caller.h
@@ -127,12 +127,14 @@
   // "IP:PORT" with the port the kernel chose; empty when listening failed.
   std::string listening_on() const;
 
-  // From now on /readyz says no; all else goes on. Callable from any thread.
+  // From now on /readyz says no, and answers tell clients to close their
+  // connections. Callable from any thread.
   void Leave();
 
-  // Stops listening and tells `done` once every open request is answered.
-  // Callable from any thread.
-  void Drain(task::Address<Drained> done);
+  // Stops listening and tells `done` once every open request is answered and
+  // every connection is closed; see httpserver::Server::Drain. Callable from
+  // any thread.
+  void Drain(Duration idle_time, task::Address<Drained> done);
 
  private:
   class Impl;
--- a/azurepass/caller/caller_test.cc
+++ b/azurepass/caller/caller_test.cc
@@ -183,7 +183,9 @@
     return listener.incoming.size() == 2;
   }));
   bool drained = false;
-  server.Drain(task::Address<Drained>([&](Drained) { drained = true; }));
+  server.Drain(Duration(60'000),
+               task::Address<Drained>([&](Drained) { drained = true; }));
+  stays.CloseSending();
   listener.incoming[1].responder.Answer(JobView{});
   CHECK(TurnUntil(loop, [&] { return stays.Finished() && drained; }));
   CHECK(stays.received().find("200 OK") != std::string::npos);
--- a/azurepass/daemons/frontend.cc
+++ b/azurepass/daemons/frontend.cc
@@ -3,12 +3,14 @@
 // Shutdown, step by step: /readyz says no; after leave_delay held reads are
 // answered with what is known and both HTTP servers drain; then the entry
 // server drains and the member lease is given back. Each step begins when the
-// one before is through, or when the time for all of them is over.
+// one before is through. Whatever is open when the time for all of them is over
+// is answered with what is known of it.
 
 #include "azurepass/daemons/frontend.h"
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "azurepass/caller/caller.h"
@@ -23,6 +25,11 @@
 namespace azurepass::daemons {
 namespace {
 
+// For clients that keep their connections to send one more request.
+constexpr Duration kIdleTime{1'000};
+// For the last answers to be written.
+constexpr Duration kWriteTime{500};
+
 routing::Options RoutingOptions(const AllSettings& all) {
   routing::Options options;
   options.member = all.process.member;
@@ -67,6 +74,7 @@
 
   void Handle(const Message& message);
   void StartDraining();
+  void AnswerAll();
   void Finish(const char* reason);
 
   const FrontendOptions options_;
@@ -137,15 +145,24 @@
 
 void Frontend::Impl::StartDraining() {
   LOG(INFO) << "event=shutdown step=drain";
-  shutdown_timer_.After(options_.drain_timeout,
-                        [this] { Finish("drain timeout"); });
+  shutdown_timer_.After(options_.drain_timeout, [this] { AnswerAll(); });
+  const Duration idle_time = std::min(kIdleTime, options_.drain_timeout);
   dispatcher_.drain().Send(routing::Drain{});
   servers_to_drain_ = operators_ ? 2 : 1;
-  callers_.Drain(mailbox_.address().Map<caller::Drained>(
-      [](caller::Drained) { return Message(HttpDrained{}); }));
+  callers_.Drain(idle_time,
+                 mailbox_.address().Map<caller::Drained>(
+                     [](caller::Drained) { return Message(HttpDrained{}); }));
   if (!operators_) return;
-  operators_->Drain(mailbox_.address().Map<operators::Drained>(
-      [](operators::Drained) { return Message(HttpDrained{}); }));
+  operators_->Drain(idle_time, mailbox_.address().Map<operators::Drained>(
+                                   [](operators::Drained) {
+                                     return Message(HttpDrained{});
+                                   }));
+}
+
+void Frontend::Impl::AnswerAll() {
+  LOG(INFO) << "event=shutdown step=answer_all";
+  shutdown_timer_.After(kWriteTime, [this] { Finish("drain timeout"); });
+  dispatcher_.stop().Send(routing::Stop{});
 }
 
 void Frontend::Impl::Handle(const Message& message) {
--- a/azurepass/daemons/frontend.h
+++ b/azurepass/daemons/frontend.h
@@ -27,7 +27,7 @@
   // Between the first "no" of /readyz and the end of listening: time for the
   // balancer to look elsewhere.
   Duration leave_delay{2'000};
-  // What is open after that is cut off.
+  // What is open after that is answered with what is known of it.
   Duration drain_timeout{20'000};
 };
 
--- a/azurepass/daemons/node.cc
+++ b/azurepass/daemons/node.cc
@@ -1,8 +1,10 @@
 // The wiring. Tasks are members in the order in which they need each other.
 //
-// Shutdown, step by step: readiness says no and the partitions are handed over,
-// while requests are still served and led to the new owners; then the front
-// stops listening and lets open requests end; then the process leaves.
+// Shutdown, step by step, at the times of ShutdownPlan: readiness says no and
+// the partitions are handed over, while requests are still served and led to
+// the new owners, and answers tell clients to close their connections; then the
+// front stops listening; then all that is open is answered; then the process
+// exits, or before, once all connections are closed and all is handed over.
 
 #include "azurepass/daemons/node.h"
 
@@ -12,6 +14,7 @@
 #include <utility>
 
 #include "azurepass/daemons/process.h"
+#include "azurepass/daemons/shutdown_plan.h"
 #include "azurepass/endpoint/endpoint.h"
 #include "azurepass/entry/entry.h"
 #include "azurepass/escrow/escrow.h"
@@ -143,7 +146,8 @@
                                platform::Drained>;
 
   void Handle(const Message& message);
-  void StartDraining();
+  void StopListening(ShutdownPlan plan);
+  void AnswerAll(ShutdownPlan plan);
   void Finish(const char* reason);
 
   const settings::NodeSettings settings_;
@@ -152,7 +156,7 @@
   std::function<void()> done_;
   bool ready_ = false;
   bool handed_over_ = false;
-  bool drained_ = false;
+  bool drained_ = false;  // No connection of a client is open, and none can be.
 
   platform::Readiness readiness_;
   platform::Store platform_store_;
@@ -263,26 +267,40 @@
 }
 
 void Node::Impl::Shutdown(std::function<void()> done) {
-  // Time for the balancer to notice before the front stops listening.
-  constexpr Duration kLeaveDelay{2'200};
   done_ = std::move(done);
-  LOG(INFO) << "event=shutdown step=leave";
+  const ShutdownPlan plan = PlanShutdown(settings_.termination_grace);
+  LOG(INFO) << "event=shutdown step=leave stop_listening_ms="
+            << plan.stop_listening.count()
+            << " answer_all_ms=" << plan.answer_all.count()
+            << " exit_ms=" << plan.exit.count();
   readiness_.address().Send(false);
   manager_.address().Send(scheduling::Shutdown{mailbox_.address()});
-  shutdown_timer_.After(kLeaveDelay, [this] { StartDraining(); });
+  front_.Leave();
+  shutdown_timer_.After(plan.stop_listening,
+                        [this, plan] { StopListening(plan); });
 }
 
-void Node::Impl::StartDraining() {
+void Node::Impl::StopListening(ShutdownPlan plan) {
   LOG(INFO) << "event=shutdown step=drain";
-  shutdown_timer_.After(settings_.drain_timeout,
-                        [this] { Finish("drain timeout"); });
+  const Duration idle_time = plan.answer_all - plan.stop_listening;
+  shutdown_timer_.After(idle_time, [this, plan] { AnswerAll(plan); });
   dispatcher_.drain().Send(routing::Drain{});
-  front_.Drain(mailbox_.address());
+  front_.Drain(idle_time, mailbox_.address());
+}
+
+void Node::Impl::AnswerAll(ShutdownPlan plan) {
+  LOG(INFO) << "event=shutdown step=answer_all handed_over=" << handed_over_
+            << " drained=" << drained_;
+  shutdown_timer_.After(plan.exit - plan.answer_all,
+                        [this] { Finish("grace period over"); });
+  dispatcher_.stop().Send(routing::Stop{});
 }
 
 void Node::Impl::Finish(const char* reason) {
   if (!done_) return;
-  LOG(INFO) << "event=shutdown step=end reason=\"" << reason << "\"";
+  LOG(INFO) << "event=shutdown step=end reason=\"" << reason
+            << "\" open_requests=" << front_.open_requests()
+            << " connections=" << front_.connections();
   shutdown_timer_.Cancel();
   std::exchange(done_, nullptr)();
 }
--- a/azurepass/httpserver/httpserver.cc
+++ b/azurepass/httpserver/httpserver.cc
@@ -1,8 +1,8 @@
 // Requests, one Exchange each, over SoupServer.
 //
-// SoupServer makes a SoupServerMessage as soon as it begins to read from a
-// connection, and again after each answer on a connection that is kept open;
-// so there is one Exchange for each connection at any time, and its state tells
+// SoupServer makes a SoupServerMessage when it accepts a connection, and again
+// when it begins to read a further request from one that is kept open; so there
+// is at most one Exchange for each connection at any time, and its state tells
 // what the connection waits for:
 //
 //   kReading    for the client: headers and body. read_timeout runs.
@@ -17,6 +17,9 @@
 // answered by a canned response on the connection, which is taken away from
 // libsoup for that. On headers over 64 KiB libsoup closes without a word; a
 // second handle on the socket, kept while a request is read, lets us answer.
+// Another one, kept while a last answer is written, lets the connection linger:
+// libsoup would close it with what the client has sent meanwhile unread, which
+// resets it, and the client may then lose the answer.
 
 #include "azurepass/httpserver/httpserver.h"
 
@@ -29,12 +32,20 @@
 #include <utility>
 
 #include "azurepass/httpserver/internal/lingering_close.h"
+#include "azurepass/httpserver/internal/read_ahead.h"
 
 namespace azurepass::httpserver {
 namespace {
 
 constexpr char kBearerPrefix[] = "Bearer ";
 
+// Of looks at the listeners while connections wait to be accepted.
+constexpr Duration kAcceptInterval{5};
+constexpr Duration kMaxAcceptTime{500};
+
+// Connections that are refused, for each line of the log.
+constexpr int kConnectionsPerLine = 100;
+
 enum class State { kReading, kHandling, kWriting, kRefused };
 
 Method MethodOf(const char* name) {
@@ -92,6 +103,14 @@
   return bytes;
 }
 
+// Whether the client wants to send further requests after this one.
+bool KeepsConnection(SoupServerMessage* message) {
+  return soup_server_message_get_http_version(message) != SOUP_HTTP_1_0 &&
+         soup_message_headers_header_contains(
+             soup_server_message_get_request_headers(message), "Connection",
+             "close") == FALSE;
+}
+
 std::string RetryAfterSeconds(Duration delay) {
   const auto whole = std::chrono::ceil<std::chrono::seconds>(delay);
   return std::to_string(std::max<int64_t>(1, whole.count()));
@@ -104,6 +123,18 @@
   return response;
 }
 
+Response Unavailable(std::string message) {
+  constexpr Duration kRetryAfter{1'000};
+  Response response =
+      Refuse(503, RefusalCode::kUnavailable, std::move(message));
+  response.retry_after = kRetryAfter;
+  return response;
+}
+
+Response ShuttingDown() {
+  return Unavailable("this process is shutting down; ask another one");
+}
+
 bool IsNumber(std::string_view text) {
   return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
     return c >= '0' && c <= '9';
@@ -116,6 +147,9 @@
   return "HTTP/1.1 " + std::to_string(response.status) + " " + reason +
          "\r\nContent-Type: " + response.content_type +
          "\r\nContent-Length: " + std::to_string(response.body.size()) +
+         (response.retry_after
+              ? "\r\nRetry-After: " + RetryAfterSeconds(*response.retry_after)
+              : "") +
          "\r\nConnection: close\r\n\r\n" + response.body;
 }
 
@@ -139,10 +173,11 @@
 
   std::string listening_on() const;
   void Answer(ExchangeId id, const Response& response);
-  void Drain(std::function<void()> drained);
+  void Leave() { leaving_ = true; }
+  void Drain(Duration idle_time, std::function<void()> drained);
   int64_t open_requests() const { return open_requests_; }
   int64_t connections() const {
-    return static_cast<int64_t>(exchanges_.size());
+    return static_cast<int64_t>(connections_.size());
   }
 
  private:
@@ -151,23 +186,45 @@
     ExchangeId id;
     State state = State::kReading;
     SoupServerMessage* message = nullptr;  // Held by a reference.
-    GSocket* second_handle = nullptr;      // In kReading.
+    GSocket* socket = nullptr;             // Key of connections_, or null.
+    GSocket* second_handle = nullptr;      // In kReading; for a last answer.
     GSource* reset = nullptr;              // In kHandling.
     gulong disconnected = 0;               // Signal handler of message.
     bool counted = false;                  // In open_requests_.
+    bool last = false;           // The connection ends with this answer.
+    bool client_closes = false;  // The client keeps no connection.
+    bool more_follows = false;   // libsoup may have read a further request.
     task::Timer timeout;
   };
 
+  // An open connection, which has an exchange or is between requests.
+  struct Connection {
+    bool has_exchange = false;
+    bool refused = false;       // It got its last answer between requests.
+    int64_t used_bytes = 0;     // See internal::HasReadAhead.
+    GSource* closed = nullptr;  // Between requests.
+  };
+
   void Listen(const std::string& address);
   void OnStarted(SoupServerMessage* message);
   void OnHeaders(SoupServerMessage* message);
   void OnRequest(SoupServerMessage* message, const char* path,
                  GHashTable* query);
-  void OnEnded(SoupServerMessage* message);
+  // `finished`: its answer was written.
+  void OnEnded(SoupServerMessage* message, bool finished);
+  // Between requests: closes the connection when its client does.
+  void WatchForClose(GSocket* socket);
+  static void StopWatching(Connection& connection);
+  void ForgetConnection(GSocket* socket);
   void OnDisconnected(SoupServerMessage* message);
   void OnReadTimeout(ExchangeId id);
   void WatchForReset(Exchange& exchange);
   void Abandon(ExchangeId id);
+  // Closes the listeners as soon as no connection waits to be accepted, at the
+  // latest at `latest`.
+  void StopListening(MonotonicTime latest);
+  void RefuseIdleConnections();
+  void CheckDrained();
   void SetResponse(Exchange& exchange, const Response& response);
   // Ends the connection without a word.
   void CutOff(Exchange& exchange);
@@ -175,9 +232,12 @@
   // libsoup has returned.
   void RefuseLater(Exchange& exchange, Response last_words);
   void TakeAndRefuse(ExchangeId id, const Response& last_words);
-  void Linger(GSocket* socket, const Response& last_words);
-  void Forget(ExchangeId id);
+  // Writes `last_words`, then closes the connection without resetting it.
+  void Linger(GSocket* socket, const std::string& last_words);
+  // `kept`: the connection goes on.
+  void Forget(ExchangeId id, bool kept = false);
   Response HeadersTooLong() const;
+  void RefuseConnection(Exchange& exchange);
   Exchange* Find(SoupServerMessage* message);
   Exchange* Find(ExchangeId id);
   std::optional<Response> Objection(SoupServerMessage* message) const;
@@ -188,10 +248,15 @@
   SoupServer* server_;
   int64_t last_id_ = 0;
   int64_t open_requests_ = 0;  // Exchanges not in kReading.
-  bool draining_ = false;
-  std::function<void()> drained_;
+  bool listening_ = true;
+  bool leaving_ = false;
+  bool refuse_idle_ = false;  // Implies leaving_.
+  task::Timer accept_timer_;
+  task::Timer idle_timer_;
+  std::function<void()> drained_;  // Null before Drain and once it was called.
   // The two maps hold the same exchanges.
   std::map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
+  std::map<GSocket*, Connection> connections_;  // Sockets held by references.
   std::map<SoupServerMessage*, ExchangeId> ids_;
   int64_t last_linger_ = 0;
   std::map<int64_t, std::unique_ptr<internal::LingeringClose>> lingering_;
@@ -202,19 +267,27 @@
     : loop_(loop),
       options_(std::move(options)),
       handler_(std::move(handler)),
-      server_(soup_server_new("server-header", "azurepass", nullptr)) {
+      server_(soup_server_new("server-header", "azurepass", nullptr)),
+      accept_timer_(loop),
+      idle_timer_(loop) {
   g_signal_connect_swapped(
       server_, "request-started",
       G_CALLBACK(+[](Impl* self, SoupServerMessage* message, SoupServer*) {
         self->OnStarted(message);
       }),
       this);
-  const auto ended = +[](Impl* self, SoupServerMessage* message, SoupServer*) {
-    self->OnEnded(message);
-  };
-  g_signal_connect_swapped(server_, "request-finished", G_CALLBACK(ended),
-                           this);
-  g_signal_connect_swapped(server_, "request-aborted", G_CALLBACK(ended), this);
+  g_signal_connect_swapped(
+      server_, "request-finished",
+      G_CALLBACK(+[](Impl* self, SoupServerMessage* message, SoupServer*) {
+        self->OnEnded(message, /*finished=*/true);
+      }),
+      this);
+  g_signal_connect_swapped(
+      server_, "request-aborted",
+      G_CALLBACK(+[](Impl* self, SoupServerMessage* message, SoupServer*) {
+        self->OnEnded(message, /*finished=*/false);
+      }),
+      this);
   soup_server_add_early_handler(
       server_, nullptr,
       [](SoupServer*, SoupServerMessage* message, const char*, GHashTable*,
@@ -233,6 +306,7 @@
 Server::Impl::~Impl() {
   g_signal_handlers_disconnect_by_data(server_, this);
   while (!exchanges_.empty()) Forget(exchanges_.begin()->first);
+  while (!connections_.empty()) ForgetConnection(connections_.begin()->first);
   soup_server_disconnect(server_);
   g_object_unref(server_);
 }
@@ -294,11 +368,65 @@
       }),
       this);
   GSocket* socket = soup_server_message_get_socket(message);
-  if (socket != nullptr) exchange->second_handle = internal::Duplicate(socket);
+  if (socket != nullptr) {
+    exchange->socket = socket;
+    exchange->second_handle = internal::Duplicate(socket);
+    const auto [found, is_new] = connections_.try_emplace(socket);
+    if (is_new) g_object_ref(socket);
+    found->second.has_exchange = true;
+    StopWatching(found->second);
+  }
   ids_[message] = id;
   Exchange& kept = *(exchanges_[id] = std::move(exchange));
-  const auto connections = static_cast<int64_t>(exchanges_.size());
-  if (connections > options_.max_connections) CutOff(kept);
+  if (std::ssize(connections_) > options_.max_connections) {
+    return RefuseConnection(kept);
+  }
+  if (refuse_idle_) RefuseLater(kept, ShuttingDown());
+}
+
+// libsoup doesn't notice that a client closes a connection between requests,
+// and keeps the descriptor.
+void Server::Impl::WatchForClose(GSocket* socket) {
+  Connection& connection = connections_.at(socket);
+  connection.closed = g_socket_create_source(socket, G_IO_IN, nullptr);
+  const auto callback =
+      +[](GSocket* readable, GIOCondition, gpointer self) -> gboolean {
+    auto* server = static_cast<Impl*>(self);
+    StopWatching(server->connections_.at(readable));
+    if (!internal::PeerHungUp(readable)) return G_SOURCE_REMOVE;
+    g_socket_close(readable, nullptr);
+    server->ForgetConnection(readable);
+    return G_SOURCE_REMOVE;
+  };
+  g_source_set_callback(connection.closed, G_SOURCE_FUNC(callback), this,
+                        nullptr);
+  g_source_attach(connection.closed, loop_.context());
+}
+
+void Server::Impl::StopWatching(Connection& connection) {
+  if (connection.closed == nullptr) return;
+  g_source_destroy(connection.closed);
+  g_clear_pointer(&connection.closed, g_source_unref);
+}
+
+void Server::Impl::ForgetConnection(GSocket* socket) {
+  auto found = connections_.find(socket);
+  if (found == connections_.end()) return;
+  StopWatching(found->second);
+  connections_.erase(found);
+  g_object_unref(socket);
+  CheckDrained();
+}
+
+void Server::Impl::RefuseConnection(Exchange& exchange) {
+  const int64_t excess = std::ssize(connections_) + std::ssize(lingering_) -
+                         options_.max_connections;
+  const bool answered = excess <= options_.max_excess_connections;
+  LOG_EVERY_N(WARNING, kConnectionsPerLine)
+      << "event=refuse_connection reason=max_connections connections="
+      << connections_.size() << " answered=" << answered;
+  if (!answered) return CutOff(exchange);
+  RefuseLater(exchange, Unavailable("too many connections; ask again"));
 }
 
 Response Server::Impl::HeadersTooLong() const {
@@ -333,10 +461,7 @@
                       std::to_string(options_.max_body_bytes) + " bytes");
   }
   if (open_requests_ >= options_.max_requests) {
-    Response response = Refuse(503, RefusalCode::kUnavailable,
-                               "too many requests at once; ask again");
-    response.retry_after = Duration(1'000);
-    return response;
+    return Unavailable("too many requests at once; ask again");
   }
   return std::nullopt;
 }
@@ -375,6 +500,12 @@
       &request.headers);
   SoupMessageBody* body = soup_server_message_get_request_body(message);
   if (body->data != nullptr) request.body.assign(body->data, body->length);
+  exchange->client_closes = !KeepsConnection(message);
+  if (exchange->socket != nullptr) {
+    exchange->more_follows =
+        internal::HasReadAhead(exchange->socket, request,
+                               connections_.at(exchange->socket).used_bytes);
+  }
 
   const ExchangeId id = exchange->id;
   exchange->state = State::kHandling;
@@ -414,6 +545,7 @@
 void Server::Impl::Abandon(ExchangeId id) {
   Exchange* exchange = Find(id);
   if (exchange == nullptr || exchange->state != State::kHandling) return;
+  LOG(INFO) << "event=connection_reset exchange=" << id.value;
   SoupServerMessage* message = exchange->message;
   g_object_ref(message);
   CutOff(*exchange);
@@ -436,9 +568,7 @@
     const std::string seconds = RetryAfterSeconds(*response.retry_after);
     soup_message_headers_replace(headers, "Retry-After", seconds.c_str());
   }
-  GSocket* socket = soup_server_message_get_socket(exchange.message);
-  const bool half_closed = socket != nullptr && internal::PeerHungUp(socket);
-  if (!draining_ && !half_closed) return;
+  if (!exchange.last) return;
   soup_message_headers_replace(headers, "Connection", "close");
 }
 
@@ -450,9 +580,20 @@
     g_source_destroy(exchange->reset);
     g_clear_pointer(&exchange->reset, g_source_unref);
   }
+  GSocket* socket = exchange->socket;
+  if (socket != nullptr) {
+    // A further request that the client has sent already is answered too.
+    exchange->last = internal::PeerHungUp(socket) ||
+                     (leaving_ && g_socket_get_available_bytes(socket) <= 0 &&
+                      !exchange->more_follows);
+    if (exchange->last) exchange->second_handle = internal::Duplicate(socket);
+  }
   SetResponse(*exchange, response);
   exchange->timeout.After(options_.write_timeout, [this, id] {
-    if (Exchange* late = Find(id)) CutOff(*late);
+    Exchange* late = Find(id);
+    if (late == nullptr) return;
+    LOG(WARNING) << "event=answer_not_taken exchange=" << id.value;
+    CutOff(*late);
   });
   soup_server_message_unpause(exchange->message);
 }
@@ -480,29 +621,41 @@
 void Server::Impl::TakeAndRefuse(ExchangeId id, const Response& last_words) {
   Exchange* exchange = Find(id);
   if (exchange == nullptr) return;
-  GSocket* socket = soup_server_message_get_socket(exchange->message);
-  GIOStream* stream = soup_server_message_steal_connection(exchange->message);
-  if (socket != nullptr && stream != nullptr) Linger(socket, last_words);
+  GSocket* socket = exchange->socket;
+  if (socket != nullptr && !connections_.at(socket).refused) {
+    Linger(socket, Canned(last_words));
+  }
   // The stream closes its socket with its last reference; see Linger.
+  GIOStream* stream = soup_server_message_steal_connection(exchange->message);
   g_clear_object(&stream);
   Forget(id);
 }
 
-void Server::Impl::Linger(GSocket* socket, const Response& last_words) {
+void Server::Impl::Linger(GSocket* socket, const std::string& last_words) {
   const int64_t key = ++last_linger_;
   GSocket* kept = internal::Duplicate(socket);
   if (kept == nullptr) return;
   lingering_[key] = std::make_unique<internal::LingeringClose>(
-      loop_, kept, Canned(last_words), [this, key] { lingering_.erase(key); });
+      loop_, kept, last_words, [this, key] {
+        Impl* const self = this;
+        self->lingering_.erase(key);  // Destroys this function.
+        self->CheckDrained();
+      });
   g_object_unref(kept);
 }
 
-void Server::Impl::OnEnded(SoupServerMessage* message) {
+void Server::Impl::OnEnded(SoupServerMessage* message, bool finished) {
   auto found = ids_.find(message);
   if (found == ids_.end()) return;
   const ExchangeId id = found->second;
-  const bool unanswered = Find(id)->state == State::kHandling;
-  Forget(id);
+  const Exchange& exchange = *Find(id);
+  const bool unanswered = exchange.state == State::kHandling;
+  if (exchange.last && exchange.second_handle != nullptr) {
+    Linger(exchange.second_handle, "");
+  }
+  const bool kept = finished && exchange.state == State::kWriting &&
+                    !exchange.last && !exchange.client_closes;
+  Forget(id, kept);
   if (unanswered) handler_(Abandoned{id});
 }
 
@@ -512,12 +665,12 @@
   GSocket* socket = exchange->second_handle;
   if (exchange->state == State::kReading && socket != nullptr &&
       !internal::PeerHungUp(socket)) {
-    Linger(socket, HeadersTooLong());
+    Linger(socket, Canned(HeadersTooLong()));
   }
-  OnEnded(message);
+  OnEnded(message, /*finished=*/false);
 }
 
-void Server::Impl::Forget(ExchangeId id) {
+void Server::Impl::Forget(ExchangeId id, bool kept) {
   auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
   Exchange& exchange = *found->second;
@@ -530,20 +683,65 @@
   if (exchange.counted) --open_requests_;
   ids_.erase(exchange.message);
   g_object_unref(exchange.message);
+  GSocket* socket = exchange.socket;
   exchanges_.erase(found);
-  if (!draining_ || open_requests_ > 0 || !drained_) return;
+  if (socket != nullptr) connections_.at(socket).has_exchange = false;
+  if (socket != nullptr && !kept) return ForgetConnection(socket);
+  if (socket != nullptr) WatchForClose(socket);
+  CheckDrained();
+}
+
+void Server::Impl::CheckDrained() {
+  if (!drained_ || listening_) return;
+  if (!exchanges_.empty() || !connections_.empty() || !lingering_.empty()) {
+    return;
+  }
   std::exchange(drained_, nullptr)();
 }
 
-void Server::Impl::Drain(std::function<void()> drained) {
-  draining_ = true;
+void Server::Impl::Drain(Duration idle_time, std::function<void()> drained) {
+  Leave();
   drained_ = std::move(drained);
+  idle_timer_.After(idle_time, [this] { RefuseIdleConnections(); });
+  StopListening(BootClock::now() + std::min(idle_time, kMaxAcceptTime));
+}
+
+void Server::Impl::StopListening(MonotonicTime latest) {
   GSList* listeners = soup_server_get_listeners(server_);
+  bool waiting = false;
   for (GSList* item = listeners; item != nullptr; item = item->next) {
-    g_socket_close(static_cast<GSocket*>(item->data), nullptr);
+    waiting = waiting || g_socket_condition_check(
+                             static_cast<GSocket*>(item->data), G_IO_IN) != 0;
+  }
+  listening_ = waiting && BootClock::now() < latest;
+  if (listening_) {
+    accept_timer_.After(kAcceptInterval,
+                        [this, latest] { StopListening(latest); });
+  } else {
+    for (GSList* item = listeners; item != nullptr; item = item->next) {
+      g_socket_close(static_cast<GSocket*>(item->data), nullptr);
+    }
+    CheckDrained();
   }
   g_slist_free(listeners);
-  if (open_requests_ == 0 && drained_) std::exchange(drained_, nullptr)();
+}
+
+void Server::Impl::RefuseIdleConnections() {
+  refuse_idle_ = true;
+  int64_t refused = 0;
+  for (auto& [id, exchange] : exchanges_) {
+    if (exchange->state != State::kReading) continue;
+    RefuseLater(*exchange, ShuttingDown());
+    ++refused;
+  }
+  for (auto& [socket, connection] : connections_) {
+    if (connection.has_exchange) continue;
+    Linger(socket, Canned(ShuttingDown()));
+    connection.refused = true;
+    ++refused;
+  }
+  LOG(INFO) << "event=refuse_idle_connections count=" << refused
+            << " open_requests=" << open_requests_;
 }
 
 Server::Server(task::Loop& loop, Options options,
@@ -558,8 +756,10 @@
   impl_->Answer(id, response);
 }
 
-void Server::Drain(std::function<void()> drained) {
-  impl_->Drain(std::move(drained));
+void Server::Leave() { impl_->Leave(); }
+
+void Server::Drain(Duration idle_time, std::function<void()> drained) {
+  impl_->Drain(idle_time, std::move(drained));
 }
 
 int64_t Server::open_requests() const { return impl_->open_requests(); }
--- a/azurepass/httpserver/httpserver.h
+++ b/azurepass/httpserver/httpserver.h
@@ -12,6 +12,7 @@
 //   * A request that is not read whole within read_timeout: 408. An answer
 //     that is not taken within write_timeout: the connection is closed.
 //   * More than max_requests at once: 503. Connections over max_connections
+//     are answered with 503 and closed; over max_excess_connections more, they
 //     are closed at once.
 //   * A request that its owner leaves without an answer for answer_timeout is
 //     refused with the effect "unknown".
@@ -20,6 +21,12 @@
 //
 // A client may close its sending side after a request and still gets its
 // answer; one that resets the connection has abandoned its request.
+//
+// Shutdown: a client learns from "Connection: close" in an answer, or from a
+// 503 in place of one, that it has to go elsewhere. No connection ends
+// otherwise while the process lives. Leave() announces the end on connections
+// as they are answered, while new ones are still taken; Drain() takes no more
+// of them.
 
 #ifndef AZUREPASS_HTTPSERVER_HTTPSERVER_H_
 #define AZUREPASS_HTTPSERVER_HTTPSERVER_H_
@@ -45,6 +52,7 @@
   int64_t max_header_bytes = 16 << 10;
   int64_t max_requests = 4'096;
   int64_t max_connections = 2'048;
+  int64_t max_excess_connections = 256;
   Duration read_timeout{20'000};
   Duration write_timeout{20'000};
   Duration answer_timeout{150'000};
@@ -113,9 +121,14 @@
   // Answers an open request. Ignored when it was answered or abandoned.
   void Answer(ExchangeId id, const Response& response);
 
-  // Takes no new connections, closes each open one after its next answer, and
-  // calls `drained` once no request is open.
-  void Drain(std::function<void()> drained);
+  // From now on, each connection is closed after its next answer, or after the
+  // last one if the client has sent further requests already.
+  void Leave();
+
+  // Does what Leave does, and takes no new connections but those that wait to
+  // be accepted. Connections without a request are refused with 503 after
+  // `idle_time`. Calls `drained` once no connection is open. Call it once.
+  void Drain(Duration idle_time, std::function<void()> drained);
 
   int64_t open_requests() const;
   int64_t connections() const;
--- a/azurepass/httpserver/httpserver_test.cc
+++ b/azurepass/httpserver/httpserver_test.cc
@@ -93,6 +93,7 @@
 }
 
 constexpr char kHeld[] = "GET /held HTTP/1.1\r\nHost: a\r\n\r\n";
+constexpr char kAtOnce[] = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
 
 // Sends bytes that end with a request that is held.
 void SendHeld(task::Loop& loop, const Echo& echo, testing::RawClient& client,
@@ -104,6 +105,21 @@
   }));
 }
 
+int Count(const std::string& text, const std::string& part) {
+  int count = 0;
+  for (size_t at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + part.size())) {
+    ++count;
+  }
+  return count;
+}
+
+Options LongReadTimeout() {
+  Options options = TestOptions();
+  options.read_timeout = Duration(60'000);
+  return options;
+}
+
 TEST_CASE("a client that resets its connection while it waits is reported") {
   task::Loop loop;
   Echo echo(loop, TestOptions());
@@ -150,20 +166,232 @@
   Echo echo(loop, TestOptions());
   const std::string address = echo.server().listening_on();
   testing::RawClient client(address);
-  client.Send("GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
-  REQUIRE(TurnUntil(loop, [&] {
-    client.Finished();
-    return echo.held().has_value();
-  }));
+  SendHeld(loop, echo, client);
   bool drained = false;
-  echo.server().Drain([&] { drained = true; });
+  echo.server().Drain(Duration(60'000), [&] { drained = true; });
   CHECK_FALSE(drained);
   testing::RawClient late(address);
   CHECK_FALSE(late.connected());
   echo.server().Answer(*echo.held(), JsonResponse(200, {{"a", 1}}));
-  CHECK(TurnUntil(loop, [&] { return drained && client.Finished(); }));
+  CHECK(TurnUntil(loop, [&] { return client.Finished(); }));
   CHECK(client.received().find(R"({"a":1})") != std::string::npos);
   CHECK(client.received().find("Connection: close") != std::string::npos);
+  CHECK_FALSE(drained);  // The connection lingers until the client closes it.
+  client.CloseSending();
+  CHECK(TurnUntil(loop, [&] { return client.Finished() && drained; }));
+}
+
+// Guards against a shutdown that ends at a moment without requests and cuts
+// those that come on kept connections after it.
+TEST_CASE("a drain lasts as long as connections are open") {
+  task::Loop loop;
+  Echo echo(loop, LongReadTimeout());
+  testing::RawClient client(echo.server().listening_on());
+  client.Send(kAtOnce);
+  REQUIRE(TurnUntil(loop, [&] {
+    client.Finished();
+    return Count(client.received(), "200 OK") == 1;
+  }));
+  bool drained = false;
+  echo.server().Drain(Duration(60'000), [&] { drained = true; });
+  client.Send(kAtOnce);
+  CHECK(TurnUntil(loop, [&] { return client.Finished(); }));
+  CHECK(Count(client.received(), "200 OK") == 2);
+  CHECK(Count(client.received(), "Connection: close") == 1);
+  client.CloseSending();
+  CHECK(TurnUntil(loop, [&] { return client.Finished() && drained; }));
+}
+
+int OpenDescriptors() {
+  int count = 0;
+  GDir* folder = g_dir_open("/proc/self/fd", 0, nullptr);
+  while (g_dir_read_name(folder) != nullptr) ++count;
+  g_dir_close(folder);
+  return count;
+}
+
+// Guards against descriptors that stay open, one for each client that closes a
+// connection it had kept, until the process can take no connection any more.
+TEST_CASE("a connection that its client closes between requests is closed") {
+  constexpr const char* kRequests[] = {
+      kAtOnce, "GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+      "GET /x HTTP/1.0\r\nHost: a\r\n\r\n"};
+  task::Loop loop;
+  Echo echo(loop, TestOptions());
+  for (const char* request : kRequests) {
+    CAPTURE(request);
+    const int before = OpenDescriptors();
+    for (int i = 0; i < 20; ++i) {
+      testing::RawClient client(echo.server().listening_on());
+      client.Send(request);
+      CHECK(TurnUntil(loop, [&] {
+        client.Finished();
+        return Count(client.received(), "200 OK") == 1;
+      }));
+    }
+    CHECK(TurnUntil(loop, [&] { return echo.server().connections() == 0; }));
+    CHECK(TurnUntil(loop, [&] { return OpenDescriptors() == before; }));
+  }
+}
+
+// Guards against a shutdown that does not see connections between requests.
+TEST_CASE("a drain waits for a kept connection, which may still ask") {
+  task::Loop loop;
+  Echo echo(loop, LongReadTimeout());
+  const std::string address = echo.server().listening_on();
+  testing::RawClient asks(address);
+  testing::RawClient silent(address);
+  for (testing::RawClient* client : {&asks, &silent}) {
+    client->Send(kAtOnce);
+    REQUIRE(TurnUntil(loop, [&] {
+      client->Finished();
+      return Count(client->received(), "200 OK") == 1;
+    }));
+  }
+  bool drained = false;
+  echo.server().Drain(Duration(300), [&] { drained = true; });
+  int turns = 0;
+  TurnUntil(loop, [&] { return ++turns > 30; });
+  CHECK_FALSE(drained);
+  CHECK_FALSE(asks.Finished());
+  asks.Send(kAtOnce);
+  CHECK(TurnUntil(loop, [&] {
+    const bool asked = asks.Finished();
+    return silent.Finished() && asked;
+  }));
+  CHECK(Count(asks.received(), "200 OK") == 2);
+  CHECK(Count(silent.received(), "200 OK") == 1);
+  CHECK(Count(silent.received(), "HTTP/1.1 503") == 1);
+  // Too late: it was told that the connection is closed.
+  silent.Send(kAtOnce);
+  silent.CloseSending();
+  asks.CloseSending();
+  CHECK(TurnUntil(loop, [&] {
+    silent.Finished();
+    asks.Finished();
+    return drained;
+  }));
+}
+
+TEST_CASE("a server that leaves says so in answers and takes connections") {
+  task::Loop loop;
+  Echo echo(loop, LongReadTimeout());
+  const std::string address = echo.server().listening_on();
+  testing::RawClient kept(address);
+  kept.Send(kAtOnce);
+  REQUIRE(TurnUntil(loop, [&] {
+    kept.Finished();
+    return Count(kept.received(), "200 OK") == 1;
+  }));
+  CHECK(Count(kept.received(), "Connection: close") == 0);
+  echo.server().Leave();
+  kept.Send(kAtOnce);
+  CHECK(TurnUntil(loop, [&] { return kept.Finished(); }));
+  CHECK(Count(kept.received(), "Connection: close") == 1);
+  const std::string fresh = Exchange(loop, address, kAtOnce);
+  CHECK(Count(fresh, "200 OK") == 1);
+  CHECK(Count(fresh, "Connection: close") == 1);
+}
+
+// Guards against a last answer that is lost, or is followed by silence, because
+// the client had sent its next request already.
+TEST_CASE("requests that were sent before the last answer are answered") {
+  task::Loop loop;
+  Echo echo(loop, LongReadTimeout());
+  testing::RawClient client(echo.server().listening_on());
+  SendHeld(loop, echo, client);
+  echo.server().Leave();
+  client.Send(std::string(kAtOnce) + kAtOnce);
+  client.Finished();
+  echo.server().Answer(*echo.held(), JsonResponse(200, {}));
+  CHECK(TurnUntil(loop, [&] { return client.Finished(); }));
+  CHECK(Count(client.received(), "200 OK") == 3);
+  CHECK(Count(client.received(), "Connection: close") == 1);
+}
+
+// Guards against resetting the connection, which discards the answer.
+TEST_CASE(
+    "what a client sends after its last request doesn't cost the answer") {
+  task::Loop loop;
+  Echo echo(loop, LongReadTimeout());
+  testing::RawClient client(echo.server().listening_on());
+  SendHeld(loop, echo, client);
+  echo.server().Leave();
+  const std::string body(200'000, 'x');
+  echo.server().Answer(*echo.held(), JsonResponse(200, {{"a", body}}));
+  client.Send(std::string(100'000, ' '));
+  CHECK(TurnUntil(loop, [&] { return client.Finished(); }));
+  CHECK(client.received().find(body) != std::string::npos);
+}
+
+// Guards against connections of the listener's queue that end without a word.
+TEST_CASE("a connection that waits to be accepted is served by a drain") {
+  task::Loop loop;
+  Echo echo(loop, LongReadTimeout());
+  testing::RawClient client(echo.server().listening_on());
+  client.Send(kHeld);
+  client.Finished();
+  bool drained = false;
+  echo.server().Drain(Duration(60'000), [&] { drained = true; });
+  SendHeld(loop, echo, client, "");
+  CHECK_FALSE(drained);
+  echo.server().Answer(*echo.held(), JsonResponse(200, {{"a", 1}}));
+  CHECK(TurnUntil(loop, [&] { return client.Finished(); }));
+  CHECK(client.received().find(R"({"a":1})") != std::string::npos);
+}
+
+// Guards against kept connections that end without a word at a shutdown.
+TEST_CASE("connections without a request are refused after the idle time") {
+  task::Loop loop;
+  Echo echo(loop, LongReadTimeout());
+  const std::string address = echo.server().listening_on();
+  testing::RawClient idle(address);
+  testing::RawClient half_sent(address);
+  testing::RawClient held(address);
+  half_sent.Send("GET /x HTTP/1.1\r\n");
+  half_sent.Finished();
+  SendHeld(loop, echo, held);
+  bool drained = false;
+  echo.server().Drain(Duration(50), [&] { drained = true; });
+  CHECK(TurnUntil(loop, [&] { return idle.Finished(); }));
+  CHECK(TurnUntil(loop, [&] { return half_sent.Finished(); }));
+  for (const testing::RawClient* refused : {&idle, &half_sent}) {
+    CHECK(refused->received().starts_with("HTTP/1.1 503"));
+    CHECK(Count(refused->received(), "Retry-After: 1") == 1);
+    CHECK(Count(refused->received(), "not_run") == 1);
+  }
+  CHECK_FALSE(held.Finished());
+  CHECK_FALSE(drained);
+  held.Send(kAtOnce);  // Too late to be answered.
+  held.Finished();
+  echo.server().Answer(*echo.held(), JsonResponse(200, {}));
+  CHECK(TurnUntil(loop, [&] { return held.Finished(); }));
+  CHECK(Count(held.received(), "200 OK") == 1);
+}
+
+// Guards against connections over the limit that end without a word.
+TEST_CASE("connections over the limit are refused with 503") {
+  Options options = LongReadTimeout();
+  options.max_connections = 1;
+  options.max_excess_connections = 1;
+  task::Loop loop;
+  Echo echo(loop, options);
+  const std::string address = echo.server().listening_on();
+  testing::RawClient first(address);
+  SendHeld(loop, echo, first);
+  testing::RawClient refused(address);
+  CHECK(TurnUntil(loop, [&] { return refused.Finished(); }));
+  CHECK(refused.received().starts_with("HTTP/1.1 503"));
+  CHECK(Count(refused.received(), "Retry-After: 1") == 1);
+  // The refused connection lingers, so that this one is over the excess.
+  testing::RawClient cut(address);
+  CHECK(TurnUntil(loop, [&] { return cut.Finished(); }));
+  CHECK(cut.received().empty());
+  echo.server().Answer(*echo.held(), JsonResponse(200, {{"a", 1}}));
+  CHECK(TurnUntil(loop, [&] {
+    first.Finished();
+    return Count(first.received(), "200 OK") == 1;
+  }));
 }
 
 TEST_CASE("requests over the bound on how many at once are refused") {
--- a/azurepass/httpserver/lingering_close.cc
+++ b/azurepass/httpserver/lingering_close.cc
@@ -17,7 +17,7 @@
 }
 
 bool PeerHungUp(GSocket* socket) {
-  // A socket of libsoup may be in blocking mode.
+  // A socket of libsoup's may be in blocking mode.
   if (g_socket_condition_check(socket, G_IO_IN) == 0) return false;
   char byte = 0;
   GInputVector vector = {&byte, 1};
@@ -52,6 +52,8 @@
 LingeringClose::~LingeringClose() {
   g_source_destroy(readable_);
   g_source_unref(readable_);
+  // Ends the connection for other handles as well.
+  g_socket_shutdown(socket_, TRUE, TRUE, nullptr);
   g_socket_close(socket_, nullptr);
   g_object_unref(socket_);
 }
--- a/azurepass/operators/operators.h
+++ b/azurepass/operators/operators.h
@@ -175,9 +175,10 @@
   // "IP:PORT" with the port the kernel chose; empty when listening failed.
   std::string listening_on() const;
 
-  // Stops listening and tells `done` once every open request is answered.
-  // Callable from any thread.
-  void Drain(task::Address<Drained> done);
+  // Stops listening and tells `done` once every open request is answered and
+  // every connection is closed; see httpserver::Server::Drain. Callable from
+  // any thread.
+  void Drain(Duration idle_time, task::Address<Drained> done);
 
   task::Address<metrics::Scrape> metrics() const;
 
--- a/azurepass/operators/server.cc
+++ b/azurepass/operators/server.cc
@@ -22,8 +22,8 @@
         }) {}
 
   std::string listening_on() const { return server_.listening_on(); }
-  void Drain(task::Address<Drained> done) {
-    mailbox_.address().Send(StartDrain{std::move(done)});
+  void Drain(Duration idle_time, task::Address<Drained> done) {
+    mailbox_.address().Send(StartDrain{idle_time, std::move(done)});
   }
   task::Address<metrics::Scrape> metrics() const { return mailbox_.address(); }
 
@@ -33,6 +33,7 @@
     httpserver::Response response;
   };
   struct StartDrain {
+    Duration idle_time;
     task::Address<Drained> done;
   };
   using Message = std::variant<Answered, StartDrain, metrics::Scrape>;
@@ -62,13 +63,14 @@
 };
 
 void Server::Impl::Handle(Message message) {
-  std::visit(
-      Visitor{[this](const Answered& a) { Finish(a.id, a.response); },
-              [this](const StartDrain& drain) {
-                server_.Drain([done = drain.done] { done.Send(Drained{}); });
-              },
-              [this](const metrics::Scrape& scrape) { Report(scrape); }},
-      message);
+  std::visit(Visitor{[this](const Answered& a) { Finish(a.id, a.response); },
+                     [this](const StartDrain& drain) {
+                       server_.Drain(drain.idle_time, [done = drain.done] {
+                         done.Send(Drained{});
+                       });
+                     },
+                     [this](const metrics::Scrape& scrape) { Report(scrape); }},
+             message);
 }
 
 void Server::Impl::HandleHttp(httpserver::Event event) {
@@ -146,8 +148,8 @@
 
 std::string Server::listening_on() const { return impl_->listening_on(); }
 
-void Server::Drain(task::Address<Drained> done) {
-  impl_->Drain(std::move(done));
+void Server::Drain(Duration idle_time, task::Address<Drained> done) {
+  impl_->Drain(idle_time, std::move(done));
 }
 
 task::Address<metrics::Scrape> Server::metrics() const {
--- a/azurepass/settings/settings.cc
+++ b/azurepass/settings/settings.cc
@@ -295,8 +295,8 @@
     node.permit_address = ReadAddress(reader, "permit_address", false);
     node.metrics_address = ReadAddress(reader, "metrics_address", false);
     node.zones = reader.Names<ZoneId>("zones");
-    node.drain_timeout = reader.Millis("drain_timeout_ms", Duration(0),
-                                       kLongest, node.drain_timeout);
+    node.termination_grace = reader.Millis("termination_grace_ms", Duration(0),
+                                           kLongest, node.termination_grace);
     if (reader.ok() && node.zones.empty()) {
       reader.Fail(ErrorCode::kOutOfRange, "zones", "must name a zone");
     }
--- a/azurepass/settings/settings.h
+++ b/azurepass/settings/settings.h
@@ -108,7 +108,8 @@
   std::string permit_address;   // Of the service that issues permits, or empty.
   std::string metrics_address;  // "IP:PORT" for metrics and health, or empty.
   std::vector<ZoneId> zones;    // All availability zones.
-  Duration drain_timeout{4'500};  // At shutdown, for what is open.
+  // From the signal to terminate until the platform kills the process.
+  Duration termination_grace{6'000};
   bool operator==(const NodeSettings&) const = default;
 };
 
