--- a/azurepass/partition/internal/ledger.cc
+++ b/azurepass/partition/internal/ledger.cc
@@ -68,16 +68,16 @@
     workflow.cancelled = kept.cancelled;
     workflow.ended = kept.ended;
   }
-  for (JobSnapshot job : snapshot.jobs) {
-    const std::optional<StepId> step = StepOf(job.submitted.job);
-    const LedgerWorkflow* workflow = WorkflowOf(job.submitted.job);
-    if (step && workflow != nullptr) {
-      const WorkflowSubmitted& submitted = workflow->submitted;
-      job.submitted.team = submitted.team;
-      job.submitted.accepted = submitted.accepted;
-      job.submitted.spec = submitted.spec.steps.at(step->step).job;
+  std::map<JobId, const JobSnapshot*> steps;
+  for (const JobSnapshot& job : snapshot.jobs) {
+    if (WorkflowOf(job.submitted.job) != nullptr) {
+      steps[job.submitted.job] = &job;
+    } else {
+      Add({job.submitted, job.cancelled, job.tasks});
     }
-    Add({job.submitted, job.cancelled, job.tasks});
+  }
+  for (const auto& [request, workflow] : workflows_) {
+    if (!workflow.ended) AddJobsOf(workflow, steps);
   }
   next_job_number_ = std::max(next_job_number_, snapshot.next_job_number);
 }
@@ -97,10 +97,15 @@
     snapshot.workflows.push_back(std::move(kept));
   }
   for (const auto& [id, job] : jobs_) {
-    const LedgerWorkflow* workflow = WorkflowOf(id);
-    if (workflow == nullptr) {
-      snapshot.jobs.push_back({job.submitted, job.cancelled, job.tasks});
-    } else if (workflow->unfinished_jobs > 0) {
+    if (WorkflowOf(id) != nullptr) continue;
+    snapshot.jobs.push_back({job.submitted, job.cancelled, job.tasks});
+  }
+  // Older readers take the jobs of a workflow to be in the order of their
+  // positions.
+  for (const auto& [request, workflow] : workflows_) {
+    if (workflow.unfinished_jobs == 0) continue;
+    for (const JobId& id : workflow.jobs) {
+      const LedgerJob& job = jobs_.at(id);
       JobSubmitted submitted;
       submitted.job = id;
       // The reader of snapshots rejects a task without a slot.
@@ -177,9 +182,8 @@
       .first->second;
 }
 
-// Adds the steps in order, so that the positions in `jobs` are those that
-// LedgerWorkflow specifies.
-void Ledger::AddJobsOf(const LedgerWorkflow& workflow) {
+void Ledger::AddJobsOf(const LedgerWorkflow& workflow,
+                       const std::map<JobId, const JobSnapshot*>& kept) {
   const WorkflowSubmitted submitted = workflow.submitted;
   const auto steps = static_cast<int32_t>(submitted.spec.steps.size());
   for (int32_t k = 0; k < submitted.spec.occurrences; ++k) {
@@ -190,7 +194,12 @@
       job.team = submitted.team;
       job.spec = spec;
       job.accepted = submitted.accepted;
-      Add({std::move(job), false, InitialTasks(spec)});
+      const auto found = kept.find(job.job);
+      if (found == kept.end()) {
+        Add({std::move(job), false, InitialTasks(spec)});
+      } else {
+        Add({std::move(job), found->second->cancelled, found->second->tasks});
+      }
     }
   }
 }
--- a/azurepass/partition/internal/ledger.h
+++ b/azurepass/partition/internal/ledger.h
@@ -100,7 +100,10 @@
   void Add(LedgerJob job);
   // Adds the workflow without its jobs.
   LedgerWorkflow& AddWorkflow(const WorkflowSubmitted& submitted);
-  void AddJobsOf(const LedgerWorkflow& workflow);
+  // Adds the jobs by occurrence and step, in the states `kept`, otherwise as
+  // they are at first.
+  void AddJobsOf(const LedgerWorkflow& workflow,
+                 const std::map<JobId, const JobSnapshot*>& kept = {});
   void Forget(const RequestId& request);
   LedgerWorkflow* MutableWorkflowOf(const JobId& job);
   void Cancel(LedgerJob& job);
