A worker's ends are read to the last page before anything counts as lost

Cause: a new owner takes as lost what a worker lists neither as running nor as ended, 100 ms (report_grace) after the list. A worker lists 500 ends and gives the next ones once those are acknowledged, which takes a write to the store. ExchangeAnswer::more_events says so; the session didn't pass it on.

SessionOpened, Reachable and Events now say whether more ends are to come. While they are, the owner keeps what the list lacks as it is, and the grace period begins with the first report that has none after it. The session asks for the next page as soon as the one before is recorded, without a hold, since there may be nothing on it. Lapsed leases, replaced workers and restarts decide as before.

--- a/azurepass/endpoint/endpoint.h
+++ b/azurepass/endpoint/endpoint.h
@@ -45,20 +45,26 @@
 // and the starts that are still being sent to it. What ended before is told
 // first, in Events: events that a former owner acknowledged are given again, as
 // far as the worker still keeps them. So an attempt that is neither running nor
-// reported does not run there and will not. A worker that restarted opens its
-// session anew under the same epoch; the outcome of each start that it was sent
-// before follows in Events. What it begins to run later without an order of
-// this session is told to stop.
+// reported does not run there and will not, unless `more_events`. A worker that
+// restarted opens its session anew under the same epoch; the outcome of each
+// start that it was sent before follows in Events. What it begins to run later
+// without an order of this session is told to stop.
+//
+// `more_events`: the worker keeps more ends than one answer holds. The next
+// ones come once those before are acknowledged. The first Events without
+// `more_events` tells the last of them.
 struct SessionOpened {
   VmId vm;
   Epoch epoch;
   std::vector<AttemptId> running;
+  bool more_events = false;
 };
 struct Events {
   VmId vm;
   Epoch epoch;
   std::vector<WorkerEvent> events;
   std::vector<Usage> usage;
+  bool more_events = false;
 };
 // A higher epoch is at work there: this owner was deposed.
 struct Fenced {
@@ -84,11 +90,12 @@
   Epoch epoch;
   MonotonicTime last_answer;  // As in Unreachable.
 };
-// Answers again after Unreachable, same epoch. `running` as in SessionOpened.
+// Answers again after Unreachable, same epoch. The rest as in SessionOpened.
 struct Reachable {
   VmId vm;
   Epoch epoch;
   std::vector<AttemptId> running;
+  bool more_events = false;
 };
 using Update = std::variant<SessionOpened, Events, Fenced, Unreachable,
                             Reachable, Replaced>;
--- a/azurepass/endpoint/internal/session.cc
+++ b/azurepass/endpoint/internal/session.cc
@@ -137,6 +137,7 @@
 // like any other order.
 void Session::OnRestart(MonotonicTime now) {
   opened_ = false;
+  more_events_ = false;
   ++life_;
   delivered_ = 0;
   acknowledged_ = 0;
@@ -302,7 +303,7 @@
   if (held_alone_) {
     if (orders_busy_) return;
     request.list = true;
-  } else if (unrecorded || to_list) {
+  } else if (unrecorded || to_list || more_events_) {
     request.list = true;
   } else {
     request.hold = std::min(options_.hold, options_.lease / kHoldsPerLease);
@@ -412,7 +413,8 @@
   event.detail = std::move(detail);
   event.life = life_;
   Follow(event);
-  outputs_.emplace_back(Update(Events{vm_, epoch_, {std::move(event)}, {}}));
+  outputs_.emplace_back(
+      Update(Events{vm_, epoch_, {std::move(event)}, {}, more_events_}));
 }
 
 void Session::Note(const AttemptId& attempt, StartStep step,
@@ -445,7 +447,7 @@
 }
 
 void Session::ReportAnswers(ExchangeAnswer& answer) {
-  Events events{vm_, epoch_, {}, {}};
+  Events events{vm_, epoch_, {}, {}, more_events_};
   for (WorkerEvent& event : answer.events) {
     if (event.number != 0) continue;
     if (IsRefusal(event) && revoked_.contains(event.attempt)) continue;
@@ -488,7 +490,8 @@
 }
 
 void Session::Report(ExchangeAnswer answer, MonotonicTime now) {
-  Events events{vm_, epoch_, {}, std::move(answer.usage)};
+  const bool had_more = std::exchange(more_events_, answer.more_events);
+  Events events{vm_, epoch_, {}, std::move(answer.usage), more_events_};
   for (WorkerEvent& event : answer.events) {
     if (event.number <= delivered_) continue;
     delivered_ = event.number;
@@ -496,14 +499,16 @@
     Follow(event);
     events.events.push_back(std::move(event));
   }
-  if (!events.events.empty() || !events.usage.empty()) {
+  const bool is_last = had_more && !more_events_;
+  if (!events.events.empty() || !events.usage.empty() || is_last) {
     outputs_.emplace_back(Update(std::move(events)));
   }
   const bool was_unreachable = std::exchange(unreachable_, false);
   if (!std::exchange(opened_, true)) {
     AdoptListed(answer, now);
-    outputs_.emplace_back(Update(SessionOpened{
-        vm_, epoch_, WithPendingStarts(std::move(answer.running))}));
+    outputs_.emplace_back(Update(
+        SessionOpened{vm_, epoch_, WithPendingStarts(std::move(answer.running)),
+                      more_events_}));
   } else if (was_unreachable) {
     std::erase_if(running_, [&](const auto& entry) {
       return !Lists(answer, entry.first);
@@ -512,7 +517,8 @@
       running_.try_emplace(attempt, false);
     }
     outputs_.emplace_back(Update(
-        Reachable{vm_, epoch_, WithPendingStarts(std::move(answer.running))}));
+        Reachable{vm_, epoch_, WithPendingStarts(std::move(answer.running)),
+                  more_events_}));
   }
 }
 
--- a/azurepass/endpoint/internal/session.h
+++ b/azurepass/endpoint/internal/session.h
@@ -207,6 +207,9 @@
   // renew the lease.
   bool awaiting_record_ = false;
   bool record_overdue_ = false;
+  // The worker keeps more events of this life than its last list held. They are
+  // asked for at once when those before are recorded.
+  bool more_events_ = false;
 
   // A channel is busy while an exchange is under way, waiting while a Wake is.
   bool held_busy_ = false;
--- a/azurepass/endpoint/internal/session_late_test.cc
+++ b/azurepass/endpoint/internal/session_late_test.cc
@@ -4,8 +4,10 @@
 // from one seed.
 //
 // The owner here believes each word of its sessions: an attempt whose end or
-// failure to start is reported, or that a list lacks, is started anew on any
-// worker. So whatever a session says too early shows as two runs of a task.
+// failure to start is reported, or that a list lacks once the last of the ends
+// that its worker kept is told, is started anew on any worker. So whatever a
+// session says too early shows as two runs of a task, or as an attempt given up
+// whose end the worker still has to tell.
 
 #include <doctest/doctest.h>
 
@@ -102,6 +104,7 @@
     int64_t life = 0;  // Of the worker, as the last word from it told.
     bool open = false;
     std::optional<MonotonicTime> lapses;  // While it is unreachable.
+    std::vector<AttemptId> unlisted;      // Until the last end is told.
   };
   using Work = std::function<void()>;
 
@@ -161,7 +164,21 @@
     over_[id] = links_[found->second.worker].life;
     attempts_.erase(found);
   }
-  void Listed(size_t at, const std::vector<AttemptId>& running) {
+  void GiveUp(size_t at, const std::vector<AttemptId>& lost) {
+    for (const AttemptId& id : lost) {
+      const auto found = attempts_.find(id.task);
+      if (found == attempts_.end() || found->second.id != id) continue;
+      const Worker& worker = workers_[at];
+      const bool kept = std::any_of(
+          worker.ends.begin(), worker.ends.end(),
+          [&](const WorkerEvent& end) { return end.attempt == id; });
+      if (kept && links_[at].life == worker.life) {
+        Violate("given up though its end is kept: " + ToString(id));
+      }
+      Over(id);
+    }
+  }
+  void Listed(size_t at, const std::vector<AttemptId>& running, bool more) {
     links_[at].open = true;
     links_[at].lapses.reset();
     std::vector<AttemptId> lost;
@@ -175,7 +192,12 @@
         lost.push_back(attempt.id);
       }
     }
-    for (const AttemptId& id : lost) Over(id);
+    links_[at].unlisted.clear();
+    if (more) {
+      links_[at].unlisted = std::move(lost);
+    } else {
+      GiveUp(at, lost);
+    }
     std::vector<Order> stops;
     for (const AttemptId& id : running) {
       const auto found = attempts_.find(id.task);
@@ -186,41 +208,50 @@
     if (!stops.empty()) Tell(at, links_[at].serial, Ordered{std::move(stops)});
   }
   void OnUpdate(size_t at, const Update& update) {
-    std::visit(Visitor{[&](const SessionOpened& u) { Listed(at, u.running); },
-                       [&](const Reachable& u) { Listed(at, u.running); },
-                       [&](const Events& u) {
-                         Recorded last;
-                         for (const WorkerEvent& event : u.events) {
-                           last.number = std::max(last.number, event.number);
-                           last.life = event.life;
-                           if (event.kind != WorkerEventKind::kStarted) {
-                             Over(event.attempt);
-                           }
-                         }
-                         if (last.number == 0) return;
-                         After(Duration(5),
-                               [this, at, last, serial = links_[at].serial] {
-                                 Tell(at, serial, last);
-                               });
-                       },
-                       [&](const Unreachable& u) {
-                         links_[at].lapses = u.lease_until;
-                         After(
-                             std::chrono::ceil<Duration>(u.lease_until - now_),
-                             [this, at, serial = links_[at].serial] {
-                               Lapse(at, serial);
-                             });
-                       },
-                       [](const Fenced&) {},
-                       // No other worker comes to this one's address.
-                       [](const Replaced&) { FAIL("replaced"); }},
-               update);
+    std::visit(
+        Visitor{
+            [&](const SessionOpened& u) {
+              Listed(at, u.running, u.more_events);
+            },
+            [&](const Reachable& u) { Listed(at, u.running, u.more_events); },
+            [&](const Events& u) {
+              Recorded last;
+              for (const WorkerEvent& event : u.events) {
+                last.number = std::max(last.number, event.number);
+                last.life = event.life;
+                if (event.kind != WorkerEventKind::kStarted) {
+                  Over(event.attempt);
+                }
+              }
+              if (!u.more_events) {
+                GiveUp(at, std::exchange(links_[at].unlisted, {}));
+              }
+              if (last.number == 0) return;
+              After(Duration(5), [this, at, last, serial = links_[at].serial] {
+                Tell(at, serial, last);
+              });
+            },
+            [&](const Unreachable& u) {
+              links_[at].lapses = u.lease_until;
+              After(std::chrono::ceil<Duration>(u.lease_until - now_),
+                    [this, at, serial = links_[at].serial] {
+                      Lapse(at, serial);
+                    });
+            },
+            [](const Fenced&) {},
+            // No other worker comes to this one's address.
+            [](const Replaced&) { FAIL("replaced"); }},
+        update);
   }
   void Lapse(size_t at, int64_t serial) {
     const Link& link = links_[at];
     // It may have answered since, and be unreachable anew.
     if (link.serial != serial || !link.lapses || now_ < *link.lapses) return;
-    Listed(at, {});
+    // What the worker still keeps is not awaited any longer.
+    links_[at].unlisted.clear();
+    for (const auto& [task, attempt] : std::map(attempts_)) {
+      if (attempt.worker == at) Over(attempt.id);
+    }
     Reopen(at);
   }
   void Reopen(size_t at) {
@@ -237,6 +268,7 @@
     ++link.serial;
     link.open = false;
     link.lapses.reset();
+    link.unlisted.clear();
     Perform(at, link.session->Start(now_));
   }
   void Tell(size_t at, int64_t serial, Event event) {
--- a/azurepass/endpoint/internal/session_test.cc
+++ b/azurepass/endpoint/internal/session_test.cc
@@ -238,6 +238,56 @@
   CHECK(f.OrdersSent() == "-1 ");
 }
 
+// Guards against tasks that run again because their ends were not in the first
+// answer of a worker that keeps more of them than one answer holds.
+TEST_CASE("a session says which is the last of the ends that a worker keeps") {
+  struct Case {
+    const char* name;
+    bool reachable_again;  // Else it opens.
+    int last_ends;         // In the answer to the third list.
+  };
+  const Case cases[] = {{"the last list has some", false, 1},
+                        {"the last list has none", false, 0},
+                        {"after a silence", true, 1}};
+  for (const Case& c : cases) {
+    CAPTURE(c.name);
+    Fixture f;
+    if (c.reachable_again) {
+      f.Open();
+      f.On(Unanswered{Channel::kHeld});
+      f.On(Woken{Channel::kHeld});
+      CHECK(f.On(Unanswered{Channel::kHeld}) == "wake unreachable ");
+      CHECK(f.On(Woken{Channel::kHeld}) == "held-list ");
+    } else {
+      f.Begin();
+    }
+    ExchangeAnswer page = Answer("t2", {9});
+    page.more_events = true;
+    page.events = {{1, Start(1).attempt, WorkerEventKind::kSucceeded, ""}};
+    if (c.reachable_again) {
+      CHECK(f.On(Answered{Channel::kHeld, page}) == "events reachable wake ");
+      CHECK(f.Get<Reachable>(1).more_events);
+    } else {
+      CHECK(f.On(Answered{Channel::kHeld, page}) == "events opened wake ");
+      CHECK(f.Get<SessionOpened>(1).more_events);
+    }
+    CHECK(f.Get<Events>(0).more_events);
+    // A hold would wait for another end if there were just as many as fit.
+    CHECK(f.On(Recorded{1, f.session.life()}) == "held-list ");
+    page.events = {{2, Start(2).attempt, WorkerEventKind::kSucceeded, ""}};
+    CHECK(f.On(Answered{Channel::kHeld, page}) == "events wake ");
+    CHECK(f.Get<Events>(0).more_events);
+    CHECK(f.On(Recorded{2, f.session.life()}) == "held-list ");
+    ExchangeAnswer last = Answer("t3", {9});
+    if (c.last_ends > 0) {
+      last.events = {{3, Start(3).attempt, WorkerEventKind::kSucceeded, ""}};
+    }
+    const std::string text = f.On(Answered{Channel::kHeld, last});
+    CHECK(text == (c.last_ends > 0 ? "events wake " : "events held "));
+    CHECK_FALSE(f.Get<Events>(0).more_events);
+  }
+}
+
 // Its first sending may be carried out in the new life, after the list was made
 // that lacks it.
 TEST_CASE("a start sent twice is barred before a new life is said to lack it") {
--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -171,6 +171,10 @@
   void RemoveUnlistedWorkers();
   void ReconcileWorker(internal::Worker& worker,
                        const std::vector<AttemptId>& running);
+  // Lets an attempt that its worker does not list count as lost in a while.
+  void SetLossTimer(internal::LiveAttempt& attempt);
+  // The worker has reported all ends that it kept.
+  void OnLastEvents(internal::Worker& worker);
   void Adopt(const AttemptId& attempt, const VmId& vm);
   void HandleBufferedEvents();
   void AdoptEnded(const VmId& vm, const WorkerEvent& event);
--- a/azurepass/partition/internal/worker_table.cc
+++ b/azurepass/partition/internal/worker_table.cc
@@ -82,6 +82,7 @@
                             std::optional<MonotonicTime> at) {
   if (attempt.lost_at) lost_.erase({*attempt.lost_at, attempt.id.task});
   attempt.lost_at = at;
+  attempt.awaits_events = false;
   if (at) lost_.insert({*at, attempt.id.task});
 }
 
--- a/azurepass/partition/internal/worker_table.h
+++ b/azurepass/partition/internal/worker_table.h
@@ -78,6 +78,9 @@
   // the worker may still carry out.
   std::optional<MonotonicTime> lost_at;
   bool reopened = false;
+  // The worker's list lacks the attempt, whose end may be among the events that
+  // the worker still has to report. Invariant: then there is no `lost_at`.
+  bool awaits_events = false;
 };
 
 struct Worker {
@@ -95,6 +98,8 @@
   // no starts while there are any, because their sizes are not included in any
   // sum.
   std::set<AttemptId> draining;
+  // The worker keeps ends that it has not reported yet.
+  bool more_events = false;
   // What the worker listed and reported, until recovery is complete.
   std::vector<AttemptId> running;
   std::vector<WorkerEvent> buffered_events;
@@ -122,6 +127,7 @@
   LiveAttempt* FindAttempt(const TaskId& task);
   const LiveAttempt* FindAttempt(const TaskId& task) const;
   void RemoveAttempt(const TaskId& task);
+  // Also clears `awaits_events`.
   void SetLostAt(LiveAttempt& attempt, std::optional<MonotonicTime> at);
 
   // Returns the tasks whose attempt counts as lost by `now`.
--- a/azurepass/partition/owner_recording_test.cc
+++ b/azurepass/partition/owner_recording_test.cc
@@ -149,6 +149,72 @@
   }
 }
 
+// Guards against tasks that have succeeded and run again: their worker had more
+// ends to tell than one answer holds, and those that the first answer lacked
+// counted as lost after the grace period.
+TEST_CASE(
+    "an attempt counts as lost only after the last of its worker's ends") {
+  constexpr int32_t kPage = 500;
+  for (const int32_t ends : {1, 500, 501, 1'000, 1'001}) {
+    CAPTURE(ends);
+    Options options = RecordFirstOptions();
+    options.report_grace = Duration(100);
+    const auto open_with_room = [&](Driver& d) {
+      VmListChanged list;
+      WorkerSpec large = MakeWorker("vm-0");
+      large.capacity = Resources(4'000, 4'000, 4'000'000, 4'000'000, 0);
+      list.vms[large.vm] = VmState::kLive;
+      list.workers[large.vm] = large;
+      d.Handle(list);
+      d.CompleteAppends();
+    };
+    Driver d({"vm-0"}, false, options);
+    open_with_room(d);
+    d.Submit(1, OneStepWorkflow(ends + 1));
+    d.CompleteAppends();
+    const auto starts = d.Starts();
+    REQUIRE(std::ssize(starts) == ends + 1);
+    const std::vector<Batch> journal = d.batches;
+
+    Driver next({"vm-0"}, false, options);
+    open_with_room(next);
+    next.TakeOver(2, std::nullopt, journal, {});
+    next.actions.clear();
+    // The worker runs nothing; the last attempt is lost. A list that is full
+    // may be followed by an empty one.
+    int32_t told = 0;
+    bool more = true;
+    for (bool first = true; more; first = false) {
+      WorkerReported page{VmId("vm-0"), Epoch{2}, {}, {}};
+      for (; told < ends && std::ssize(page.events) < kPage; ++told) {
+        WorkerEvent end;
+        end.number = told + 1;
+        end.attempt = starts[told].second.attempt;
+        end.kind = WorkerEventKind::kSucceeded;
+        page.events.push_back(end);
+      }
+      more = page.more_events = std::ssize(page.events) == kPage;
+      next.Handle(page);
+      if (first) {
+        next.Handle(WorkerSessionOpened{VmId("vm-0"), Epoch{2}, {}, more});
+      }
+      next.CompleteAppends();
+      if (more) {
+        next.now += seconds(30);
+        next.Handle(Tick{});
+        next.CompleteAppends();
+      }
+      CHECK(next.Starts().empty());
+    }
+    next.now += options.report_grace;
+    next.Handle(Tick{});
+    next.CompleteAppends();
+    REQUIRE(next.Starts().size() == 1);
+    CHECK(next.Starts()[0].second.attempt.task ==
+          starts[ends].second.attempt.task);
+  }
+}
+
 TEST_CASE(
     "an owner asked to release leaves further task ends to its successor") {
   Driver d({"vm-0"}, false, RecordFirstOptions());
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -14,7 +14,7 @@
 //     size is not included in any sum.
 //   * An attempt that is running in the ledger and is not listed: its end may
 //     be among the events that the worker kept, so it counts as lost only after
-//     a grace period.
+//     the worker has reported the last of them, and a grace period.
 // All of this has to wait until every worker is settled, because a task that is
 // queued in the ledger may be running on any worker that has not answered yet.
 //
@@ -163,6 +163,7 @@
   if (event.epoch != epoch_ || !loaded() || worker == nullptr) return;
   workers_.SetSession(*worker, SessionOpen{});
   worker->draining.clear();
+  worker->more_events = event.more_events;
   RequireProof(*worker);
   if (In<Opening>()) {
     worker->running = std::move(event.running);
@@ -287,10 +288,27 @@
     if (listed.contains(task)) continue;
     LiveAttempt& attempt = *workers_.FindAttempt(task);
     if (attempt.stage == AttemptStage::kHeld) continue;
-    const bool under_way =
-        attempt.stage == AttemptStage::kOrdered && !attempt.reopened;
-    workers_.SetLostAt(attempt, now_ + (under_way ? options_.worker_lease
-                                                  : options_.report_grace));
+    if (worker.more_events) {
+      workers_.SetLostAt(attempt, std::nullopt);
+      attempt.awaits_events = true;
+    } else {
+      SetLossTimer(attempt);
+    }
+  }
+}
+
+void Owner::Impl::SetLossTimer(LiveAttempt& attempt) {
+  const bool under_way =
+      attempt.stage == AttemptStage::kOrdered && !attempt.reopened;
+  workers_.SetLostAt(attempt, now_ + (under_way ? options_.worker_lease
+                                                : options_.report_grace));
+}
+
+void Owner::Impl::OnLastEvents(Worker& worker) {
+  worker.more_events = false;
+  for (const TaskId& task : worker.tasks) {
+    LiveAttempt& attempt = *workers_.FindAttempt(task);
+    if (attempt.awaits_events) SetLossTimer(attempt);
   }
 }
 
@@ -309,6 +327,7 @@
   // them here would add records that the release has to wait for.
   if (In<Releasing>()) return;
   if (In<Opening>()) {
+    worker->more_events = event.more_events;
     for (WorkerEvent& e : event.events) {
       // The list that was kept is older than this event.
       if (e.kind != WorkerEventKind::kStarted) {
@@ -320,6 +339,7 @@
   }
   for (const WorkerEvent& e : event.events) HandleWorkerEvent(*worker, e);
   Acknowledge(*worker, event.events);
+  if (worker->more_events && !event.more_events) OnLastEvents(*worker);
   HandleUsage(event.usage);
 }
 
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -337,17 +337,22 @@
 };
 // The worker accepted the epoch, or answers again after WorkerUnreachable.
 // `running` lists everything that the worker runs, including attempts that
-// other owners ordered.
+// other owners ordered. If `more_events`, the worker keeps ends that it has not
+// reported yet, up to the next WorkerReported without `more_events`; it reports
+// them once those before are acknowledged. That is supported only with
+// Options::record_starts_first.
 struct WorkerSessionOpened {
   VmId vm;
   Epoch epoch;
   std::vector<AttemptId> running;
+  bool more_events = false;
 };
 struct WorkerReported {
   VmId vm;
   Epoch epoch;
   std::vector<WorkerEvent> events;
   std::vector<Usage> usage;
+  bool more_events = false;
 };
 // The worker refused our epoch because it has seen the higher epoch
 // `highest_epoch`.
--- a/azurepass/scheduling/internal/partition_task.cc
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -183,12 +183,12 @@
   std::visit(
       Visitor{
           [this](endpoint::SessionOpened& u) {
-            Feed(partition::WorkerSessionOpened{u.vm, u.epoch,
-                                                std::move(u.running)});
+            Feed(partition::WorkerSessionOpened{
+                u.vm, u.epoch, std::move(u.running), u.more_events});
           },
           [this](endpoint::Events& u) {
             Feed(partition::WorkerReported{u.vm, u.epoch, std::move(u.events),
-                                           std::move(u.usage)});
+                                           std::move(u.usage), u.more_events});
           },
           [this](const endpoint::Fenced& u) {
             if (u.epoch == epoch_) {
@@ -203,8 +203,8 @@
             Feed(partition::WorkerReplaced{u.vm, u.epoch, u.last_answer});
           },
           [this](endpoint::Reachable& u) {
-            Feed(partition::WorkerSessionOpened{u.vm, u.epoch,
-                                                std::move(u.running)});
+            Feed(partition::WorkerSessionOpened{
+                u.vm, u.epoch, std::move(u.running), u.more_events});
           },
       },
       from.update);
