New queues are recorded in small entries, outside of what members watch

Cause: the archive of queues. It was one value with all queues. After a configuration with 1,720 new queues each of 18 processes wrote it anew, over 160 KB before base64, on a link of 2 Mbit/s, where it takes longer than the 1 s of a call; so no writer learnt of its success, and all repeated it. The value lay below cluster/, which members list and watch, so each write went to all of them, and a process that starts read it before it knew its peers.

The reported hypothesis, submissions that wait for owners of former services, is ruled out: the log has no "kind=find" and no "event=not_there".

Change: entries queues/NUMBER of at most 512 queues, some 15 KB, with only what those before lack, created if absent; small ones are merged beyond 64. A failed request is repeated after 2 to 4 s once the list has been read. The value of the version before is taken over and removed.

AwaitRecorded there looks at all that keepers wrote, as the key has changed.

--- a/azurepass/configuration/keeper_test.cc
+++ b/azurepass/configuration/keeper_test.cc
@@ -63,26 +63,36 @@
                                     reply.address()});
     return std::get<store::Written>(reply.Take()).version;
   }
-  int64_t WriteQueue(const std::string& service) {
+  int64_t WriteQueue(const std::string& service,
+                     const std::string& name = "grade") {
     QueueRecord queue;
-    queue.queue = QueueId("grade");
+    queue.queue = QueueId(name);
     queue.service = ServiceId(service);
-    queue.path_prefix = "/grade/";
+    queue.path_prefix = "/" + name + "/";
     Inbox<store::WriteReply> reply;
     store_.Port(-1).Send(store::Put{StoreKey(queue.queue),
                                     codec::Write(queue).dump(), std::nullopt,
                                     "", reply.address()});
     return std::get<store::Written>(reply.Take()).version;
   }
-  // Returns whether the archive of queues names the service within 2 s.
-  bool AwaitRecorded(const std::string& service) {
+  store::Listing List(const std::string& prefix) {
+    Inbox<store::ListReply> reply;
+    store_.Port(-1).Send(store::List{prefix, prefix, 10'000, reply.address()});
+    return std::get<store::Listing>(reply.Take());
+  }
+  // What keepers have written. The tests write the rest.
+  std::vector<store::Entry> WrittenByKeepers() {
+    std::vector<store::Entry> entries = List("").entries;
+    std::erase_if(entries, [](const store::Entry& entry) {
+      return entry.key.starts_with(kPrefix);
+    });
+    return entries;
+  }
+  // Returns whether the archive of queues has this text within 2 s.
+  bool AwaitRecorded(const std::string& text) {
     for (int i = 0; i < 100; ++i) {
-      Inbox<store::GetReply> reply;
-      store_.Port(-1).Send(store::Get{"cluster/queues", reply.address()});
-      const auto value = std::get<store::Value>(reply.Take());
-      if (value.entry &&
-          value.entry->value.find(service) != std::string::npos) {
-        return true;
+      for (const store::Entry& entry : WrittenByKeepers()) {
+        if (entry.value.find(text) != std::string::npos) return true;
       }
       Inbox<int64_t> nothing;
       nothing.TakeWithin(Duration(20));
@@ -195,6 +205,36 @@
   CHECK(update.configuration->former_queues[0].service == ServiceId("intake"));
 }
 
+// Guards against a start, a claim or a member's renewal that waits behind the
+// archive on a narrow link: members list and watch all that is below
+// "cluster/".
+TEST_CASE("queues are recorded outside of what members watch") {
+  Cluster cluster(2);
+  cluster.Start();
+  cluster.WriteQueue("intake");
+  REQUIRE(cluster.AwaitRecorded("intake"));
+  CHECK(cluster.List("cluster/").entries.empty());
+}
+
+// Guards against links that are filled by writes of the whole archive, which
+// are too large to be answered in time and so are repeated.
+TEST_CASE("a new queue is recorded without those recorded before") {
+  Cluster cluster(2);
+  cluster.Start();
+  constexpr int kQueues = 50;  // Fewer than entries that are merged.
+  for (int i = 0; i < kQueues; ++i) {
+    cluster.WriteQueue("intake", "grade-" + std::to_string(i));
+  }
+  REQUIRE(cluster.AwaitRecorded("grade-49"));
+  const int64_t revision = cluster.WriteQueue("vision", "damage");
+  REQUIRE(cluster.AwaitRecorded("damage"));
+  size_t bytes = 0;
+  for (const store::Entry& entry : cluster.WrittenByKeepers()) {
+    if (entry.version > revision) bytes += entry.value.size();
+  }
+  CHECK(bytes < 200);
+}
+
 TEST_CASE("a keeper cut from the store learns from its peers") {
   Cluster cluster(3);
   cluster.Start();
