Allowance made for urgent work is held for it, and made only where it can start

Cause: MakeAllowance preempted until the whole urgent job would fit, also where it never would, and where the job had no permits or no room. What was freed at once (a start that was not ordered yet) went to normal work of the same account later in the same pass, and the next pass preempted that again, while the job stayed blocked.

Now allowance is made only for urgent jobs with valid permits, for as many tasks as there is room for or room can be made for, and only if preempting what may be preempted is enough. It is held for the job (allowance_holds.h), for at most 1.5 s, and so is the allowance of tasks that room was reserved for. A task that later and larger ones made up for is spared. An urgent job asks for permits against what it may preempt, so that it need not preempt to be allowed to ask. Two causes of the same kind for room, which the property found: a scavenger counted as if it freed processors, and room was made on workers in quarantine or probing, where urgent tasks do not start.

The property: on random cells (waiting_test, "no task is started and preempted in the same moment"), with starts withdrawn when they are preempted, a task is started at most once and preempted at most once between two groups of events, and not preempted after its start, so that the decisions of a moment are bounded by the tasks that its events left waiting or running. The model of waiting_test now knows holds: it recomputes which job may have one, and takes off no other.

--- a/azurepass/partition/owner_load_bench.cc
+++ b/azurepass/partition/owner_load_bench.cc
@@ -6,6 +6,11 @@
 //
 // Reports the owner's processor time per start and events per start.
 // docs/CAPACITY.md shows how they grow with the workers and the waiting jobs.
+//
+// A second load is that of accounts at their upper limits, with urgent jobs
+// that need permits beside wide steps of normal priority that need none; see
+// placement/internal/allowance_holds.h. It reports decisions, records and
+// processor time per task that was done.
 
 #include <benchmark/benchmark.h>
 
@@ -15,6 +20,7 @@
 #include <optional>
 #include <queue>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -33,6 +39,10 @@
 constexpr int64_t kPerpetualJobs = 10;  // Number of jobs with perpetual tasks.
 constexpr int64_t kStartsPerSecond = 700;
 constexpr int kPermittedPercent = 37;
+constexpr int32_t kTasksPerWideStep = 400;
+// Of the wide steps' account limits, per account and worker.
+constexpr int64_t kLimitedTasksPerWorker = 2;
+constexpr int64_t kLimitedTeams = 3;
 constexpr Duration kAppendTime{5};
 constexpr Duration kOrderTime{2};
 constexpr Duration kPermitValidity{4'000};
@@ -46,6 +56,8 @@
 const PartitionId kPartition("service-1");
 const QueueId kQueue("queue-1");
 
+constexpr int64_t kTaskMillicores = 500;
+
 VmId Vm(int64_t n) { return VmId("vm" + std::to_string(1'000 + n)); }
 TeamId Team(int64_t n) { return TeamId("team-" + std::to_string(n % kTeams)); }
 
@@ -61,7 +73,8 @@
 // Simulates the store, workers, permit service and callers of an owner.
 class LoadSimulation {
  public:
-  LoadSimulation(int64_t workers, int64_t waiting) : workers_(workers) {
+  LoadSimulation(int64_t workers, int64_t waiting, bool limited = false)
+      : workers_(workers), limited_(limited) {
     Options options;
     options.retention_after_end = kRetention;
     options.record_starts_first = true;
@@ -88,7 +101,8 @@
     Handle(std::move(list));
     Handle(ClaimWon{kEpoch});
     RunFor(kRecoverTime);
-    for (int64_t i = 0; i < kPerpetualJobs; ++i) Submit(true);
+    const int64_t perpetual = limited ? 0 : kPerpetualJobs;
+    for (int64_t i = 0; i < perpetual; ++i) Submit(true);
     for (int64_t i = 0; i < waiting; ++i) Submit(false);
     ScheduleArrival();
     RunFor(kWarmUp);
@@ -106,6 +120,10 @@
   }
 
   int64_t starts() const { return starts_; }
+  int64_t done() const { return done_; }
+  int64_t records() const { return records_; }
+  int64_t start_decisions() const { return start_decisions_; }
+  int64_t preempt_decisions() const { return preempt_decisions_; }
   int64_t events() const { return events_; }
   int64_t waiting() const { return owner_->status().cell.queued_tasks; }
 
@@ -119,6 +137,10 @@
       contract.zones = {ZoneId("zone-0"), ZoneId("zone-1")};
       configuration->contracts[contract.team] = contract;
       allowances[contract.team] = kUnlimited;
+      if (limited_) {
+        allowances[contract.team][Dimension::kMillicores] =
+            workers_ * kLimitedTasksPerWorker * kTaskMillicores;
+      }
     }
     QueueRecord queue;
     queue.queue = kQueue;
@@ -160,12 +182,20 @@
     WorkflowStep step;
     step.job.queue = kQueue;
     step.job.tasks = kTasksPerJob;
-    step.job.task = Resources(1, 0, 500, 512, 0);
+    step.job.task = Resources(1, 0, kTaskMillicores, 512, 0);
     step.job.declared_run_time = RunTime();
     step.job.counts_losses = false;
     step.job.perpetual = perpetual;
     if (perpetual) step.job.policy = ServicePolicy{};
     step.job.constraints.needs_permit = !perpetual;
+    if (limited_) {
+      submit.team = Team(submitted_ % kLimitedTeams);
+      const bool urgent = submitted_ % 2 == 0;
+      step.job.priority = urgent ? Priority::kUrgent : Priority::kNormal;
+      step.job.constraints.needs_permit = urgent;
+      step.job.checkpoints = !urgent;
+      if (!urgent) step.job.tasks = kTasksPerWideStep;
+    }
     submit.spec.steps = {step};
     Handle(RequestReceived{RequestToken{submitted_}, std::move(submit),
                            now_ + Duration(5'000)});
@@ -189,7 +219,12 @@
   void Perform(const LoadJournal& a) {
     Handle(JournalLoaded{a.epoch, std::nullopt, {}});
   }
+  void Perform(const LogDecision& a) {
+    start_decisions_ += a.kind == "start" ? 1 : 0;
+    preempt_decisions_ += a.kind == "preempt" ? 1 : 0;
+  }
   void Perform(const AppendBatch& a) {
+    records_ += std::ssize(a.batch.records);
     ScheduleAfter(kAppendTime, [this, number = a.batch.number] {
       Handle(Appended{kEpoch, number});
     });
@@ -208,6 +243,11 @@
     for (const Order& order : a.orders) {
       if (const auto* start = std::get_if<StartTask>(&order)) {
         Start(a.vm, *start);
+      } else if (const auto* stop = std::get_if<StopTask>(&order)) {
+        stopped_.insert(stop->attempt);
+        ScheduleAfter(kOrderTime, [this, vm = a.vm, attempt = stop->attempt] {
+          ReportEnd(vm, attempt, WorkerEventKind::kCheckpointed);
+        });
       }
     }
   }
@@ -217,21 +257,24 @@
       Handle(WorkerReported{
           vm, kEpoch, {{0, attempt, WorkerEventKind::kStarted, ""}}, {}});
     });
-    if (start.run_time != RunTime() || start.permit.empty()) return;
+    const bool ends = limited_ || !start.permit.empty();
+    if (start.run_time != RunTime() || !ends) return;
     // Between 0.5 and 1.5 times the declared run time.
     const auto run =
         microseconds(start.run_time) / 2 +
         microseconds(random_() % static_cast<uint64_t>(
                                      microseconds(start.run_time).count()));
     ScheduleAfter(run, [this, vm, attempt = start.attempt] {
-      int64_t& events = last_event_[std::stoll(vm.value().substr(2)) - 1'000];
-      Handle(
-          WorkerReported{vm,
-                         kEpoch,
-                         {{++events, attempt, WorkerEventKind::kSucceeded, ""}},
-                         {}});
+      if (stopped_.erase(attempt) > 0) return;
+      ++done_;
+      ReportEnd(vm, attempt, WorkerEventKind::kSucceeded);
     });
   }
+  void ReportEnd(const VmId& vm, const AttemptId& attempt,
+                 WorkerEventKind kind) {
+    int64_t& events = last_event_[std::stoll(vm.value().substr(2)) - 1'000];
+    Handle(WorkerReported{vm, kEpoch, {{++events, attempt, kind, ""}}, {}});
+  }
   void Perform(const RequestPermits& a) {
     PermitsIssued issued{a.job, a.workers, std::vector<Permit>(), {}};
     for (const VmId& vm : a.workers) {
@@ -259,6 +302,7 @@
   void Perform(const Other& /*other*/) {}
 
   const int64_t workers_;
+  const bool limited_;
   std::mt19937_64 random_{20261204};
   std::optional<Owner> owner_;
   MonotonicTime now_{std::chrono::seconds(1'000)};
@@ -270,6 +314,11 @@
   int64_t submitted_ = 0;
   int64_t starts_ = 0;
   int64_t events_ = 0;
+  int64_t done_ = 0;  // Tasks.
+  int64_t records_ = 0;
+  int64_t start_decisions_ = 0;
+  int64_t preempt_decisions_ = 0;
+  std::set<AttemptId> stopped_;
 };
 
 // Arguments: number of workers, number of jobs that wait at the beginning.
@@ -296,5 +345,30 @@
     ->Iterations(50)
     ->Unit(benchmark::kMillisecond);
 
+// Arguments: as for BM_Load; every second job is urgent, the others are wide.
+void BM_LoadAtLimit(benchmark::State& state) {
+  LoadSimulation load(state.range(0), state.range(1), /*limited=*/true);
+  const int64_t done = load.done();
+  const int64_t records = load.records();
+  const int64_t starts = load.start_decisions();
+  const int64_t preempted = load.preempt_decisions();
+  for (auto _ : state) load.RunFor(kIterationTime);
+  const auto tasks = static_cast<double>(load.done() - done);
+  state.counters["cpu_per_task"] = benchmark::Counter(
+      tasks, benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
+  state.counters["tasks"] = tasks;
+  state.counters["starts_per_task"] =
+      static_cast<double>(load.start_decisions() - starts) / tasks;
+  state.counters["preempts_per_task"] =
+      static_cast<double>(load.preempt_decisions() - preempted) / tasks;
+  state.counters["records_per_task"] =
+      static_cast<double>(load.records() - records) / tasks;
+}
+BENCHMARK(BM_LoadAtLimit)
+    ->Args({63, 10})
+    ->Args({252, 10})
+    ->Iterations(50)
+    ->Unit(benchmark::kMillisecond);
+
 }  // namespace
 }  // namespace azurepass::partition
--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -109,12 +109,18 @@
                        cell_.AllowanceLeftOf(job.submitted.team))
           .first->second;
   const int64_t unit = IsAtomicGang(spec) ? job.queued : 1;
-  const auto is_allowed = [&](int64_t tasks) {
-    return (spec.task * tasks).FitsIn(allowance);
-  };
   const bool may_request = !permits.request_in_flight &&
                            permits.next_request <= now_ &&
                            permits.valid_until <= now_;
+  // Urgent jobs preempt for allowance only once they have permits.
+  Resources preemptible;
+  if (may_request && spec.priority == Priority::kUrgent &&
+      !(spec.task * unit).FitsIn(allowance)) {
+    preemptible = cell_.PreemptibleAllowanceOf(job.submitted.job);
+  }
+  const auto is_allowed = [&](int64_t tasks) {
+    return (spec.task * tasks).FitsIn(allowance + preemptible);
+  };
   const int64_t min_listed = may_request ? kMinWorkersPerRequest : 0;
   const int64_t tasks = has_no_room || !is_allowed(unit) ? 0 : job.queued;
   int64_t tasks_with_room = 0;  // Denied workers are left out.
--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -249,6 +249,7 @@
       add(job.start_by->late);
     }
   }
+  add(state_.allowance_holds.NextEnd());
   if (!state_.checkpoints.empty()) {
     add(state_.checkpoints.front().since + state_.options.checkpoint_grace);
   }
@@ -505,6 +506,31 @@
   return state.teams[index].terms.allowance - state.teams[index].committed;
 }
 
+Resources Cell::PreemptibleAllowanceOf(const JobId& id) const {
+  const internal::CellState& state = impl_->state();
+  const Index index = state.FindJob(id);
+  Resources preemptible;
+  if (index == kNone) return preemptible;
+  const Job& job = state.jobs[index];
+  if (!job.is_urgent() || job.lateness != internal::Lateness::kOnTime) {
+    return preemptible;
+  }
+  for (const TaskRef& ref : state.teams[job.team].running) {
+    const Job& other = state.jobs[ref.job];
+    const bool ends = other.tasks[ref.task].phase == TaskPhase::kPreempting;
+    if (ends || internal::MayPreempt(job, other))
+      preemptible += other.spec.task;
+  }
+  return preemptible;
+}
+
+Resources Cell::AllowanceHeldFor(const JobId& job) const {
+  const internal::CellState& state = impl_->state();
+  const internal::AllowanceHold* hold =
+      state.allowance_holds.Find(state.FindJob(job));
+  return hold == nullptr ? Resources() : hold->size * hold->tasks;
+}
+
 Resources Cell::CommittedOf(const TeamId& team) const {
   const internal::CellState& state = impl_->state();
   const Index index = state.teams.Find(team);
--- a/azurepass/placement/internal/cell_state.cc
+++ b/azurepass/placement/internal/cell_state.cc
@@ -58,6 +58,7 @@
   Job& job = jobs[index];
   if (job.waiting + job.delayed + job.committed > 0) return;
   DropReservation(index);
+  allowance_holds.Drop(index);
   Dequeue(index);
   job_ids_.erase(job.id);
   job = Job{};
@@ -108,6 +109,7 @@
   team.committed += job.spec.task;
   --team.waiting;
   team.queued -= job.spec.task;
+  allowance_holds.OnStarted(ref.job);
   ++job.committed;
   --queued;
   ++committed;
@@ -257,6 +259,7 @@
     job.lateness = job.lateness == Lateness::kOnTime ? Lateness::kLate
                                                      : Lateness::kOverdue;
     if (job.lateness == Lateness::kOverdue) DropReservation(end.job);
+    allowance_holds.Drop(end.job);  // Its rank has changed.
     UpdateQueue(end.job);
     if (job.lateness == Lateness::kLate) {
       lateness_changes_.push({job.start_by->late, end.job, job.number});
@@ -269,6 +272,8 @@
   job.permitted_until = until;
   job.permit_valid = !job.permitted.empty() && now < until;
   if (job.permit_valid) permit_ends_.push({until, index, job.number});
+  // A job with new permits need not wait for the end of its pause.
+  if (!allowance_holds.IsHeldFor(index)) allowance_holds.Drop(index);
   UpdateQueue(index);
   if (job.lane != kNone) ClearSearchResult(lanes[job.lane]);
 }
--- a/azurepass/placement/internal/cell_state.h
+++ b/azurepass/placement/internal/cell_state.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "azurepass/placement/internal/allowance_holds.h"
 #include "azurepass/placement/internal/decision_log.h"
 #include "azurepass/placement/internal/failed_searches.h"
 #include "azurepass/placement/internal/fleet.h"
@@ -99,6 +100,7 @@
   // ranks equal Job::permit_rank.
   std::set<std::pair<WaitingRank, Index>> permit_waiters;
   Reservations reservations;
+  AllowanceHolds allowance_holds;
   // Virtual time of the fair queueing of reservations: the start tag of the
   // latest one; see Decider::PlanReservations.
   double reservation_time = 0;
--- a/azurepass/placement/internal/constrained_search.h
+++ b/azurepass/placement/internal/constrained_search.h
@@ -31,6 +31,9 @@
   SearchResult Find(const Job& job, Index job_index, const Team& team,
                     MonotonicTime now, int64_t& steps) const;
 
+  // Returns how many of the job's waiting tasks `room` on the worker fits.
+  int32_t FitsOn(const Job& job, Index worker, const Resources& room) const;
+
   // Returns the workers that may take tasks of the job, whether or not they
   // have room.
   std::vector<Index> Eligible(const Job& job, const Team& team,
@@ -54,7 +57,6 @@
                                     const Team& team, MonotonicTime now,
                                     int64_t& steps, SearchResult& found) const;
   bool MayTake(const Job& job, const Worker& worker, const Team& team) const;
-  int32_t FitsOn(const Job& job, Index worker, const Resources& room) const;
   Cost CostOf(const Job& job, Index worker) const;
   static void PlaceGang(const Fleet& fleet, const Job& job,
                         std::vector<Candidate> candidates, SearchResult& found);
--- a/azurepass/placement/internal/decider.cc
+++ b/azurepass/placement/internal/decider.cc
@@ -46,6 +46,7 @@
   preemption_.EnforceAllowances(decisions_, budget_.decisions);
   preemption_.EscalateCheckpoints(decisions_);
   ReviewReservations();
+  ReviewAllowanceHolds();
   RunPriority(Priority::kUrgent);
   if (!has_more_) MakeRoomForUrgent();
   if (!has_more_) MakeAllowanceForUrgent();
@@ -403,7 +404,9 @@
       !decisions_.empty()) {
     return Turn::kOutOfBudget;
   }
-  if (!(team.committed + job.spec.task * tasks).FitsIn(team.terms.allowance)) {
+  const Resources held = state_.allowance_holds.HeldFrom(job);
+  if (!(team.committed + held + job.spec.task * tasks)
+           .FitsIn(team.terms.allowance)) {
     return Block(lane_index, WaitReason::kAllowance);
   }
   const GrowthLog::Position end = state_.fleet.growth().end();
@@ -499,6 +502,7 @@
     for (const auto& [number, index] : state_.lanes[lane].jobs) {
       const Job& job = state_.jobs[index];
       if (job.is_constrained() && job.lateness != Lateness::kOnTime) continue;
+      if (job.is_gang()) HoldAllowanceForGang(index);
       const Reservation* reservation = state_.reservations.Find(index);
       auto wanted = static_cast<int64_t>(
           TimesFits(job.spec.task,
@@ -509,7 +513,10 @@
         wanted -= static_cast<int64_t>(reservation->workers.size());
       for (; wanted > 0; --wanted) {
         if (++evictions > kMaxEvictionsPerCall) return;
-        if (preemption_.MakeRoom(index, decisions_)) continue;
+        if (preemption_.MakeRoom(index, decisions_)) {
+          HoldAllowanceForRoom(index);
+          continue;
+        }
         // That no room can be made for a constrained job says nothing about
         // other jobs, so these are still tried, up to a limit of failures.
         if (!job.is_constrained() ||
@@ -521,20 +528,55 @@
   }
 }
 
+// Holds allowance for the tasks of the constrained job that room is reserved
+// for, so that lower work does not use it before they start.
+void Decider::HoldAllowanceForRoom(Index index) {
+  const Job& job = state_.jobs[index];
+  const Reservation* reservation = state_.reservations.Find(index);
+  if (!job.is_constrained() || reservation == nullptr ||
+      !MayHoldAllowance(index)) {
+    return;
+  }
+  const auto reserved = static_cast<int32_t>(reservation->workers.size());
+  state_.allowance_holds.Hold(index, job, std::min(reserved, job.waiting),
+                              state_.now);
+}
+
+// The same for a gang that has room once the tasks that were preempted end.
+void Decider::HoldAllowanceForGang(Index index) {
+  const Job& job = state_.jobs[index];
+  if (job.is_constrained() && MayHoldAllowance(index) &&
+      state_.allowance_holds.Find(index) == nullptr &&
+      preemption_.CountPlaces(index, {}) >= job.waiting) {
+    state_.allowance_holds.Hold(index, job, job.waiting, state_.now);
+  }
+}
+
 // Preempts less urgent tasks of teams that are at their allowance and have
 // urgent jobs waiting.
 void Decider::MakeAllowanceForUrgent() {
-  absl::flat_hash_map<Index, Resources> wanted;  // By team.
   for (Index index : over_allowance_) {
     const Lane& lane = state_.lanes[index];
     if (lane.jobs.empty()) continue;
-    const Job& job = state_.jobs[lane.jobs.begin()->second];
-    if (job.lateness != Lateness::kOnTime) continue;
-    wanted[job.team] += job.spec.task * job.waiting;
-    preemption_.MakeAllowance(job, wanted[job.team], decisions_);
+    const Index job = lane.jobs.begin()->second;
+    if (MayHoldAllowance(job)) preemption_.MakeAllowance(job, decisions_);
   }
 }
 
+bool Decider::MayHoldAllowance(Index index) const {
+  const Job& job = state_.jobs[index];
+  if (job.is_expired(state_.now)) return false;
+  const bool permitted = !job.spec.constraints.needs_permit || job.permit_valid;
+  return job.lane != kNone && job.is_urgent() && permitted &&
+         job.lateness == Lateness::kOnTime;
+}
+
+void Decider::ReviewAllowanceHolds() {
+  state_.allowance_holds.Review(state_.now, [&](Index job) {
+    return MayHoldAllowance(job) ? state_.jobs[job].waiting : 0;
+  });
+}
+
 bool Decider::MayStart(Index index) const {
   const Job& job = state_.jobs[index];
   if (job.lane == kNone || job.is_expired(state_.now)) return false;
--- a/azurepass/placement/internal/decider.h
+++ b/azurepass/placement/internal/decider.h
@@ -5,7 +5,8 @@
 //   2. Starts urgent tasks.
 //   3. Preempts tasks to free room and allowance for urgent tasks that could
 //      not start.
-//   4. Starts normal tasks, then tasks of low priority.
+//   4. Starts normal tasks, then tasks of low priority. These leave alone the
+//      allowance that is held for urgent tasks.
 //   5. Plans reservations.
 //
 // Within a priority the teams take turns by the team order. In its turn a team
@@ -38,7 +39,7 @@
         steps_(budget.candidates),
         search_(state.fleet, state.reservations, state.run_times),
         constrained_search_(state.fleet, search_),
-        preemption_(state, constrained_search_) {}
+        preemption_(state, search_, constrained_search_) {}
 
   std::vector<Decision> Run();
 
@@ -97,7 +98,12 @@
   void Start(Index job, const Place& place, const SearchResult& found);
   int64_t Record(const Job& job, const SearchResult& found, Index chosen);
   void MakeRoomForUrgent();
+  void HoldAllowanceForRoom(Index job);
+  void HoldAllowanceForGang(Index job);
   void MakeAllowanceForUrgent();
+  // Returns true for an urgent job that could start with more allowance.
+  bool MayHoldAllowance(Index job) const;
+  void ReviewAllowanceHolds();
   void ReviewReservations();
   // Returns true when the job could start a task if there were room for it.
   bool MayStart(Index job) const;
--- a/azurepass/placement/internal/job.h
+++ b/azurepass/placement/internal/job.h
@@ -179,6 +179,14 @@
   }
 };
 
+// Returns whether `job` may preempt tasks of `other`: they have lower priority
+// and keep their progress.
+inline bool MayPreempt(const Job& job, const Job& other) {
+  return RankOf(other.priority()) > RankOf(job.priority()) &&
+         std::holds_alternative<BatchPolicy>(other.spec.policy) &&
+         other.spec.repeatable && other.spec.checkpoints;
+}
+
 }  // namespace azurepass::placement::internal
 
 #endif  // AZUREPASS_PLACEMENT_INTERNAL_JOB_H_
--- a/azurepass/placement/internal/preemption.cc
+++ b/azurepass/placement/internal/preemption.cc
@@ -164,7 +164,7 @@
   Eviction eviction{.worker = index, .victims = {}};
   for (const TaskRef& ref : victims) {
     if (job.spec.task.FitsIn(room)) break;
-    room += state_.jobs[ref.job].spec.task;
+    room += state_.jobs[ref.job].room();
     eviction.victims.push_back(ref);
   }
   if (!job.spec.task.FitsIn(room)) return std::nullopt;
@@ -211,23 +211,115 @@
 
 bool Preemption::IsPreemptibleFor(const Job& job, TaskRef ref) const {
   const Job& other = state_.jobs[ref.job];
-  return RankOf(other.priority()) > RankOf(job.priority()) &&
-         std::holds_alternative<BatchPolicy>(other.spec.policy) &&
-         other.spec.repeatable && other.spec.checkpoints &&
+  return MayPreempt(job, other) &&
          other.tasks[ref.task].phase == TaskPhase::kCommitted;
 }
 
-void Preemption::MakeAllowance(const Job& job, const Resources& wanted,
-                               std::vector<Decision>& decisions) {
+// ---------------------------------------------------------------------------
+// Allowance for urgent work
+
+int32_t Preemption::CountPlaces(Index job_index,
+                                const std::vector<TaskRef>& victims) const {
+  const Job& job = state_.jobs[job_index];
+  int32_t places = 0;
+  for (const Index index :
+       constrained_search_.Eligible(job, state_.teams[job.team], state_.now)) {
+    const Worker& worker = state_.fleet.worker(index);
+    if (worker.health.state != HealthState::kInService) continue;
+    Resources room = search_.RoomFor(worker, job, job_index, state_.now);
+    for (const TaskRef& ref : worker.tasks) {
+      const Job& other = state_.jobs[ref.job];
+      const bool ends =
+          other.tasks[ref.task].phase == TaskPhase::kPreempting ||
+          std::find(victims.begin(), victims.end(), ref) != victims.end();
+      if (ends) room += other.room();
+    }
+    places += constrained_search_.FitsOn(job, index, room);
+    if (places >= job.waiting) return job.waiting;
+  }
+  return places;
+}
+
+int32_t Preemption::CountPlacesToMake(Index job_index) const {
+  const Job& job = state_.jobs[job_index];
+  int32_t places = 0;
+  for (const Index index :
+       constrained_search_.Eligible(job, state_.teams[job.team], state_.now)) {
+    const Index reserved_by = state_.fleet.worker(index).reserved_by;
+    const bool makes_room =
+        reserved_by == job_index ||
+        (reserved_by == kNone && ConstrainedEvictionOn(index, job).has_value());
+    places += makes_room ? 1 : 0;
+    if (places >= job.waiting) return job.waiting;
+  }
+  return places;
+}
+
+int32_t Preemption::CountAllowed(Index index) const {
+  const Job& job = state_.jobs[index];
   const Team& team = state_.teams[job.team];
-  const auto fits = [&] {
-    return (team.committed - team.preempting + wanted)
-        .FitsIn(team.terms.allowance);
-  };
-  // The latest to start comes first. PreemptTask does not change the list.
+  const AllowanceHold* own = state_.allowance_holds.Find(index);
+  Resources left = team.terms.allowance - team.committed + team.preempting -
+                   state_.allowance_holds.HeldForUrgent(job.team);
+  if (own != nullptr) left += own->size * own->tasks;
+  for (const TaskRef& ref : team.running) {
+    if (IsPreemptibleFor(job, ref)) left += state_.jobs[ref.job].spec.task;
+  }
+  return TimesFits(job.spec.task, left, job.waiting);
+}
+
+std::vector<TaskRef> Preemption::AllowanceVictims(
+    const Job& job, const Resources& wanted) const {
+  const Team& team = state_.teams[job.team];
+  Resources kept = team.committed - team.preempting + wanted;
+  const auto fits = [&] { return kept.FitsIn(team.terms.allowance); };
+  // The latest to start comes first.
+  std::vector<TaskRef> victims;
   for (size_t i = team.running.size(); i-- > 0 && !fits();) {
     if (!IsPreemptibleFor(job, team.running[i])) continue;
-    PreemptTask(team.running[i], kAllowanceForUrgent, decisions);
+    kept -= state_.jobs[team.running[i].job].spec.task;
+    victims.push_back(team.running[i]);
+  }
+  // A task whose allowance the later ones made up for would start again.
+  std::erase_if(victims, [&](const TaskRef& ref) {
+    const Resources& size = state_.jobs[ref.job].spec.task;
+    const bool spared = (kept + size).FitsIn(team.terms.allowance);
+    if (spared) kept += size;
+    return spared;
+  });
+  return victims;
+}
+
+void Preemption::MakeAllowance(Index index, std::vector<Decision>& decisions) {
+  const Job& job = state_.jobs[index];
+  AllowanceHolds& holds = state_.allowance_holds;
+  const int32_t allowed = CountAllowed(index);
+  const int32_t enough = job.is_gang() ? job.waiting : 1;
+  if (allowed < enough) {
+    holds.Lapse(index, state_.now);
+    return;
+  }
+  const AllowanceHold* hold = holds.Find(index);
+  const int32_t held = hold == nullptr ? 0 : hold->tasks;
+  const bool paused = hold != nullptr && held == 0;
+  const auto wanted = [&](int32_t tasks) {
+    return holds.HeldForUrgent(job.team) + job.spec.task * (tasks - held);
+  };
+  int32_t tasks = held;
+  if (held < allowed) tasks = std::max(held, CountPlaces(index, {}));
+  if (tasks < enough && !paused) {
+    if (!job.is_gang()) {
+      tasks = CountPlacesToMake(index);
+    } else {
+      tasks = CountPlaces(index, AllowanceVictims(job, wanted(enough)));
+    }
+  }
+  tasks = std::min(tasks, allowed);
+  if (tasks < enough) return;
+  holds.Hold(index, job, tasks, state_.now);
+  for (const TaskRef& ref :
+       AllowanceVictims(job, holds.HeldForUrgent(job.team))) {
+    PreemptTask(ref, kAllowanceForUrgent, decisions);
   }
 }
 
@@ -236,6 +328,7 @@
 std::optional<Preemption::Eviction> Preemption::ConstrainedEvictionOn(
     Index index, const Job& job) const {
   const Worker& worker = state_.fleet.worker(index);
+  if (worker.health.state != HealthState::kInService) return std::nullopt;
   const auto size = [&](TaskRef ref) {
     return state_.jobs[ref.job].room()[Dimension::kMillicores];
   };
--- a/azurepass/placement/internal/preemption.h
+++ b/azurepass/placement/internal/preemption.h
@@ -26,8 +26,11 @@
 
 class Preemption {
  public:
-  Preemption(CellState& state, const ConstrainedSearch& constrained_search)
-      : state_(state), constrained_search_(constrained_search) {}
+  Preemption(CellState& state, const Search& search,
+             const ConstrainedSearch& constrained_search)
+      : state_(state),
+        search_(search),
+        constrained_search_(constrained_search) {}
 
   // Preempts tasks of teams that are above a lowered allowance. Stops when
   // there are `starts` decisions.
@@ -39,10 +42,14 @@
   // Makes room for one task of an urgent job. Returns false when it cannot.
   bool MakeRoom(Index job, std::vector<Decision>& decisions);
 
-  // Preempts tasks of the job's team that have lower priority and keep their
-  // progress, until the team's allowance has room for `wanted`.
-  void MakeAllowance(const Job& job, const Resources& wanted,
-                     std::vector<Decision>& decisions);
+  // Preempts tasks of the constrained job's team that have lower priority and
+  // keep their progress, as far as the job can start with their allowance, and
+  // holds that allowance for it. Preempts none where that isn't enough.
+  void MakeAllowance(Index job, std::vector<Decision>& decisions);
+
+  // Returns how many of the constrained job's waiting tasks there is room for
+  // once the victims, and all tasks that were preempted before, have ended.
+  int32_t CountPlaces(Index job, const std::vector<TaskRef>& victims) const;
 
  private:
   struct Eviction {
@@ -63,6 +70,15 @@
   std::optional<Eviction> EvictionOn(Index worker, Index victim_team,
                                      const Job& job) const;
 
+  // Returns how many of the job's waiting tasks room was reserved for, or can
+  // be made for.
+  int32_t CountPlacesToMake(Index job) const;
+  // Returns the number of the job's tasks for which allowance can be made.
+  int32_t CountAllowed(Index job) const;
+  // Returns tasks that the job may preempt, whose preemption leaves `wanted` of
+  // the team's allowance. None of them can be spared.
+  std::vector<TaskRef> AllowanceVictims(const Job& job,
+                                        const Resources& wanted) const;
   // Returns true for a running task that `job` may preempt and that keeps its
   // progress.
   bool IsPreemptibleFor(const Job& job, TaskRef ref) const;
@@ -75,6 +91,7 @@
              Duration overdue, std::vector<Decision>& decisions);
 
   CellState& state_;
+  const Search& search_;
   const ConstrainedSearch& constrained_search_;
 };
 
--- a/azurepass/placement/placement.h
+++ b/azurepass/placement/placement.h
@@ -405,6 +405,13 @@
   // Returns what the team may still commit here. Negative after its allowance
   // was lowered below what it has committed.
   Resources AllowanceLeftOf(const TeamId& team) const;
+  // Returns the allowance that the urgent job gets from tasks of its team by
+  // preemption. Zero for other jobs and for those that can't be on time. Takes
+  // time proportional to the team's running tasks.
+  Resources PreemptibleAllowanceOf(const JobId& job) const;
+  // Returns the allowance that is held for the job; see
+  // internal/allowance_holds.h.
+  Resources AllowanceHeldFor(const JobId& job) const;
   Resources CommittedOn(const VmId& vm) const;
 
  private:
--- a/azurepass/placement/urgent_test.cc
+++ b/azurepass/placement/urgent_test.cc
@@ -4,7 +4,8 @@
 //
 //   * An urgent job that can still be on time starts before one that cannot.
 //   * It preempts low-priority tasks that keep their progress, and no others.
-//   * It takes its team's allowance from such tasks of its own team.
+//   * It takes its team's allowance from such tasks of its own team, only when
+//     it can start with it, and that allowance is held for it.
 //   * An overdue job delays no other job.
 //
 // It also tests that a job starts only on workers for which it has a valid
@@ -45,17 +46,23 @@
   explicit Fixture(int workers, const Resources& allowance = kUnlimited)
       : cell_(Options()) {
     for (int w = 0; w < workers; ++w) {
-      cell_.AddWorker({.vm = VmId("w" + std::to_string(w)),
-                       .zone = ZoneId("z"),
-                       .rack = RackId("r"),
-                       .service = ServiceId("s"),
-                       .address = "",
-                       .capacity = kWorker},
-                      WorkerAdmission::kOpen);
+      AddWorker("w" + std::to_string(w), kWorker);
     }
     cell_.SetTeam(kTeam, {1, {ZoneId("z")}, allowance});
   }
 
+  void AddWorker(const std::string& vm, const Resources& capacity) {
+    cell_.AddWorker({.vm = VmId(vm),
+                     .zone = ZoneId("z"),
+                     .rack = RackId("r"),
+                     .service = ServiceId("s"),
+                     .address = "",
+                     .capacity = capacity},
+                    WorkerAdmission::kOpen);
+  }
+  void Close(const char* vm) {
+    cell_.SetAdmission(VmId(vm), WorkerAdmission::kClosed);
+  }
   void Add(const char* job, const JobSpec& spec,
            std::optional<StartBy> start_by = std::nullopt) {
     cell_.AddJob(JobId(job), kTeam, spec, now, start_by);
@@ -172,6 +179,111 @@
   CHECK(f.starts[0].task.job == JobId("urgent"));
 }
 
+// Returns a fixture whose team has two preemptible tasks of low priority, which
+// use up its allowance.
+Fixture AtAllowance(int workers = 4) {
+  Resources allowance = kUnlimited;
+  allowance[Dimension::kMillicores] = 32'000;
+  Fixture f(workers, allowance);
+  f.Add("keeps", ConstrainedJob(Priority::kLow, 3, true));
+  f.Decide();
+  REQUIRE(f.starts.size() == 2);
+  return f;
+}
+
+// Guards against tasks that are preempted for urgent work that can't start.
+TEST_CASE("allowance is made only for urgent work that can use it") {
+  JobSpec urgent = ConstrainedJob(Priority::kUrgent, 1, false);
+  SUBCASE("not without permits") { urgent.constraints.needs_permit = true; }
+  SUBCASE("not without room") { urgent.constraints.label = "absent"; }
+  SUBCASE("not for more than the team's allowance") {
+    urgent.task = kHalfWorker + kWorker;
+  }
+  SUBCASE("not for more than its preemptible tasks have") {
+    urgent.tasks = 3;
+    urgent.policy = GangPolicy{};
+  }
+  Fixture f = AtAllowance();
+  f.Add("urgent", urgent, f.StartByIn(seconds(5), seconds(9)));
+  f.Decide();
+  CHECK(f.preempts.empty());
+  f.Decide();
+  CHECK(f.preempts.empty());
+}
+
+// Guards against urgent work that waits for as long as its permits do not come:
+// they may come at any time, and the allowance is made then.
+TEST_CASE("allowance is made when the permits of urgent work arrive") {
+  JobSpec urgent = ConstrainedJob(Priority::kUrgent, 1, false);
+  urgent.constraints.needs_permit = true;
+  Fixture f = AtAllowance();
+  f.Add("urgent", urgent, f.StartByIn(seconds(5), seconds(9)));
+  f.Decide();
+  CHECK(f.cell().PreemptibleAllowanceOf(JobId("urgent")) == kHalfWorker * 2);
+  CHECK(f.cell().PreemptibleAllowanceOf(JobId("keeps")) == Resources());
+  f.SetPermitted("urgent", {VmId("w3")}, seconds(4));
+  f.Decide();
+  REQUIRE(f.preempts.size() == 1);
+  f.Release(f.preempts[0].task, AttemptOutcome::kStopped, true);
+  f.Decide();
+  REQUIRE(f.starts.size() == 1);
+  CHECK(f.starts[0].task.job == JobId("urgent"));
+}
+
+// The urgent job needs the allowance of both tasks, and the first of these ends
+// before the second. Guards against tasks of the same team that take what was
+// freed, and against a hold without an end: the second task never ends.
+TEST_CASE("lower work does not use allowance that is held, for a time") {
+  JobSpec urgent = ConstrainedJob(Priority::kUrgent, 2, false);
+  urgent.policy = GangPolicy{};
+  Fixture f = AtAllowance();
+  f.Add("urgent", urgent, f.StartByIn(seconds(5), seconds(9)));
+  f.Decide();
+  REQUIRE(f.preempts.size() == 2);
+  CHECK(f.cell().AllowanceHeldFor(JobId("urgent")) == kHalfWorker * 2);
+  f.Release(f.preempts[0].task, AttemptOutcome::kStopped, true);
+  f.Decide();
+  CHECK(f.starts.empty());
+  SUBCASE("both end") {
+    f.Release({JobId("keeps"), 0}, AttemptOutcome::kStopped, true);
+    f.Release({JobId("keeps"), 1}, AttemptOutcome::kStopped, true);
+    f.Decide();
+    REQUIRE(f.starts.size() == 2);
+    CHECK(f.starts[0].task.job == JobId("urgent"));
+    CHECK(f.cell().AllowanceHeldFor(JobId("urgent")) == Resources());
+  }
+  SUBCASE("it loses its room") {
+    for (const char* vm : {"w0", "w1", "w2", "w3"}) f.Close(vm);
+    f.AddWorker("w4", kHalfWorker);
+    f.Decide();
+    CHECK(f.starts.empty());
+    f.now += Duration(1'500);
+    f.Decide();
+    REQUIRE(f.starts.size() == 1);
+    CHECK(f.starts[0].task.job == JobId("keeps"));
+  }
+}
+
+// The youngest task is too small, so that an older and larger one has to go as
+// well. Guards against preempting both, after which the small one starts again.
+TEST_CASE("a task whose allowance is not needed is not preempted") {
+  Resources allowance = kUnlimited;
+  allowance[Dimension::kMillicores] = 20'000;
+  Fixture f(4, allowance);
+  f.Add("large", ConstrainedJob(Priority::kLow, 1, true));
+  f.Decide();
+  JobSpec small = ConstrainedJob(Priority::kLow, 1, true);
+  small.task = Resources(1, 0, 4'000, 1'024, 0);
+  f.Add("small", small);
+  f.Decide();
+  REQUIRE(f.starts.size() == 1);
+  f.Add("urgent", ConstrainedJob(Priority::kUrgent, 1, false),
+        f.StartByIn(seconds(5), seconds(9)));
+  f.Decide();
+  REQUIRE(f.preempts.size() == 1);
+  CHECK(f.preempts[0].task.job == JobId("large"));
+}
+
 TEST_CASE(
     "a blocked constrained job is tried again on workers that gained room") {
   Fixture f(1);
--- a/azurepass/placement/waiting_test.cc
+++ b/azurepass/placement/waiting_test.cc
@@ -12,6 +12,11 @@
 //     probe withholds.
 //
 // No cell limits how fast a zone fills up after its return to service.
+//
+// The simulation also checks the decisions that are made at one time, between
+// two groups of random calls: no task is preempted after it was started, and
+// none is started or preempted twice. Some starts are withdrawn as soon as they
+// are preempted, as an owner does with those that it has not ordered yet.
 
 #include <doctest/doctest.h>
 
@@ -19,6 +24,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -53,6 +59,7 @@
   std::vector<ModelTask> tasks;
   std::vector<int> permitted;
   MonotonicTime permitted_until{};
+  std::optional<StartBy> start_by;
 };
 
 struct ModelWorker {
@@ -64,6 +71,9 @@
   bool withholds_room = false;
   bool urgent = false;
   DecideBudget budget{};
+  bool withdraws_starts = false;
+  // Of plain cells, those with urgent work are not checked: it reserves room.
+  bool checks_waiting = true;
 };
 
 class Simulation {
@@ -191,6 +201,7 @@
       const auto on_time = now_ + milliseconds(Below(2'000));
       by = StartBy{on_time, on_time + milliseconds(Below(3'000))};
     }
+    job.start_by = by;
     cell_.AddJob(id, TeamId(absl::StrCat("t", job.team)), spec, now_, by);
     jobs_[id] = std::move(job);
   }
@@ -334,22 +345,44 @@
         workers_.begin());
     jobs_[start.task.job].tasks[start.task.index] = {.phase = Phase::kRunning,
                                                      .worker = w};
+    if (!started_now_.insert(start.task).second) {
+      violation_ = absl::StrCat(Name(start.task), " was started twice");
+    }
   }
   void Apply(const Preempt& preempt) {
-    jobs_[preempt.task.job].tasks[preempt.task.index].phase =
-        Phase::kPreempting;
+    ModelTask& task = jobs_[preempt.task.job].tasks[preempt.task.index];
+    task.phase = Phase::kPreempting;
+    if (!preempt.checkpoint) return;
+    if (started_now_.contains(preempt.task)) {
+      violation_ = absl::StrCat(Name(preempt.task),
+                                " was started and preempted: ", preempt.reason);
+    }
+    if (!preempted_now_.insert(preempt.task).second) {
+      violation_ = absl::StrCat(Name(preempt.task), " was preempted twice");
+    }
+    if (!kind_.withdraws_starts || OneIn(2)) return;
+    task = {};
+    cell_.Release(preempt.task, AttemptOutcome::kStopped, true, now_);
+  }
+
+  static std::string Name(const TaskId& task) {
+    return absl::StrCat(task.job.value(), "/", task.index);
   }
 
   std::string DecideAll() {
+    started_now_.clear();
+    preempted_now_.clear();
     for (int i = 0; i < kMaxDecideCalls; ++i) {
       const auto decisions = cell_.Decide(now_, kind_.budget);
       for (const Decision& decision : decisions) {
         std::visit([this](const auto& d) { Apply(d); }, decision);
       }
+      if (!violation_.empty()) return violation_;
       if (!decisions.empty()) continue;
       const auto wake = cell_.NextWake();
       if (wake && *wake <= now_) continue;
       for (const auto& [id, job] : jobs_) {
+        if (!kind_.checks_waiting) break;
         if (CouldStart(id, job)) return DescribeMissedStart(id, job);
       }
       return "";
@@ -442,6 +475,35 @@
     return false;
   }
 
+  // Returns whether allowance may be held for the job: it is urgent, can still
+  // be on time and has permits.
+  bool MayHoldAllowance(const ModelJob& job) const {
+    const bool permitted =
+        !job.spec.constraints.needs_permit || now_ < job.permitted_until;
+    return job.spec.priority == Priority::kUrgent && permitted &&
+           (!job.start_by || now_ < job.start_by->on_time);
+  }
+
+  static int CountWaiting(const ModelJob& job) {
+    return static_cast<int>(std::count_if(
+        job.tasks.begin(), job.tasks.end(),
+        [](const ModelTask& t) { return t.phase == Phase::kWaiting; }));
+  }
+
+  // Returns the allowance that is held for urgent jobs of the team.
+  Resources HeldFrom(const JobId& id, const ModelJob& job) const {
+    Resources held;
+    for (const auto& [other_id, other] : jobs_) {
+      if (other.team != job.team || !MayHoldAllowance(other) ||
+          cell_.RankOf(other_id) > cell_.RankOf(id)) {
+        continue;
+      }
+      held += Resources::Min(cell_.AllowanceHeldFor(other_id),
+                             other.spec.task * CountWaiting(other));
+    }
+    return held;
+  }
+
   bool CouldStart(const JobId& id, const ModelJob& job) const {
     const bool is_gang = std::holds_alternative<GangPolicy>(job.spec.policy);
     // Explain does not tell how much of a worker's room is reserved.
@@ -466,7 +528,10 @@
       return false;
     }
     const int wanted = is_gang ? waiting : 1;
-    if (!(UsedBy(job.team) + job.spec.task * wanted)
+    const bool urgent = job.spec.priority == Priority::kUrgent &&
+                        (!job.start_by || now_ < job.start_by->late);
+    const Resources held = urgent ? Resources() : HeldFrom(id, job);
+    if (!(UsedBy(job.team) + held + job.spec.task * wanted)
              .FitsIn(terms_[job.team].allowance)) {
       return false;
     }
@@ -486,6 +551,10 @@
   std::vector<TeamTerms> terms_;
   std::map<JobId, ModelJob> jobs_;
   int last_job_ = 0;
+  // Since the latest group of random calls.
+  std::set<TaskId> started_now_;
+  std::set<TaskId> preempted_now_;
+  std::string violation_;
 };
 
 struct RunLength {
@@ -524,6 +593,25 @@
   }
 }
 
+// Guards against work that is preempted and started again, over and over,
+// while the urgent work that it gives way to stays blocked.
+TEST_CASE("no task is started and preempted in the same moment") {
+  SUBCASE("room is withheld") {
+    CheckSeeds(
+        {.withholds_room = true, .urgent = true, .withdraws_starts = true});
+  }
+  SUBCASE("plain cells") {
+    CheckSeeds(
+        {.urgent = true, .withdraws_starts = true, .checks_waiting = false});
+  }
+  SUBCASE("with a small budget") {
+    CheckSeeds({.urgent = true,
+                .budget = {.decisions = 3, .candidates = 150},
+                .withdraws_starts = true,
+                .checks_waiting = false});
+  }
+}
+
 const Resources kOneCore(1, 1, 1'000, 1, 0);
 const Resources kFourCores(4, 4, 4'000, 4, 0);
 const TeamId kTeam("a");
