Metric: starts that were preempted before their worker had them

azurepass_unordered_starts_preempted_total counts starts that placement preempted while they were held for their record. Decisions that are undone as soon as they are made could be seen in the log only, as kind=preempt lines beside kind=start. It restarts with each claim of a partition, like other counters of its owner.

owner_recording_test counts starts that are and aren't ordered yet, hops_test looks at the text.

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -418,6 +418,7 @@
   bool vm_list_is_current_ =
       false;                    // The VM list was requested after fenced_at_.
   bool placement_due_ = false;  // An input of placement changed.
+  int64_t unordered_preempted_ = 0;  // See Status.
   int64_t snapshot_through_ = 0;
   bool snapshot_in_flight_ = false;
   MonotonicTime snapshot_retry_{};
--- a/azurepass/partition/owner_recording_test.cc
+++ b/azurepass/partition/owner_recording_test.cc
@@ -42,6 +42,17 @@
   CHECK(d.Starts().size() == 2);
 }
 
+TEST_CASE("starts that are preempted before their order are counted") {
+  for (const bool ordered : {false, true}) {
+    Driver d({"vm-0"}, false, RecordFirstOptions());
+    d.Submit(1, OneStepWorkflow(2));
+    d.CompleteAppend();  // The submission.
+    if (ordered) d.CompleteAppends();
+    d.Handle(AllowancesChanged{{{kTeam, Resources()}}});
+    CHECK(d.status().unordered_preempted == (ordered ? 0 : 2));
+  }
+}
+
 TEST_CASE("a new owner starts queued tasks while a worker does not answer") {
   Driver d({"vm-0", "vm-1"}, false, RecordFirstOptions());
   d.Submit(1, OneStepWorkflow(12));  // More than fit on one worker.
--- a/azurepass/partition/owner_tasks.cc
+++ b/azurepass/partition/owner_tasks.cc
@@ -89,6 +89,7 @@
   if (attempt == nullptr) return;
   Log("preempt", preempt.task, attempt->id.attempt, preempt.vm, preempt.reason);
   if (attempt->stage == AttemptStage::kHeld) {
+    ++unordered_preempted_;
     WithdrawStart(preempt.task, preempt.reason);
   } else {
     OrderStop(*attempt,
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -568,6 +568,8 @@
   Epoch epoch;
   placement::CellStatus cell;
   std::vector<std::pair<TeamId, Resources>> committed;
+  // Starts that were preempted before they were ordered, since the claim.
+  int64_t unordered_preempted = 0;
 };
 
 class Owner {
--- a/azurepass/partition/testing/driver.h
+++ b/azurepass/partition/testing/driver.h
@@ -115,6 +115,7 @@
       actions.push_back(std::move(action));
     }
   }
+  Status status() const { return owner_.status(); }
   // Answers appends as successful until none is pending.
   void CompleteAppends() {
     while (pending_append_ > 0) {
--- a/azurepass/scheduling/internal/hops_test.cc
+++ b/azurepass/scheduling/internal/hops_test.cc
@@ -175,6 +175,16 @@
   CHECK(text.find("hop=\"permit\"") == std::string::npos);
 }
 
+TEST_CASE("metrics count the starts that were preempted before their order") {
+  StatusNotice notice;
+  notice.owns = true;
+  notice.status.partition = kPartition;
+  notice.status.unordered_preempted = 4;
+  const std::string text = MakeReport({notice}, /*store_read=*/true).text;
+  CHECK(text.find("azurepass_unordered_starts_preempted_total{partition=\"p\"} "
+                  "4\n") != std::string::npos);
+}
+
 TEST_CASE(
     "a lost worker's silence is counted when it is known to have stopped") {
   HopMeter meter;
--- a/azurepass/scheduling/internal/report.cc
+++ b/azurepass/scheduling/internal/report.cc
@@ -103,6 +103,12 @@
                    PartitionLabel(notice) + "," + metrics::Label("kind", kind));
     }
   }
+  for (const StatusNotice& notice : partitions) {
+    if (!notice.owns) continue;
+    text.Counter("azurepass_unordered_starts_preempted_total",
+                 "starts preempted before their worker had them",
+                 notice.status.unordered_preempted, PartitionLabel(notice));
+  }
   AddHops(partitions, text);
   metrics::Report report{text.Take(), std::nullopt};
   if (!store_read) report.not_ready = "the store was not read yet";
