--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -45,18 +45,6 @@
   return job.spec.task * (job.is_gang() ? job.waiting : 1);
 }
 
-// Returns whether the open workers have room for all waiting tasks of a gang.
-// Considers room only, none of the gang's constraints.
-bool FitsGang(const internal::Fleet& fleet, const Job& job) {
-  int32_t missing = job.waiting;
-  for (const internal::Worker& worker : fleet.workers()) {
-    if (missing <= 0) break;
-    if (!fleet.IsOpen(worker)) continue;
-    missing -= internal::TimesFits(job.room(), worker.free, missing);
-  }
-  return missing <= 0;
-}
-
 }  // namespace
 
 std::string_view WaitReasonName(WaitReason reason) {
@@ -249,6 +237,7 @@
       add(job.start_by->late);
     }
   }
+  add(state_.allowance_holds.NextEnd());
   if (!state_.checkpoints.empty()) {
     add(state_.checkpoints.front().since + state_.options.checkpoint_grace);
   }
@@ -478,7 +467,7 @@
     if (job.team != team || job.waiting == 0) return true;
     const Resources size = StartSizeOf(job);
     if (!size.FitsIn(room)) return true;
-    if (job.is_gang() && !FitsGang(state.fleet, job)) return true;
+    if (job.is_gang() && !state.FitsGang(job)) return true;
     first = job.rank();
     start_size = size;
     return false;
@@ -505,6 +494,31 @@
   return state.teams[index].terms.allowance - state.teams[index].committed;
 }
 
+Resources Cell::PreemptibleAllowanceOf(const JobId& id) const {
+  const internal::CellState& state = impl_->state();
+  const Index index = state.FindJob(id);
+  Resources preemptible;
+  if (index == kNone) return preemptible;
+  const Job& job = state.jobs[index];
+  if (!job.is_urgent() || job.lateness != internal::Lateness::kOnTime) {
+    return preemptible;
+  }
+  for (const TaskRef& ref : state.teams[job.team].running) {
+    const Job& other = state.jobs[ref.job];
+    const bool ends = other.tasks[ref.task].phase == TaskPhase::kPreempting;
+    if (ends || internal::MayPreempt(job, other))
+      preemptible += other.spec.task;
+  }
+  return preemptible;
+}
+
+Resources Cell::AllowanceHeldFor(const JobId& job) const {
+  const internal::CellState& state = impl_->state();
+  const internal::AllowanceHold* hold =
+      state.allowance_holds.Find(state.FindJob(job));
+  return hold == nullptr ? Resources() : hold->size * hold->tasks;
+}
+
 Resources Cell::CommittedOf(const TeamId& team) const {
   const internal::CellState& state = impl_->state();
   const Index index = state.teams.Find(team);
--- a/azurepass/placement/internal/cell_state.cc
+++ b/azurepass/placement/internal/cell_state.cc
@@ -58,6 +58,7 @@
   Job& job = jobs[index];
   if (job.waiting + job.delayed + job.committed > 0) return;
   DropReservation(index);
+  allowance_holds.Drop(index);
   Dequeue(index);
   job_ids_.erase(job.id);
   job = Job{};
@@ -108,6 +109,7 @@
   team.committed += job.spec.task;
   --team.waiting;
   team.queued -= job.spec.task;
+  allowance_holds.OnStarted(ref.job);
   ++job.committed;
   --queued;
   ++committed;
@@ -257,6 +259,7 @@
     job.lateness = job.lateness == Lateness::kOnTime ? Lateness::kLate
                                                      : Lateness::kOverdue;
     if (job.lateness == Lateness::kOverdue) DropReservation(end.job);
+    allowance_holds.Drop(end.job);  // Its rank has changed.
     UpdateQueue(end.job);
     if (job.lateness == Lateness::kLate) {
       lateness_changes_.push({job.start_by->late, end.job, job.number});
@@ -269,6 +272,11 @@
   job.permitted_until = until;
   job.permit_valid = !job.permitted.empty() && now < until;
   if (job.permit_valid) permit_ends_.push({until, index, job.number});
+  if (!job.permit_valid) {
+    allowance_holds.Lapse(index, now);
+  } else if (!allowance_holds.IsHeldFor(index)) {
+    allowance_holds.Drop(index);  // Need not wait for the end of its pause.
+  }
   UpdateQueue(index);
   if (job.lane != kNone) ClearSearchResult(lanes[job.lane]);
 }
@@ -361,8 +369,30 @@
   job.permit_rank = rank;
 }
 
+void CellState::UpdateUnpermittedGangs(Index index) {
+  Job& job = jobs[index];
+  std::optional<WaitingRank> rank;
+  if (job.is_gang() && job.lacks_permit() && job.is_ready()) rank = job.rank();
+  if (rank == job.gang_rank) return;
+  auto& gangs = teams[job.team].unpermitted_gangs;
+  if (job.gang_rank) gangs.erase({*job.gang_rank, index});
+  if (rank) gangs.emplace(*rank, index);
+  job.gang_rank = rank;
+}
+
+bool CellState::FitsGang(const Job& job) const {
+  int32_t missing = job.waiting;
+  for (const Worker& worker : fleet.workers()) {
+    if (missing <= 0) break;
+    if (!fleet.IsOpen(worker)) continue;
+    missing -= TimesFits(job.room(), worker.free, missing);
+  }
+  return missing <= 0;
+}
+
 void CellState::UpdateQueue(Index index) {
   UpdatePermitWaiters(index);
+  UpdateUnpermittedGangs(index);
   const Job& job = jobs[index];
   const bool startable = job.is_startable();
   if (job.lane != kNone && !startable) Dequeue(index);
--- a/azurepass/placement/internal/cell_state.h
+++ b/azurepass/placement/internal/cell_state.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "azurepass/placement/internal/allowance_holds.h"
 #include "azurepass/placement/internal/decision_log.h"
 #include "azurepass/placement/internal/failed_searches.h"
 #include "azurepass/placement/internal/fleet.h"
@@ -89,6 +90,9 @@
   // Clears the search results of all lanes of the team.
   void ClearSearchResults(Team& team);
   void DropReservation(Index job);
+  // Returns whether the open workers have room for all waiting tasks of a gang.
+  // Considers room only, none of the gang's constraints.
+  bool FitsGang(const Job& job) const;
 
   Options options;
   Fleet fleet;
@@ -99,6 +103,7 @@
   // ranks equal Job::permit_rank.
   std::set<std::pair<WaitingRank, Index>> permit_waiters;
   Reservations reservations;
+  AllowanceHolds allowance_holds;
   // Virtual time of the fair queueing of reservations: the start tag of the
   // latest one; see Decider::PlanReservations.
   double reservation_time = 0;
@@ -132,6 +137,7 @@
   Task* Delayed(const internal::Delay& delay);
   void EndDelay(const internal::Delay& delay);
   void UpdatePermitWaiters(Index job);
+  void UpdateUnpermittedGangs(Index job);
   void Enqueue(Index job);
   void Dequeue(Index job);
   Index LaneFor(const Job& job);
