promises_ownership_test: the calls are held by the partition's lasting owner

"a scheduler and a frontend that are asked to end cut no request" failed now and then: calls.ended() was 8 where it should be 0 (KNOWN-RED).

Traced in a run that failed (one of eight at once, with the two versions printed): scheduler-0 was up first, claimed the partition at 29.451 s and handed it over to scheduler-1 at 29.508 s, as planned; the test had submitted its job and read its version under epoch 1. The next owner's versions begin with its epoch, so it answered all eight held calls at once, as JobTable means it to. The SIGTERM that followed went to scheduler-0, which owned nothing any more, so the run said nothing about handing over either. The cause suspected before (a start not yet taken in) was not it: all four tasks were shown as running.

The test now waits until the owner has stayed the same for 1.5 s before it submits the job, and requires that the owner is still that one when it is asked to end. All checks stay as they were; that one is new.

--- a/azurepass/testing/system/promises_ownership_test.cc
+++ b/azurepass/testing/system/promises_ownership_test.cc
@@ -171,6 +171,23 @@
   int whole_ = 0;
 };
 
+// Returns the partition's owner once it has stayed the same for a while, or -1.
+// Of the schedulers of a new cluster, the first one up owns the partition until
+// it hands it over to the one that is to have it.
+int SettledOwner(Cluster& cluster, const std::string& partition) {
+  constexpr Duration kSettle{1'500};
+  int owner = -1;
+  Duration since = Now();
+  const bool settled = Await(kPatience, [&] {
+    if (const int now = OwnerOf(cluster, partition); now != owner) {
+      owner = now;
+      since = Now();
+    }
+    return owner >= 0 && Now() - since >= kSettle;
+  });
+  return settled ? owner : -1;
+}
+
 TEST_CASE("a scheduler and a frontend that are asked to end cut no request") {
   constexpr int kCalls = 8;
   for (const bool frontend : {false, true}) {
@@ -180,14 +197,14 @@
     REQUIRE(cluster.Start(kPatience));
     const std::string key = cluster.AddTeam("rilapak", nullptr);
     REQUIRE(!key.empty());
+    // Another owner has another version of the job, which answers held calls.
+    const int owner = SettledOwner(cluster, "intake-0");
+    REQUIRE(owner >= 0);
     const std::string job =
         Submit(cluster, key, BatchJob("held", 4, Duration(6'000)), kPatience);
     REQUIRE(!job.empty());
-    int owner = -1;
-    REQUIRE(Await(kPatience, [&] {
-      owner = OwnerOf(cluster, "intake-0");
-      return owner >= 0 && PeakRunning(cluster.History()) == 4;
-    }));
+    REQUIRE(
+        Await(kPatience, [&] { return PeakRunning(cluster.History()) == 4; }));
     const Json seen = cluster.Call(0, "GET", "/v1/jobs/" + job, key).body;
     HeldCalls calls("http://" + cluster.caller_address(0) + "/v1/jobs/" + job +
                         "?wait=4&known=" +
@@ -195,6 +212,7 @@
                     key, kCalls);
     calls.Run(Now() + Duration(1'000));
     CHECK(calls.ended() == 0);
+    REQUIRE(OwnerOf(cluster, "intake-0") == owner);
     Process& process =
         frontend ? cluster.frontend(0) : cluster.scheduler(owner);
     const Duration asked = Now();
