Urgent jobs do not preempt what was started at the same moment

Seen: with 3,000 seeds in place of 150, the property of waiting_test broke in 66 of some 12,000 cells with urgent work, most often "started and preempted: room_for_urgent" (seeds 265 and 461 of "room is withheld").

Cause: normal work that starts in one pass can make it possible to preempt it in the next. It lifts its team above its fair share, from where urgent jobs of other teams take room; or a task that was preempted in the first pass ends at once, and its room lets an urgent job want allowance that the normal work then has.

Now the cell remembers what was started since the latest report to it, or since time went on, and urgent jobs leave that alone. They are tried again with the next report, and after 20 ms at the latest, so that they wait no longer than that.

Two seeds of 2,000 (822, 1048) had shown holds that the model did not allow: it took an answer that permits no worker for permits, which the cell does not; the model is mended, and no narrower.

--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -26,6 +26,10 @@
 namespace {
 
 constexpr int kMaxDoublings = 6;
+
+// Time after which blocked urgent jobs are tried again if tasks were started
+// that they might preempt.
+constexpr Duration kUrgentRetry{20};
 constexpr uint8_t kMaxCount = 250;  // Counters saturate here.
 
 // Returns the backoff before retry number `retries`: first * 2^(retries-1), at
@@ -75,7 +79,11 @@
  public:
   explicit Impl(const Options& options) : state_(options) {}
 
-  internal::CellState& state() { return state_; }
+  // For calls that report something to the cell.
+  internal::CellState& OnReport() {
+    state_.started_now.clear();
+    return state_;
+  }
   const internal::CellState& state() const { return state_; }
 
   void SetTeam(const TeamId& id, const TeamTerms& terms);
@@ -89,7 +97,9 @@
   void RecordOutcome(TaskRef ref, AttemptOutcome outcome, MonotonicTime now);
   void Requeue(TaskRef ref, AttemptOutcome outcome, MonotonicTime now);
   void AdvanceTime(MonotonicTime now) {
-    state_.now = std::max(state_.now, now);
+    if (now <= state_.now) return;
+    state_.now = now;
+    state_.started_now.clear();
   }
 
   internal::CellState state_;
@@ -97,6 +107,7 @@
 };
 
 void Cell::Impl::SetTeam(const TeamId& id, const TeamTerms& terms) {
+  state_.started_now.clear();
   Team& team = state_.teams[state_.teams.Intern(id)];
   team.terms = terms;
   team.zones.clear();
@@ -119,6 +130,7 @@
       task->phase == TaskPhase::kWaiting || task->phase == TaskPhase::kDelayed;
   const internal::Worker& w = state_.fleet.worker(worker);
   const Job& job = state_.jobs[ref.job];
+  state_.started_now.clear();
   if (!waits || !w.known) return false;
   if (!without_room && !job.room().FitsIn(w.free)) return false;
   state_.Commit(ref, worker, std::max(state_.now, job.accepted));
@@ -201,6 +213,8 @@
       task->phase != TaskPhase::kPreempting) {
     return;
   }
+  // The end of a preempted task follows from a decision.
+  if (task->phase == TaskPhase::kCommitted) state_.started_now.clear();
   task->ended = now;
   const bool again = requeue && !task->cancelled;
   RecordOutcome(ref, outcome, now);
@@ -238,6 +252,9 @@
     }
   }
   add(state_.allowance_holds.NextEnd());
+  if (state_.urgent_blocked && !state_.started_now.empty()) {
+    add(state_.now + kUrgentRetry);
+  }
   if (!state_.checkpoints.empty()) {
     add(state_.checkpoints.front().since + state_.options.checkpoint_grace);
   }
@@ -253,23 +270,23 @@
 Cell& Cell::operator=(Cell&&) noexcept = default;
 
 void Cell::AddWorker(const WorkerSpec& worker, WorkerAdmission admission) {
-  impl_->state().fleet.Add(worker, admission);
+  impl_->OnReport().fleet.Add(worker, admission);
 }
 
 void Cell::SetAdmission(const VmId& vm, WorkerAdmission admission) {
-  internal::Fleet& fleet = impl_->state().fleet;
+  internal::Fleet& fleet = impl_->OnReport().fleet;
   const Index worker = fleet.Find(vm);
   if (worker != kNone) fleet.SetAdmission(worker, admission);
 }
 
 void Cell::RemoveWorker(const VmId& vm) {
-  internal::Fleet& fleet = impl_->state().fleet;
+  internal::Fleet& fleet = impl_->OnReport().fleet;
   const Index worker = fleet.Find(vm);
   if (worker != kNone) fleet.Remove(worker);
 }
 
 void Cell::SetZoneInService(const ZoneId& zone, bool in_service) {
-  internal::Fleet& fleet = impl_->state().fleet;
+  internal::Fleet& fleet = impl_->OnReport().fleet;
   fleet.SetZoneInService(fleet.InternZone(zone), in_service);
 }
 
@@ -288,26 +305,28 @@
 
 void Cell::AddJob(const JobId& job, const TeamId& team, const JobSpec& spec,
                   MonotonicTime accepted, std::optional<StartBy> start_by) {
-  internal::CellState& state = impl_->state();
+  internal::CellState& state = impl_->OnReport();
   if (state.FindJob(job) != kNone) return;
   state.AddJob(job, state.teams.Intern(team), spec, accepted, start_by);
 }
 
 void Cell::CancelTask(const TaskId& task) {
   TaskRef ref;
-  if (impl_->state().FindTask(task, &ref) != nullptr) {
-    impl_->state().Cancel(ref);
+  internal::CellState& state = impl_->OnReport();
+  if (state.FindTask(task, &ref) != nullptr) {
+    state.Cancel(ref);
   }
 }
 
 void Cell::RemoveJob(const JobId& job) {
-  const Index index = impl_->state().FindJob(job);
-  if (index != kNone) impl_->state().RemoveJob(index);
+  internal::CellState& state = impl_->OnReport();
+  const Index index = state.FindJob(job);
+  if (index != kNone) state.RemoveJob(index);
 }
 
 void Cell::SetPermitted(const JobId& id, const std::vector<VmId>& workers,
                         MonotonicTime until) {
-  internal::CellState& state = impl_->state();
+  internal::CellState& state = impl_->OnReport();
   const Index index = state.FindJob(id);
   if (index == kNone) return;
   Job& job = state.jobs[index];
@@ -336,7 +355,7 @@
 
 std::vector<OveruseAction> Cell::OnUsage(
     const std::vector<UsageSample>& samples, MonotonicTime now) {
-  return internal::HandleOveruse(impl_->state(), samples, now);
+  return internal::HandleOveruse(impl_->OnReport(), samples, now);
 }
 
 std::optional<MonotonicTime> Cell::NextWake() const {
--- a/azurepass/placement/internal/cell_state.h
+++ b/azurepass/placement/internal/cell_state.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "azurepass/placement/internal/allowance_holds.h"
 #include "azurepass/placement/internal/decision_log.h"
 #include "azurepass/placement/internal/failed_searches.h"
@@ -104,6 +105,10 @@
   std::set<std::pair<WaitingRank, Index>> permit_waiters;
   Reservations reservations;
   AllowanceHolds allowance_holds;
+  // The tasks that were started since the latest report to the cell or change
+  // of `now`. Urgent jobs do not preempt them: they had their turn before.
+  absl::flat_hash_set<TaskRef> started_now;
+  bool urgent_blocked = false;  // An urgent job lacked room or allowance.
   // Virtual time of the fair queueing of reservations: the start tag of the
   // latest one; see Decider::PlanReservations.
   double reservation_time = 0;
--- a/azurepass/placement/internal/decider.cc
+++ b/azurepass/placement/internal/decider.cc
@@ -61,6 +61,7 @@
   if (!has_more_) RunPriority(Priority::kLow);
   PlanReservations();
   if (!out_of_candidates_) ++state_.sweep;
+  state_.urgent_blocked = !blocked_urgent_.empty() || !over_allowance_.empty();
   return std::move(decisions_);
 }
 
@@ -488,6 +489,7 @@
   state_.fleet.TakeRampToken(worker.zone);
   state_.reservations.OnStarted(state_.fleet, job, job_index, place.worker);
   state_.Commit({.job = job_index, .task = t}, place.worker, state_.now);
+  state_.started_now.insert({.job = job_index, .task = t});
 }
 
 void Decider::StartAll(Index job_index, const SearchResult& found) {
--- a/azurepass/placement/internal/job.h
+++ b/azurepass/placement/internal/job.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -19,6 +20,10 @@
   Index job = kNone;
   int32_t task = 0;
   bool operator==(const TaskRef&) const = default;
+  template <class H>
+  friend H AbslHashValue(H h, const TaskRef& ref) {
+    return H::combine(std::move(h), ref.job, ref.task);
+  }
 };
 
 enum class TaskPhase : uint8_t {
--- a/azurepass/placement/internal/preemption.cc
+++ b/azurepass/placement/internal/preemption.cc
@@ -140,7 +140,8 @@
 bool Preemption::IsVictim(TaskRef ref) const {
   const Job& job = state_.jobs[ref.job];
   return std::holds_alternative<BatchPolicy>(job.spec.policy) &&
-         !job.is_urgent() && job.spec.repeatable &&
+         !state_.started_now.contains(ref) && !job.is_urgent() &&
+         job.spec.repeatable &&
          job.tasks[ref.task].phase == TaskPhase::kCommitted;
 }
 
@@ -211,7 +212,7 @@
 
 bool Preemption::IsPreemptibleFor(const Job& job, TaskRef ref) const {
   const Job& other = state_.jobs[ref.job];
-  return MayPreempt(job, other) &&
+  return MayPreempt(job, other) && !state_.started_now.contains(ref) &&
          other.tasks[ref.task].phase == TaskPhase::kCommitted;
 }
 
--- a/azurepass/placement/waiting_test.cc
+++ b/azurepass/placement/waiting_test.cc
@@ -480,7 +480,8 @@
   // and that waits for permits.
   bool MayHoldAllowance(const ModelJob& job) const {
     const bool permitted =
-        !job.spec.constraints.needs_permit || now_ < job.permitted_until;
+        !job.spec.constraints.needs_permit ||
+        (!job.permitted.empty() && now_ < job.permitted_until);
     const bool overdue = job.start_by && now_ >= job.start_by->late;
     if (job.spec.priority == Priority::kUrgent && !overdue) {
       return permitted && (!job.start_by || now_ < job.start_by->on_time);
@@ -603,19 +604,23 @@
 // Guards against work that is preempted and started again, over and over,
 // while the urgent work that it gives way to stays blocked.
 TEST_CASE("no task is started and preempted in the same moment") {
+  const RunLength length{.seeds = 600};
   SUBCASE("room is withheld") {
     CheckSeeds(
-        {.withholds_room = true, .urgent = true, .withdraws_starts = true});
+        {.withholds_room = true, .urgent = true, .withdraws_starts = true},
+        length);
   }
   SUBCASE("plain cells") {
     CheckSeeds(
-        {.urgent = true, .withdraws_starts = true, .checks_waiting = false});
+        {.urgent = true, .withdraws_starts = true, .checks_waiting = false},
+        length);
   }
   SUBCASE("with a small budget") {
     CheckSeeds({.urgent = true,
                 .budget = {.decisions = 3, .candidates = 150},
                 .withdraws_starts = true,
-                .checks_waiting = false});
+                .checks_waiting = false},
+               length);
   }
 }
 
