Stand-in store: transactions of several keys

StoreData moves out of internal/, so that the platform's store can answer from it as well. A transaction writes and removes several keys at one revision under conditions; the history therefore no longer has one entry a revision and is searched by revision. Leases are plain numbers, as the platform spells them.

--- a/azurepass/testing/standin/internal/store_task.h
+++ b/azurepass/testing/standin/internal/store_task.h
@@ -24,7 +24,7 @@
 
 #include "azurepass/task/task.h"
 #include "azurepass/testing/standin/internal/faulty_server.h"
-#include "azurepass/testing/standin/internal/store_data.h"
+#include "azurepass/testing/standin/store_data.h"
 
 namespace azurepass::testing::internal {
 
--- a/azurepass/testing/standin/internal/store_data.cc
+++ b/azurepass/testing/standin/store_data.cc
@@ -1,10 +1,10 @@
-// The stand-in store's keys, leases and history.
+// A stand-in store's keys, leases and history.
 
-#include "azurepass/testing/standin/internal/store_data.h"
+#include "azurepass/testing/standin/store_data.h"
 
 #include <algorithm>
 
-namespace azurepass::testing::internal {
+namespace azurepass::testing {
 namespace {
 
 bool StartsWith(const std::string& text, const std::string& prefix) {
@@ -46,11 +46,9 @@
   if (!lease.empty() && !leases_.contains(lease)) return NoSuchLease{};
   const std::optional<store::Entry> there = Find(key);
   if (expected && *expected != VersionOf(there)) return store::Conflict{there};
-  if (there) Remove(key);
-  const store::Version version = Log(key);
-  items_[key] = {std::move(value), version, lease};
-  if (!lease.empty()) leases_[lease].keys.insert(key);
-  return store::Written{version};
+  NextRevision();
+  Set(key, std::move(value), lease);
+  return store::Written{revision_.value};
 }
 
 StoreData::DeleteResult StoreData::Delete(
@@ -58,12 +56,37 @@
   const std::optional<store::Entry> there = Find(key);
   if (expected && *expected != VersionOf(there)) return store::Conflict{there};
   if (!there) return store::Written{revision_.value};
+  NextRevision();
   Remove(key);
-  return store::Written{Log(key)};
+  return store::Written{revision_.value};
+}
+
+StoreData::CommitResult StoreData::Commit(Transaction transaction) {
+  ConditionsFailed failed;
+  bool holds = true;
+  for (const Condition& condition : transaction.conditions) {
+    std::optional<store::Entry> there = Find(condition.key);
+    holds = holds && condition.version == VersionOf(there);
+    if (there) failed.current.push_back(*std::move(there));
+  }
+  if (!holds) return failed;
+  for (const Write& write : transaction.writes) {
+    if (!write.lease.empty() && !leases_.contains(write.lease)) {
+      return NoSuchLease{};
+    }
+  }
+  NextRevision();
+  for (Write& write : transaction.writes) {
+    Set(write.key, std::move(write.value), write.lease);
+  }
+  for (const std::string& key : transaction.removed) {
+    if (items_.contains(key)) Remove(key);
+  }
+  return store::Written{revision_.value};
 }
 
 std::string StoreData::Grant(Duration ttl, MonotonicTime now) {
-  std::string lease = "lease-" + std::to_string(++leases_granted_);
+  std::string lease = std::to_string(++leases_granted_);
   leases_[lease] = {ttl, now + ttl, {}};
   return lease;
 }
@@ -81,8 +104,8 @@
   const std::set<std::string> keys = std::move(found->second.keys);
   leases_.erase(found);
   for (const std::string& key : keys) {
-    items_.erase(key);
-    Log(key);
+    NextRevision();
+    Remove(key);
   }
 }
 
@@ -105,14 +128,15 @@
 std::optional<store::Changes> StoreData::ChangesAfter(const std::string& prefix,
                                                       Revision after) const {
   if (after > revision_) return {};
-  const int64_t oldest =
-      history_.empty() ? revision_.value + 1 : history_.front().revision;
-  if (after.value + 1 < oldest) return {};
+  if (after.value < forgotten_) return {};
   store::Changes changes{{}, revision_};
   std::set<std::string> keys;
-  for (auto i = static_cast<size_t>(after.value + 1 - oldest);
-       i < history_.size(); ++i) {
-    if (StartsWith(history_[i].key, prefix)) keys.insert(history_[i].key);
+  for (auto it = std::upper_bound(history_.begin(), history_.end(), after.value,
+                                  [](int64_t revision, const LogEntry&entry) {
+                                    return revision < entry.revision;
+                                  });
+       it != history_.end(); ++it) {
+    if (StartsWith(it->key, prefix)) keys.insert(it->key);
   }
   for (const std::string& key : keys) {
     changes.changes.push_back({key, Find(key)});
@@ -120,11 +144,21 @@
   return changes;
 }
 
-int64_t StoreData::Log(const std::string& key) {
-  ++revision_.value;
+void StoreData::Log(const std::string& key) {
   history_.push_back({revision_.value, key});
-  if (std::ssize(history_) > history_bound_) history_.pop_front();
-  return revision_.value;
+  if (std::ssize(history_) <= history_bound_) return;
+  forgotten_ = history_.front().revision;
+  history_.pop_front();
+}
+
+void StoreData::Set(const std::string& key, std::string value,
+                    const std::string& lease) {
+  Item& item = items_[key];
+  const auto former = leases_.find(item.lease);
+  if (former != leases_.end()) former->second.keys.erase(key);
+  item = {std::move(value), revision_.value, lease};
+  if (!lease.empty()) leases_[lease].keys.insert(key);
+  Log(key);
 }
 
 void StoreData::Remove(const std::string& key) {
@@ -132,6 +166,7 @@
   const auto lease = leases_.find(found->second.lease);
   if (lease != leases_.end()) lease->second.keys.erase(key);
   items_.erase(found);
+  Log(key);
 }
 
-}  // namespace azurepass::testing::internal
+}  // namespace azurepass::testing
--- a/azurepass/testing/standin/internal/store_data.h
+++ b/azurepass/testing/standin/store_data.h
@@ -1,8 +1,9 @@
-// What the stand-in store keeps: keys, leases and a bounded history of changes.
-// Nothing here does I/O; the time is passed in.
+// What a stand-in store keeps: keys, leases and a bounded history of changes.
+// Nothing here does I/O or knows an encoding; the time is passed in. The store
+// of our own tests and the platform's (platform/testing) both answer from it.
 
-#ifndef AZUREPASS_TESTING_STANDIN_INTERNAL_STORE_DATA_H_
-#define AZUREPASS_TESTING_STANDIN_INTERNAL_STORE_DATA_H_
+#ifndef AZUREPASS_TESTING_STANDIN_STORE_DATA_H_
+#define AZUREPASS_TESTING_STANDIN_STORE_DATA_H_
 
 #include <cstdint>
 #include <deque>
@@ -11,11 +12,12 @@
 #include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "azurepass/core/core.h"
 #include "azurepass/store/store.h"
 
-namespace azurepass::testing::internal {
+namespace azurepass::testing {
 
 class StoreData {
  public:
@@ -35,6 +37,28 @@
   DeleteResult Delete(const std::string& key,
                       std::optional<store::Version> expected);
 
+  // Writes of several keys that happen all at one revision, or not at all.
+  struct Condition {
+    std::string key;
+    store::Version version = store::kAbsent;  // kAbsent: no such key.
+  };
+  struct Write {
+    std::string key;
+    std::string value;
+    std::string lease;  // Empty: none.
+  };
+  struct Transaction {
+    std::vector<Condition> conditions;
+    std::vector<Write> writes;
+    std::vector<std::string> removed;
+  };
+  struct ConditionsFailed {
+    std::vector<store::Entry> current;  // Of the keys that exist.
+  };
+  using CommitResult =
+      std::variant<store::Written, ConditionsFailed, NoSuchLease>;
+  CommitResult Commit(Transaction transaction);
+
   std::string Grant(Duration ttl, MonotonicTime now);
   bool Renew(const std::string& lease, MonotonicTime now);
   // Removes the keys of the lease, too.
@@ -67,7 +91,10 @@
   };
 
   std::optional<store::Entry> Find(const std::string& key) const;
-  int64_t Log(const std::string& key);
+  // Notes a change at the present revision.
+  void Log(const std::string& key);
+  int64_t NextRevision() { return ++revision_.value; }
+  void Set(const std::string& key, std::string value, const std::string& lease);
   void Remove(const std::string& key);
 
   int64_t history_bound_;
@@ -76,9 +103,10 @@
   // Each lease's `keys` are those items whose `lease` names it.
   std::map<std::string, Lease> leases_;
   int64_t leases_granted_ = 0;
-  std::deque<LogEntry> history_;  // By revision, without gaps.
+  std::deque<LogEntry> history_;  // By revision.
+  int64_t forgotten_ = 0;  // Of changes up to this revision some are dropped.
 };
 
-}  // namespace azurepass::testing::internal
+}  // namespace azurepass::testing
 
-#endif  // AZUREPASS_TESTING_STANDIN_INTERNAL_STORE_DATA_H_
+#endif  // AZUREPASS_TESTING_STANDIN_STORE_DATA_H_
