--- a/azurepass/testing/system/process.cc
+++ b/azurepass/testing/system/process.cc
@@ -3,21 +3,29 @@
 #include "azurepass/testing/system/process.h"
 
 #include <csignal>
+#include <memory>
 #include <sstream>
+#include <utility>
 
 namespace azurepass::testing {
 
 Process::Process(const std::vector<std::string>& arguments,
-                 const std::string& log_file) {
+                 const std::string& log_file, Output output)
+    : destroyed_(g_cancellable_new()) {
   std::vector<const char*> argv;
   argv.reserve(arguments.size() + 1);
   for (const std::string& argument : arguments) {
     argv.push_back(argument.c_str());
   }
   argv.push_back(nullptr);
-  GSubprocessLauncher* launcher =
-      g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_STDOUT_PIPE);
-  g_subprocess_launcher_set_stderr_file_path(launcher, log_file.c_str());
+  const bool pipe = output == Output::kPipe;
+  GSubprocessLauncher* launcher = g_subprocess_launcher_new(
+      pipe ? G_SUBPROCESS_FLAGS_STDOUT_PIPE : G_SUBPROCESS_FLAGS_STDERR_MERGE);
+  if (pipe) {
+    g_subprocess_launcher_set_stderr_file_path(launcher, log_file.c_str());
+  } else {
+    g_subprocess_launcher_set_stdout_file_path(launcher, log_file.c_str());
+  }
   GError* error = nullptr;
   process_ = g_subprocess_launcher_spawnv(launcher, argv.data(), &error);
   g_object_unref(launcher);
@@ -26,10 +34,12 @@
     g_clear_error(&error);
     return;
   }
+  if (!pipe) return;
   output_ = g_data_input_stream_new(g_subprocess_get_stdout_pipe(process_));
 }
 
 Process::~Process() {
+  g_cancellable_cancel(destroyed_);
   if (running()) {
     Signal(SIGCONT);
     Signal(SIGKILL);
@@ -37,6 +47,22 @@
   }
   g_clear_object(&output_);
   g_clear_object(&process_);
+  g_object_unref(destroyed_);
+}
+
+void Process::NotifyEnd(std::function<void()> callback) {
+  if (process_ == nullptr) return;
+  g_subprocess_wait_async(
+      process_, destroyed_,
+      [](GObject* process, GAsyncResult* result, gpointer data) {
+        const std::unique_ptr<std::function<void()>> callback(
+            static_cast<std::function<void()>*>(data));
+        // False when it was cancelled.
+        if (g_subprocess_wait_finish(G_SUBPROCESS(process), result, nullptr)) {
+          (*callback)();
+        }
+      },
+      new std::function<void()>(std::move(callback)));
 }
 
 std::map<std::string, std::string> Process::ReadAnnouncement() {
--- a/azurepass/testing/system/process.h
+++ b/azurepass/testing/system/process.h
@@ -6,6 +6,7 @@
 
 #include <gio/gio.h>
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -16,9 +17,13 @@
 
 class Process {
  public:
-  // Starts the program; its standard error goes to `log_file`.
+  // Where standard output goes.
+  enum class Output { kPipe, kLog };
+
+  // Starts the program; its standard error goes to `log_file`, its standard
+  // output there, too, or to ReadAnnouncement.
   Process(const std::vector<std::string>& arguments,
-          const std::string& log_file);
+          const std::string& log_file, Output output = Output::kPipe);
   // Kills it, if it still runs, and waits for it.
   ~Process();
   Process(const Process&) = delete;
@@ -28,6 +33,10 @@
   // a map. Blocks until the line or the end of the output; empty then.
   std::map<std::string, std::string> ReadAnnouncement();
 
+  // Calls back on the present thread's loop once the process has ended, unless
+  // this is destroyed before.
+  void NotifyEnd(std::function<void()> callback);
+
   void Signal(int signal);
   // Waits for the end and returns the exit code, or -1 after a signal.
   int Wait();
@@ -38,6 +47,7 @@
  private:
   GSubprocess* process_ = nullptr;
   GDataInputStream* output_ = nullptr;
+  GCancellable* destroyed_;
 };
 
 }  // namespace azurepass::testing
