--- a/azurepass/testing/system/process.cc
+++ b/azurepass/testing/system/process.cc
@@ -2,6 +2,8 @@
 
 #include "azurepass/testing/system/process.h"
 
+#include <sys/prctl.h>
+
 #include <csignal>
 #include <memory>
 #include <sstream>
@@ -26,6 +28,10 @@
   } else {
     g_subprocess_launcher_set_stdout_file_path(launcher, log_file.c_str());
   }
+  // Nothing of a test that is killed stays behind.
+  g_subprocess_launcher_set_child_setup(
+      launcher, [](gpointer /*unused*/) { prctl(PR_SET_PDEATHSIG, SIGKILL); },
+      nullptr, nullptr);
   GError* error = nullptr;
   process_ = g_subprocess_launcher_spawnv(launcher, argv.data(), &error);
   g_object_unref(launcher);
--- a/azurepass/testing/system/process.h
+++ b/azurepass/testing/system/process.h
@@ -1,5 +1,6 @@
 // A child process of a system test: started, signalled by its id, and always
-// ended with the object. Tests start processes; azurepass itself never does.
+// ended with the object, or with the thread that made it. Tests start
+// processes; azurepass itself never does.
 
 #ifndef AZUREPASS_TESTING_SYSTEM_PROCESS_H_
 #define AZUREPASS_TESTING_SYSTEM_PROCESS_H_
