--- a/azurepass/httpserver/read_ahead.cc
+++ b/azurepass/httpserver/read_ahead.cc
@@ -19,8 +19,8 @@
 std::optional<int64_t> BytesRead(GSocket* socket) {
   tcp_info info{};
   socklen_t size = sizeof(info);
-  constexpr size_t kNeeded =
-      offsetof(tcp_info, tcpi_bytes_received) + sizeof(info.tcpi_bytes_received);
+  constexpr size_t kNeeded = offsetof(tcp_info, tcpi_bytes_received) +
+                             sizeof(info.tcpi_bytes_received);
   if (getsockopt(g_socket_get_fd(socket), IPPROTO_TCP, TCP_INFO, &info,
                  &size) != 0 ||
       size < kNeeded) {
@@ -66,9 +66,8 @@
   const std::optional<int64_t> read = BytesRead(socket);
   if (!read) return false;
   used_bytes += SizeOf(request);
-  const int64_t slack =
-      kSlackPerHeader *
-      (std::ssize(request.headers) + std::ssize(request.query) + 1);
+  const int64_t slack = kSlackPerHeader * (std::ssize(request.headers) +
+                                           std::ssize(request.query) + 1);
   const bool more = std::abs(*read - used_bytes) > slack;
   if (!more) used_bytes = *read;  // Errors don't add up over requests.
   return more;
