Clients that connect while a process stands still are served

What callers saw: found by review. A process that doesn't run for a moment, as one with 0.12 of a processor, had room for 11 connections in its queue; others connected a second or more later, and a drain that closed the listener meanwhile refused them.

Cause: soup_server_listen keeps GLib's backlog of 10. The server makes its socket with 1,024, as the one between our processes has it.

httpserver_test, "a drain serves all that connected while the process stood still".

--- a/azurepass/httpserver/httpserver.cc
+++ b/azurepass/httpserver/httpserver.cc
@@ -39,6 +39,9 @@
 
 constexpr char kBearerPrefix[] = "Bearer ";
 
+// Connections that wait to be accepted while the process doesn't run.
+constexpr int kBacklog = 1'024;
+
 // Of looks at the listeners while connections wait to be accepted.
 constexpr Duration kAcceptInterval{5};
 constexpr Duration kMaxAcceptTime{500};
@@ -321,14 +324,25 @@
   // SoupServer listens on the context that is the thread's default.
   g_main_context_push_thread_default(loop_.context());
   GError* error = nullptr;
-  if (soup_server_listen(server_, socket_address,
-                         static_cast<SoupServerListenOptions>(0),
-                         &error) == FALSE) {
+  GSocket* listener =
+      g_socket_new(g_socket_address_get_family(socket_address),
+                   G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &error);
+  // soup_server_listen keeps GLib's backlog of 10.
+  if (listener != nullptr) g_socket_set_listen_backlog(listener, kBacklog);
+  const bool listening =
+      listener != nullptr &&
+      g_socket_bind(listener, socket_address, TRUE, &error) != FALSE &&
+      g_socket_listen(listener, &error) != FALSE &&
+      soup_server_listen_socket(server_, listener,
+                                static_cast<SoupServerListenOptions>(0),
+                                &error) != FALSE;
+  if (!listening) {
     LOG(ERROR) << "event=listen_failed address=" << address << " reason=\""
                << error->message << "\"";
     g_clear_error(&error);
   }
   g_main_context_pop_thread_default(loop_.context());
+  g_clear_object(&listener);
   g_object_unref(socket_address);
 }
 
--- a/azurepass/httpserver/httpserver_test.cc
+++ b/azurepass/httpserver/httpserver_test.cc
@@ -4,6 +4,9 @@
 
 #include <doctest/doctest.h>
 
+#include <memory>
+#include <vector>
+
 #include "azurepass/httpserver/testing/turn.h"
 
 namespace azurepass::httpserver {
@@ -340,6 +343,28 @@
   CHECK(client.received().find(R"({"a":1})") != std::string::npos);
 }
 
+// Guards against a queue that is too short for the clients that come while the
+// process doesn't run: those beyond it would connect a second later, or not at
+// all if the listener is closed meanwhile.
+TEST_CASE("a drain serves all that connected while the process stood still") {
+  constexpr int kClients = 40;
+  task::Loop loop;
+  Echo echo(loop, LongReadTimeout());
+  std::vector<std::unique_ptr<testing::RawClient>> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.push_back(std::make_unique<testing::RawClient>(
+        echo.server().listening_on(), Duration(200)));
+    clients.back()->Send(kAtOnce);
+    clients.back()->Finished();
+  }
+  echo.server().Drain(Duration(60'000), [] {});
+  for (const auto& client : clients) {
+    REQUIRE(client->connected());
+    CHECK(TurnUntil(loop, [&] { return client->Finished(); }));
+    CHECK(Count(client->received(), "200 OK") == 1);
+  }
+}
+
 // Guards against kept connections that end without a word at a shutdown.
 TEST_CASE("connections without a request are refused after the idle time") {
   task::Loop loop;
--- a/azurepass/httpserver/testing/raw_client.cc
+++ b/azurepass/httpserver/testing/raw_client.cc
@@ -5,19 +5,23 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <chrono>
 #include <utility>
 
 namespace azurepass::httpserver::testing {
 
-RawClient::RawClient(const std::string& address)
+RawClient::RawClient(const std::string& address, Duration patience)
     : socket_(g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
                            G_SOCKET_PROTOCOL_TCP, nullptr)) {
   const size_t colon = address.rfind(':');
   const auto port = static_cast<guint>(std::stoul(address.substr(colon + 1)));
   GSocketAddress* peer = g_inet_socket_address_new_from_string(
       address.substr(0, colon).c_str(), port);
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(patience);
+  g_socket_set_timeout(socket_, static_cast<guint>(seconds.count()));
   connected_ = g_socket_connect(socket_, peer, nullptr, nullptr) != FALSE;
   g_object_unref(peer);
+  g_socket_set_timeout(socket_, 0);
   g_socket_set_blocking(socket_, FALSE);
 }
 
--- a/azurepass/httpserver/testing/raw_client.h
+++ b/azurepass/httpserver/testing/raw_client.h
@@ -8,12 +8,15 @@
 
 #include <string>
 
+#include "azurepass/core/core.h"
+
 namespace azurepass::httpserver::testing {
 
 class RawClient {
  public:
-  // Connects to "IP:PORT".
-  explicit RawClient(const std::string& address);
+  // Connects to "IP:PORT", for at most `patience` (0: as long as it takes).
+  explicit RawClient(const std::string& address,
+                     Duration patience = Duration(0));
   ~RawClient();
   RawClient(const RawClient&) = delete;
   RawClient& operator=(const RawClient&) = delete;
