--- a/azurepass/httpserver/httpserver.cc
+++ b/azurepass/httpserver/httpserver.cc
@@ -206,6 +206,9 @@
     bool refused = false;       // It got its last answer between requests.
     int64_t used_bytes = 0;     // See internal::HasReadAhead.
     GSource* closed = nullptr;  // Between requests.
+    // The latest request, held by a reference: by it libsoup gives the
+    // connection away. Null before the first one has ended.
+    SoupServerMessage* message = nullptr;
   };
 
   void Listen(const std::string& address);
@@ -408,6 +411,9 @@
     auto* server = static_cast<Impl*>(self);
     StopWatching(server->connections_.at(readable));
     if (!internal::PeerHungUp(readable)) return G_SOURCE_REMOVE;
+    SoupServerMessage* message = server->connections_.at(readable).message;
+    GIOStream* stream = soup_server_message_steal_connection(message);
+    g_clear_object(&stream);
     g_socket_close(readable, nullptr);
     server->ForgetConnection(readable);
     return G_SOURCE_REMOVE;
@@ -427,6 +433,7 @@
   auto found = connections_.find(socket);
   if (found == connections_.end()) return;
   StopWatching(found->second);
+  g_clear_object(&found->second.message);
   connections_.erase(found);
   g_object_unref(socket);
   CheckDrained();
@@ -696,8 +703,11 @@
   g_signal_handler_disconnect(exchange.message, exchange.disconnected);
   if (exchange.counted) --open_requests_;
   ids_.erase(exchange.message);
-  g_object_unref(exchange.message);
   GSocket* socket = exchange.socket;
+  if (kept && socket != nullptr) {
+    g_set_object(&connections_.at(socket).message, exchange.message);
+  }
+  g_object_unref(exchange.message);
   exchanges_.erase(found);
   if (socket != nullptr) connections_.at(socket).has_exchange = false;
   if (socket != nullptr && !kept) return ForgetConnection(socket);
--- a/azurepass/httpserver/httpserver_test.cc
+++ b/azurepass/httpserver/httpserver_test.cc
@@ -3,6 +3,7 @@
 #include "azurepass/httpserver/httpserver.h"
 
 #include <doctest/doctest.h>
+#include <malloc.h>
 
 #include <memory>
 #include <vector>
@@ -213,6 +214,31 @@
   return count;
 }
 
+// Guards against what is kept in memory of each connection that its client has
+// closed.
+TEST_CASE("a connection that its client has closed holds no memory") {
+  constexpr int kClients = 3'000;
+  constexpr int64_t kMostBytesEach = 1'024;
+  task::Loop loop;
+  Echo echo(loop, LongReadTimeout());
+  const auto use = [&](int clients) {
+    for (int i = 0; i < clients; ++i) {
+      testing::RawClient client(echo.server().listening_on());
+      client.Send(kAtOnce);
+      REQUIRE(TurnUntil(loop, [&] {
+        client.Finished();
+        return Count(client.received(), "200 OK") == 1;
+      }));
+    }
+    REQUIRE(TurnUntil(loop, [&] { return echo.server().connections() == 0; }));
+    return static_cast<int64_t>(mallinfo2().uordblks);
+  };
+  const int64_t before = use(500);
+  const int64_t after = use(kClients);
+  MESSAGE("bytes kept of each: ", (after - before) / kClients);
+  CHECK((after - before) / kClients < kMostBytesEach);
+}
+
 // Guards against descriptors that stay open, one for each client that closes a
 // connection it had kept, until the process can take no connection any more.
 TEST_CASE("a connection that its client closes between requests is closed") {
