Newcomers over the limit cost kept connections nothing

It is checked for new connections alone.

httpserver_test, "newcomers over the limit cost kept connections nothing".

--- a/azurepass/httpserver/httpserver.cc
+++ b/azurepass/httpserver/httpserver.cc
@@ -385,17 +385,20 @@
       }),
       this);
   GSocket* socket = soup_server_message_get_socket(message);
+  bool is_new_connection = false;
   if (socket != nullptr) {
     exchange->socket = socket;
     exchange->second_handle = internal::Duplicate(socket);
     const auto [found, is_new] = connections_.try_emplace(socket);
     if (is_new) g_object_ref(socket);
+    is_new_connection = is_new;
     found->second.has_exchange = true;
     StopWatching(found->second);
   }
   ids_[message] = id;
   Exchange& kept = *(exchanges_[id] = std::move(exchange));
-  if (std::ssize(connections_) > options_.max_connections) {
+  if (is_new_connection &&
+      std::ssize(connections_) > options_.max_connections) {
     return RefuseConnection(kept);
   }
   if (refuse_idle_) RefuseLater(kept, ShuttingDown());
--- a/azurepass/httpserver/httpserver_test.cc
+++ b/azurepass/httpserver/httpserver_test.cc
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 #include <malloc.h>
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -445,6 +446,37 @@
   }));
 }
 
+// Guards against clients within the limit that lose their connections to others
+// beyond it.
+TEST_CASE("newcomers over the limit cost kept connections nothing") {
+  constexpr int kKept = 4;
+  Options options = LongReadTimeout();
+  options.max_connections = kKept;
+  options.max_excess_connections = 2;
+  task::Loop loop;
+  Echo echo(loop, options);
+  const std::string address = echo.server().listening_on();
+  std::vector<std::unique_ptr<testing::RawClient>> kept;
+  std::vector<std::unique_ptr<testing::RawClient>> newcomers;
+  const auto answered = [&](int times) {
+    return std::all_of(kept.begin(), kept.end(), [&](const auto& client) {
+      client->Finished();
+      return Count(client->received(), "200 OK") == times;
+    });
+  };
+  for (int i = 0; i < kKept; ++i) {
+    kept.push_back(std::make_unique<testing::RawClient>(address));
+    kept.back()->Send(kAtOnce);
+  }
+  REQUIRE(TurnUntil(loop, [&] { return answered(1); }));
+  for (int i = 0; i < 2 * kKept; ++i) {
+    newcomers.push_back(std::make_unique<testing::RawClient>(address));
+  }
+  for (const auto& client : kept) client->Send(kAtOnce);
+  CHECK(TurnUntil(loop, [&] { return answered(2); }));
+  for (const auto& client : kept) CHECK_FALSE(client->Finished());
+}
+
 TEST_CASE("requests over the bound on how many at once are refused") {
   Options options = TestOptions();
   options.max_requests = 1;
