A late answer to an unusual request ends its connection

Found by review: what a request takes up is reckoned from its parts, and falls short for escaped paths, repeated headers or absolute URIs. The server then expects more to follow and does not announce the end, which is right as long as the connection is refused later; but one that was answered after the idle ones had been refused was kept and nobody looked at it again, so that the drain never ended (review's run: still open 4 s later). Now a connection that is kept at that point is refused shortly after its answer, unless a further request begins; that one is answered.

--- a/azurepass/httpserver/httpserver.cc
+++ b/azurepass/httpserver/httpserver.cc
@@ -46,6 +46,9 @@
 constexpr Duration kAcceptInterval{5};
 constexpr Duration kMaxAcceptTime{500};
 
+// For a request that libsoup has read ahead to be taken up.
+constexpr Duration kReadAheadTime{20};
+
 // Connections that are refused, for each line of the log.
 constexpr int kConnectionsPerLine = 100;
 
@@ -222,6 +225,7 @@
   void WatchForClose(GSocket* socket);
   static void StopWatching(Connection& connection);
   void ForgetConnection(GSocket* socket);
+  void RefuseIdle(GSocket* socket, Connection& connection);
   void OnDisconnected(SoupServerMessage* message);
   void OnReadTimeout(ExchangeId id);
   void WatchForReset(Exchange& exchange);
@@ -230,6 +234,7 @@
   // latest at `latest`.
   void StopListening(MonotonicTime latest);
   void RefuseIdleConnections();
+  void RefuseWhatIsKept();
   void CheckDrained();
   void SetResponse(Exchange& exchange, const Response& response);
   // Ends the connection without a word.
@@ -259,6 +264,7 @@
   bool refuse_idle_ = false;  // Implies leaving_.
   task::Timer accept_timer_;
   task::Timer idle_timer_;
+  task::Timer kept_timer_;
   std::function<void()> drained_;  // Null before Drain and once it was called.
   // The two maps hold the same exchanges.
   std::map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
@@ -275,7 +281,8 @@
       handler_(std::move(handler)),
       server_(soup_server_new("server-header", "azurepass", nullptr)),
       accept_timer_(loop),
-      idle_timer_(loop) {
+      idle_timer_(loop),
+      kept_timer_(loop) {
   g_signal_connect_swapped(
       server_, "request-started",
       G_CALLBACK(+[](Impl* self, SoupServerMessage* message, SoupServer*) {
@@ -401,7 +408,10 @@
       std::ssize(connections_) > options_.max_connections) {
     return RefuseConnection(kept);
   }
-  if (refuse_idle_) RefuseLater(kept, ShuttingDown());
+  if (refuse_idle_ && is_new_connection) RefuseLater(kept, ShuttingDown());
+  if (kept.socket != nullptr && connections_.at(kept.socket).refused) {
+    RefuseLater(kept, ShuttingDown());
+  }
 }
 
 // libsoup doesn't notice that a client closes a connection between requests,
@@ -715,6 +725,7 @@
   if (socket != nullptr) connections_.at(socket).has_exchange = false;
   if (socket != nullptr && !kept) return ForgetConnection(socket);
   if (socket != nullptr) WatchForClose(socket);
+  if (kept && refuse_idle_) RefuseWhatIsKept();
   CheckDrained();
 }
 
@@ -763,14 +774,29 @@
   }
   for (auto& [socket, connection] : connections_) {
     if (connection.has_exchange) continue;
-    Linger(socket, Canned(ShuttingDown()));
-    connection.refused = true;
+    RefuseIdle(socket, connection);
     ++refused;
   }
   LOG(INFO) << "event=refuse_idle_connections count=" << refused
             << " open_requests=" << open_requests_;
 }
 
+void Server::Impl::RefuseIdle(GSocket* socket, Connection& connection) {
+  connection.refused = true;
+  Linger(socket, Canned(ShuttingDown()));
+}
+
+// Of connections whose last answer did not say that it was one. A further
+// request that libsoup has read begins before the timer runs.
+void Server::Impl::RefuseWhatIsKept() {
+  kept_timer_.After(kReadAheadTime, [this] {
+    for (auto& [socket, connection] : connections_) {
+      if (connection.has_exchange || connection.refused) continue;
+      RefuseIdle(socket, connection);
+    }
+  });
+}
+
 Server::Server(task::Loop& loop, Options options,
                std::function<void(Event)> handler)
     : impl_(std::make_unique<Impl>(loop, std::move(options),
