A shutdown's steps count from the signal

Found by review, by reading: each step armed a timer for the next one, so that a process that is short of processor time added up their delays, with 300 ms to spare before the kill. Each step is armed for its time since the shutdown began. A lingering close that finds no descriptor says so in the log.

--- a/azurepass/daemons/node.cc
+++ b/azurepass/daemons/node.cc
@@ -10,6 +10,9 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+#include <chrono>
+#include <functional>
 #include <optional>
 #include <utility>
 
@@ -146,6 +149,8 @@
                                platform::Drained>;
 
   void Handle(const Message& message);
+  // At this time since the shutdown began, at once if that is over.
+  void AtStep(Duration step, std::function<void()> callback);
   void StopListening(ShutdownPlan plan);
   void AnswerAll(ShutdownPlan plan);
   void Finish(const char* reason);
@@ -155,6 +160,7 @@
   task::Timer shutdown_timer_;
   std::function<void()> done_;
   bool ready_ = false;
+  MonotonicTime shutdown_began_;
   bool handed_over_ = false;
   bool drained_ = false;  // No connection of a client is open, and none can be.
 
@@ -268,6 +274,7 @@
 
 void Node::Impl::Shutdown(std::function<void()> done) {
   done_ = std::move(done);
+  shutdown_began_ = BootClock::now();
   const ShutdownPlan plan = PlanShutdown(settings_.termination_grace);
   LOG(INFO) << "event=shutdown step=leave stop_listening_ms="
             << plan.stop_listening.count()
@@ -276,14 +283,19 @@
   readiness_.address().Send(false);
   manager_.address().Send(scheduling::Shutdown{mailbox_.address()});
   front_.Leave();
-  shutdown_timer_.After(plan.stop_listening,
-                        [this, plan] { StopListening(plan); });
+  AtStep(plan.stop_listening, [this, plan] { StopListening(plan); });
+}
+
+void Node::Impl::AtStep(Duration step, std::function<void()> callback) {
+  const auto left =
+      std::chrono::ceil<Duration>(shutdown_began_ + step - BootClock::now());
+  shutdown_timer_.After(std::max(Duration(0), left), std::move(callback));
 }
 
 void Node::Impl::StopListening(ShutdownPlan plan) {
   LOG(INFO) << "event=shutdown step=drain";
   const Duration idle_time = plan.answer_all - plan.stop_listening;
-  shutdown_timer_.After(idle_time, [this, plan] { AnswerAll(plan); });
+  AtStep(plan.answer_all, [this, plan] { AnswerAll(plan); });
   dispatcher_.drain().Send(routing::Drain{});
   front_.Drain(idle_time, mailbox_.address());
 }
@@ -291,8 +303,7 @@
 void Node::Impl::AnswerAll(ShutdownPlan plan) {
   LOG(INFO) << "event=shutdown step=answer_all handed_over=" << handed_over_
             << " drained=" << drained_;
-  shutdown_timer_.After(plan.exit - plan.answer_all,
-                        [this] { Finish("grace period over"); });
+  AtStep(plan.exit, [this] { Finish("grace period over"); });
   dispatcher_.stop().Send(routing::Stop{});
 }
 
--- a/azurepass/httpserver/httpserver.cc
+++ b/azurepass/httpserver/httpserver.cc
@@ -668,7 +668,10 @@
 void Server::Impl::Linger(GSocket* socket, const std::string& last_words) {
   const int64_t key = ++last_linger_;
   GSocket* kept = internal::Duplicate(socket);
-  if (kept == nullptr) return;
+  if (kept == nullptr) {
+    LOG(WARNING) << "event=connection_cut reason=no_descriptor";
+    return;
+  }
   lingering_[key] = std::make_unique<internal::LingeringClose>(
       loop_, kept, last_words, [this, key] {
         Impl* const self = this;
