--- a/azurepass/httpserver/httpserver_test.cc
+++ b/azurepass/httpserver/httpserver_test.cc
@@ -489,6 +489,7 @@
     kept.back()->Send(kAtOnce);
   }
   REQUIRE(TurnUntil(loop, [&] { return answered(1); }));
+  newcomers.reserve(size_t{2} * kKept);
   for (int i = 0; i < 2 * kKept; ++i) {
     newcomers.push_back(std::make_unique<testing::RawClient>(address));
   }
