Renewals of the member lease don't wait for answers

Cause: the next renewal was sent a third of the time to live after the answer to the one before, while validity counts from the send. With answers after d two sends were d and a third apart, and the validity of the second was known d later: from about 0.75 s on the permission of 2.5 s ended between two renewals though the store had never let go of the lease. On a silent link the five calls of one renewal were out within 0.9 s and the next came after their timeout of 2 s.

Change: the next renewal is timed by the send of the one before. The member key is retried beside the renewals, and the lease counts only once the key is written.

Test: "a slow store costs no lease" failed before at each of four renewals.

--- a/azurepass/membership/agent.cc
+++ b/azurepass/membership/agent.cc
@@ -3,8 +3,10 @@
 //
 // The lease. Its validity is counted from the send of the request that granted
 // or renewed it: the store starts counting later, so until then it stands. A
-// renewal whose answer is lost therefore costs validity, never truth. When the
-// store says that the lease is lost, a new one is asked for; what was held
+// renewal whose answer is lost therefore costs validity, never truth. For the
+// same reason the next renewal is timed by the send of the one before and does
+// not wait for its answer: a slow answer would use up the validity twice. When
+// the store says that the lease is lost, a new one is asked for; what was held
 // under the old one may be somebody else's by then, which is the claims'
 // matter, not the lease's.
 
@@ -131,7 +133,9 @@
         table_(NewsOf(self_)),
         random_(options_.seed),
         backoff_(options_.min_backoff),
+        key_backoff_(options_.min_backoff),
         lease_timer_(loop),
+        key_timer_(loop),
         lapse_timer_(loop),
         gossip_timer_(loop),
         mailbox_(loop, [this](Inner m) { Handle(std::move(m)); }),
@@ -189,7 +193,9 @@
     if (granted == nullptr) return RetryLeaseWork([this] { AskForLease(); });
     if (left_) return store_.Send(store::RevokeLease{granted->lease});
     lease_ = granted->lease;
+    backoff_ = options_.min_backoff;
     OnLeaseStands(answered.sent);
+    RenewAt(answered.sent + Jittered(options_.lease_ttl / 3));
     WriteKey();
   }
 
@@ -206,54 +212,76 @@
   void OnKeyWritten(const KeyAnswered& answered) {
     if (answered.lease != lease_) return;
     auto* error = std::get_if<store::Error>(&answered.reply);
-    if (error == nullptr) return RenewLater();
+    if (error == nullptr) {
+      key_backoff_ = options_.min_backoff;
+      if (!std::exchange(key_written_, true)) Publish();
+      return;
+    }
     if (error->code == store::ErrorCode::kLeaseLost) return OnLeaseLost();
     // Writing it again does no harm, whatever became of this write.
-    RetryLeaseWork([this] { WriteKey(); });
+    RetryAfter(key_timer_, key_backoff_, [this] { WriteKey(); });
   }
 
-  void RenewLater() {
-    backoff_ = options_.min_backoff;
-    lease_timer_.After(Jittered(options_.lease_ttl / 3), [this] { Renew(); });
+  void RenewAt(MonotonicTime at) {
+    lease_timer_.After(
+        std::max(Duration(0), std::chrono::ceil<Duration>(at - Now())),
+        [this] { Renew(); });
   }
 
   void Renew() {
-    const MonotonicTime sent = Now();
+    renewal_sent_ = Now();
     store_.Send(store::RenewLease{
         lease_, mailbox_.address().Map<store::RenewReply>(
-                    [lease = lease_, sent](store::RenewReply reply) {
+                    [lease = lease_, sent = renewal_sent_](auto reply) {
                       return RenewalAnswered{lease, sent, std::move(reply)};
                     })});
+    RenewAt(renewal_sent_ + Jittered(options_.lease_ttl / 3));
   }
 
   void OnRenewal(const RenewalAnswered& answered) {
     if (answered.lease != lease_) return;
     auto* error = std::get_if<store::Error>(&answered.reply);
     if (error == nullptr) {
-      OnLeaseStands(answered.sent);
-      return RenewLater();
+      backoff_ = options_.min_backoff;
+      return OnLeaseStands(answered.sent);
     }
     if (error->code == store::ErrorCode::kLeaseLost) return OnLeaseLost();
+    // A later one is under way.
+    if (answered.sent != renewal_sent_) return;
     RetryLeaseWork([this] { Renew(); });
   }
 
+  // Answers of renewals may come out of order.
   void OnLeaseStands(MonotonicTime sent) {
-    lease_valid_until_ = sent + options_.lease_ttl;
+    lease_valid_until_ =
+        std::max(lease_valid_until_, sent + options_.lease_ttl);
     lapse_timer_.After(std::chrono::ceil<Duration>(lease_valid_until_ - Now()),
                        [this] { Publish(); });
     Publish();
   }
 
   void OnLeaseLost() {
-    lease_.clear();
-    lease_valid_until_ = MonotonicTime();
+    lease_timer_.Cancel();
+    key_timer_.Cancel();
+    ForgetLease();
     Publish();
     AskForLease();
   }
 
+  void ForgetLease() {
+    lease_.clear();
+    lease_valid_until_ = MonotonicTime();
+    key_written_ = false;
+  }
+
   void RetryLeaseWork(std::function<void()> work) {
-    lease_timer_.After(Jittered(backoff_), std::move(work));
-    backoff_ = std::min(2 * backoff_, options_.max_backoff);
+    RetryAfter(lease_timer_, backoff_, std::move(work));
+  }
+
+  void RetryAfter(task::Timer& timer, Duration& backoff,
+                  std::function<void()> work) {
+    timer.After(Jittered(backoff), std::move(work));
+    backoff = std::min(2 * backoff, options_.max_backoff);
   }
 
   void StartDrain() {
@@ -265,10 +293,10 @@
   void LeaveNow(const Leave& leave) {
     left_ = true;
     lease_timer_.Cancel();
+    key_timer_.Cancel();
     gossip_timer_.Cancel();
     if (!lease_.empty()) store_.Send(store::RevokeLease{lease_});
-    lease_.clear();
-    lease_valid_until_ = MonotonicTime();
+    ForgetLease();
     Publish();
     leave.done.Send(Left{});
   }
@@ -394,8 +422,9 @@
       }
     }
     view.wanted = Wanted();
-    view.lease_ok = !lease_.empty() && now < lease_valid_until_;
-    view.lease_valid_until = lease_valid_until_;
+    // Without the key others may already claim what this member holds.
+    if (key_written_) view.lease_valid_until = lease_valid_until_;
+    view.lease_ok = now < view.lease_valid_until;
     return view;
   }
 
@@ -433,12 +462,16 @@
   SelfChanged told_{Revision(), Duration::max(), {}};
   std::set<MemberId> suspected_;  // As subscribers were last told.
   std::mt19937_64 random_;
-  Duration backoff_;
-  std::string lease_;  // Empty: none.
+  Duration backoff_;          // Of grants and renewals.
+  Duration key_backoff_;      // Of writes of the member key.
+  std::string lease_;         // Empty: none.
+  bool key_written_ = false;  // On lease_.
   MonotonicTime lease_valid_until_;
+  MonotonicTime renewal_sent_;  // The latest.
   bool left_ = false;
   std::vector<task::Address<View>> subscribers_;
   task::Timer lease_timer_;
+  task::Timer key_timer_;
   task::Timer lapse_timer_;
   task::Timer gossip_timer_;
   task::Mailbox<Inner> mailbox_;
--- a/azurepass/membership/agent_test.cc
+++ b/azurepass/membership/agent_test.cc
@@ -14,9 +14,11 @@
 using testing::Inbox;
 using testing::SetFaults;
 
-Options ShortOptions(int64_t index) {
+constexpr Duration kLease{400};
+
+Options ShortOptions(int64_t index, Duration lease = kLease) {
   Options options;
-  options.lease_ttl = Duration(400);
+  options.lease_ttl = lease;
   options.watch_wait = Duration(100);
   options.gossip_interval = Duration(50);
   options.suspect_after = Duration(1'000);
@@ -38,14 +40,14 @@
 
 class Cluster {
  public:
-  explicit Cluster(int64_t size) : store_(loop_) {
+  explicit Cluster(int64_t size, Duration lease = kLease) : store_(loop_) {
     std::vector<PartitionId> partitions;
     for (int64_t i = 0; i < 2 * size; ++i) {
       partitions.emplace_back("p" + std::to_string(i));
     }
     for (int64_t i = 0; i < size; ++i) {
       inboxes_.push_back(std::make_unique<Inbox<View>>());
-      agents_.push_back(std::make_unique<Agent>(loop_, ShortOptions(i),
+      agents_.push_back(std::make_unique<Agent>(loop_, ShortOptions(i, lease),
                                                 RecordOf(i), partitions,
                                                 store_.Port(i), Switchboard()));
       agents_[i]->address().Send(Subscribe{inboxes_[i]->address()});
@@ -145,6 +147,24 @@
   }
 }
 
+// The lease stood in the store all the time; the owner gave its partitions up
+// and claimed them anew in the next epoch, every few seconds (LOST).
+TEST_CASE("a slow store costs no lease") {
+  constexpr Duration kLongLease{1'500};
+  constexpr Duration kAnswerTime{600};
+  Cluster cluster(1, kLongLease);
+  cluster.AwaitMembers(0, 1, 2);
+  cluster.store().control().Send(SetFaults{0, {false, 0, kAnswerTime}});
+  MonotonicTime last;
+  for (int i = 0; i < 5; ++i) {
+    const View view = cluster.Await(0, [&](const View& seen) {
+      CHECK(seen.lease_ok);
+      return seen.lease_valid_until > last;
+    });
+    last = view.lease_valid_until;
+  }
+}
+
 TEST_CASE("an expired lease is replaced by a new one") {
   Cluster cluster(1);
   cluster.AwaitMembers(0, 1, 2);
