A late renewal pauses a member's partitions instead of losing them

Cause: when the member lease might have lapsed by this process's own count, it dropped all owners at once, though the store had often not let go of the lease: the answer to a renewal was only late.

Change: partitions are kept without authority. Nothing is sent to workers (the sessions' own end of authority, unchanged) and requests are refused as by any member that is not the owner. When the same lease is renewed, the member key has been in the store without a gap, nobody can have claimed, and the owners go on. When the store says that the lease is gone, when a claim was taken, or at a shutdown they are dropped as before. Evidence of an outage does not end a pause: others may have claimed before they lost the store. Views name the lease.

--- a/azurepass/membership/agent.cc
+++ b/azurepass/membership/agent.cc
@@ -423,7 +423,10 @@
     }
     view.wanted = Wanted();
     // Without the key others may already claim what this member holds.
-    if (key_written_) view.lease_valid_until = lease_valid_until_;
+    if (key_written_) {
+      view.lease = lease_;
+      view.lease_valid_until = lease_valid_until_;
+    }
     view.lease_ok = now < view.lease_valid_until;
     return view;
   }
--- a/azurepass/membership/membership.h
+++ b/azurepass/membership/membership.h
@@ -185,6 +185,9 @@
   // Counted from the send of the last renewal that succeeded: before it the
   // store cannot have dropped the lease.
   MonotonicTime lease_valid_until;
+  // The lease itself. As long as it is the same one, this member's key has been
+  // in the store without a gap.
+  std::string lease;  // Empty: none.
 };
 
 struct Subscribe {
--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -14,6 +14,13 @@
 // taken anything over. The margin covers the age of that evidence, so that it
 // holds to its end also when a member regains contact before: without that,
 // every return of the store would depose all owners.
+//
+// A member lease that may have lapsed need not have: the answer to a renewal
+// may only be late. So partitions are kept without authority, answering nobody,
+// for as long as the store has not said that this lease is gone. If it is
+// renewed, the member key was there all the time, nobody can have claimed
+// anything, and the owners go on in their epoch. Under any other lease they
+// start anew.
 
 #include <glog/logging.h>
 
@@ -161,6 +168,8 @@
   // --- Claims
 
   void OnView(membership::View& view) {
+    const bool same_lease = !view.lease.empty() && view.lease == view_.lease;
+    if (!same_lease && !HasAuthority()) GiveUpAll("lease lost");
     view_ = std::move(view);
     TellKeeperOfPeers();
     peers_.permits.Send(PermitPeers(view_, options_.member));
@@ -172,13 +181,19 @@
 
   MonotonicTime AuthorityUntil() const {
     MonotonicTime until = std::max(authority_until_, view_.lease_valid_until);
-    if (configuration_ && configuration_->others_cut_until) {
+    // During a pause others may have claimed before they were cut off.
+    if (configuration_ && configuration_->others_cut_until &&
+        !authority_paused_) {
       until = std::max(until, *configuration_->others_cut_until);
     }
     return until;
   }
 
   void UpdateAuthority() {
+    if (authority_paused_ && Clock::now() < view_.lease_valid_until) {
+      authority_paused_ = false;
+      LOG(INFO) << "event=authority outcome=resumed lease=" << view_.lease;
+    }
     const MonotonicTime until = AuthorityUntil();
     if (until == authority_until_) return;
     authority_until_ = until;
@@ -192,16 +207,29 @@
 
   void OnAuthorityEnd() {
     if (HasAuthority()) return;
+    if (view_.lease.empty() || shutdown_) return GiveUpAll("lease lost");
+    authority_paused_ = true;
+    LOG(WARNING) << "event=authority outcome=paused lease=" << view_.lease;
     for (auto& [id, partition] : partitions_) {
-      const std::optional<Epoch> epoch = EpochOf(partition.holding);
-      if (!epoch) continue;
-      LOG(WARNING) << "authority ended partition=" << id.value()
-                   << " epoch=" << epoch->value;
-      partition.task->address().Send(Lose{});
-      partition.holding = NotHeld{};
+      const bool keep = std::holds_alternative<Held>(partition.holding);
+      if (!keep) GiveUp(id, partition, "lease may have lapsed");
     }
   }
 
+  void GiveUpAll(const char* reason) {
+    authority_paused_ = false;
+    for (auto& [id, partition] : partitions_) GiveUp(id, partition, reason);
+  }
+
+  void GiveUp(const PartitionId& id, Partition& partition, const char* reason) {
+    const std::optional<Epoch> epoch = EpochOf(partition.holding);
+    if (!epoch) return;
+    LOG(WARNING) << "authority ended partition=" << id.value()
+                 << " epoch=" << epoch->value << " reason=\"" << reason << "\"";
+    partition.task->address().Send(Lose{});
+    partition.holding = NotHeld{};
+  }
+
   void Reconsider() {
     if (!view_.known) return;
     const std::set<PartitionId> wanted(view_.wanted.begin(),
@@ -421,7 +449,8 @@
       return;
     }
     // A process that has just started knows of no partition yet.
-    if (unknown || std::holds_alternative<NotHeld>(found->second.holding)) {
+    if (unknown || authority_paused_ ||
+        std::holds_alternative<NotHeld>(found->second.holding)) {
       responder.Answer(Refusal{RefusalCode::kNotOwner, Effect::kNotRun,
                                "this process does not own the partition",
                                kRetryAfter});
@@ -456,6 +485,7 @@
 
   void OnShutdown(const Shutdown& shutdown) {
     shutdown_ = shutdown;
+    if (authority_paused_) GiveUpAll("shutdown without authority");
     peers_.membership.Send(membership::Drain{});
     Reconsider();
     FinishShutdown();
@@ -486,6 +516,9 @@
   task::Timer claim_timer_;
   task::Timer authority_timer_;
   MonotonicTime authority_until_;
+  // Authority has ended, and view_.lease, under which partitions are held, may
+  // still stand.
+  bool authority_paused_ = false;
 };
 
 Manager::Manager(task::Loop& loop, Options options, Peers peers)
--- a/azurepass/scheduling/manager_test.cc
+++ b/azurepass/scheduling/manager_test.cc
@@ -1,8 +1,10 @@
-// The manager's answers to other processes, without a network.
+// The manager's answers to other processes and its claims, without a network.
 
 #include <doctest/doctest.h>
 
 #include "azurepass/scheduling/scheduling.h"
+#include "azurepass/testing/fake_store.h"
+#include "azurepass/testing/inbox.h"
 
 namespace azurepass::scheduling {
 namespace {
@@ -34,5 +36,112 @@
   CHECK(CodeOfUnknown(false) == RefusalCode::kNotFound);
 }
 
+const PartitionId kPartition("p");
+const MemberId kSelf("n1");
+constexpr Duration kLease{300};
+
+// A manager with a store, told by hand what the membership agent would tell.
+class OneMember {
+ public:
+  OneMember() : store_(loop_) {
+    Options options;
+    options.member = kSelf;
+    options.sticky = true;
+    options.cell.partitions.push_back({kPartition, ServiceId("s"), {}});
+    Peers peers;
+    peers.store = store_.Port(1);
+    manager_ = std::make_unique<Manager>(loop_, options, peers);
+    loop_.Start();
+  }
+  ~OneMember() { loop_.Stop(); }
+
+  // Tells of the partition's claim as the store has it.
+  void TellView(const std::string& lease, MonotonicTime valid_until) {
+    membership::View view;
+    view.known = true;
+    view.members[kSelf].record.member = kSelf;
+    view.wanted = {kPartition};
+    if (const auto entry = ReadClaim()) {
+      const auto claim = membership::DecodeClaim(entry->value);
+      REQUIRE(claim.has_value());
+      view.claims[kPartition] = {claim->member, "n1:1", claim->epoch,
+                                 entry->version};
+    }
+    view.lease = lease;
+    view.lease_valid_until = valid_until;
+    view.lease_ok = BootClock::now() < valid_until;
+    manager_->address().Send(view);
+  }
+
+  int64_t ClaimedEpoch() {
+    const auto entry = ReadClaim();
+    if (!entry) return 0;
+    return membership::DecodeClaim(entry->value).value().epoch.value;
+  }
+
+  void AwaitEpoch(int64_t epoch) {
+    const MonotonicTime limit = BootClock::now() + testing::kLong;
+    while (ClaimedEpoch() != epoch) {
+      REQUIRE(BootClock::now() < limit);
+      Pass(Duration(10));
+    }
+  }
+
+  bool Owns() {
+    testing::Inbox<entry::Response> responses;
+    manager_->address().Send(entry::Incoming{
+        partition::GetWorkflow{kPartition, TeamId("t"), RequestId("r")},
+        Duration(100), entry::Responder(responses.address())});
+    const auto response = responses.TakeWithin(testing::kLong);
+    REQUIRE(response.has_value());
+    const auto* refusal = std::get_if<Refusal>(&*response);
+    return refusal == nullptr || refusal->code != RefusalCode::kNotOwner;
+  }
+
+  static void Pass(Duration time) {
+    testing::Inbox<int> nothing;
+    nothing.TakeWithin(time);
+  }
+
+ private:
+  std::optional<store::Entry> ReadClaim() {
+    testing::Inbox<store::GetReply> replies;
+    store::Get get;
+    get.key = membership::StoreKey(kPartition);
+    get.reply_to = replies.address();
+    store_.Port(9).Send(get);
+    return std::get<store::Value>(replies.Take()).entry;
+  }
+
+  task::Loop loop_;
+  testing::FakeStore store_;
+  std::unique_ptr<Manager> manager_;
+};
+
+// Each late answer to a renewal cost all of a member's partitions a takeover
+// by the member itself; with a slow store there was no end of them (LOST).
+TEST_CASE("a lease that is renewed late costs no epoch") {
+  OneMember member;
+  member.TellView("lease-1", BootClock::now() + kLease);
+  member.AwaitEpoch(1);
+  member.TellView("lease-1", BootClock::now() + kLease);
+  CHECK(member.Owns());
+  OneMember::Pass(2 * kLease);
+  CHECK_FALSE(member.Owns());
+  member.TellView("lease-1", BootClock::now() + testing::kLong);
+  CHECK(member.Owns());
+  OneMember::Pass(2 * kLease);
+  CHECK(member.ClaimedEpoch() == 1);
+}
+
+TEST_CASE("under another lease a partition is claimed anew") {
+  OneMember member;
+  member.TellView("lease-1", BootClock::now() + kLease);
+  member.AwaitEpoch(1);
+  OneMember::Pass(2 * kLease);
+  member.TellView("lease-2", BootClock::now() + testing::kLong);
+  member.AwaitEpoch(2);
+}
+
 }  // namespace
 }  // namespace azurepass::scheduling
