The most expensive permit requests yield for one second at most

Cause: a request yields to cheaper ones for twice its cost. After a takeover a job asks about all workers, up to 100: 1.36 s where the service takes 560 ms and 8 ms a worker, so it yielded for 2.7 s. With the backlog and the decision that is 4.7 s, and a lasting task counts as missed after 3 s.

Change: the time is bounded by Options::max_yield. The new case of permit_test failed before: the request was not sent within 2 s behind a steady stream of cheap ones, with a bound of 50 ms.

--- a/azurepass/permit/broker.cc
+++ b/azurepass/permit/broker.cc
@@ -3,9 +3,9 @@
 // Cheap requests, which are those of small and urgent work, go before expensive
 // ones and fill up the backlogs. Without a limit, expensive requests would wait
 // until a VM has no backlog, that is until there are few requests. An expensive
-// request therefore yields to cheaper ones for a bounded time, in proportion to
-// its cost. Then it is sent next, to the first VM whose backlog, not counting
-// this request, is within the bound.
+// request therefore yields to cheaper ones for a time in proportion to its
+// cost, and bounded. Then it is sent next, to the first VM whose backlog, not
+// counting this request, is within the bound.
 
 #include <glog/logging.h>
 
@@ -23,10 +23,8 @@
 // The key of this VM among the targets; the key of a peer is its address.
 constexpr char kLocal[] = "";
 
-// A request yields to cheaper ones for this multiple of its cost. The most
-// expensive requests take 0.75 s. A perpetual task counts as missed once it has
-// been absent for 3 s. The backlog ahead of the request and its own decision
-// take 1.4 s of that, so 1.6 s are left for yielding.
+// A request yields to cheaper ones for this multiple of its cost, up to
+// Options::max_yield.
 constexpr int kYieldFactor = 2;
 
 }  // namespace
@@ -120,7 +118,8 @@
   void Enqueue(Request request) {
     const int64_t serial = ++last_serial_;
     const MonotonicTime yield_deadline =
-        BootClock::now() + kYieldFactor * request.cost;
+        BootClock::now() +
+        std::min(kYieldFactor * request.cost, options_.max_yield);
     by_cost_.emplace(request.cost, serial);
     by_yield_deadline_.emplace(yield_deadline, serial);
     waiting_.emplace(serial,
--- a/azurepass/permit/broker_test.cc
+++ b/azurepass/permit/broker_test.cc
@@ -117,6 +117,28 @@
   CHECK(asked);
 }
 
+// Guards against requests that cost so much that yielding in proportion alone
+// takes up the time in which a lasting task has to run again: a takeover asks
+// about all workers, with 100 of them for 1.36 s, and yielded for 2.7 s (LOST).
+TEST_CASE("the most expensive request yields no longer than the bound") {
+  Options options;
+  options.max_backlog = Duration(20);
+  options.max_yield = Duration(50);
+  Fixture f(options);
+  f.SendRequest("first", Duration(10));
+  f.SendRequest("expensive", Duration(10'000));
+  const MonotonicTime give_up = BootClock::now() + Duration(2'000);
+  size_t answered = 0;
+  bool asked = false;
+  while (!asked && BootClock::now() < give_up) {
+    f.SendRequest("cheap", Duration(10));
+    f.local[answered++].reply_to.Send(Issued{});
+    f.Run();
+    asked = f.local.back().job == JobId("expensive");
+  }
+  CHECK(asked);
+}
+
 TEST_CASE("the response of a peer is returned as a result") {
   Fixture f;
   f.broker.address().Send(PeersChanged{{"10.0.0.2:1"}});
--- a/azurepass/permit/permit.h
+++ b/azurepass/permit/permit.h
@@ -55,6 +55,10 @@
   // Limit of the decision time outstanding at one VM; further requests wait in
   // the broker.
   Duration max_backlog{600};
+  // Longest time for which a request yields to cheaper ones. A perpetual task
+  // counts as missed once it has been absent for 3 s. The backlog ahead of its
+  // request and the decision on 100 workers take 2 s of that.
+  Duration max_yield{1'000};
   Duration slack{1'000};  // Added to the backlog to get a request's timeout.
   uint64_t seed = 1;      // Of the order among VMs with equal backlogs.
 };
