A failed permit request counts at its VM, and is repeated elsewhere

The service decides on for a caller that has given up, and other brokers' requests may be before it, but the broker took the cost off the VM's backlog at once, so that the same VM was the least loaded again.

Change: a failed request's cost stays in the backlog of its VM for as long as the decision takes. The new case of permit_test failed before: the repetition went to the same VM, none to the idle peer.

--- a/azurepass/permit/broker.cc
+++ b/azurepass/permit/broker.cc
@@ -36,6 +36,7 @@
       : options_(options),
         service_(std::move(service)),
         peers_(std::move(peers)),
+        failed_timer_(loop),
         mailbox_(loop, [this](Inbox m) { Handle(std::move(m)); }) {
     targets_[kLocal];
   }
@@ -44,7 +45,8 @@
 
  private:
   // A VM whose calls reach the service. Invariant: `backlog` is the sum of the
-  // costs of the requests that were sent there and are not answered.
+  // costs of the requests that were sent there and are neither answered nor
+  // released from failed_.
   struct Target {
     Duration backlog{0};
     // Breaks ties between equal backlogs; the lowest comes first. Several
@@ -72,6 +74,11 @@
     Request request;
     MonotonicTime yield_deadline;  // Yields to cheaper requests until then.
   };
+  // Its cost counts in the target's backlog for as long again.
+  struct FailedRequest {
+    std::string target;
+    Duration cost{0};
+  };
   using Inbox = std::variant<Message, Completed>;
 
   void Handle(Inbox message) {
@@ -104,11 +111,38 @@
                    << " by=" << completed.target << " reason=\""
                    << failed->message << "\"";
     }
-    targets_[completed.target].backlog -= completed.cost;
-    RemoveIdleTargets();
+    if (std::holds_alternative<Failed>(completed.result)) {
+      failed_.emplace(BootClock::now() + completed.cost,
+                      FailedRequest{completed.target, completed.cost});
+      ReleaseFailed();
+    } else {
+      Release(completed.target, completed.cost);
+    }
     completed.reply_to.Send(std::move(completed.result));
   }
 
+  void Release(const std::string& target, Duration cost) {
+    targets_[target].backlog -= cost;
+    RemoveIdleTargets();
+  }
+
+  // The service may still decide a request that has failed, and requests of
+  // other brokers may have been before it.
+  void ReleaseFailed() {
+    const MonotonicTime now = BootClock::now();
+    while (!failed_.empty() && failed_.begin()->first <= now) {
+      const FailedRequest failed = failed_.begin()->second;
+      failed_.erase(failed_.begin());
+      Release(failed.target, failed.cost);
+    }
+    if (failed_.empty()) return;
+    failed_timer_.After(
+        std::chrono::ceil<Duration>(failed_.begin()->first - now), [this] {
+          ReleaseFailed();
+          SendWaiting();
+        });
+  }
+
   void RemoveIdleTargets() {
     std::erase_if(targets_, [](const auto& item) {
       return item.second.removed && item.second.backlog <= Duration(0);
@@ -126,8 +160,8 @@
                      WaitingRequest{std::move(request), yield_deadline});
   }
 
-  // Sends waiting requests while a VM has room for them. No timer is needed:
-  // while requests wait, others are outstanding, and each result leads here.
+  // Sends waiting requests while a VM has room for them. While requests wait,
+  // others are outstanding or in failed_, and the end of each leads here.
   void SendWaiting() {
     while (!waiting_.empty()) {
       const auto least_loaded = std::min_element(
@@ -202,6 +236,8 @@
   std::set<std::pair<Duration, int64_t>> by_cost_;
   std::set<std::pair<MonotonicTime, int64_t>> by_yield_deadline_;
   int64_t last_serial_ = 0;
+  std::multimap<MonotonicTime, FailedRequest> failed_;  // By their release.
+  task::Timer failed_timer_;
   task::Mailbox<Inbox> mailbox_;
 };
 
--- a/azurepass/permit/broker_test.cc
+++ b/azurepass/permit/broker_test.cc
@@ -139,6 +139,30 @@
   CHECK(asked);
 }
 
+// Guards against a request that is repeated at the back of the queue in which
+// it has just timed out, again and again, while other VMs have none (LOST).
+TEST_CASE("a failed request counts at its VM, and goes elsewhere next") {
+  Options options;
+  options.max_backlog = Duration(200);
+  Fixture f(options);
+  f.broker.address().Send(PeersChanged{{"10.0.0.2:1"}});
+  f.Run();
+  f.SendRequest("a", Duration(100));
+  REQUIRE(f.local.size() == 1);
+  f.local[0].reply_to.Send(Failed{"timeout"});
+  f.Run();
+  f.SendRequest("a", Duration(100));
+  CHECK(f.local.size() == 1);
+  REQUIRE(f.relayed.size() == 1);
+  // Both VMs are taken; the time that the failed one counts for makes room.
+  f.SendRequest("b", Duration(200));
+  CHECK(f.local.size() == 1);
+  while (f.local.size() == 1) {
+    g_main_context_iteration(f.loop.context(), TRUE);
+  }
+  CHECK(f.local[1].job == JobId("b"));
+}
+
 TEST_CASE("the response of a peer is returned as a result") {
   Fixture f;
   f.broker.address().Send(PeersChanged{{"10.0.0.2:1"}});
