Each VM queues the permit requests that come to it

Cause: a VM's calls to the permit service, of its own owners and relayed ones, were all made at once and waited at the service, which decides those of one VM one after another and also those whose callers have given up.

Change: permit::Queue makes two calls at a time, in order of arrival, and refuses a request whose deadline passes while it waits.

--- a/azurepass/daemons/node.cc
+++ b/azurepass/daemons/node.cc
@@ -169,6 +169,7 @@
   store::Hedge store_;
   platform::Workers worker_calls_;
   platform::Permits permit_calls_;
+  permit::Queue permit_queue_;
   entry::Client entry_client_;
   task::Relay<entry::Incoming> incoming_;
   entry::Server entry_server_;
@@ -194,6 +195,7 @@
       store_(loop, store::HedgeOptions{}, platform_store_.address()),
       worker_calls_(loop),
       permit_calls_(loop, settings.permit_address),
+      permit_queue_(loop, permit_calls_.address()),
       entry_client_(loop, entry::ClientOptions{}),
       incoming_(loop),
       entry_server_(loop, EntryOptions(settings.process.entry_address),
@@ -207,12 +209,12 @@
       layouts_(loop, LayoutOptions(settings), store_.address()),
       workers_(loop, EndpointOptions(settings.cell), worker_calls_.address()),
       escrow_(loop, escrow::Options{}, store_.address()),
-      permits_(loop, PermitOptions(), permit_calls_.address(),
+      permits_(loop, PermitOptions(), permit_queue_.address(),
                entry_client_.address()),
       manager_(loop, SchedulingOptions(settings),
                {store_.address(), workers_.address(), escrow_.address(),
                 agent_.address(), keeper_.address(), permits_.address(),
-                permit_calls_.address()}),
+                permit_queue_.address()}),
       registry_(loop, settings.cell.timing.watch_wait, store_.address(),
                 Both(layouts_.address(), manager_.address())),
       dispatcher_(loop, RoutingOptions(settings), entry_client_.address()),
--- a/azurepass/permit/permit.h
+++ b/azurepass/permit/permit.h
@@ -8,9 +8,13 @@
 // At each VM it has no more requests outstanding than are decided within
 // max_backlog.
 //
-// Usage: construct a Broker with the addresses of the local service and of the
-// entry client, send it the other members as PeersChanged, and send it
-// requests. Each is answered exactly once.
+// A Queue keeps the requests that come to one VM, from its own Broker and from
+// others, until the service can take them.
+//
+// Usage: construct a Queue with the address of the service, and a Broker with
+// the addresses of the Queue and of the entry client. Send the Broker the other
+// members as PeersChanged, and requests; send the Queue what other Brokers
+// relay. Each request is answered exactly once.
 
 #ifndef AZUREPASS_PERMIT_PERMIT_H_
 #define AZUREPASS_PERMIT_PERMIT_H_
@@ -88,6 +92,23 @@
   std::shared_ptr<Impl> impl_;
 };
 
+// The requests of this VM to the service, in order of arrival. At most two are
+// with the service at a time. A request whose timeout passes while it waits is
+// answered with Failed and never sent.
+class Queue {
+ public:
+  Queue(task::Loop& loop, task::Address<ServiceRequest> service);
+  ~Queue();
+  Queue(const Queue&) = delete;
+  Queue& operator=(const Queue&) = delete;
+
+  task::Address<ServiceRequest> address() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
 }  // namespace azurepass::permit
 
 #endif  // AZUREPASS_PERMIT_PERMIT_H_
