A new owner's first permit request for a step that has run is short

Cause: an owner asks about all workers first, and a new one has forgotten what the service said.

Change: the workers of a job's former starts count as permitted after a takeover, and the first request of such a job lists ten workers with room for each task that waits, 30 at least. The new case of owner_workflows_test listed 90 before.

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -160,6 +160,8 @@
   void On(const WorkerReplaced& event);
   void BeginOpening();
   void AddRecoveredJob(const JobId& id, const internal::LedgerJob& job);
+  // Notes the workers that have permits by the job's former starts.
+  void RecoverGranted(const JobId& id, const internal::LedgerJob& job);
   void FinishOpening();
   void AdoptListed(const VmId& vm, const std::vector<AttemptId>& running);
   // Applies the descriptions of workers that are new or have changed.
--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -29,6 +29,10 @@
 // granted before or joined since. Other jobs may have taken some of that room
 // by the time of the answer, so a request lists more workers than the job
 // needs.
+//
+// A new owner has forgotten all answers but those that led to starts. The work
+// of its predecessor waits meanwhile, so the first request for a job that has
+// run before is short: it lists some workers for each task that waits.
 
 #include <algorithm>
 #include <tuple>
@@ -46,6 +50,9 @@
 // Workers with room that a request lists even if the job itself needs fewer.
 // The users rely on one request for about this many workers per step.
 constexpr int64_t kMinWorkersPerRequest = 30;
+// Workers with room that the first request of a recovered job lists for each
+// task. Enough where the policy allows a third of the workers.
+constexpr int64_t kRecoveredWorkersPerTask = 10;
 // Workers examined in one scan, over all jobs. The first jobs in the start
 // order matter most.
 constexpr int64_t kWorkersPerScan = 2'048;
@@ -122,6 +129,7 @@
     return (spec.task * tasks).FitsIn(allowance + preemptible);
   };
   const int64_t min_listed = may_request ? kMinWorkersPerRequest : 0;
+  const bool recovered = !permits.answered && !permits.granted.empty();
   const int64_t tasks = has_no_room || !is_allowed(unit) ? 0 : job.queued;
   int64_t tasks_with_room = 0;  // Denied workers are left out.
   bool none_fits = true;
@@ -129,7 +137,9 @@
   std::vector<std::pair<WorkerRoom*, int64_t>> taken;
   int64_t taken_tasks = 0;
   for (WorkerRoom& worker : scan.workers) {
-    const bool full = taken_tasks == tasks || !is_allowed(taken_tasks + 1);
+    const bool full = taken_tasks == tasks || !is_allowed(taken_tasks + 1) ||
+                      (recovered && std::ssize(with_room) >=
+                                        kRecoveredWorkersPerTask * tasks);
     if (tasks == 0 || (full && std::ssize(with_room) >= min_listed)) {
       none_fits = false;  // Not determined.
       break;
@@ -219,7 +229,7 @@
     return;
   }
   RequestPermits request{job.submitted.job, {}, *terms};
-  if (permits.answered) {
+  if (permits.answered || !permits.granted.empty()) {
     request.workers = std::move(with_room);
   } else {
     for (const auto& [vm, worker] : workers_.workers()) {
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -123,6 +123,7 @@
   if (is_step && !was_started) return;  // ReleaseSteps releases it.
   ReleaseJob(id);
   jobs_.Find(id)->accepted = accepted;
+  RecoverGranted(id, job);
   for (int32_t index = 0; index < std::ssize(job.tasks); ++index) {
     const TaskSnapshot& task = job.tasks[index];
     const TaskId task_id{id, index};
@@ -153,6 +154,17 @@
   }
 }
 
+// Each start needed a permit, and the service does not change its mind about a
+// worker.
+void Owner::Impl::RecoverGranted(const JobId& id,
+                                 const internal::LedgerJob& job) {
+  const auto permits = permits_.find(id);
+  if (permits == permits_.end()) return;
+  for (const TaskSnapshot& task : job.tasks) {
+    if (task.attempts > 0) permits->second.granted.insert(task.vm);
+  }
+}
+
 void Owner::Impl::OpenWorker(Worker& worker, Session session) {
   workers_.SetSession(worker, session);
   Emit(OpenSession{worker.spec, epoch_});
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -574,6 +574,47 @@
   CHECK(d.Last<RequestPermits>().workers == std::vector<VmId>{last.first});
 }
 
+// Guards against takeovers in series in which each owner asks about all workers
+// for each step that waits, and is replaced before the answers come (LOST).
+TEST_CASE("a new owner's first request for a step that has run is short") {
+  std::vector<std::string> vms;
+  for (int i = 0; i < 90; ++i) vms.push_back("vm-" + std::to_string(100 + i));
+  Driver d(vms, /*permits=*/true);
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {MakeStep(1)};
+  spec.steps[0].job.perpetual = true;
+  spec.steps[0].job.constraints.needs_permit = true;
+  d.Submit(1, spec);
+  d.CompleteAppends();
+  const RequestPermits asked = d.Last<RequestPermits>();
+  CHECK(asked.workers.size() == 90);
+  d.Handle(PermitsIssued{asked.job, asked.workers,
+                         std::vector<Permit>{{VmId("vm-140"), "t"}},
+                         d.now + kPermitValidity});
+  d.CompleteAppends();
+  REQUIRE(d.Starts().size() == 1);
+  d.now += 2 * kPermitValidity;
+  d.Report("vm-140", 1, d.Starts()[0].second.attempt, WorkerEventKind::kFailed);
+  d.CompleteAppends();
+  const int asked_before = d.Count<RequestPermits>();
+  d.TakeOver(2, std::nullopt, d.batches, vms);
+  d.now += seconds(2);  // Past the backoff after a failure.
+  d.Handle(Tick{});
+  d.CompleteAppends();
+  REQUIRE(d.Count<RequestPermits>() == asked_before + 1);
+  const RequestPermits again = d.Last<RequestPermits>();
+  CHECK(again.workers.size() == 30);
+  // None of these was it: the next request goes on with the others.
+  d.Handle(PermitsIssued{again.job, again.workers, std::vector<Permit>{},
+                         d.now + kPermitValidity});
+  d.now += seconds(1);
+  d.Handle(Tick{});
+  const RequestPermits rest = d.Last<RequestPermits>();
+  CHECK(std::count(rest.workers.begin(), rest.workers.end(), VmId("vm-140")) ==
+        1);
+}
+
 // Load: a backlog while all workers are full. Permit requests for jobs that
 // cannot start would take all of the permit service's time, and the permits
 // would lapse unused.
--- a/azurepass/permit/queue.cc
+++ b/azurepass/permit/queue.cc
@@ -41,17 +41,16 @@
   using Inbox = std::variant<ServiceRequest, Completed>;
 
   void Handle(Inbox message) {
-    std::visit(
-        Visitor{[this](ServiceRequest& request) {
-                  const MonotonicTime deadline =
-                      BootClock::now() + request.timeout;
-                  waiting_.push_back({std::move(request), deadline});
-                },
-                [this](Completed& completed) {
-                  --calls_;
-                  completed.reply_to.Send(std::move(completed.result));
-                }},
-        message);
+    std::visit(Visitor{[this](ServiceRequest& request) {
+                         const MonotonicTime deadline =
+                             BootClock::now() + request.timeout;
+                         waiting_.push_back({std::move(request), deadline});
+                       },
+                       [this](Completed& completed) {
+                         --calls_;
+                         completed.reply_to.Send(std::move(completed.result));
+                       }},
+               message);
     Advance();
   }
 
@@ -79,8 +78,8 @@
     ServiceRequest& request = next.request;
     request.timeout =
         std::chrono::ceil<Duration>(next.deadline - BootClock::now());
-    request.reply_to = mailbox_.address().Map<Result>(
-        [to = request.reply_to](Result result) {
+    request.reply_to =
+        mailbox_.address().Map<Result>([to = request.reply_to](Result result) {
           return Inbox(Completed{to, std::move(result)});
         });
     service_.Send(std::move(request));
@@ -88,9 +87,8 @@
 
   void SetTimer() {
     const auto first = std::min_element(
-        waiting_.begin(), waiting_.end(), [](const auto& a, const auto& b) {
-          return a.deadline < b.deadline;
-        });
+        waiting_.begin(), waiting_.end(),
+        [](const auto& a, const auto& b) { return a.deadline < b.deadline; });
     if (first == waiting_.end()) return deadline_timer_.Cancel();
     deadline_timer_.After(
         std::max(Duration(0), std::chrono::ceil<Duration>(first->deadline -
--- a/azurepass/permit/queue_test.cc
+++ b/azurepass/permit/queue_test.cc
@@ -24,15 +24,14 @@
     }
   }
   void Send(const std::string& job, Duration timeout) {
-    queue.address().Send({JobId(job),
-                          {VmId("vm")},
-                          timeout,
-                          task::Address<Result>([this, job](const Result& r) {
-                            const bool issued =
-                                std::holds_alternative<Issued>(r);
-                            results.push_back(job +
-                                              (issued ? " issued" : " failed"));
-                          })});
+    queue.address().Send(
+        {JobId(job),
+         {VmId("vm")},
+         timeout,
+         task::Address<Result>([this, job](const Result& r) {
+           const bool issued = std::holds_alternative<Issued>(r);
+           results.push_back(job + (issued ? " issued" : " failed"));
+         })});
     Run();
   }
   // Runs until there are so many results.
