A permit request waits for one like it that another broker sent before

Cause: a request's timeout was the backlog that its own broker knows at the VM, and one second.

Change: the timeout has the request's cost once more. Cheap requests give up as soon as before. The new case of permit_test failed before (2,360 ms for a cost of 1,360 ms, in place of 3,720).

--- a/azurepass/permit/broker.cc
+++ b/azurepass/permit/broker.cc
@@ -182,8 +182,9 @@
       if (full) return;
       Request request = Dequeue(overdue ? oldest : cheapest);
       target.backlog += request.cost;
-      SendTo(least_loaded->first, target.backlog + options_.slack,
-             std::move(request));
+      // Another broker may have sent the VM a request like this one.
+      const Duration timeout = target.backlog + request.cost + options_.slack;
+      SendTo(least_loaded->first, timeout, std::move(request));
     }
   }
 
--- a/azurepass/permit/broker_test.cc
+++ b/azurepass/permit/broker_test.cc
@@ -139,6 +139,17 @@
   CHECK(asked);
 }
 
+// Guards against answers that come just after their request was given up,
+// behind a request of another broker that takes as long, and are asked for
+// again (LOST).
+TEST_CASE("a request outlasts one like it that another broker sent before") {
+  Options options;
+  Fixture f(options);
+  f.SendRequest("a", Duration(1'360));
+  REQUIRE(f.local.size() == 1);
+  CHECK(f.local[0].timeout == 2 * Duration(1'360) + options.slack);
+}
+
 // Guards against a request that is repeated at the back of the queue in which
 // it has just timed out, again and again, while other VMs have none (LOST).
 TEST_CASE("a failed request counts at its VM, and goes elsewhere next") {
--- a/azurepass/permit/permit.h
+++ b/azurepass/permit/permit.h
@@ -63,8 +63,9 @@
   // counts as missed once it has been absent for 3 s. The backlog ahead of its
   // request and the decision on 100 workers take 2 s of that.
   Duration max_yield{1'000};
-  Duration slack{1'000};  // Added to the backlog to get a request's timeout.
-  uint64_t seed = 1;      // Of the order among VMs with equal backlogs.
+  // Added to the backlog and the request's own cost to get its timeout.
+  Duration slack{1'000};
+  uint64_t seed = 1;  // Of the order among VMs with equal backlogs.
 };
 
 // A request to the broker. `cost` is the time that the service takes to decide.
