Claims of members that may be back are left alone for one lease

Cause: after an outage of the store in which all member leases lapsed, and after a restart of all, the first member back found one or two member keys and claimed every partition at once, also from living owners that were back a moment later.

Change: a member that started, lost its lease or was not answered by the store within the last lease gives members whose keys went since then one lease to return. A holder takes its own claims up again at once. Claims that were never made or were given back, and those of a holder that went while our own contact stood, are free as before, so that a real loss costs no more where any member kept its contact.

--- a/azurepass/membership/agent.cc
+++ b/azurepass/membership/agent.cc
@@ -131,6 +131,7 @@
         store_(store),
         client_(std::move(peers)),
         table_(NewsOf(self_)),
+        departures_(options_.lease_ttl),
         random_(options_.seed),
         backoff_(options_.min_backoff),
         key_backoff_(options_.min_backoff),
@@ -246,6 +247,7 @@
       return OnLeaseStands(answered.sent);
     }
     if (error->code == store::ErrorCode::kLeaseLost) return OnLeaseLost();
+    departures_.OnTrouble(Now());
     // A later one is under way.
     if (answered.sent != renewal_sent_) return;
     RetryLeaseWork([this] { Renew(); });
@@ -264,6 +266,7 @@
     lease_timer_.Cancel();
     key_timer_.Cancel();
     ForgetLease();
+    departures_.OnTrouble(Now());
     Publish();
     AskForLease();
   }
@@ -305,17 +308,46 @@
 
   void OnStoreEvent(const follow::Event& event) {
     const MonotonicTime now = Now();
-    std::visit(Visitor{[&](const follow::Replaced& replaced) {
-                         content_.Apply(replaced, now);
-                         Publish();
-                       },
-                       [&](const follow::Changed& changed) {
-                         if (changed.changes.changes.empty()) return;
-                         content_.Apply(changed, now);
-                         Publish();
-                       },
-                       [](const follow::Failed& /*failed*/) {}},
-               event);
+    std::visit(
+        Visitor{[&](const follow::Replaced& replaced) { Apply(replaced, now); },
+                [&](const follow::Changed& changed) {
+                  if (changed.changes.changes.empty()) return;
+                  Apply(changed, now);
+                },
+                [&](const follow::Failed& /*failed*/) {
+                  departures_.OnTrouble(now);
+                }},
+        event);
+  }
+
+  template <class Event>
+  void Apply(const Event& event, MonotonicTime now) {
+    const bool first = !content_.known();
+    const auto before = content_.members();
+    content_.Apply(event, now);
+    if (first) NoteMissingHolders(now);
+    NoteDepartures(before, now);
+    Publish();
+  }
+
+  void NoteMissingHolders(MonotonicTime now) {
+    departures_.OnTrouble(now);
+    for (const auto& [partition, claim] : content_.claims()) {
+      const bool there =
+          claim.member.empty() || content_.members().contains(claim.member);
+      if (!there) departures_.OnGone(claim.member, now);
+    }
+  }
+
+  // A member that was leaving is not waited for.
+  void NoteDepartures(const std::map<MemberId, Content::Listed>& before,
+                      MonotonicTime now) {
+    const auto& present = content_.members();
+    for (const auto& [member, listed] : before) {
+      const bool gone = !present.contains(member) && !listed.record.leaving;
+      if (gone) departures_.OnGone(member, now);
+    }
+    for (const auto& [member, listed] : present) departures_.OnBack(member);
   }
 
   // --- Gossip
@@ -419,6 +451,8 @@
       auto found = view.members.find(claim.member);
       if (found != view.members.end()) {
         claim.address = found->second.record.address;
+      } else {
+        claim.free_at = departures_.FreeAt(claim.member);
       }
     }
     view.wanted = Wanted();
@@ -462,6 +496,7 @@
   const task::Address<entry::Call> client_;
   Content content_;
   Table table_;
+  Departures departures_;
   SelfChanged told_{Revision(), Duration::max(), {}};
   std::set<MemberId> suspected_;  // As subscribers were last told.
   std::mt19937_64 random_;
--- a/azurepass/membership/membership.h
+++ b/azurepass/membership/membership.h
@@ -119,6 +119,28 @@
   std::map<MemberId, Heard> heard_;  // Never holds self_.
 };
 
+// When claims of members whose keys went are free. A member that has just
+// started, or had trouble with the store itself, can't tell whether another one
+// died or lost its lease in the same outage and will be back. So it gives those
+// whose keys went since then the time of one lease. Otherwise a claim is free
+// as soon as the key is gone.
+class Departures {
+ public:
+  explicit Departures(Duration lease_ttl) : lease_ttl_(lease_ttl) {}
+
+  // This member started, lost its lease or was not answered by the store.
+  void OnTrouble(MonotonicTime now) { trouble_at_ = now; }
+  void OnGone(const MemberId& member, MonotonicTime now);
+  void OnBack(const MemberId& member) { gone_.erase(member); }
+
+  MonotonicTime FreeAt(const MemberId& member) const;
+
+ private:
+  const Duration lease_ttl_;
+  MonotonicTime trouble_at_;
+  std::map<MemberId, MonotonicTime> gone_;  // Within the last lease_ttl_.
+};
+
 // Picks `fanout` different ones of `candidates`; the random bits decide.
 std::vector<MemberId> ChooseGossipPeers(std::vector<MemberId> candidates,
                                         int64_t fanout, uint64_t random);
@@ -173,6 +195,8 @@
   std::string address;  // Empty: the holder's member key is gone.
   Epoch epoch;
   store::Version version = store::kAbsent;  // For the conditional write.
+  // When others may take it if the holder's member key is still gone by then.
+  MonotonicTime free_at{};
 };
 
 // Sent to subscribers when they subscribe and on each change.
--- a/azurepass/membership/membership_test.cc
+++ b/azurepass/membership/membership_test.cc
@@ -246,5 +246,30 @@
   CHECK(ok);
 }
 
+TEST_CASE("a member that goes alone is replaced at once") {
+  constexpr Duration kTtl{2'500};
+  const MonotonicTime start{};
+  const MemberId member("m");
+  Departures departures(kTtl);
+  departures.OnTrouble(start);
+  const MonotonicTime gone = start + kTtl + Duration(1);
+  departures.OnGone(member, gone);
+  CHECK(departures.FreeAt(member) <= gone);
+}
+
+TEST_CASE("members that go after trouble with the store have time to return") {
+  constexpr Duration kTtl{2'500};
+  const MonotonicTime start{};
+  const MemberId member("m");
+  Departures departures(kTtl);
+  departures.OnTrouble(start);
+  const MonotonicTime gone = start + Duration(1'000);
+  departures.OnGone(member, gone);
+  departures.OnGone(member, gone + Duration(100));  // Told twice.
+  CHECK(departures.FreeAt(member) == gone + kTtl);
+  departures.OnBack(member);
+  CHECK(departures.FreeAt(member) <= gone);
+}
+
 }  // namespace
 }  // namespace azurepass::membership
--- a/azurepass/scheduling/internal/holding.h
+++ b/azurepass/scheduling/internal/holding.h
@@ -47,14 +47,16 @@
   return claim != view.claims.end() && claim->second.member == self;
 }
 
-// Nobody holds it, the holder is gone, or the holder is a former start of
-// this very process.
+// Nobody holds it, the holder is gone for good as far as can be told, or the
+// holder is a former start of this very process.
 inline bool IsClaimable(const membership::View& view,
-                        const PartitionId& partition, const MemberId& self) {
-  const auto claim = view.claims.find(partition);
-  if (claim == view.claims.end()) return true;
-  return claim->second.member.empty() || claim->second.address.empty() ||
-         claim->second.member == self;
+                        const PartitionId& partition, const MemberId& self,
+                        MonotonicTime now) {
+  const auto found = view.claims.find(partition);
+  if (found == view.claims.end()) return true;
+  const membership::Claim& claim = found->second;
+  return claim.member.empty() || claim.member == self ||
+         (claim.address.empty() && now >= claim.free_at);
 }
 
 // Somebody claimed it after the owner of `epoch`.
--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -246,7 +246,8 @@
             [&](const NotHeld&) {
               const bool may = view_.lease_ok && HasAuthority();
               if (may && !shutdown_ &&
-                  ((wanted && IsClaimable(view_, id, options_.member)) ||
+                  ((wanted &&
+                    IsClaimable(view_, id, options_.member, Clock::now())) ||
                    IsOfFormerStart(view_, id, options_.member))) {
                 Claim(id, partition);
               }
