Log lines of the member lease, and what a claim's holder did last

Cause: when a partition changes hands, the logs don't tell whether the former owner's lease ran out because the store was slow, because it refused, or because the process stood still.

Change: `event=lease` for a lease granted, lost, not renewed, and renewed late or after failures, with the validity left, the age of the last renewal that succeeded, the request's time and how late its timer was; at most four lines a second (logging::LineBudget). Subscribers may ask to be told of failures. A View's claims carry when they were seen first and when the holder's key went. No decision depends on any of it.

--- a/azurepass/logging/logging.h
+++ b/azurepass/logging/logging.h
@@ -15,6 +15,8 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
+#include <utility>
 
 #include "azurepass/core/core.h"
 #include "azurepass/task/task.h"
@@ -28,6 +30,41 @@
   int64_t lines_per_second = 4'000;  // Below a warning.
 };
 
+// Bounds one kind of line in a second, and counts those left out.
+class LineBudget {
+ public:
+  explicit LineBudget(int64_t lines_per_second)
+      : lines_per_second_(lines_per_second) {}
+
+  // Returns whether a line may be logged now.
+  bool Take(MonotonicTime now) {
+    if (now - second_at_ >= std::chrono::seconds(1)) {
+      second_at_ = now;
+      taken_ = 0;
+    }
+    if (taken_ < lines_per_second_) {
+      ++taken_;
+      return true;
+    }
+    ++left_out_;
+    return false;
+  }
+
+  // The lines left out since the last call.
+  int64_t TakeLeftOut() { return std::exchange(left_out_, 0); }
+
+ private:
+  const int64_t lines_per_second_;
+  MonotonicTime second_at_{};
+  int64_t taken_ = 0;
+  int64_t left_out_ = 0;
+};
+
+// The end of a line that tells of lines left out before it; empty for none.
+inline std::string LeftOutText(int64_t lines) {
+  return lines == 0 ? "" : " left_out=" + std::to_string(lines);
+}
+
 class Writer {
  public:
   Writer(task::Loop& loop, const Options& options);
--- a/azurepass/logging/logging_test.cc
+++ b/azurepass/logging/logging_test.cc
@@ -102,5 +102,17 @@
   REQUIRE(text.find("event=log_left_out") != std::string::npos);
 }
 
+TEST_CASE("a budget of lines is renewed each second and counts the rest") {
+  const MonotonicTime start{std::chrono::hours(1)};
+  LineBudget budget(2);
+  CHECK(budget.Take(start));
+  CHECK(budget.Take(start));
+  CHECK_FALSE(budget.Take(start + Duration(1)));
+  CHECK_FALSE(budget.Take(start + Duration(999)));
+  CHECK(budget.Take(start + Duration(1'000)));
+  CHECK(LeftOutText(budget.TakeLeftOut()) == " left_out=2");
+  CHECK(LeftOutText(budget.TakeLeftOut()).empty());
+}
+
 }  // namespace
 }  // namespace azurepass::logging
--- a/azurepass/membership/agent.cc
+++ b/azurepass/membership/agent.cc
@@ -8,12 +8,15 @@
 // under the old one may be somebody else's by then, which is the claims'
 // matter, not the lease's.
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <random>
 #include <set>
 #include <utility>
 
 #include "azurepass/follow/follow.h"
+#include "azurepass/logging/logging.h"
 #include "azurepass/membership/membership.h"
 
 namespace azurepass::membership {
@@ -21,6 +24,17 @@
 
 MonotonicTime Now() { return BootClock::now(); }
 
+// Departures remembered, to tell of a claim's holder that is gone.
+constexpr size_t kDeparturesKept = 256;
+// Lines about the lease in a second.
+constexpr int64_t kLeaseLinesPerSecond = 4;
+// A renewal is logged if less than this part of the validity was left.
+constexpr int64_t kShortPart = 4;
+
+int64_t Millis(std::chrono::nanoseconds elapsed) {
+  return std::chrono::duration_cast<Duration>(elapsed).count();
+}
+
 struct LeaseAnswered {
   MonotonicTime sent;
   store::GrantReply reply;
@@ -32,6 +46,7 @@
 };
 struct KeyAnswered {
   std::string lease;
+  MonotonicTime sent;
   store::WriteReply reply;
 };
 struct GossipAnswered {
@@ -65,7 +80,7 @@
 
   void Apply(const follow::Replaced& replaced, MonotonicTime now) {
     const auto before = std::exchange(members_, {});
-    claims_.clear();
+    const auto claims_before = std::exchange(claims_, {});
     for (const store::Entry& entry : replaced.listing.entries) {
       Put(entry, now);
     }
@@ -73,6 +88,16 @@
       auto found = before.find(member);
       if (found != before.end()) listed.since = found->second.since;
     }
+    for (const auto& [member, listed] : before) {
+      if (!members_.contains(member)) Depart(member, listed, now);
+    }
+    for (auto& [partition, claim] : claims_) {
+      auto found = claims_before.find(partition);
+      if (found != claims_before.end() &&
+          found->second.version == claim.version) {
+        claim.since = found->second.since;
+      }
+    }
     known_ = true;
   }
 
@@ -83,7 +108,9 @@
         continue;
       }
       std::erase_if(members_, [&](const auto& item) {
-        return StoreKey(item.first) == change.key;
+        if (StoreKey(item.first) != change.key) return false;
+        Depart(item.first, item.second, now);
+        return true;
       });
       std::erase_if(claims_, [&](const auto& item) {
         return StoreKey(item.first) == change.key;
@@ -94,8 +121,23 @@
   bool known() const { return known_; }
   const std::map<MemberId, Listed>& members() const { return members_; }
   const std::map<PartitionId, Claim>& claims() const { return claims_; }
+  // Empty for a member whose key is there, or was never seen.
+  std::optional<Departure> DepartureOf(const MemberId& member) const {
+    const auto found = departed_.find(member);
+    if (found == departed_.end()) return std::nullopt;
+    return found->second;
+  }
 
  private:
+  void Depart(const MemberId& member, const Listed& listed, MonotonicTime now) {
+    departed_[member] = {now, listed.record.leaving};
+    if (departed_.size() <= kDeparturesKept) return;
+    departed_.erase(std::min_element(departed_.begin(), departed_.end(),
+                                     [](const auto& a, const auto& b) {
+                                       return a.second.at < b.second.at;
+                                     }));
+  }
+
   void Put(const store::Entry& entry, MonotonicTime now) {
     if (auto member = DecodeMember(entry.value);
         member && StoreKey(member->member) == entry.key) {
@@ -103,17 +145,22 @@
       auto [at, inserted] = members_.try_emplace(id);
       if (inserted) at->second.since = now;
       at->second.record = *std::move(member);
+      departed_.erase(id);
     }
     auto claim = DecodeClaim(entry.value);
     if (!claim || StoreKey(claim->partition) != entry.key) return;
     Claim& held = claims_[claim->partition];
     if (held.version > entry.version) return;
-    held = {claim->member, "", claim->epoch, entry.version};
+    const MonotonicTime since =
+        held.version == entry.version ? held.since : now;
+    held = {claim->member, "", claim->epoch, entry.version, since, {}};
   }
 
   bool known_ = false;
   std::map<MemberId, Listed> members_;
   std::map<PartitionId, Claim> claims_;  // Without addresses.
+  // Members without a key. Invariant: at most kDeparturesKept.
+  std::map<MemberId, Departure> departed_;
 };
 
 }  // namespace
@@ -157,19 +204,23 @@
   }
 
   void HandleMessage(Message message) {
-    std::visit(Visitor{[this](Subscribe& m) {
-                         subscribers_.push_back(std::move(m.subscriber));
-                         subscribers_.back().Send(MakeView());
-                       },
-                       [this](const GossipReceived& m) { OnGossip(m); },
-                       [this](SelfChanged& m) { told_ = std::move(m); },
-                       [this](SetPartitions& m) {
-                         partitions_ = std::move(m.partitions);
-                         Publish();
-                       },
-                       [this](const Drain&) { StartDrain(); },
-                       [this](const Leave& m) { LeaveNow(m); }},
-               message);
+    std::visit(
+        Visitor{[this](Subscribe& m) {
+                  subscribers_.push_back(std::move(m.subscriber));
+                  subscribers_.back().Send(MakeView());
+                  if (m.lease_failures) {
+                    failure_subscribers_.push_back(std::move(m.lease_failures));
+                  }
+                },
+                [this](const GossipReceived& m) { OnGossip(m); },
+                [this](SelfChanged& m) { told_ = std::move(m); },
+                [this](SetPartitions& m) {
+                  partitions_ = std::move(m.partitions);
+                  Publish();
+                },
+                [this](const Drain&) { StartDrain(); },
+                [this](const Leave& m) { LeaveNow(m); }},
+        message);
   }
 
   // --- The lease and the member key
@@ -186,39 +237,50 @@
 
   void OnLease(const LeaseAnswered& answered) {
     auto* granted = std::get_if<store::LeaseGranted>(&answered.reply);
-    if (granted == nullptr) return RetryLeaseWork([this] { AskForLease(); });
+    if (granted == nullptr) {
+      OnLeaseFailed("not_granted", {std::get<store::Error>(answered.reply),
+                                    answered.sent, Now()});
+      return RetryLeaseWork([this] { AskForLease(); });
+    }
     if (left_) return store_.Send(store::RevokeLease{granted->lease});
     lease_ = granted->lease;
+    LogLease("granted", answered.sent);
     OnLeaseStands(answered.sent);
     WriteKey();
   }
 
   void WriteKey() {
     if (lease_.empty() || left_) return;
-    store_.Send(store::Put{StoreKey(self_.member), Encode(self_), std::nullopt,
-                           lease_,
-                           mailbox_.address().Map<store::WriteReply>(
-                               [lease = lease_](store::WriteReply reply) {
-                                 return KeyAnswered{lease, std::move(reply)};
-                               })});
+    store_.Send(
+        store::Put{StoreKey(self_.member), Encode(self_), std::nullopt, lease_,
+                   mailbox_.address().Map<store::WriteReply>(
+                       [lease = lease_, sent = Now()](store::WriteReply reply) {
+                         return KeyAnswered{lease, sent, std::move(reply)};
+                       })});
   }
 
   void OnKeyWritten(const KeyAnswered& answered) {
     if (answered.lease != lease_) return;
     auto* error = std::get_if<store::Error>(&answered.reply);
     if (error == nullptr) return RenewLater();
-    if (error->code == store::ErrorCode::kLeaseLost) return OnLeaseLost();
+    if (error->code == store::ErrorCode::kLeaseLost) {
+      return OnLeaseLost(*error, answered.sent);
+    }
+    OnLeaseFailed("key_not_written", {*error, answered.sent, Now()});
     // Writing it again does no harm, whatever became of this write.
     RetryLeaseWork([this] { WriteKey(); });
   }
 
   void RenewLater() {
     backoff_ = options_.min_backoff;
-    lease_timer_.After(Jittered(options_.lease_ttl / 3), [this] { Renew(); });
+    const Duration delay = Jittered(options_.lease_ttl / 3);
+    renewal_due_ = Now() + delay;
+    lease_timer_.After(delay, [this] { Renew(); });
   }
 
   void Renew() {
     const MonotonicTime sent = Now();
+    renewal_late_ = std::max(sent, renewal_due_) - renewal_due_;
     store_.Send(store::RenewLease{
         lease_, mailbox_.address().Map<store::RenewReply>(
                     [lease = lease_, sent](store::RenewReply reply) {
@@ -230,29 +292,76 @@
     if (answered.lease != lease_) return;
     auto* error = std::get_if<store::Error>(&answered.reply);
     if (error == nullptr) {
+      const bool was_short =
+          lease_valid_until_ - Now() < options_.lease_ttl / kShortPart;
+      if (failures_ > 0 || was_short) LogLease("renewed", answered.sent);
       OnLeaseStands(answered.sent);
       return RenewLater();
     }
-    if (error->code == store::ErrorCode::kLeaseLost) return OnLeaseLost();
+    if (error->code == store::ErrorCode::kLeaseLost) {
+      return OnLeaseLost(*error, answered.sent);
+    }
+    OnLeaseFailed("not_renewed", {*error, answered.sent, Now()});
     RetryLeaseWork([this] { Renew(); });
   }
 
   void OnLeaseStands(MonotonicTime sent) {
     lease_valid_until_ = sent + options_.lease_ttl;
+    lease_renewed_ = sent;
+    failures_ = 0;
     lapse_timer_.After(std::chrono::ceil<Duration>(lease_valid_until_ - Now()),
                        [this] { Publish(); });
     Publish();
   }
 
-  void OnLeaseLost() {
+  void OnLeaseLost(const store::Error& error, MonotonicTime sent) {
+    OnLeaseFailed("lost", {error, sent, Now()});
     lease_.clear();
     lease_valid_until_ = MonotonicTime();
     Publish();
     AskForLease();
   }
 
+  void OnLeaseFailed(std::string_view outcome, const LeaseFailed& failed) {
+    ++failures_;
+    LogLease(outcome, failed.sent, &failed.error);
+    for (const auto& subscriber : failure_subscribers_) {
+      subscriber.Send(failed);
+    }
+  }
+
+  // `left_ms` is what is left of the lease's validity, negative once that is
+  // over; `timer_late_ms` how late the last renewal was sent.
+  void LogLease(std::string_view outcome, MonotonicTime sent,
+                const store::Error* error = nullptr) {
+    const MonotonicTime now = Now();
+    if (!lease_lines_.Take(now)) return;
+    LOG(INFO) << "event=lease outcome=" << outcome
+              << " member=" << self_.member.value()
+              << " left_ms=" << TextOfMillis(lease_valid_until_, now, 1)
+              << " renewed_age_ms=" << TextOfMillis(lease_renewed_, now, -1)
+              << " took_ms=" << Millis(now - sent)
+              << " timer_late_ms=" << Millis(renewal_late_)
+              << " failures=" << failures_
+              << (error == nullptr
+                      ? std::string()
+                      : " code=" +
+                            std::string(store::ErrorCodeName(error->code)) +
+                            " reason=\"" + error->message + "\"")
+              << logging::LeftOutText(lease_lines_.TakeLeftOut());
+  }
+
+  // The time from `now` to `at`, times `sign`.
+  static std::string TextOfMillis(MonotonicTime at, MonotonicTime now,
+                                  int64_t sign) {
+    if (at == MonotonicTime()) return "none";
+    return std::to_string(sign * Millis(at - now));
+  }
+
   void RetryLeaseWork(std::function<void()> work) {
-    lease_timer_.After(Jittered(backoff_), std::move(work));
+    const Duration delay = Jittered(backoff_);
+    renewal_due_ = Now() + delay;
+    lease_timer_.After(delay, std::move(work));
     backoff_ = std::min(2 * backoff_, options_.max_backoff);
   }
 
@@ -391,11 +500,14 @@
       auto found = view.members.find(claim.member);
       if (found != view.members.end()) {
         claim.address = found->second.record.address;
+      } else {
+        claim.departure = content_.DepartureOf(claim.member);
       }
     }
     view.wanted = Wanted();
     view.lease_ok = !lease_.empty() && now < lease_valid_until_;
     view.lease_valid_until = lease_valid_until_;
+    view.lease_renewed = lease_renewed_;
     return view;
   }
 
@@ -436,8 +548,14 @@
   Duration backoff_;
   std::string lease_;  // Empty: none.
   MonotonicTime lease_valid_until_;
+  MonotonicTime lease_renewed_;  // When the last that succeeded was sent.
+  MonotonicTime renewal_due_;
+  std::chrono::nanoseconds renewal_late_{0};  // The last one was sent so late.
+  int64_t failures_ = 0;                      // Since the last success.
+  logging::LineBudget lease_lines_{kLeaseLinesPerSecond};
   bool left_ = false;
   std::vector<task::Address<View>> subscribers_;
+  std::vector<task::Address<LeaseFailed>> failure_subscribers_;
   task::Timer lease_timer_;
   task::Timer lapse_timer_;
   task::Timer gossip_timer_;
--- a/azurepass/membership/agent_test.cc
+++ b/azurepass/membership/agent_test.cc
@@ -178,10 +178,51 @@
   CHECK(held.claims.at(claim.partition).epoch == Epoch{3});
   CHECK(held.claims.at(claim.partition).address == "10.0.0.0:1");
   CHECK(held.claims.at(claim.partition).version > 0);
+  CHECK_FALSE(held.claims.at(claim.partition).departure);
+  CHECK(held.claims.at(claim.partition).since <= BootClock::now());
   cluster.agent(0).address().Send(Leave{});
-  cluster.Await(1, [&](const View& view) {
+  const View gone = cluster.Await(1, [&](const View& view) {
     return view.claims.at(claim.partition).address.empty();
   });
+  const Claim& left = gone.claims.at(claim.partition);
+  CHECK(left.since == held.claims.at(claim.partition).since);
+  REQUIRE(left.departure);
+  CHECK(left.departure->at > left.since);
+  CHECK_FALSE(left.departure->leaving);
+}
+
+TEST_CASE("a claim's holder that had said it would leave is known to have") {
+  Cluster cluster(2);
+  for (int64_t i = 0; i < 2; ++i) cluster.AwaitMembers(i, 2, 2);
+  const ClaimRecord claim{PartitionId("p0"), MemberId("m0"), Epoch{3}};
+  cluster.store().Port(9).Send(store::Put{
+      StoreKey(claim.partition), Encode(claim), store::kAbsent, "", {}});
+  cluster.agent(0).address().Send(Drain{});
+  cluster.Await(1, [](const View& view) {
+    return view.claims.size() == 1 &&
+           view.members.at(MemberId("m0")).record.leaving;
+  });
+  cluster.agent(0).address().Send(Leave{});
+  const View gone = cluster.Await(1, [&](const View& view) {
+    return view.claims.at(claim.partition).address.empty();
+  });
+  REQUIRE(gone.claims.at(claim.partition).departure);
+  CHECK(gone.claims.at(claim.partition).departure->leaving);
+}
+
+TEST_CASE("a failed renewal is told to who asks, with the store's error") {
+  Cluster cluster(1);
+  const View before = cluster.AwaitMembers(0, 1, 2);
+  Inbox<LeaseFailed> failures;
+  cluster.agent(0).address().Send(Subscribe{{}, failures.address()});
+  cluster.SetOutage(0, true);
+  const LeaseFailed failed = failures.Take();
+  CHECK(failed.error.code == store::ErrorCode::kUnavailable);
+  CHECK(failed.sent <= failed.answered);
+  const View lost =
+      cluster.Await(0, [](const View& view) { return !view.lease_ok; });
+  CHECK(lost.lease_renewed >= before.lease_renewed);
+  CHECK(lost.lease_renewed + Duration(400) <= BootClock::now());
 }
 
 TEST_CASE("a member that is silent for long is suspected") {
--- a/azurepass/membership/membership.h
+++ b/azurepass/membership/membership.h
@@ -167,12 +167,21 @@
   std::optional<entry::MemberNews> news;
 };
 
+// A member key's end, as it was seen here.
+struct Departure {
+  MonotonicTime at;
+  bool leaving = false;  // The member had said that it would leave.
+};
+
 // Who holds a partition, as the store last showed it.
 struct Claim {
   MemberId member;      // Empty: nobody.
   std::string address;  // Empty: the holder's member key is gone.
   Epoch epoch;
   store::Version version = store::kAbsent;  // For the conditional write.
+  MonotonicTime since{};  // When this version was first seen here.
+  // Of the holder, if its member key was seen here before it went.
+  std::optional<Departure> departure{};
 };
 
 // Sent to subscribers when they subscribe and on each change.
@@ -185,10 +194,20 @@
   // Counted from the send of the last renewal that succeeded: before it the
   // store cannot have dropped the lease.
   MonotonicTime lease_valid_until;
+  // When that renewal was sent; kept when the lease is lost.
+  MonotonicTime lease_renewed{};
+};
+
+// A grant or renewal of the lease failed.
+struct LeaseFailed {
+  store::Error error;
+  MonotonicTime sent;
+  MonotonicTime answered;
 };
 
 struct Subscribe {
   task::Address<View> subscriber;
+  task::Address<LeaseFailed> lease_failures{};  // May be left out.
 };
 // A peer's exchange.
 struct GossipReceived {
--- a/azurepass/store/client.cc
+++ b/azurepass/store/client.cc
@@ -229,6 +229,22 @@
 
 }  // namespace
 
+std::string_view ErrorCodeName(ErrorCode code) {
+  switch (code) {
+    case ErrorCode::kUnavailable:
+      return "unavailable";
+    case ErrorCode::kOutcomeUnknown:
+      return "outcome_unknown";
+    case ErrorCode::kLeaseLost:
+      return "lease_lost";
+    case ErrorCode::kCompacted:
+      return "compacted";
+    case ErrorCode::kRejected:
+      return "rejected";
+  }
+  return "unknown";
+}
+
 class Client::Impl {
  public:
   Impl(task::Loop& loop, Options options)
--- a/azurepass/store/store.h
+++ b/azurepass/store/store.h
@@ -23,6 +23,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -53,6 +54,9 @@
   kRejected,        // The store called the request malformed.
 };
 
+// For logs: "unavailable", "lease_lost", ...
+std::string_view ErrorCodeName(ErrorCode code);
+
 struct Error {
   ErrorCode code = ErrorCode::kUnavailable;
   std::string message;
