Log lines and counters of claims and takeovers

Cause: a partition had 17 owners in less than a minute, and neither the logs nor the metrics tell why it changed hands or which step of a takeover took how long.

Change: a claim's line names the former holder, its state as known here and the reason for the claim; `event=claim_refused` and `event=claim_lost` (in place of "authority ended") tell the reason with what is known of the lease. A TakeoverMeter watches the owner's events and actions, as HopMeter does, and writes `event=takeover` when work can start on every worker, once if that takes over 3 s, and if the owner is gone first. Counters of claims and takeovers by partition. No decision depends on any of it.

--- a/azurepass/daemons/node.cc
+++ b/azurepass/daemons/node.cc
@@ -225,7 +225,8 @@
   keeper_.address().Send(configuration::Subscribe{layouts_.address()});
   layouts_.address().Send(layout::Subscribe{manager_.address()});
   layouts_.address().Send(layout::Subscribe{dispatcher_.layouts()});
-  agent_.address().Send(membership::Subscribe{manager_.address()});
+  agent_.address().Send(
+      membership::Subscribe{manager_.address(), manager_.address()});
   agent_.address().Send(membership::Subscribe{dispatcher_.views()});
   if (!settings.metrics_address.empty()) {
     exporter_.emplace(
--- a/azurepass/daemons/scheduler_main.cc
+++ b/azurepass/daemons/scheduler_main.cc
@@ -69,7 +69,8 @@
           std::vector<metrics::Source>{{"scheduling", manager_.address()}});
     }
     keeper_.address().Send(configuration::Subscribe{manager_.address()});
-    agent_.address().Send(membership::Subscribe{manager_.address()});
+    agent_.address().Send(
+        membership::Subscribe{manager_.address(), manager_.address()});
   }
   ~Scheduler() {
     worker_loop_.Stop();
--- a/azurepass/scheduling/internal/hops_test.cc
+++ b/azurepass/scheduling/internal/hops_test.cc
@@ -163,7 +163,7 @@
   notice.status.partition = kPartition;
   notice.hops[static_cast<size_t>(Hop::kAppend)] = {
       2, milliseconds(30), milliseconds(10), milliseconds(20)};
-  const std::string text = MakeReport({notice}, /*store_read=*/true).text;
+  const std::string text = MakeReport({notice}, {}, /*store_read=*/true).text;
   for (const char* line :
        {"azurepass_hops_total{partition=\"p\",hop=\"append\"} 2\n",
         "azurepass_hop_p50_seconds{partition=\"p\",hop=\"append\"} 0.01\n",
@@ -180,7 +180,7 @@
   notice.owns = true;
   notice.status.partition = kPartition;
   notice.status.unordered_preempted = 4;
-  const std::string text = MakeReport({notice}, /*store_read=*/true).text;
+  const std::string text = MakeReport({notice}, {}, /*store_read=*/true).text;
   CHECK(text.find("azurepass_unordered_starts_preempted_total{partition=\"p\"} "
                   "4\n") != std::string::npos);
 }
--- a/azurepass/scheduling/internal/partition_task.cc
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -109,6 +109,7 @@
   epoch_ = hold.epoch;
   told_freshness_ = {};
   obeyed_grant_ = 0;
+  takeovers_.Begin(Clock::now());
   const task::Address<Inbox> inbox = mailbox_.address();
   const Epoch epoch = epoch_;
   writer_ = std::make_unique<journal::Writer>(
@@ -234,9 +235,11 @@
   const size_t kind = event.index();
   const auto began = ThreadProcessorTime();
   hops_.OnEvent(event, now);
+  takeovers_.OnEvent(event, now);
   std::vector<partition::Action> actions =
       owner_->Handle(std::move(event), now);
   handling_.Record(Clock::now() - now);
+  takeovers_.OnHandled(owner_->owns(), now);
   PerformAll(std::move(actions));
   hops_.OnHandled(kind, ThreadProcessorTime() - began);
 }
@@ -254,6 +257,7 @@
     return;
   }
   told_freshness_ = {may_start, through};
+  takeovers_.OnEvent(told_freshness_, now);
   PerformAll(owner_->Handle(told_freshness_, now));
 }
 
@@ -267,6 +271,7 @@
   const MonotonicTime now = Clock::now();
   for (partition::Action& action : actions) {
     hops_.OnAction(action, now);
+    takeovers_.OnAction(action, now);
     Perform(action);
   }
 }
@@ -364,6 +369,7 @@
 
 void PartitionTask::DropOwner() {
   if (!owner_) return;
+  LogTakeover(takeovers_.TakeLastLine(Clock::now()));
   for (const auto& [vm, session] : sessions_) {
     peers_.workers.Send(endpoint::Close{vm});
   }
@@ -396,6 +402,7 @@
   for (size_t hop = 0; hop < kHops; ++hop) {
     notice.hops[hop] = hops_.Figures(static_cast<Hop>(hop));
   }
+  notice.takeovers = takeovers_.figures();
   peers_.manager.Send(std::move(notice));
   LogHops();
 }
@@ -408,6 +415,9 @@
     mailbox_.address()
         .Map<LagProbe>([](LagProbe probe) { return Inbox(probe); })
         .Send(LagProbe{now});
+    if (takeovers_.IsDue(now)) {
+      LogTakeover(takeovers_.TakeLine(owner_->status().cell, now));
+    }
     ProbeLag();
   });
 }
@@ -419,4 +429,10 @@
             << " epoch=" << epoch_.value << " " << seen;
 }
 
+void PartitionTask::LogTakeover(const std::string& text) const {
+  if (text.empty()) return;
+  LOG(INFO) << "event=takeover partition=" << options_.partition.id.value()
+            << " epoch=" << epoch_.value << " " << text;
+}
+
 }  // namespace azurepass::scheduling
--- a/azurepass/scheduling/internal/partition_task.h
+++ b/azurepass/scheduling/internal/partition_task.h
@@ -22,6 +22,7 @@
 #include "azurepass/partition/partition.h"
 #include "azurepass/permit/permit.h"
 #include "azurepass/scheduling/internal/hops.h"
+#include "azurepass/scheduling/internal/takeover_meter.h"
 #include "azurepass/settings/settings.h"
 #include "azurepass/task/task.h"
 #include "azurepass/vmlist/vmlist.h"
@@ -64,6 +65,7 @@
   metrics::Histogram::Elapsed handling_p50{0};
   metrics::Histogram::Elapsed handling_p99{0};
   std::array<HopFigures, kHops> hops{};
+  TakeoverFigures takeovers{};
 };
 using Notice = std::variant<HandedOver, WasDeposed, StatusNotice>;
 
@@ -138,6 +140,7 @@
   void DropOwner();
   void SendStatus();
   void LogHops();
+  void LogTakeover(const std::string& text) const;
   void ProbeLag();
 
   const PartitionTaskOptions options_;
@@ -167,6 +170,7 @@
   std::map<std::string, int64_t> decisions_;  // Since the start, by kind.
   metrics::Histogram handling_;
   HopMeter hops_;
+  TakeoverMeter takeovers_;
 
   // Requests not yet answered. A token is never used twice.
   std::map<partition::RequestToken, entry::Responder> open_requests_;
--- a/azurepass/scheduling/internal/report.cc
+++ b/azurepass/scheduling/internal/report.cc
@@ -85,9 +85,73 @@
   }
 }
 
+// What is counted of each partition's takeovers.
+struct TakeoverFamily {
+  const char* name;
+  const char* help;
+  int64_t (*value)(const TakeoverFigures&);
+};
+constexpr TakeoverFamily kTakeoverFamilies[] = {
+    {"azurepass_takeovers_total", "takeovers begun",
+     [](const TakeoverFigures& f) { return f.begun; }},
+    {"azurepass_takeovers_completed_total", "takeovers completed",
+     [](const TakeoverFigures& f) { return f.completed; }},
+    {"azurepass_takeovers_late_total", "takeovers incomplete after 3 s",
+     [](const TakeoverFigures& f) { return f.late; }},
+    {"azurepass_takeovers_abandoned_total", "takeovers lost before their end",
+     [](const TakeoverFigures& f) { return f.abandoned; }},
+};
+
+void AddTakeovers(const std::vector<StatusNotice>& partitions,
+                  metrics::Text& text) {
+  for (const TakeoverFamily& family : kTakeoverFamilies) {
+    for (const StatusNotice& notice : partitions) {
+      if (notice.takeovers.begun == 0) continue;
+      text.Counter(family.name, family.help, family.value(notice.takeovers),
+                   PartitionLabel(notice));
+    }
+  }
+  for (const StatusNotice& notice : partitions) {
+    if (notice.takeovers.completed == 0) continue;
+    text.Gauge("azurepass_takeover_longest_seconds",
+               "longest takeover completed since the start",
+               Seconds(notice.takeovers.longest), PartitionLabel(notice));
+  }
+}
+
+void AddClaims(const std::map<PartitionId, ClaimFigures>& claims,
+               metrics::Text& text) {
+  const auto label = [](const PartitionId& partition) {
+    return metrics::Label("partition", partition.value());
+  };
+  for (const auto& [partition, figures] : claims) {
+    if (figures.taken == 0) continue;
+    text.Counter("azurepass_claims_taken_total", "claims of partitions taken",
+                 figures.taken, label(partition));
+  }
+  for (const auto& [partition, figures] : claims) {
+    if (figures.handed_over == 0) continue;
+    text.Counter("azurepass_claims_handed_over_total", "claims given back",
+                 figures.handed_over, label(partition));
+  }
+  for (const auto& [partition, figures] : claims) {
+    for (const auto& [reason, count] : figures.refused) {
+      text.Counter("azurepass_claims_refused_total", "claims not taken", count,
+                   label(partition) + "," + metrics::Label("reason", reason));
+    }
+  }
+  for (const auto& [partition, figures] : claims) {
+    for (const auto& [reason, count] : figures.lost) {
+      text.Counter("azurepass_claims_lost_total", "claims lost", count,
+                   label(partition) + "," + metrics::Label("reason", reason));
+    }
+  }
+}
+
 }  // namespace
 
 metrics::Report MakeReport(const std::vector<StatusNotice>& partitions,
+                           const std::map<PartitionId, ClaimFigures>& claims,
                            bool store_read) {
   metrics::Text text;
   for (const GaugeFamily& family : kGauges) {
@@ -109,6 +173,8 @@
                  "starts preempted before their worker had them",
                  notice.status.unordered_preempted, PartitionLabel(notice));
   }
+  AddClaims(claims, text);
+  AddTakeovers(partitions, text);
   AddHops(partitions, text);
   metrics::Report report{text.Take(), std::nullopt};
   if (!store_read) report.not_ready = "the store was not read yet";
--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -23,6 +23,8 @@
 #include <set>
 #include <utility>
 
+#include "azurepass/logging/logging.h"
+#include "azurepass/scheduling/internal/claim_news.h"
 #include "azurepass/scheduling/internal/holding.h"
 #include "azurepass/scheduling/internal/partition_task.h"
 #include "azurepass/scheduling/internal/peer_news.h"
@@ -39,6 +41,8 @@
 // A held claim is written at most this often, so that a store that refuses
 // everything is not asked in a tight loop.
 constexpr Duration kClaimInterval{200};
+// Lines about claims that were not taken, of all partitions in a second.
+constexpr int64_t kRefusedLinesPerSecond = 20;
 
 // How a request tells which partition it is about.
 template <class Request>
@@ -95,6 +99,11 @@
     ServiceId service;
     Holding holding;
     StatusNotice notice;  // The latest.
+    // Of the latest claim.
+    MonotonicTime claim_sent{};
+    MonotonicTime claim_taken{};
+    std::string claim_text;  // Whom it was taken from, and why.
+    ClaimFigures claims;
   };
 
   void AddPartition(const settings::PartitionSettings& settings) {
@@ -144,6 +153,9 @@
   void OnMessage(Message& message) {
     std::visit(Visitor{
                    [this](membership::View& view) { OnView(view); },
+                   [this](membership::LeaseFailed& failed) {
+                     last_failure_ = std::move(failed);
+                   },
                    [this](const configuration::Update& update) {
                      OnConfiguration(update);
                    },
@@ -152,7 +164,8 @@
                    [this](entry::Incoming& incoming) { OnIncoming(incoming); },
                    [this](const Shutdown& shutdown) { OnShutdown(shutdown); },
                    [this](const metrics::Scrape& scrape) {
-                     scrape.reply_to.Send(MakeReport(Notices(), view_.known));
+                     scrape.reply_to.Send(
+                         MakeReport(Notices(), Claims(), view_.known));
                    },
                },
                message);
@@ -191,17 +204,54 @@
   bool HasAuthority() const { return Clock::now() < AuthorityUntil(); }
 
   void OnAuthorityEnd() {
-    if (HasAuthority()) return;
+    const MonotonicTime now = Clock::now();
+    if (now < AuthorityUntil()) return;
     for (auto& [id, partition] : partitions_) {
       const std::optional<Epoch> epoch = EpochOf(partition.holding);
       if (!epoch) continue;
-      LOG(WARNING) << "authority ended partition=" << id.value()
-                   << " epoch=" << epoch->value;
+      Authority authority = CurrentAuthority();
+      authority.timer_late = now - authority_until_;
+      LogLost(id, partition, "authority_ended", AuthorityText(authority, now));
       partition.task->address().Send(Lose{});
       partition.holding = NotHeld{};
     }
   }
 
+  Authority CurrentAuthority() const {
+    Authority authority{
+        AuthorityUntil(), view_.lease_renewed, last_failure_, {}, {}};
+    if (configuration_) {
+      authority.store_contact_age = configuration_->store_contact_age;
+    }
+    return authority;
+  }
+
+  // The claim that `partition.holding` still shows.
+  void LogLost(const PartitionId& id, Partition& partition,
+               const std::string& reason, const std::string& text) {
+    const MonotonicTime now = Clock::now();
+    const bool taken = !std::holds_alternative<Claiming>(partition.holding);
+    ++partition.claims.lost[reason];
+    LOG(WARNING) << "event=claim_lost partition=" << id.value()
+                 << " epoch=" << EpochOf(partition.holding)->value
+                 << " member=" << options_.member.value()
+                 << " reason=" << reason << " held_ms="
+                 << (taken ? MillisSince(partition.claim_taken, now) : 0)
+                 << text;
+  }
+
+  void LogTakenOver(const PartitionId& id, Partition& partition) {
+    const membership::Claim& claim = view_.claims.at(id);
+    LogLost(id, partition, "taken_over",
+            " holder=" + claim.member.value() +
+                " holder_epoch=" + std::to_string(claim.epoch.value) +
+                AuthorityText(CurrentAuthority(), Clock::now()));
+  }
+
+  static int64_t MillisSince(MonotonicTime at, MonotonicTime now) {
+    return std::chrono::duration_cast<Duration>(now - at).count();
+  }
+
   void Reconsider() {
     if (!view_.known) return;
     const std::set<PartitionId> wanted(view_.wanted.begin(),
@@ -220,12 +270,13 @@
               if (may && !shutdown_ &&
                   ((wanted && IsClaimable(view_, id, options_.member)) ||
                    IsOfFormerStart(view_, id, options_.member))) {
-                Claim(id, partition);
+                Claim(id, partition, wanted ? "assigned" : "to_give_back");
               }
             },
             [](const Claiming&) {},
             [&](const Held& held) {
               if (IsTakenOver(view_, id, held.epoch)) {
+                LogTakenOver(id, partition);
                 partition.task->address().Send(Lose{});
                 partition.holding = NotHeld{};
               } else if (!wanted && (shutdown_ || !options_.sticky)) {
@@ -235,6 +286,7 @@
             },
             [&](const HandingOver& held) {
               if (IsTakenOver(view_, id, held.epoch)) {
+                LogTakenOver(id, partition);
                 partition.task->address().Send(Lose{});
                 partition.holding = NotHeld{};
               }
@@ -243,11 +295,16 @@
         Holding(partition.holding));
   }
 
-  void Claim(const PartitionId& id, Partition& partition) {
+  void Claim(const PartitionId& id, Partition& partition,
+             const std::string& why) {
     const auto claim = view_.claims.find(id);
     const bool absent = claim == view_.claims.end();
     const Epoch epoch{absent ? 1 : claim->second.epoch.value + 1};
     partition.holding = Claiming{epoch};
+    partition.claim_sent = Clock::now();
+    partition.claim_text =
+        " why=" + why +
+        FormerHolderText(view_, id, options_.member, partition.claim_sent);
     WriteClaim(id, {id, options_.member, epoch},
                absent ? store::kAbsent : claim->second.version);
   }
@@ -272,17 +329,37 @@
     if (claiming == nullptr || claiming->epoch != written.epoch) return;
     const auto* done = std::get_if<store::Written>(&written.reply);
     if (done == nullptr || !HasAuthority()) {
+      LogNotTaken(written, partition);
       partition.holding = NotHeld{};
       return;
     }
+    partition.claim_taken = Clock::now();
+    ++partition.claims.taken;
     LOG(INFO) << "claim partition=" << written.partition.value()
               << " epoch=" << written.epoch.value
-              << " member=" << options_.member.value();
+              << " member=" << options_.member.value() << " took_ms="
+              << MillisSince(partition.claim_sent, partition.claim_taken)
+              << partition.claim_text
+              << AuthorityText(CurrentAuthority(), partition.claim_taken);
     partition.holding = Held{written.epoch, done->version};
     TellWorkers(written.partition, partition);
     partition.task->address().Send(Hold{written.epoch});
   }
 
+  void LogNotTaken(const ClaimWritten& written, Partition& partition) {
+    const MonotonicTime now = Clock::now();
+    const std::string reason(WhyNotTaken(written.reply));
+    ++partition.claims.refused[reason];
+    if (!refused_lines_.Take(now)) return;
+    LOG(INFO) << "event=claim_refused partition=" << written.partition.value()
+              << " epoch=" << written.epoch.value
+              << " member=" << options_.member.value() << " reason=" << reason
+              << NotTakenText(written.reply)
+              << " took_ms=" << MillisSince(partition.claim_sent, now)
+              << partition.claim_text << AuthorityText(CurrentAuthority(), now)
+              << logging::LeftOutText(refused_lines_.TakeLeftOut());
+  }
+
   // --- Notices of partitions
 
   void OnNotice(const Notice& notice) {
@@ -291,6 +368,8 @@
                    [this](const WasDeposed& n) {
                      Partition& partition = partitions_.at(n.partition);
                      if (EpochOf(partition.holding) == n.epoch) {
+                       LogLost(n.partition, partition, "deposed",
+                               AuthorityText(CurrentAuthority(), Clock::now()));
                        partition.holding = NotHeld{};
                      }
                    },
@@ -308,9 +387,13 @@
     Partition& partition = partitions_.at(notice.partition);
     const auto* handing = std::get_if<HandingOver>(&partition.holding);
     if (handing != nullptr && handing->epoch == notice.epoch) {
+      ++partition.claims.handed_over;
       LOG(INFO) << "handover partition=" << notice.partition.value()
                 << " epoch=" << notice.epoch.value
-                << " member=" << options_.member.value();
+                << " member=" << options_.member.value()
+                << " why=" << (shutdown_ ? "shutdown" : "not_wanted")
+                << " held_ms="
+                << MillisSince(partition.claim_taken, Clock::now());
       WriteClaim(notice.partition, {notice.partition, MemberId(), notice.epoch},
                  handing->version);
     }
@@ -452,6 +535,14 @@
     return notices;
   }
 
+  std::map<PartitionId, ClaimFigures> Claims() const {
+    std::map<PartitionId, ClaimFigures> claims;
+    for (const auto& [id, partition] : partitions_) {
+      claims.emplace(id, partition.claims);
+    }
+    return claims;
+  }
+
   // --- Leaving
 
   void OnShutdown(const Shutdown& shutdown) {
@@ -476,6 +567,8 @@
   const Peers peers_;
   std::map<PartitionId, Partition> partitions_;
   membership::View view_;
+  std::optional<membership::LeaseFailed> last_failure_;
+  logging::LineBudget refused_lines_{kRefusedLinesPerSecond};
   std::optional<configuration::Update> configuration_;
   std::optional<vmlist::Snapshot> vms_;
   std::shared_ptr<const layout::Layouts> layouts_ =
--- a/azurepass/scheduling/scheduling.h
+++ b/azurepass/scheduling/scheduling.h
@@ -59,8 +59,9 @@
 };
 
 using Message =
-    std::variant<membership::View, configuration::Update, vmlist::Update,
-                 layout::Update, entry::Incoming, Shutdown, metrics::Scrape>;
+    std::variant<membership::View, membership::LeaseFailed,
+                 configuration::Update, vmlist::Update, layout::Update,
+                 entry::Incoming, Shutdown, metrics::Scrape>;
 
 struct Options {
   MemberId member;
