Log lines of how a lasting task's wait was spent

Cause: a lasting task had no run for 6 s after its last one, and the lines don't tell whether its backoff, its permit, room, a refusal by the worker or the new owner's recovery took the time.

Change: internal::WaitTable follows the waits of perpetual tasks, and of the first task of each step that needs permits, from the end of a run (or the queueing, or the takeover) to the worker's answer that it runs. It samples the cause every 100 ms at most, when the owner handles an event anyway. The text on permits gains when they were asked for and answered. No decision depends on any of it, and no wake-up is added.

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -30,6 +30,7 @@
 #include "azurepass/partition/internal/job_table.h"
 #include "azurepass/partition/internal/ledger.h"
 #include "azurepass/partition/internal/request_table.h"
+#include "azurepass/partition/internal/wait_table.h"
 #include "azurepass/partition/internal/worker_table.h"
 #include "azurepass/partition/partition.h"
 #include "azurepass/placement/placement.h"
@@ -118,6 +119,15 @@
   // Logs a line for each of the jobs that have waited longest.
   void LogLongWaits();
   std::string PermitsText(const JobId& job) const;
+  // Follows the wait of a task that was queued or has ended, if it is of a
+  // perpetual step, or the first of a step that needs permits.
+  void FollowWait(const TaskId& task, const std::string& origin);
+  // The cause for which the task waits now; empty if it does not wait.
+  std::optional<internal::WaitCause> WaitCauseOf(const TaskId& task) const;
+  // A worker runs the attempt, or has run it.
+  void EndWait(const internal::LiveAttempt& attempt);
+  // Logs the tasks that still wait after kStillWaiting.
+  void SampleWaits();
   void ScheduleWake();
   std::optional<MonotonicTime> NextWake() const;
   bool MayRecordStarts() const;
@@ -405,6 +415,8 @@
     std::set<VmId> granted;
     bool answered = false;  // A request was answered.
     bool request_in_flight = false;
+    MonotonicTime asked_at{};      // Of the latest request.
+    MonotonicTime answered_at{};   // Of the latest answer, also a failure.
     MonotonicTime next_request{};  // Earliest time of the next request.
   };
   MonotonicTime next_permit_scan_{};
@@ -431,6 +443,9 @@
   std::map<TeamId, AllowanceDemand> reported_;
   // Time in the last Wake that was emitted.
   std::optional<MonotonicTime> wake_;
+
+  internal::WaitTable waits_;
+  MonotonicTime next_wait_sample_{};
 };
 
 }  // namespace azurepass::partition
--- a/azurepass/partition/owner.cc
+++ b/azurepass/partition/owner.cc
@@ -9,6 +9,7 @@
 namespace azurepass::partition {
 
 using internal::Idle;
+using internal::LiveAttempt;
 using internal::Loading;
 using internal::Opening;
 using internal::Owning;
@@ -22,6 +23,10 @@
 // jobs at a time.
 constexpr Duration kLongWait{2'000};
 constexpr size_t kLongWaitsLogged = 8;
+// A wait is logged at its end if it took longer, and once while it goes on.
+constexpr Duration kLongRestart{2'000};
+constexpr Duration kStillWaiting{4'000};
+constexpr Duration kWaitSampleInterval{100};
 constexpr Duration kDemandCheckInterval{50};  // Interval while nothing changes.
 
 // Sets `at` to `other` if that is earlier.
@@ -136,6 +141,7 @@
   if (In<Releasing>()) FinishRelease();
   FlushOrders();
   ReportDemands();
+  SampleWaits();
   LogWaiting();
   ScheduleWake();
 }
@@ -232,6 +238,10 @@
   if (permits.answered) text += ",valid_for_ms:" + in_ms(permits.valid_until);
   if (permits.next_request > now_)
     text += ",again_ms:" + in_ms(permits.next_request);
+  if (permits.asked_at != MonotonicTime())
+    text += ",asked_ms:" + in_ms(permits.asked_at);
+  if (permits.answered_at != MonotonicTime())
+    text += ",answered_ms:" + in_ms(permits.answered_at);
   return text + ",granted:" + std::to_string(permits.granted.size()) +
          ",denied:" + std::to_string(permits.denied.size());
 }
@@ -290,6 +300,54 @@
   LogLongWaits();
 }
 
+void Owner::Impl::FollowWait(const TaskId& task, const std::string& origin) {
+  const internal::LedgerJob* job = live_.Find(task.job);
+  if (job == nullptr) return;
+  const bool first_with_permits =
+      task.index == 0 && permits_.contains(task.job);
+  if (!job->submitted.spec.perpetual && !first_with_permits) return;
+  if (const auto cause = WaitCauseOf(task)) {
+    waits_.Begin(task, origin, *cause, now_);
+  }
+}
+
+std::optional<internal::WaitCause> Owner::Impl::WaitCauseOf(
+    const TaskId& task) const {
+  using internal::WaitCause;
+  const TaskSnapshot* snapshot = live_.FindTask(task);
+  if (snapshot == nullptr || IsFinal(snapshot->state)) return std::nullopt;
+  if (workers_.FindAttempt(task) != nullptr) return WaitCause::kStarting;
+  if (!In<Owning>()) return WaitCause::kNotOwned;
+  const WaitCause cause = internal::CauseOf(cell_.WaitReasonOf(task));
+  if (cause == WaitCause::kBackoff || cause == WaitCause::kNoPermit) {
+    return cause;
+  }
+  if (!environment_.may_start) return WaitCause::kNotFresh;
+  return MayRecordStarts() ? cause : WaitCause::kJournal;
+}
+
+void Owner::Impl::EndWait(const LiveAttempt& attempt) {
+  const TaskId& task = attempt.id.task;
+  const std::string text = waits_.End(task, kLongRestart, now_);
+  if (text.empty()) return;
+  Log("late_start", task, attempt.id.attempt, attempt.vm,
+      text + " permits=" + PermitsText(task.job));
+}
+
+void Owner::Impl::SampleWaits() {
+  if (!loaded() || now_ < next_wait_sample_) return;
+  next_wait_sample_ = now_ + kWaitSampleInterval;
+  const auto cause_of = [this](const TaskId& task) {
+    return WaitCauseOf(task);
+  };
+  for (const auto& [task, text] :
+       waits_.Sample(cause_of, kStillWaiting, now_)) {
+    Log("still_waiting", task, 0, VmId(),
+        text + " permits=" + PermitsText(task.job) +
+            " closed=" + ClosedWorkers());
+  }
+}
+
 void Owner::Impl::ReportDemands() {
   if (!In<Owning>() || now_ < next_demand_) return;
   ReportDemand report;
--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -233,6 +233,7 @@
     request.workers.resize(kMaxWorkersPerRequest);
   }
   permits.request_in_flight = true;
+  permits.asked_at = now_;
   Emit(std::move(request));
 }
 
@@ -241,6 +242,7 @@
   if (found == permits_.end()) return;
   JobPermits& permits = found->second;
   permits.request_in_flight = false;
+  permits.answered_at = now_;
   if (!event.permits) {
     permits.next_request = now_ + options_.permit_retry;
     return;
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -150,6 +150,7 @@
       cell_.CancelTask(task_id);
     }
     workers_.AddAttempt(std::move(attempt));
+    waits_.Drop(task_id);
   }
 }
 
@@ -228,6 +229,7 @@
   if (!adopted.fits) cell_.CancelTask(task);
   ApplyAndAppend(TaskStarted{attempt, vm});
   workers_.AddAttempt(std::move(adopted));
+  waits_.Drop(task);
   OnTaskChanged(task);
   Log("adopt", task, attempt.attempt, vm, "started by the former owner");
 }
@@ -276,6 +278,7 @@
       continue;
     }
     listed.insert(id.task);
+    EndWait(*attempt);
     attempt->stage = AttemptStage::kConfirmed;
     workers_.SetLostAt(*attempt, std::nullopt);
     if (!attempt->fits) worker.draining.insert(id);
--- a/azurepass/partition/owner_tasks.cc
+++ b/azurepass/partition/owner_tasks.cc
@@ -73,6 +73,7 @@
   const internal::Sequence sequence = ApplyAndAppend(TaskStarted{id, start.vm});
   RemoveUnstarted(id.task.job);
   workers_.AddAttempt(LiveAttempt(id, start.vm, AttemptStage::kHeld));
+  waits_.OnStart(id.task, now_);
   if (record_first && !options_.testing.start_without_append) {
     held_starts_[sequence] = id.task;
   } else {
@@ -199,6 +200,8 @@
     if (started && !late_answer) StopOrphan(worker, event.attempt);
     return;
   }
+  // An end without a number is the worker's refusal of the order.
+  if (started || event.number > 0) EndWait(*attempt);
   if (!started) {
     OnEnd(event.attempt.task, event);
     return;
@@ -247,6 +250,7 @@
   ApplyAndAppend(TaskEnded{task, state, std::move(reason)});
   if (attempt->fits) cell_.Release(task, outcome, /*requeue=*/false, now_);
   workers_.RemoveAttempt(task);
+  waits_.Drop(task);
   OnTaskChanged(task);
   OnStepTaskEnded(task.job, state);
 }
@@ -298,6 +302,13 @@
         TaskRequeued{attempt->id, outcome, from_checkpoint, checkpoint});
     cell_.Release(task, outcome, /*requeue=*/true, now_);
     workers_.RemoveAttempt(task);
+    if (waits_.Contains(task)) {
+      waits_.OnSetback(task, reason,
+                       WaitCauseOf(task).value_or(internal::WaitCause::kOther),
+                       now_);
+    } else {
+      FollowWait(task, "run");
+    }
     OnTaskChanged(task);
   }
 }
--- a/azurepass/partition/owner_workflows.cc
+++ b/azurepass/partition/owner_workflows.cc
@@ -477,6 +477,11 @@
     }
   }
   if (spec.constraints.needs_permit) permits_[id];
+  for (int32_t index = 0; index < std::ssize(job->tasks); ++index) {
+    if (index > 0 && !spec.perpetual) break;  // The first stands for all.
+    if (job->tasks[index].state != TaskState::kQueued) continue;
+    FollowWait({id, index}, In<internal::Opening>() ? "takeover" : "queued");
+  }
   placement_due_ = true;
 }
 
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -632,6 +632,74 @@
         "permits=not_asking,granted:0,denied:0");
 }
 
+// The text of the last decision of this kind; empty if there is none.
+std::string LastReason(const Driver& d, const std::string& kind) {
+  std::string reason;
+  for (const Action& action : d.actions) {
+    const auto* line = std::get_if<LogDecision>(&action);
+    if (line != nullptr && line->kind == kind) reason = line->reason;
+  }
+  return reason;
+}
+
+// A perpetual task of which nobody could tell, after 6 s without a run, whether
+// the backoff, the permit or the worker had taken the time.
+TEST_CASE("a late start of a perpetual task tells how its wait was spent") {
+  Driver d({"vm-0"}, /*permits=*/true);
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {MakeStep(1)};
+  spec.steps[0].job.policy = ServicePolicy{};
+  spec.steps[0].job.perpetual = true;
+  spec.steps[0].job.constraints.needs_permit = true;
+  const auto advance = [&](Duration time) {
+    for (Duration passed{0}; passed < time; passed += Duration(100)) {
+      d.now += Duration(100);
+      d.Handle(Tick{});
+      d.CompleteAppends();
+    }
+  };
+  const auto grant = [&] {
+    const RequestPermits asked = d.Last<RequestPermits>();
+    d.Handle(PermitsIssued{asked.job, asked.workers,
+                           std::vector<Permit>{{VmId("vm-0"), "t"}},
+                           d.now + kPermitValidity});
+    d.CompleteAppends();
+  };
+  d.Submit(1, spec);
+  d.CompleteAppends();
+  grant();
+  REQUIRE(d.Starts().size() == 1);
+  d.Report("vm-0", 0, d.Starts()[0].second.attempt, WorkerEventKind::kStarted);
+  d.now += 2 * kPermitValidity;
+  d.Report("vm-0", 1, d.Starts()[0].second.attempt, WorkerEventKind::kFailed);
+  d.CompleteAppends();
+  advance(Duration(3'000));
+  CHECK(LastReason(d, "still_waiting").empty());
+  advance(Duration(1'500));
+  const std::string waiting = LastReason(d, "still_waiting");
+  CHECK(waiting.find("since=run") != std::string::npos);
+  CHECK(waiting.find(" no_permit=") != std::string::npos);
+  grant();
+  REQUIRE(d.Starts().size() == 2);
+  WorkerEvent refused;
+  refused.attempt = d.Starts()[1].second.attempt;
+  refused.kind = WorkerEventKind::kStopped;
+  refused.detail = "refused: ticket";
+  d.Handle(WorkerReported{VmId("vm-0"), Epoch{1}, {refused}, {}});
+  d.CompleteAppends();
+  advance(Duration(100));
+  REQUIRE(d.Starts().size() == 3);
+  CHECK(LastReason(d, "late_start").empty());
+  d.Report("vm-0", 0, d.Starts()[2].second.attempt, WorkerEventKind::kStarted);
+  const std::string late = LastReason(d, "late_start");
+  CHECK(late.starts_with("waited_ms=4600 since=run "));
+  CHECK(late.find(" backoff=") != std::string::npos);
+  CHECK(late.find(" no_permit=") != std::string::npos);
+  CHECK(late.find(" setbacks=1 last_setback=refused:_ticket") !=
+        std::string::npos);
+}
+
 WorkflowSpec WorkflowWithPermits(int32_t tasks, const Policy& policy) {
   WorkflowSpec spec;
   spec.queue = kQueue;
