--- a/azurepass/scheduling/internal/partition_task.cc
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -236,6 +236,7 @@
   const auto began = ThreadProcessorTime();
   hops_.OnEvent(event, now);
   takeovers_.OnEvent(event, now);
+  refused_starts_.OnEvent(event);
   std::vector<partition::Action> actions =
       owner_->Handle(std::move(event), now);
   handling_.Record(Clock::now() - now);
@@ -403,6 +404,7 @@
     notice.hops[hop] = hops_.Figures(static_cast<Hop>(hop));
   }
   notice.takeovers = takeovers_.figures();
+  notice.refused_starts = refused_starts_.by_reason();
   peers_.manager.Send(std::move(notice));
   LogHops();
 }
--- a/azurepass/scheduling/internal/partition_task.h
+++ b/azurepass/scheduling/internal/partition_task.h
@@ -22,6 +22,7 @@
 #include "azurepass/partition/partition.h"
 #include "azurepass/permit/permit.h"
 #include "azurepass/scheduling/internal/hops.h"
+#include "azurepass/scheduling/internal/refused_starts.h"
 #include "azurepass/scheduling/internal/takeover_meter.h"
 #include "azurepass/settings/settings.h"
 #include "azurepass/task/task.h"
@@ -66,6 +67,7 @@
   metrics::Histogram::Elapsed handling_p99{0};
   std::array<HopFigures, kHops> hops{};
   TakeoverFigures takeovers{};
+  std::map<std::string, int64_t> refused_starts{};  // Since the start.
 };
 using Notice = std::variant<HandedOver, WasDeposed, StatusNotice>;
 
@@ -171,6 +173,7 @@
   metrics::Histogram handling_;
   HopMeter hops_;
   TakeoverMeter takeovers_;
+  RefusedStarts refused_starts_;
 
   // Requests not yet answered. A token is never used twice.
   std::map<partition::RequestToken, entry::Responder> open_requests_;
--- a/azurepass/scheduling/internal/report.cc
+++ b/azurepass/scheduling/internal/report.cc
@@ -119,6 +119,17 @@
   }
 }
 
+void AddRefusedStarts(const std::vector<StatusNotice>& partitions,
+                      metrics::Text& text) {
+  for (const StatusNotice& notice : partitions) {
+    for (const auto& [reason, count] : notice.refused_starts) {
+      text.Counter(
+          "azurepass_starts_refused_total", "starts refused by workers", count,
+          PartitionLabel(notice) + "," + metrics::Label("reason", reason));
+    }
+  }
+}
+
 void AddClaims(const std::map<PartitionId, ClaimFigures>& claims,
                metrics::Text& text) {
   const auto label = [](const PartitionId& partition) {
@@ -175,6 +186,7 @@
   }
   AddClaims(claims, text);
   AddTakeovers(partitions, text);
+  AddRefusedStarts(partitions, text);
   AddHops(partitions, text);
   metrics::Report report{text.Take(), std::nullopt};
   if (!store_read) report.not_ready = "the store was not read yet";
