--- a/azurepass/membership/membership.h
+++ b/azurepass/membership/membership.h
@@ -189,6 +189,12 @@
   std::optional<entry::MemberNews> news;
 };
 
+// A member key's end, as it was seen here.
+struct Departure {
+  MonotonicTime at;
+  bool leaving = false;  // The member had said that it would leave.
+};
+
 // Who holds a partition, as the store last showed it.
 struct Claim {
   MemberId member;      // Empty: nobody.
@@ -197,6 +203,9 @@
   store::Version version = store::kAbsent;  // For the conditional write.
   // When others may take it if the holder's member key is still gone by then.
   MonotonicTime free_at{};
+  MonotonicTime since{};  // When this version was first seen here.
+  // Of the holder, if its member key was seen here before it went.
+  std::optional<Departure> departure{};
 };
 
 // Sent to subscribers when they subscribe and on each change.
@@ -212,10 +221,20 @@
   // The lease itself. As long as it is the same one, this member's key has been
   // in the store without a gap.
   std::string lease;  // Empty: none.
+  // When that renewal was sent; kept when the lease is lost.
+  MonotonicTime lease_renewed{};
+};
+
+// A grant or renewal of the lease failed.
+struct LeaseFailed {
+  store::Error error;
+  MonotonicTime sent;
+  MonotonicTime answered;
 };
 
 struct Subscribe {
   task::Address<View> subscriber;
+  task::Address<LeaseFailed> lease_failures{};  // May be left out.
 };
 // A peer's exchange.
 struct GossipReceived {
--- a/azurepass/scheduling/internal/partition_task.cc
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -109,6 +109,7 @@
   epoch_ = hold.epoch;
   told_freshness_ = {};
   obeyed_grant_ = 0;
+  takeovers_.Begin(Clock::now());
   const task::Address<Inbox> inbox = mailbox_.address();
   const Epoch epoch = epoch_;
   writer_ = std::make_unique<journal::Writer>(
@@ -234,9 +235,12 @@
   const size_t kind = event.index();
   const auto began = ThreadProcessorTime();
   hops_.OnEvent(event, now);
+  takeovers_.OnEvent(event, now);
+  refused_starts_.OnEvent(event);
   std::vector<partition::Action> actions =
       owner_->Handle(std::move(event), now);
   handling_.Record(Clock::now() - now);
+  takeovers_.OnHandled(owner_->owns(), now);
   PerformAll(std::move(actions));
   hops_.OnHandled(kind, ThreadProcessorTime() - began);
 }
@@ -254,6 +258,7 @@
     return;
   }
   told_freshness_ = {may_start, through};
+  takeovers_.OnEvent(told_freshness_, now);
   PerformAll(owner_->Handle(told_freshness_, now));
 }
 
@@ -267,6 +272,7 @@
   const MonotonicTime now = Clock::now();
   for (partition::Action& action : actions) {
     hops_.OnAction(action, now);
+    takeovers_.OnAction(action, now);
     Perform(action);
   }
 }
@@ -364,6 +370,7 @@
 
 void PartitionTask::DropOwner() {
   if (!owner_) return;
+  LogTakeover(takeovers_.TakeLastLine(Clock::now()));
   for (const auto& [vm, session] : sessions_) {
     peers_.workers.Send(endpoint::Close{vm});
   }
@@ -396,6 +403,8 @@
   for (size_t hop = 0; hop < kHops; ++hop) {
     notice.hops[hop] = hops_.Figures(static_cast<Hop>(hop));
   }
+  notice.takeovers = takeovers_.figures();
+  notice.refused_starts = refused_starts_.by_reason();
   peers_.manager.Send(std::move(notice));
   LogHops();
 }
@@ -408,6 +417,9 @@
     mailbox_.address()
         .Map<LagProbe>([](LagProbe probe) { return Inbox(probe); })
         .Send(LagProbe{now});
+    if (takeovers_.IsDue(now)) {
+      LogTakeover(takeovers_.TakeLine(owner_->status().cell, now));
+    }
     ProbeLag();
   });
 }
@@ -419,4 +431,10 @@
             << " epoch=" << epoch_.value << " " << seen;
 }
 
+void PartitionTask::LogTakeover(const std::string& text) const {
+  if (text.empty()) return;
+  LOG(INFO) << "event=takeover partition=" << options_.partition.id.value()
+            << " epoch=" << epoch_.value << " " << text;
+}
+
 }  // namespace azurepass::scheduling
--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -30,6 +30,8 @@
 #include <set>
 #include <utility>
 
+#include "azurepass/logging/logging.h"
+#include "azurepass/scheduling/internal/claim_news.h"
 #include "azurepass/scheduling/internal/holding.h"
 #include "azurepass/scheduling/internal/partition_task.h"
 #include "azurepass/scheduling/internal/peer_news.h"
@@ -46,6 +48,8 @@
 // A held claim is written at most this often, so that a store that refuses
 // everything is not asked in a tight loop.
 constexpr Duration kClaimInterval{200};
+// Lines about claims that were not taken, of all partitions in a second.
+constexpr int64_t kRefusedLinesPerSecond = 20;
 
 // How a request tells which partition it is about.
 template <class Request>
@@ -102,6 +106,11 @@
     ServiceId service;
     Holding holding;
     StatusNotice notice;  // The latest.
+    // Of the latest claim.
+    MonotonicTime claim_sent{};
+    MonotonicTime claim_taken{};
+    std::string claim_text;  // Whom it was taken from, and why.
+    ClaimFigures claims;
   };
 
   void AddPartition(const settings::PartitionSettings& settings) {
@@ -151,6 +160,9 @@
   void OnMessage(Message& message) {
     std::visit(Visitor{
                    [this](membership::View& view) { OnView(view); },
+                   [this](membership::LeaseFailed& failed) {
+                     last_failure_ = std::move(failed);
+                   },
                    [this](const configuration::Update& update) {
                      OnConfiguration(update);
                    },
@@ -159,7 +171,8 @@
                    [this](entry::Incoming& incoming) { OnIncoming(incoming); },
                    [this](const Shutdown& shutdown) { OnShutdown(shutdown); },
                    [this](const metrics::Scrape& scrape) {
-                     scrape.reply_to.Send(MakeReport(Notices(), view_.known));
+                     scrape.reply_to.Send(
+                         MakeReport(Notices(), Claims(), view_.known));
                    },
                },
                message);
@@ -169,7 +182,7 @@
 
   void OnView(membership::View& view) {
     const bool same_lease = !view.lease.empty() && view.lease == view_.lease;
-    if (!same_lease && !HasAuthority()) GiveUpAll("lease lost");
+    if (!same_lease && !HasAuthority()) GiveUpAll("lease_lost");
     view_ = std::move(view);
     TellKeeperOfPeers();
     peers_.permits.Send(PermitPeers(view_, options_.member));
@@ -207,12 +220,13 @@
 
   void OnAuthorityEnd() {
     if (HasAuthority()) return;
-    if (view_.lease.empty() || shutdown_) return GiveUpAll("lease lost");
+    if (view_.lease.empty() || shutdown_) return GiveUpAll("lease_lost");
     authority_paused_ = true;
-    LOG(WARNING) << "event=authority outcome=paused lease=" << view_.lease;
+    LOG(WARNING) << "event=authority outcome=paused lease=" << view_.lease
+                 << AuthorityText(EndedAuthority(), Clock::now());
     for (auto& [id, partition] : partitions_) {
       const bool keep = std::holds_alternative<Held>(partition.holding);
-      if (!keep) GiveUp(id, partition, "lease may have lapsed");
+      if (!keep) GiveUp(id, partition, "authority_ended");
     }
   }
 
@@ -222,14 +236,55 @@
   }
 
   void GiveUp(const PartitionId& id, Partition& partition, const char* reason) {
-    const std::optional<Epoch> epoch = EpochOf(partition.holding);
-    if (!epoch) return;
-    LOG(WARNING) << "authority ended partition=" << id.value()
-                 << " epoch=" << epoch->value << " reason=\"" << reason << "\"";
+    if (!EpochOf(partition.holding)) return;
+    LogLost(id, partition, reason,
+            AuthorityText(EndedAuthority(), Clock::now()));
     partition.task->address().Send(Lose{});
     partition.holding = NotHeld{};
   }
 
+  // With how late its end was noticed.
+  Authority EndedAuthority() const {
+    Authority authority = CurrentAuthority();
+    authority.timer_late = Clock::now() - authority_until_;
+    return authority;
+  }
+
+  Authority CurrentAuthority() const {
+    Authority authority{
+        AuthorityUntil(), view_.lease_renewed, last_failure_, {}, {}};
+    if (configuration_) {
+      authority.store_contact_age = configuration_->store_contact_age;
+    }
+    return authority;
+  }
+
+  // The claim that `partition.holding` still shows.
+  void LogLost(const PartitionId& id, Partition& partition,
+               const std::string& reason, const std::string& text) {
+    const MonotonicTime now = Clock::now();
+    const bool taken = !std::holds_alternative<Claiming>(partition.holding);
+    ++partition.claims.lost[reason];
+    LOG(WARNING) << "event=claim_lost partition=" << id.value()
+                 << " epoch=" << EpochOf(partition.holding)->value
+                 << " member=" << options_.member.value()
+                 << " reason=" << reason << " held_ms="
+                 << (taken ? MillisSince(partition.claim_taken, now) : 0)
+                 << text;
+  }
+
+  void LogTakenOver(const PartitionId& id, Partition& partition) {
+    const membership::Claim& claim = view_.claims.at(id);
+    LogLost(id, partition, "taken_over",
+            " holder=" + claim.member.value() +
+                " holder_epoch=" + std::to_string(claim.epoch.value) +
+                AuthorityText(CurrentAuthority(), Clock::now()));
+  }
+
+  static int64_t MillisSince(MonotonicTime at, MonotonicTime now) {
+    return std::chrono::duration_cast<Duration>(now - at).count();
+  }
+
   void Reconsider() {
     if (!view_.known) return;
     const std::set<PartitionId> wanted(view_.wanted.begin(),
@@ -249,12 +304,13 @@
                   ((wanted &&
                     IsClaimable(view_, id, options_.member, Clock::now())) ||
                    IsOfFormerStart(view_, id, options_.member))) {
-                Claim(id, partition);
+                Claim(id, partition, wanted ? "assigned" : "to_give_back");
               }
             },
             [](const Claiming&) {},
             [&](const Held& held) {
               if (IsTakenOver(view_, id, held.epoch)) {
+                LogTakenOver(id, partition);
                 partition.task->address().Send(Lose{});
                 partition.holding = NotHeld{};
               } else if (!wanted && (shutdown_ || !options_.sticky)) {
@@ -264,6 +320,7 @@
             },
             [&](const HandingOver& held) {
               if (IsTakenOver(view_, id, held.epoch)) {
+                LogTakenOver(id, partition);
                 partition.task->address().Send(Lose{});
                 partition.holding = NotHeld{};
               }
@@ -272,11 +329,16 @@
         Holding(partition.holding));
   }
 
-  void Claim(const PartitionId& id, Partition& partition) {
+  void Claim(const PartitionId& id, Partition& partition,
+             const std::string& why) {
     const auto claim = view_.claims.find(id);
     const bool absent = claim == view_.claims.end();
     const Epoch epoch{absent ? 1 : claim->second.epoch.value + 1};
     partition.holding = Claiming{epoch};
+    partition.claim_sent = Clock::now();
+    partition.claim_text =
+        " why=" + why +
+        FormerHolderText(view_, id, options_.member, partition.claim_sent);
     WriteClaim(id, {id, options_.member, epoch},
                absent ? store::kAbsent : claim->second.version);
   }
@@ -301,17 +363,37 @@
     if (claiming == nullptr || claiming->epoch != written.epoch) return;
     const auto* done = std::get_if<store::Written>(&written.reply);
     if (done == nullptr || !HasAuthority()) {
+      LogNotTaken(written, partition);
       partition.holding = NotHeld{};
       return;
     }
+    partition.claim_taken = Clock::now();
+    ++partition.claims.taken;
     LOG(INFO) << "claim partition=" << written.partition.value()
               << " epoch=" << written.epoch.value
-              << " member=" << options_.member.value();
+              << " member=" << options_.member.value() << " took_ms="
+              << MillisSince(partition.claim_sent, partition.claim_taken)
+              << partition.claim_text
+              << AuthorityText(CurrentAuthority(), partition.claim_taken);
     partition.holding = Held{written.epoch, done->version};
     TellWorkers(written.partition, partition);
     partition.task->address().Send(Hold{written.epoch});
   }
 
+  void LogNotTaken(const ClaimWritten& written, Partition& partition) {
+    const MonotonicTime now = Clock::now();
+    const std::string reason(WhyNotTaken(written.reply));
+    ++partition.claims.refused[reason];
+    if (!refused_lines_.Take(now)) return;
+    LOG(INFO) << "event=claim_refused partition=" << written.partition.value()
+              << " epoch=" << written.epoch.value
+              << " member=" << options_.member.value() << " reason=" << reason
+              << NotTakenText(written.reply)
+              << " took_ms=" << MillisSince(partition.claim_sent, now)
+              << partition.claim_text << AuthorityText(CurrentAuthority(), now)
+              << logging::LeftOutText(refused_lines_.TakeLeftOut());
+  }
+
   // --- Notices of partitions
 
   void OnNotice(const Notice& notice) {
@@ -320,6 +402,8 @@
                    [this](const WasDeposed& n) {
                      Partition& partition = partitions_.at(n.partition);
                      if (EpochOf(partition.holding) == n.epoch) {
+                       LogLost(n.partition, partition, "deposed",
+                               AuthorityText(CurrentAuthority(), Clock::now()));
                        partition.holding = NotHeld{};
                      }
                    },
@@ -337,9 +421,13 @@
     Partition& partition = partitions_.at(notice.partition);
     const auto* handing = std::get_if<HandingOver>(&partition.holding);
     if (handing != nullptr && handing->epoch == notice.epoch) {
+      ++partition.claims.handed_over;
       LOG(INFO) << "handover partition=" << notice.partition.value()
                 << " epoch=" << notice.epoch.value
-                << " member=" << options_.member.value();
+                << " member=" << options_.member.value()
+                << " why=" << (shutdown_ ? "shutdown" : "not_wanted")
+                << " held_ms="
+                << MillisSince(partition.claim_taken, Clock::now());
       WriteClaim(notice.partition, {notice.partition, MemberId(), notice.epoch},
                  handing->version);
     }
@@ -482,11 +570,19 @@
     return notices;
   }
 
+  std::map<PartitionId, ClaimFigures> Claims() const {
+    std::map<PartitionId, ClaimFigures> claims;
+    for (const auto& [id, partition] : partitions_) {
+      claims.emplace(id, partition.claims);
+    }
+    return claims;
+  }
+
   // --- Leaving
 
   void OnShutdown(const Shutdown& shutdown) {
     shutdown_ = shutdown;
-    if (authority_paused_) GiveUpAll("shutdown without authority");
+    if (authority_paused_) GiveUpAll("shutdown_without_authority");
     peers_.membership.Send(membership::Drain{});
     Reconsider();
     FinishShutdown();
@@ -507,6 +603,8 @@
   const Peers peers_;
   std::map<PartitionId, Partition> partitions_;
   membership::View view_;
+  std::optional<membership::LeaseFailed> last_failure_;
+  logging::LineBudget refused_lines_{kRefusedLinesPerSecond};
   std::optional<configuration::Update> configuration_;
   std::optional<vmlist::Snapshot> vms_;
   std::shared_ptr<const layout::Layouts> layouts_ =
