Follow fewer waits, and lasting tasks before others

Cause: thousands of ordinary steps with permits may wait, and would take all of the table's places from lasting tasks; a sample looks up each task followed.

Change: 256 tasks followed in place of 512, those that are not perpetual only while fewer than 64 are; a sample each 250 ms.

--- a/azurepass/partition/internal/wait_table.h
+++ b/azurepass/partition/internal/wait_table.h
@@ -44,7 +44,7 @@
  public:
   // Tasks followed at a time, and lines in a second. What is beyond either is
   // counted, and the next line tells how many they were.
-  static constexpr size_t kMostFollowed = 512;
+  static constexpr size_t kMostFollowed = 256;
   static constexpr int64_t kMostLines = 8;
 
   struct Finding {
@@ -56,6 +56,7 @@
   // "takeover" (it waited before, for a former owner).
   void Begin(const TaskId& task, std::string origin, WaitCause cause,
              MonotonicTime now);
+  size_t size() const { return waits_.size(); }
   bool Contains(const TaskId& task) const { return waits_.contains(task); }
   // A start was decided.
   void OnStart(const TaskId& task, MonotonicTime now);
--- a/azurepass/partition/owner.cc
+++ b/azurepass/partition/owner.cc
@@ -26,7 +26,10 @@
 // A wait is logged at its end if it took longer, and once while it goes on.
 constexpr Duration kLongRestart{2'000};
 constexpr Duration kStillWaiting{4'000};
-constexpr Duration kWaitSampleInterval{100};
+constexpr Duration kWaitSampleInterval{250};
+// Waits followed at a time up to which those of tasks that are not perpetual
+// are taken in. There may be thousands of these.
+constexpr size_t kOrdinaryWaitsFollowed = 64;
 constexpr Duration kDemandCheckInterval{50};  // Interval while nothing changes.
 
 // Sets `at` to `other` if that is earlier.
@@ -305,7 +308,11 @@
   if (job == nullptr) return;
   const bool first_with_permits =
       task.index == 0 && permits_.contains(task.job);
-  if (!job->submitted.spec.perpetual && !first_with_permits) return;
+  const bool perpetual = job->submitted.spec.perpetual;
+  if (!perpetual &&
+      (!first_with_permits || waits_.size() >= kOrdinaryWaitsFollowed)) {
+    return;
+  }
   if (const auto cause = WaitCauseOf(task)) {
     waits_.Begin(task, origin, *cause, now_);
   }
