Owners in series don't leave out the same steps

Cause: requests of equal cost were decided in order of arrival, which is the order of ids after a takeover, and a step's first request named 30 workers at least. An owner that is replaced before all its requests are decided left out the same steps as its predecessor.

Change: among equal costs the order differs between brokers, and the first request of a step that has run names 15 workers with room for a task that waits. "brokers differ in the order of requests of equal cost" failed before.

--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -51,8 +51,9 @@
 // The users rely on one request for about this many workers per step.
 constexpr int64_t kMinWorkersPerRequest = 30;
 // Workers with room that the first request of a recovered job lists for each
-// task. Enough where the policy allows a third of the workers.
-constexpr int64_t kRecoveredWorkersPerTask = 10;
+// task: where the policy allows a third of the workers, one in 400 such
+// requests for one task names none of them.
+constexpr int64_t kRecoveredWorkersPerTask = 15;
 // Workers examined in one scan, over all jobs. The first jobs in the start
 // order matter most.
 constexpr int64_t kWorkersPerScan = 2'048;
@@ -128,8 +129,9 @@
   const auto is_allowed = [&](int64_t tasks) {
     return (spec.task * tasks).FitsIn(allowance + preemptible);
   };
-  const int64_t min_listed = may_request ? kMinWorkersPerRequest : 0;
   const bool recovered = !permits.answered && !permits.granted.empty();
+  int64_t min_listed = may_request ? kMinWorkersPerRequest : 0;
+  if (recovered) min_listed = std::min(min_listed, kRecoveredWorkersPerTask);
   const int64_t tasks = has_no_room || !is_allowed(unit) ? 0 : job.queued;
   int64_t tasks_with_room = 0;  // Denied workers are left out.
   bool none_fits = true;
--- a/azurepass/permit/broker.cc
+++ b/azurepass/permit/broker.cc
@@ -56,10 +56,9 @@
     // No longer a member; erased once all its requests are answered.
     bool removed = false;
   };
-  // Returns the order of a peer, which is never 0: that is the order of this
-  // VM.
-  uint64_t TieBreakOrderOf(const std::string& address) const {
-    return std::hash<std::string>()(address + '/' +
+  // Never 0, which is the order of this VM.
+  uint64_t TieBreakOrderOf(const std::string& name) const {
+    return std::hash<std::string>()(name + '/' +
                                     std::to_string(options_.seed)) |
            1;
   }
@@ -70,6 +69,13 @@
     task::Address<Result> reply_to;
     Result result;
   };
+  // By cost. Requests of equal cost are in an order that differs between
+  // brokers: an owner that is replaced before all of its requests are decided
+  // would otherwise leave out the same steps as its predecessor.
+  using Place = std::tuple<Duration, uint64_t, int64_t>;
+  Place PlaceOf(const Request& request, int64_t serial) const {
+    return {request.cost, TieBreakOrderOf(request.job.value()), serial};
+  }
   struct WaitingRequest {
     Request request;
     MonotonicTime yield_deadline;  // Yields to cheaper requests until then.
@@ -154,7 +160,7 @@
     const MonotonicTime yield_deadline =
         BootClock::now() +
         std::min(kYieldFactor * request.cost, options_.max_yield);
-    by_cost_.emplace(request.cost, serial);
+    by_cost_.insert(PlaceOf(request, serial));
     by_yield_deadline_.emplace(yield_deadline, serial);
     waiting_.emplace(serial,
                      WaitingRequest{std::move(request), yield_deadline});
@@ -174,7 +180,7 @@
       Target& target = least_loaded->second;
       const auto [yield_deadline, oldest] = *by_yield_deadline_.begin();
       const bool overdue = yield_deadline <= BootClock::now();
-      const auto [cost, cheapest] = *by_cost_.begin();
+      const auto& [cost, order, cheapest] = *by_cost_.begin();
       const bool full = overdue
                             ? target.backlog > options_.max_backlog
                             : target.backlog > Duration(0) &&
@@ -191,7 +197,7 @@
   Request Dequeue(int64_t serial) {
     const auto found = waiting_.find(serial);
     Request request = std::move(found->second.request);
-    by_cost_.erase({request.cost, serial});
+    by_cost_.erase(PlaceOf(request, serial));
     by_yield_deadline_.erase({found->second.yield_deadline, serial});
     waiting_.erase(found);
     return request;
@@ -234,7 +240,7 @@
   std::map<std::string, Target> targets_;
   // Invariant: each waiting request is in both by_cost_ and by_yield_deadline_.
   std::map<int64_t, WaitingRequest> waiting_;
-  std::set<std::pair<Duration, int64_t>> by_cost_;
+  std::set<Place> by_cost_;
   std::set<std::pair<MonotonicTime, int64_t>> by_yield_deadline_;
   int64_t last_serial_ = 0;
   std::multimap<MonotonicTime, FailedRequest> failed_;  // By their release.
--- a/azurepass/permit/broker_test.cc
+++ b/azurepass/permit/broker_test.cc
@@ -139,6 +139,27 @@
   CHECK(asked);
 }
 
+// Guards against owners in series that each leave the same steps for last, so
+// that these are never asked about (LOST).
+TEST_CASE("brokers differ in the order of requests of equal cost") {
+  std::set<std::string> firsts;
+  for (uint64_t seed = 1; seed <= 8; ++seed) {
+    Options options;
+    options.max_backlog = Duration(20);
+    options.seed = seed;
+    Fixture f(options);
+    f.SendRequest("outstanding", Duration(20));
+    for (const char* job : {"a", "b", "c", "d"}) {
+      f.SendRequest(job, Duration(20));
+    }
+    f.local[0].reply_to.Send(Issued{});
+    f.Run();
+    REQUIRE(f.local.size() == 2);
+    firsts.insert(f.local[1].job.value());
+  }
+  CHECK(firsts.size() > 1);
+}
+
 // Guards against answers that come just after their request was given up,
 // behind a request of another broker that takes as long, and are asked for
 // again (LOST).
