Unanswered grants and member keys are asked for again within the lease

Cause: grants and writes without a condition are not hedged, so one lost answer cost the client's timeout of 2 s, twice over for a grant and its key, while others took the member for gone.

Change: both are repeated after a third of the time to live, as renewals are. The first lease granted counts and others are given back.

Test: "a grant and a key that go unanswered are asked for again" got no lease at all before, as the test's link never answers.

--- a/azurepass/membership/agent.cc
+++ b/azurepass/membership/agent.cc
@@ -5,10 +5,11 @@
 // or renewed it: the store starts counting later, so until then it stands. A
 // renewal whose answer is lost therefore costs validity, never truth. For the
 // same reason the next renewal is timed by the send of the one before and does
-// not wait for its answer: a slow answer would use up the validity twice. When
-// the store says that the lease is lost, a new one is asked for; what was held
-// under the old one may be somebody else's by then, which is the claims'
-// matter, not the lease's.
+// not wait for its answer: a slow answer would use up the validity twice.
+// Grants and writes of the member key are repeated as often. When the store
+// says that the lease is lost, a new one is asked for; what was held under the
+// old one may be somebody else's by then, which is the claims' matter, not the
+// lease's.
 
 #include <algorithm>
 #include <random>
@@ -34,6 +35,8 @@
 };
 struct KeyAnswered {
   std::string lease;
+  MonotonicTime sent;
+  bool leaving = false;  // As it was written.
   store::WriteReply reply;
 };
 struct GossipAnswered {
@@ -181,18 +184,26 @@
 
   void AskForLease() {
     if (left_) return;
-    const MonotonicTime sent = Now();
+    grant_sent_ = Now();
     store_.Send(store::GrantLease{
         options_.lease_ttl, mailbox_.address().Map<store::GrantReply>(
-                                [sent](store::GrantReply reply) {
+                                [sent = grant_sent_](store::GrantReply reply) {
                                   return LeaseAnswered{sent, std::move(reply)};
                                 })});
+    lease_timer_.After(Jittered(options_.lease_ttl / 3),
+                       [this] { AskForLease(); });
   }
 
+  // The first lease that is granted counts; those asked for beside it go back.
   void OnLease(const LeaseAnswered& answered) {
-    auto* granted = std::get_if<store::LeaseGranted>(&answered.reply);
-    if (granted == nullptr) return RetryLeaseWork([this] { AskForLease(); });
-    if (left_) return store_.Send(store::RevokeLease{granted->lease});
+    const auto* granted = std::get_if<store::LeaseGranted>(&answered.reply);
+    const bool needed = lease_.empty() && !left_;
+    if (granted == nullptr) {
+      const bool latest = answered.sent == grant_sent_;
+      if (needed && latest) RetryLeaseWork([this] { AskForLease(); });
+      return;
+    }
+    if (!needed) return store_.Send(store::RevokeLease{granted->lease});
     lease_ = granted->lease;
     backoff_ = options_.min_backoff;
     OnLeaseStands(answered.sent);
@@ -202,12 +213,15 @@
 
   void WriteKey() {
     if (lease_.empty() || left_) return;
-    store_.Send(store::Put{StoreKey(self_.member), Encode(self_), std::nullopt,
-                           lease_,
-                           mailbox_.address().Map<store::WriteReply>(
-                               [lease = lease_](store::WriteReply reply) {
-                                 return KeyAnswered{lease, std::move(reply)};
-                               })});
+    key_sent_ = Now();
+    store_.Send(store::Put{
+        StoreKey(self_.member), Encode(self_), std::nullopt, lease_,
+        mailbox_.address().Map<store::WriteReply>(
+            [lease = lease_, sent = key_sent_,
+             leaving = self_.leaving](store::WriteReply reply) {
+              return KeyAnswered{lease, sent, leaving, std::move(reply)};
+            })});
+    key_timer_.After(Jittered(options_.lease_ttl / 3), [this] { WriteKey(); });
   }
 
   void OnKeyWritten(const KeyAnswered& answered) {
@@ -215,12 +229,15 @@
     auto* error = std::get_if<store::Error>(&answered.reply);
     if (error == nullptr) {
       key_backoff_ = options_.min_backoff;
+      if (answered.leaving == self_.leaving) key_timer_.Cancel();
       if (!std::exchange(key_written_, true)) Publish();
       return;
     }
     if (error->code == store::ErrorCode::kLeaseLost) return OnLeaseLost();
     // Writing it again does no harm, whatever became of this write.
-    RetryAfter(key_timer_, key_backoff_, [this] { WriteKey(); });
+    const bool latest = answered.sent == key_sent_;
+    if (latest && key_timer_.active())
+      RetryAfter(key_timer_, key_backoff_, [this] { WriteKey(); });
   }
 
   void RenewAt(MonotonicTime at) {
@@ -505,7 +522,9 @@
   std::string lease_;         // Empty: none.
   bool key_written_ = false;  // On lease_.
   MonotonicTime lease_valid_until_;
+  MonotonicTime grant_sent_;    // The latest.
   MonotonicTime renewal_sent_;  // The latest.
+  MonotonicTime key_sent_;      // The latest.
   bool left_ = false;
   std::vector<task::Address<View>> subscribers_;
   task::Timer lease_timer_;
--- a/azurepass/membership/agent_test.cc
+++ b/azurepass/membership/agent_test.cc
@@ -165,6 +165,48 @@
   }
 }
 
+// A link to the store on which the first grant and the first write get lost.
+class SilentAtFirst {
+ public:
+  explicit SilentAtFirst(task::Address<store::Request> store)
+      : store_(std::move(store)) {}
+
+  task::Address<store::Request> address() {
+    return task::Address<store::Request>([this](store::Request request) {
+      if (!IsLost(request)) store_.Send(std::move(request));
+    });
+  }
+
+ private:
+  bool IsLost(const store::Request& request) {
+    return std::visit(
+        Visitor{[this](const store::GrantLease&) { return ++grants_ == 1; },
+                [this](const store::Put&) { return ++writes_ == 1; },
+                [](const auto&) { return false; }},
+        request);
+  }
+
+  const task::Address<store::Request> store_;
+  int grants_ = 0;
+  int writes_ = 0;
+};
+
+// The client's timeout is nearly as long as a lease, so that a member whose
+// grant went unanswered was away for two seconds more.
+TEST_CASE("a grant and a key that go unanswered are asked for again") {
+  Inbox<View> views;
+  task::Loop loop;
+  FakeStore store(loop);
+  SilentAtFirst link(store.Port(0));
+  Agent agent(loop, ShortOptions(0), RecordOf(0), {}, link.address(), {});
+  agent.address().Send(Subscribe{views.address()});
+  loop.Start();
+  views.TakeUntil([](const View& view) {
+    return view.lease_ok && view.members.size() == 1;
+  });
+  loop.Stop();
+}
+
 TEST_CASE("an expired lease is replaced by a new one") {
   Cluster cluster(1);
   cluster.AwaitMembers(0, 1, 2);
