The fake store runs nothing due inside what it is doing

Cause: putting an answer off ran at once whatever else was due. With a delay set, a change answered one watch, and the end of another's wait removed it from the map that was being gone through: freed memory, or an answer given twice.

Change: what is put off runs from the timer alone.

Test: "watches that end as a change comes are answered once" crashed before (double free).

--- a/azurepass/testing/fake_store.cc
+++ b/azurepass/testing/fake_store.cc
@@ -261,7 +261,7 @@
 
 void FakeStore::Later(Duration delay, std::function<void()> work) {
   agenda_.emplace(Now() + delay, std::move(work));
-  RunDue();
+  Arm();
 }
 
 void FakeStore::RunDue() {
@@ -270,9 +270,13 @@
     agenda_.erase(agenda_.begin());
     work();
   }
+  Arm();
+}
+
+void FakeStore::Arm() {
   if (agenda_.empty()) return;
-  timer_.After(std::chrono::ceil<Duration>(agenda_.begin()->first - Now()),
-               [this] { RunDue(); });
+  const auto left = std::chrono::ceil<Duration>(agenda_.begin()->first - Now());
+  timer_.After(left, [this] { RunDue(); });
 }
 
 }  // namespace azurepass::testing
--- a/azurepass/testing/fake_store.h
+++ b/azurepass/testing/fake_store.h
@@ -106,9 +106,11 @@
   store::Changes ChangesAfter(const store::Watch& watch) const;
   void AnswerWatches();
 
-  // Runs `work` after `delay`.
+  // Runs `work` after `delay`, never before this returns: it may change what
+  // the caller goes through.
   void Later(Duration delay, std::function<void()> work);
   void RunDue();
+  void Arm();
 
   std::map<std::string, store::Entry> entries_;
   std::map<std::string, Lease> leases_;
