The archive of queues gets its options by name

On a narrow link it costs bytes: after a configuration with new queues several processes record the same queues at once, and the list of entries, which every process reads at its start, grows without bound.

Cause: the keeper passed the archive's options by position. Since the fourth is max_entries, so the archive took the process's seed for it and had seed 1 itself. So the "random" delay was the same in every process, and entries were never merged: seeds of processes are numbers of 64 bits. The tests' seeds were 1 and 2, with which entries are merged early, and so showed nothing.

Change: options by name. The tests' keepers have seeds as processes draw them.

Test: "many configurations with a new queue leave few entries" in configuration_keeper_test; without the change "CHECK( 80 <= 65 )" fails.

--- a/azurepass/configuration/keeper.cc
+++ b/azurepass/configuration/keeper.cc
@@ -37,8 +37,10 @@
 }
 
 internal::QueueArchiveOptions ArchiveOptionsOf(const Options& options) {
-  return {options.queue_record_delay, options.min_backoff, options.max_backoff,
-          options.seed};
+  return {.max_delay = options.queue_record_delay,
+          .min_backoff = options.min_backoff,
+          .max_backoff = options.max_backoff,
+          .seed = options.seed};
 }
 
 }  // namespace
--- a/azurepass/configuration/keeper_test.cc
+++ b/azurepass/configuration/keeper_test.cc
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <random>
+
 #include "azurepass/codec/codec.h"
 #include "azurepass/configuration/configuration.h"
 #include "azurepass/testing/fake_store.h"
@@ -28,7 +30,8 @@
   options.min_backoff = Duration(20);
   options.max_backoff = Duration(100);
   options.queue_record_delay = Duration(20);
-  options.seed = static_cast<uint64_t>(index) + 1;
+  // A number of all 64 bits, as processes draw it.
+  options.seed = std::mt19937_64(static_cast<uint64_t>(index))();
   return options;
 }
 
@@ -235,6 +238,20 @@
   CHECK(bytes < 200);
 }
 
+// Guards against a list that grows with each new queue, and that every process
+// reads whole at its start.
+TEST_CASE("many configurations with a new queue leave few entries") {
+  Cluster cluster(1);
+  cluster.Start();
+  constexpr int kQueues = 80;  // More than entries that are merged.
+  for (int i = 0; i < kQueues; ++i) {
+    const std::string name = "grade-" + std::to_string(i) + "-";
+    cluster.WriteQueue("intake", name);
+    REQUIRE(cluster.AwaitRecorded(name));
+  }
+  CHECK(cluster.List("queues/").entries.size() <= 65);
+}
+
 TEST_CASE("a keeper cut from the store learns from its peers") {
   Cluster cluster(3);
   cluster.Start();
