routing_test: a submission that can't be looked up is refused in time

It passes on the code before; with the bound of GiveUpTime taken off lookups (IsSubmission of the current request only) it fails for "the owner doesn't answer".

--- a/azurepass/routing/dispatcher_test.cc
+++ b/azurepass/routing/dispatcher_test.cc
@@ -336,6 +336,49 @@
   CHECK(harness->calls.size() == 1);
 }
 
+// Guards against a submission that waits for its deadline, or is accepted a
+// second time, while the owner in a former service can't tell whether it has
+// it.
+TEST_CASE(
+    "a submission that can't be looked up is refused as not run in time") {
+  struct Case {
+    std::string name;
+    std::optional<entry::CallResult> result;  // Of each lookup; may be none.
+  };
+  const Case cases[] = {
+      {"the owner doesn't answer", std::nullopt},
+      {"the owner's answers are lost", Fail(entry::FailureCode::kNoAnswer)},
+      {"the owner can't be reached", Fail(entry::FailureCode::kNotSent)},
+      {"the owner is behind the configuration",
+       Refuse(RefusalCode::kStaleConfiguration)},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(c.name);
+    Options options = TestOptions();
+    options.not_run_submit_timeout = Duration(50);
+    DispatcherHarness harness(options);
+    harness.SetMovedQueue(/*intake_has_owner=*/true);
+    const MonotonicTime asked = Now();
+    const int64_t number = harness.SendRequest(caller::SubmitWorkflow{
+        {"h", "/lots/5c0e7a21d94b36f8"}, RequestId("5c0e7a21d94b36f8"), {}});
+    size_t answered = 0;
+    REQUIRE(TurnUntil(harness.loop(), [&] {
+      for (; c.result && answered < harness.calls.size(); ++answered) {
+        harness.calls[answered].reply_to.Send(*c.result);
+      }
+      return !harness.answers[number].empty();
+    }));
+    const Refusal refusal = harness.ExpectRefusal(number);
+    CHECK(Now() - asked < kLongTimeout / 2);
+    CHECK(refusal.effect == Effect::kNotRun);
+    CHECK(refusal.retry_after.has_value());
+    REQUIRE_FALSE(harness.calls.empty());
+    for (const entry::Call& call : harness.calls) {
+      CHECK(std::holds_alternative<partition::FindWorkflow>(call.request));
+    }
+  }
+}
+
 // Guards against a second acceptance by a submission that was on its way to the
 // former service when its queue moved.
 TEST_CASE("a submission under way is routed again when its queue has moved") {
