A recovered urgent job asks about all workers until some have room

Cause: the first request of an urgent job does not wait for room. Since granted workers are recovered, it listed only the workers with room, and right after a takeover, or without allowance, there are none: the service was asked about no worker, and an empty answer ended the job's right to ask without room.

Change: without a worker with room, the first request lists all that could run the job, as it did before.

--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -231,7 +231,8 @@
     return;
   }
   RequestPermits request{job.submitted.job, {}, *terms};
-  if (permits.answered || !permits.granted.empty()) {
+  const bool recovered = !permits.answered && !permits.granted.empty();
+  if (permits.answered || (recovered && !with_room.empty())) {
     request.workers = std::move(with_room);
   } else {
     for (const auto& [vm, worker] : workers_.workers()) {
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -615,6 +615,42 @@
         1);
 }
 
+// An urgent step that waited through a takeover on a full fleet asked the permit
+// service about no worker at all.
+TEST_CASE("a recovered urgent job without room asks about some worker") {
+  const std::vector<std::string> vms = {"vm-0"};
+  Driver d(vms, /*permits=*/true);
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {MakeStep(1)};
+  spec.steps[0].job.priority = Priority::kUrgent;
+  spec.steps[0].job.perpetual = true;
+  spec.steps[0].job.constraints.needs_permit = true;
+  d.Submit(1, spec);
+  d.CompleteAppends();
+  const RequestPermits asked = d.Last<RequestPermits>();
+  d.Handle(PermitsIssued{asked.job, asked.workers,
+                         std::vector<Permit>{{VmId("vm-0"), "t"}},
+                         d.now + kPermitValidity});
+  d.CompleteAppends();
+  REQUIRE(d.Starts().size() == 1);
+  d.now += 2 * kPermitValidity;
+  d.Report("vm-0", 1, d.Starts()[0].second.attempt, WorkerEventKind::kFailed);
+  d.CompleteAppends();
+  const int asked_before = d.Count<RequestPermits>();
+  d.TakeOver(2, std::nullopt, d.batches, vms);
+  REQUIRE(d.Count<RequestPermits>() == asked_before + 1);
+  const RequestPermits again = d.Last<RequestPermits>();
+  CHECK(again.workers.size() == 1);
+  d.Handle(PermitsIssued{again.job, again.workers, std::nullopt, {}});
+  d.Handle(AllowancesChanged{});  // The client account has none left.
+  d.now += seconds(2);
+  d.Handle(Tick{});
+  d.CompleteAppends();
+  REQUIRE(d.Count<RequestPermits>() == asked_before + 2);
+  CHECK_FALSE(d.Last<RequestPermits>().workers.empty());
+}
+
 // Load: a backlog while all workers are full. Permit requests for jobs that
 // cannot start would take all of the permit service's time, and the permits
 // would lapse unused.
