A member that gets no answers from the store gives its lease back

Cause: a member whose renewals arrive and whose answers are lost keeps its member key, so that nobody may claim what it holds, and has no authority itself: its partitions stood still for as long as that lasted.

Change: a pause ends after one more lease. The member then gives its owners up and its lease back, and asks for another one. "a member that gets no answers is replaced" failed before: after ten leases the mute member still held the partitions.

--- a/azurepass/membership/agent.cc
+++ b/azurepass/membership/agent.cc
@@ -225,6 +225,7 @@
                   partitions_ = std::move(m.partitions);
                   Publish();
                 },
+                [this](const GiveLeaseBack&) { OnGiveLeaseBack(); },
                 [this](const Drain&) { StartDrain(); },
                 [this](const Leave& m) { LeaveNow(m); }},
         message);
@@ -347,6 +348,17 @@
 
   void OnLeaseLost(const store::Error& error, MonotonicTime sent) {
     OnLeaseFailed("lost", {error, sent, Now()});
+    ReplaceLease();
+  }
+
+  // What hangs on it is free for others even if no answer comes any more.
+  void OnGiveLeaseBack() {
+    if (lease_.empty() || left_) return;
+    store_.Send(store::RevokeLease{lease_});
+    ReplaceLease();
+  }
+
+  void ReplaceLease() {
     lease_timer_.Cancel();
     key_timer_.Cancel();
     ForgetLease();
--- a/azurepass/membership/membership.h
+++ b/azurepass/membership/membership.h
@@ -15,6 +15,7 @@
 //   agent.address().Send(Subscribe{mailbox.address()});      // -> Views
 //   agent.address().Send(GossipReceived{gossip, responder}); // From entry.
 //   agent.address().Send(SelfChanged{...});                  // What to tell.
+//   agent.address().Send(GiveLeaseBack{});                   // For another.
 //   agent.address().Send(Drain{});                           // Leaving soon.
 //   agent.address().Send(Leave{done});                       // Leaving now.
 //
@@ -251,6 +252,9 @@
 struct SetPartitions {
   std::vector<PartitionId> partitions;
 };
+// Gives the lease back, so that others may claim what this member holds, and
+// asks for another one.
+struct GiveLeaseBack {};
 // Asks others to want what this member holds; the lease stays.
 struct Drain {};
 // Gives the lease back; `done` is told when that was tried.
@@ -259,7 +263,7 @@
   task::Address<Left> done;
 };
 using Message = std::variant<Subscribe, GossipReceived, SelfChanged,
-                             SetPartitions, Drain, Leave>;
+                             SetPartitions, GiveLeaseBack, Drain, Leave>;
 
 class Agent {
  public:
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -615,8 +615,8 @@
         1);
 }
 
-// An urgent step that waited through a takeover on a full fleet asked the permit
-// service about no worker at all.
+// An urgent step that waited through a takeover on a full fleet asked the
+// permit service about no worker at all.
 TEST_CASE("a recovered urgent job without room asks about some worker") {
   const std::vector<std::string> vms = {"vm-0"};
   Driver d(vms, /*permits=*/true);
--- a/azurepass/scheduling/claims_test.cc
+++ b/azurepass/scheduling/claims_test.cc
@@ -35,9 +35,10 @@
     store_loop_.Stop();
   }
 
-  void Start(int64_t index) {
+  void Start(int64_t index, int64_t millicores = membership::kWholeProcessor) {
     members_.resize(std::max(std::ssize(members_), index + 1));
-    members_[index] = std::make_unique<Member>(index, store_.Port(index));
+    members_[index] =
+        std::make_unique<Member>(index, millicores, store_.Port(index));
     members_[index]->loop.Start();
   }
   void Kill(int64_t index) { Stop(members_[index]); }
@@ -46,6 +47,13 @@
     store_.control().Send(testing::SetFaults{index, {outage, 0, Duration(0)}});
   }
 
+  // Writes take effect unanswered.
+  void LoseAnswers(int64_t index) {
+    constexpr int64_t kAll = 1'000'000;
+    store_.control().Send(
+        testing::SetFaults{index, {false, kAll, Duration(0)}});
+  }
+
   std::set<MemberId> Holders() {
     std::set<MemberId> holders;
     for (const store::Entry& entry : ReadAll()) {
@@ -82,9 +90,10 @@
 
  private:
   struct Member {
-    Member(int64_t index, const task::Address<store::Request>& store)
-        : agent(loop, AgentOptions(index), RecordOf(index), Partitions(), store,
-                {}),
+    Member(int64_t index, int64_t millicores,
+           const task::Address<store::Request>& store)
+        : agent(loop, AgentOptions(index), RecordOf(index, millicores),
+                Partitions(), store, {}),
           manager(loop, ManagerOptions(index), PeersOf(store)) {
       agent.address().Send(membership::Subscribe{manager.address()});
     }
@@ -114,8 +123,9 @@
     options.keep_holders = true;
     return options;
   }
-  static membership::MemberRecord RecordOf(int64_t index) {
+  static membership::MemberRecord RecordOf(int64_t index, int64_t millicores) {
     membership::MemberRecord record;
+    record.millicores = millicores;
     record.member = IdOf(index);
     record.address = "10.0.0." + std::to_string(index) + ":1";
     return record;
@@ -202,5 +212,15 @@
   Cell::Await([&] { return cell.Holders() == kFirst; });
 }
 
+// Renewals took effect and no answer came: the holder had no authority, and as
+// its key stayed nobody else could claim (LOST).
+TEST_CASE("a member that gets no answers is replaced") {
+  Cell cell;
+  StartAll(cell);
+  cell.LoseAnswers(0);
+  Pass(10 * kLease);
+  CHECK_FALSE(cell.Holders().contains(Cell::IdOf(0)));
+}
+
 }  // namespace
 }  // namespace azurepass::scheduling
--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -91,7 +91,8 @@
         peers_(std::move(peers)),
         mailbox_(loop, [this](Inbox inbox) { Handle(inbox); }),
         claim_timer_(loop),
-        authority_timer_(loop) {
+        authority_timer_(loop),
+        pause_timer_(loop) {
     for (const auto& partition : options_.cell.partitions) {
       AddPartition(partition);
     }
@@ -205,6 +206,7 @@
   void UpdateAuthority() {
     if (authority_paused_ && Clock::now() < view_.lease_valid_until) {
       authority_paused_ = false;
+      pause_timer_.Cancel();
       LOG(INFO) << "event=authority outcome=resumed lease=" << view_.lease;
     }
     const MonotonicTime until = AuthorityUntil();
@@ -228,6 +230,16 @@
       const bool keep = std::holds_alternative<Held>(partition.holding);
       if (!keep) GiveUp(id, partition, "authority_ended");
     }
+    pause_timer_.After(options_.cell.timing.member_lease,
+                       [this] { OnLongPause(); });
+  }
+
+  // The renewals may arrive without their answers, so that nobody else may
+  // claim. Workers' leases run out before long: others have to take over.
+  void OnLongPause() {
+    if (!authority_paused_) return;
+    GiveUpAll("long_pause");
+    peers_.membership.Send(membership::GiveLeaseBack{});
   }
 
   void GiveUpAll(const char* reason) {
@@ -614,6 +626,7 @@
   task::Mailbox<Inbox> mailbox_;
   task::Timer claim_timer_;
   task::Timer authority_timer_;
+  task::Timer pause_timer_;  // Of the latest pause.
   MonotonicTime authority_until_;
   // Authority has ended, and view_.lease, under which partitions are held, may
   // still stand.
