Members that come one after the other don't wait for each other

Cause: only the member to which a partition is assigned may claim it, and each waits for a holder that may be back for one lease from its own start. Where a larger member came before that was over, the wait began anew with it.

Change: claims of holders that are gone are assigned among this member and those whose keys have been seen for a lease.

--- a/azurepass/membership/agent.cc
+++ b/azurepass/membership/agent.cc
@@ -187,6 +187,7 @@
         lease_timer_(loop),
         key_timer_(loop),
         lapse_timer_(loop),
+        departure_timer_(loop),
         gossip_timer_(loop),
         mailbox_(loop, [this](Inner m) { Handle(std::move(m)); }),
         follower_(loop, FollowOptionsOf(options_), std::move(store),
@@ -550,23 +551,47 @@
 
   // --- Subscribers
 
-  std::vector<PartitionId> Wanted() const {
-    std::vector<PartitionId> wanted;
-    if (self_.leaving || left_) return wanted;
+  // Those that may hold partitions; only those whose keys have been here for
+  // one lease, and this one, if `settled`.
+  Processors Schedulers(bool settled) const {
+    const MonotonicTime now = Now();
     Processors schedulers;
     for (const auto& [member, listed] : content_.members()) {
       const bool takes =
           listed.record.role == Role::kScheduler && !listed.record.leaving;
-      if (takes) schedulers[member] = listed.record.millicores;
+      const bool young =
+          member != self_.member && now - listed.since < options_.lease_ttl;
+      if (takes && !(settled && young)) {
+        schedulers[member] = listed.record.millicores;
+      }
     }
+    return schedulers;
+  }
+
+  // The claim of a holder that went is not left to a member that has just come:
+  // that one gives the holder a lease to return, and others may come meanwhile.
+  std::vector<PartitionId> Wanted() const {
+    std::vector<PartitionId> wanted;
+    if (self_.leaving || left_) return wanted;
     std::map<PartitionId, MemberId> held;
+    std::set<PartitionId> abandoned;
     for (const auto& [partition, claim] : content_.claims()) {
       if (options_.keep_holders) held[partition] = claim.member;
+      const bool gone =
+          !claim.member.empty() && !content_.members().contains(claim.member);
+      if (gone) abandoned.insert(partition);
     }
-    for (const auto& [partition, member] :
-         Assign(partitions_, schedulers, held)) {
-      if (member == self_.member) wanted.push_back(partition);
-    }
+    const auto add = [&](bool of_abandoned) {
+      for (const auto& [partition, member] :
+           Assign(partitions_, Schedulers(of_abandoned), held)) {
+        const bool ours = member == self_.member;
+        if (ours && abandoned.contains(partition) == of_abandoned) {
+          wanted.push_back(partition);
+        }
+      }
+    };
+    add(/*of_abandoned=*/false);
+    if (!abandoned.empty()) add(/*of_abandoned=*/true);
     return wanted;
   }
 
@@ -610,6 +635,21 @@
       if (shown.suspected) suspected_.insert(member);
     }
     for (const auto& subscriber : subscribers_) subscriber.Send(view);
+    SetDepartureTimer(view);
+  }
+
+  // Publishes again when a claim becomes free: members have settled since.
+  void SetDepartureTimer(const View& view) {
+    const MonotonicTime now = Now();
+    std::optional<MonotonicTime> next;
+    for (const auto& [partition, claim] : view.claims) {
+      if (claim.free_at > now) {
+        next = std::min(next.value_or(claim.free_at), claim.free_at);
+      }
+    }
+    if (!next) return departure_timer_.Cancel();
+    departure_timer_.After(std::chrono::ceil<Duration>(*next - now),
+                           [this] { Publish(); });
   }
 
   // Drops news of members whose key is gone, so that the table stays bounded.
@@ -656,6 +696,7 @@
   task::Timer lease_timer_;
   task::Timer key_timer_;
   task::Timer lapse_timer_;
+  task::Timer departure_timer_;
   task::Timer gossip_timer_;
   task::Mailbox<Inner> mailbox_;
   follow::Follower follower_;
--- a/azurepass/scheduling/claims_test.cc
+++ b/azurepass/scheduling/claims_test.cc
@@ -222,5 +222,22 @@
   CHECK_FALSE(cell.Holders().contains(Cell::IdOf(0)));
 }
 
+// Each member that is started and has more processors than those before it
+// is the one to claim, and waits for a lease anew (LOST).
+TEST_CASE("members that start in series claim within two leases") {
+  Cell cell;
+  StartAll(cell);
+  for (int64_t i = 0; i < kMembers; ++i) cell.Kill(i);
+  Cell::Await([&] { return cell.Members() == 0; });
+  const MonotonicTime began = BootClock::now();
+  for (int64_t i = 1; i < 8; ++i) {
+    cell.Start(i, 1'000 * i);
+    Pass(kLease * 3 / 4);
+    if (!cell.Holders().contains(Cell::IdOf(0))) break;
+  }
+  Cell::Await([&] { return !cell.Holders().contains(Cell::IdOf(0)); });
+  CHECK(BootClock::now() - began < 2 * kLease);
+}
+
 }  // namespace
 }  // namespace azurepass::scheduling
