A cut watch does not delay the takeover of a member that is gone

Cause: a watch that failed counted as trouble with the store, so that the successor of a holder whose key went within the next lease waited one lease more. Watches are cut at any time, and a cut can't have cost another member its lease.

Change: only renewals, a lost lease and the start count. "a cut watch does not delay a takeover" failed before.

--- a/azurepass/membership/agent.cc
+++ b/azurepass/membership/agent.cc
@@ -450,9 +450,8 @@
                   if (changed.changes.changes.empty()) return;
                   Apply(changed, now);
                 },
-                [&](const follow::Failed& /*failed*/) {
-                  departures_.OnTrouble(now);
-                }},
+                // Watches are cut at any time; renewals tell of trouble.
+                [](const follow::Failed& /*failed*/) {}},
         event);
   }
 
--- a/azurepass/membership/agent_test.cc
+++ b/azurepass/membership/agent_test.cc
@@ -207,6 +207,61 @@
   loop.Stop();
 }
 
+// A link to the store on which every other watch is cut.
+class CutWatches {
+ public:
+  explicit CutWatches(task::Address<store::Request> store)
+      : store_(std::move(store)) {}
+
+  task::Address<store::Request> address() {
+    return task::Address<store::Request>([this](store::Request request) {
+      const auto* watch = std::get_if<store::Watch>(&request);
+      if (watch == nullptr || ++watches_ % 2 == 1) {
+        return store_.Send(std::move(request));
+      }
+      watch->reply_to.Send(store::Error{});
+    });
+  }
+
+ private:
+  const task::Address<store::Request> store_;
+  int watches_ = 0;
+};
+
+// Guards against a cut watch that counts as trouble with the store, so that the
+// successor of a holder that is gone waits for a lease (LOST).
+TEST_CASE("a cut watch does not delay a takeover") {
+  Inbox<View> views;
+  task::Loop loop;
+  FakeStore store(loop);
+  CutWatches link(store.Port(0));
+  Agent agent(loop, ShortOptions(0), RecordOf(0), {PartitionId("p0")},
+              link.address(), {});
+  agent.address().Send(Subscribe{views.address()});
+  loop.Start();
+  const task::Address<store::Request> other = store.Port(1);
+  const MemberRecord holder = RecordOf(1);
+  const ClaimRecord claim{PartitionId("p0"), holder.member, Epoch{1}};
+  Inbox<store::WriteReply> written;
+  const auto put = [&](const std::string& key, const std::string& value) {
+    other.Send(store::Put{key, value, std::nullopt, "", written.address()});
+    REQUIRE(std::holds_alternative<store::Written>(written.Take()));
+  };
+  put(StoreKey(holder.member), Encode(holder));
+  put(StoreKey(claim.partition), Encode(claim));
+  views.TakeUntil([](const View& view) {
+    return view.members.size() == 2 && view.claims.size() == 1;
+  });
+  // The trouble that counts from this member's start is over.
+  Inbox<int> nothing;
+  nothing.TakeWithin(2 * kLease);
+  other.Send(store::Delete{StoreKey(holder.member), {}, written.address()});
+  const View view = views.TakeUntil(
+      [](const View& seen) { return seen.members.size() == 1; });
+  CHECK(view.claims.at(claim.partition).free_at <= BootClock::now());
+  loop.Stop();
+}
+
 TEST_CASE("an expired lease is replaced by a new one") {
   Cluster cluster(1);
   cluster.AwaitMembers(0, 1, 2);
--- a/azurepass/membership/membership.h
+++ b/azurepass/membership/membership.h
@@ -129,7 +129,7 @@
  public:
   explicit Departures(Duration lease_ttl) : lease_ttl_(lease_ttl) {}
 
-  // This member started, lost its lease or was not answered by the store.
+  // This member started, lost its lease or had a renewal fail.
   void OnTrouble(MonotonicTime now) { trouble_at_ = now; }
   void OnGone(const MemberId& member, MonotonicTime now);
   void OnBack(const MemberId& member) { gone_.erase(member); }
