--- a/azurepass/partition/internal/wait_table.h
+++ b/azurepass/partition/internal/wait_table.h
@@ -24,16 +24,17 @@
 namespace azurepass::partition::internal {
 
 enum class WaitCause {
-  kNotOwned,   // The takeover is not complete.
-  kNotFresh,   // The configuration is not fresh.
-  kJournal,    // Too many records are not yet appended.
-  kStarting,   // Started: until its record, its order and the worker's answer.
-  kBackoff,    // The reasons of placement::WaitReason.
-  kNoToken,    //
-  kNoPermit,   //
-  kAllowance,  //
-  kNoRoom,     //
-  kOther,      // Behind others, an incomplete gang, zones out of service.
+  kNotOwned,  // The takeover is not complete.
+  kNotFresh,  // The configuration is not fresh.
+  kJournal,   // Too many records are not yet appended.
+  kStarting,  // Started: until its record, its order and the worker's answer.
+  // Reasons of placement::WaitReason.
+  kBackoff,
+  kNoToken,
+  kNoPermit,
+  kAllowance,
+  kNoRoom,
+  kOther,  // Behind others, an incomplete gang, zones out of service.
 };
 inline constexpr size_t kWaitCauses = 10;
 
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -578,7 +578,11 @@
 // for each step that waits, and is replaced before the answers come (LOST).
 TEST_CASE("a new owner's first request for a step that has run is short") {
   std::vector<std::string> vms;
-  for (int i = 0; i < 90; ++i) vms.push_back("vm-" + std::to_string(100 + i));
+  constexpr int kWorkers = 90;
+  vms.reserve(kWorkers);
+  for (int i = 0; i < kWorkers; ++i) {
+    vms.push_back("vm-" + std::to_string(100 + i));
+  }
   Driver d(vms, /*permits=*/true);
   WorkflowSpec spec;
   spec.queue = kQueue;
@@ -588,7 +592,7 @@
   d.Submit(1, spec);
   d.CompleteAppends();
   const RequestPermits asked = d.Last<RequestPermits>();
-  CHECK(asked.workers.size() == 90);
+  CHECK(asked.workers.size() == kWorkers);
   d.Handle(PermitsIssued{asked.job, asked.workers,
                          std::vector<Permit>{{VmId("vm-140"), "t"}},
                          d.now + kPermitValidity});
