Owners record which workers are silent, and successors wait no longer than that

Cause: what a former owner had running on a worker that does not answer counts as running until one lease and the margin (9 s) after the claim, whatever the worker had been silent for; each further owner began to wait anew. Class: a bound that is counted from one's own arrival instead of from what happened.

Change: an owner keeps a record in the store of the silent workers with tasks and of the time that their leases still last, writes it again each second while there are any, and at its release. A successor reads it after its first append and waits no longer. Before a worker is recorded its lease is not renewed any more; renewal begins again after a record without it and a further append. Only the record of the epoch before counts.

The model of the random worlds let the opening of a session prolong a worker's lease, which neither protocol does (endpoint.h: without a token nothing is renewed). Now it does not, and a session that renews nothing asks for nothing.

--- a/azurepass/endpoint/client.cc
+++ b/azurepass/endpoint/client.cc
@@ -167,6 +167,12 @@
                 Tell(send.vm, found->second->number,
                      internal::Ordered{std::move(send.orders)});
               },
+              [this](const SetRenewal& set) {
+                const auto found = entries_.find(set.vm);
+                if (found == entries_.end()) return;
+                Tell(set.vm, found->second->number,
+                     internal::RenewalSet{set.renews});
+              },
               [this](const Acknowledge& acknowledge) {
                 const auto found = entries_.find(acknowledge.vm);
                 if (found == entries_.end()) return;
@@ -204,7 +210,7 @@
   }
   auto entry = std::make_unique<Entry>(
       loop_, Session(vm, open.epoch, options_, authorized_until_, seed,
-                     inherited, now));
+                     inherited, now, open.renews));
   entry->number = ++sessions_begun_;
   entry->partition = open.partition;
   entry->address = open.worker.address;
--- a/azurepass/endpoint/endpoint.h
+++ b/azurepass/endpoint/endpoint.h
@@ -107,6 +107,13 @@
   Epoch epoch;
   task::Address<Update> listener;
   PartitionId partition{};  // Told to the carrier of the exchanges.
+  bool renews = true;       // See SetRenewal.
+};
+// Whether exchanges with the worker renew its lease; they go on in any case.
+// Starts, which renew it too, must not be sent while they don't.
+struct SetRenewal {
+  VmId vm;
+  bool renews = false;
 };
 // To a session that is open here; otherwise dropped. Orders are repeated until
 // the worker has taken them.
@@ -141,7 +148,8 @@
 struct Authorize {
   MonotonicTime until;
 };
-using Request = std::variant<Open, Send, Acknowledge, Close, Authorize>;
+using Request =
+    std::variant<Open, Send, SetRenewal, Acknowledge, Close, Authorize>;
 
 struct Options {
   Duration lease{15'000};  // A worker keeps running this long unrenewed.
--- a/azurepass/endpoint/internal/session.cc
+++ b/azurepass/endpoint/internal/session.cc
@@ -14,6 +14,9 @@
 // A hold is at most this part of the lease, so that a renewal or two may fail.
 constexpr int kHoldsPerLease = 3;
 constexpr int kMaxDoublings = 16;
+// Asks for no more than the worker's token already gives; the least that an
+// exchange may ask for.
+constexpr Duration kNoLease{1};
 // A worker's clock may run slow by one part of this many.
 constexpr int kClockDrift = 50;
 
@@ -59,12 +62,13 @@
 
 Session::Session(VmId vm, Epoch epoch, const Options& options,
                  std::optional<MonotonicTime> authorized_until, uint64_t seed,
-                 const Former& former, MonotonicTime now)
+                 const Former& former, MonotonicTime now, bool renews)
     : vm_(std::move(vm)),
       epoch_(epoch),
       options_(options),
       random_(seed),
       authorized_until_(authorized_until),
+      renews_(renews),
       token_received_(now),
       life_(former.life + 1) {
   for (const DoubtfulStart& start : former.doubtful) {
@@ -100,6 +104,7 @@
           [&](const Authorized& authorized) {
             authorized_until_ = authorized.until;
           },
+          [&](const RenewalSet& set) { renews_ = set.renews; },
           [&](const Recorded& recorded) { OnRecorded(recorded); }},
       event);
   Advance(now);
@@ -283,7 +288,7 @@
   if (held_busy_ || held_waiting_) return;
   ExchangeRequest request;
   request.epoch = epoch_;
-  request.lease = options_.lease;
+  request.lease = Lease();
   request.token = token_;
   request.acknowledged = held_failures_ > 0 ? 0 : acknowledged_;
   const bool unrecorded = delivered_ > acknowledged_;
@@ -431,7 +436,7 @@
   orders_sent_ = std::min(orders_.size(), kMaxOrdersPerExchange);
   ExchangeRequest request;
   request.epoch = epoch_;
-  request.lease = options_.lease;
+  request.lease = Lease();
   request.token = token_;
   for (size_t i = 0; i < orders_sent_; ++i) {
     request.orders.push_back(orders_[i].order);
@@ -562,6 +567,8 @@
   return !authorized_until_ || now < *authorized_until_;
 }
 
+Duration Session::Lease() const { return renews_ ? options_.lease : kNoLease; }
+
 MonotonicTime Session::LeaseUntil() const {
   return token_received_ + options_.lease + options_.lease / kClockDrift +
          options_.lease_margin;
--- a/azurepass/endpoint/internal/session.h
+++ b/azurepass/endpoint/internal/session.h
@@ -73,13 +73,16 @@
 struct Authorized {
   MonotonicTime until;
 };
+struct RenewalSet {
+  bool renews = false;
+};
 // The owner has recorded all events of that life up to this number.
 struct Recorded {
   int64_t number = 0;
   int64_t life = 0;
 };
 using Event = std::variant<Ordered, Answered, FencedBy, Unanswered, Woken,
-                           Authorized, Recorded>;
+                           Authorized, RenewalSet, Recorded>;
 
 // --- Outputs
 
@@ -118,7 +121,7 @@
  public:
   Session(VmId vm, Epoch epoch, const Options& options,
           std::optional<MonotonicTime> authorized_until, uint64_t seed,
-          const Former& former, MonotonicTime now);
+          const Former& former, MonotonicTime now, bool renews = true);
 
   std::vector<Output> Start(MonotonicTime now);
   std::vector<Output> Handle(Event event, MonotonicTime now);
@@ -183,6 +186,8 @@
   // Adds what may still be carried out.
   std::vector<AttemptId> WithPendingStarts(std::vector<AttemptId> running);
   bool MaySend(MonotonicTime now) const;
+  // That an exchange asks for.
+  Duration Lease() const;
   MonotonicTime LeaseUntil() const;
   Duration Backoff(int failures);
 
@@ -191,6 +196,7 @@
   const Options options_;
   std::mt19937_64 random_;
   std::optional<MonotonicTime> authorized_until_;
+  bool renews_;
 
   bool opened_ = false;       // The worker has accepted the epoch.
   bool unreachable_ = false;  // Told, and not answered since.
--- a/azurepass/endpoint/internal/session_test.cc
+++ b/azurepass/endpoint/internal/session_test.cc
@@ -557,6 +557,24 @@
                                 f.options.lease_margin);
 }
 
+TEST_CASE("a lease is renewed only while the owner allows it") {
+  Fixture f;
+  f.Open();
+  const auto lease_asked = [&] {
+    return std::get<Exchange>(f.outputs.back()).request.lease;
+  };
+  CHECK(f.On(Answered{Channel::kHeld, Answer("t2")}) == "held ");
+  CHECK(lease_asked() == f.options.lease);
+  CHECK(f.On(RenewalSet{false}).empty());
+  CHECK(f.On(Answered{Channel::kHeld, Answer("t3")}) == "held ");
+  CHECK(lease_asked() <= Duration(1));
+  CHECK(f.On(Ordered{{Start(1)}}) == "orders-1 ");
+  CHECK(lease_asked() <= Duration(1));
+  CHECK(f.On(RenewalSet{true}).empty());
+  CHECK(f.On(Answered{Channel::kHeld, Answer("t4")}) == "held ");
+  CHECK(lease_asked() == f.options.lease);
+}
+
 TEST_CASE("a restarted worker opens anew and gets none of the old orders") {
   Fixture f;
   f.Open();
--- a/azurepass/journal/journal.h
+++ b/azurepass/journal/journal.h
@@ -26,6 +26,10 @@
 // so a former owner can't revert it. A writer removes only chunks of its own or
 // an earlier epoch, so it can't remove those that its successor is writing.
 //
+// The silence record is one value, replaced by compare-and-swap. A conflict
+// tells whether an earlier write of this owner was late, so that the next one
+// replaces that; the record of a later owner is never replaced.
+//
 // Loading reads the manifest, its chunks, and all slots. If another process
 // writes in the meantime, what is read may be inconsistent: there is a gap in
 // the numbers, or a chunk is missing. Then the load is repeated. A batch that
@@ -76,6 +80,9 @@
 leaf::result<void> DecodeChunk(std::string_view value,
                                partition::Snapshot& snapshot);
 
+std::string EncodeSilence(const partition::SilenceRecord& record);
+leaf::result<partition::SilenceRecord> DecodeSilence(std::string_view value);
+
 // --- Keys
 
 struct Options {
@@ -89,11 +96,13 @@
 std::string ManifestKey(const PartitionId& partition);
 std::string ChunkKey(const PartitionId& partition, Epoch epoch, int64_t through,
                      int64_t index);
+std::string SilenceKey(const PartitionId& partition);
 
 // --- The task
 
 using Request = std::variant<partition::LoadJournal, partition::AppendBatch,
-                             partition::ReadBack, partition::WriteSnapshot>;
+                             partition::ReadBack, partition::WriteSnapshot,
+                             partition::ReadSilence, partition::WriteSilence>;
 
 // Serves the owner of one partition in this process, across consecutive
 // ownerships. Answers each request with one event to `owner`.
--- a/azurepass/journal/journal_test.cc
+++ b/azurepass/journal/journal_test.cc
@@ -20,8 +20,13 @@
 using partition::JournalLoaded;
 using partition::LoadJournal;
 using partition::ReadBack;
+using partition::ReadSilence;
+using partition::SilenceRead;
+using partition::SilenceRecord;
+using partition::SilenceWritten;
 using partition::Snapshot;
 using partition::SnapshotWritten;
+using partition::WriteSilence;
 using partition::WriteSnapshot;
 
 const PartitionId kPartition("p");
@@ -289,5 +294,49 @@
   CHECK(kept == 2);  // The manifest and one chunk.
 }
 
+SilenceRecord MakeSilence(int64_t epoch) {
+  return {Epoch{epoch}, {{VmId("vm-1"), Duration(epoch)}, {VmId("vm-2"), {}}}};
+}
+
+std::optional<SilenceRecord> Read(Process& process, int64_t epoch) {
+  const auto read =
+      std::get<SilenceRead>(process.Call(ReadSilence{Epoch{epoch}}));
+  CHECK(read.ok);
+  return read.record;
+}
+
+bool Writes(Process& process, const SilenceRecord& record) {
+  return std::get<SilenceWritten>(process.Call(WriteSilence{record})).ok;
+}
+
+TEST_CASE("a silence record that was read equals the written one") {
+  FakeStore store;
+  Process process(store, kSmallOptions);
+  CHECK_FALSE(Read(process, 1));
+  REQUIRE(Writes(process, MakeSilence(1)));
+  CHECK(Read(process, 1) == MakeSilence(1));
+  store.entries[SilenceKey(kPartition)].value = "{";
+  CHECK_FALSE(Read(process, 1));
+  CHECK(Writes(process, MakeSilence(2)));
+}
+
+// Guards against a silence record that stays behind what its owner does, and
+// against one that a former owner writes late.
+TEST_CASE(
+    "a silence record is replaced after a lost answer, never a later one") {
+  FakeStore store;
+  Process former(store, kSmallOptions);
+  Read(former, 1);
+  store.fault = FakeStore::Fault::kAnswerLost;
+  CHECK_FALSE(Writes(former, MakeSilence(1)));
+  CHECK_FALSE(Writes(former, MakeSilence(1)));
+  CHECK(Writes(former, MakeSilence(1)));
+  Process successor(store, kSmallOptions);
+  CHECK(Read(successor, 2) == MakeSilence(1));
+  REQUIRE(Writes(successor, MakeSilence(2)));
+  for (int i = 0; i < 2; ++i) CHECK_FALSE(Writes(former, MakeSilence(1)));
+  CHECK(Read(successor, 2) == MakeSilence(2));
+}
+
 }  // namespace
 }  // namespace azurepass::journal
--- a/azurepass/journal/values.cc
+++ b/azurepass/journal/values.cc
@@ -22,6 +22,7 @@
 
 constexpr int64_t kMaxInt = std::numeric_limits<int64_t>::max();
 constexpr size_t kMaxValueBytes = size_t{1} << 20;
+constexpr Duration kMaxStoppedIn = std::chrono::hours(1);
 constexpr size_t kTasksPerPiece = 500;
 
 // Returns a fixed width, so that keys sort by number.
@@ -62,6 +63,33 @@
   }
 };
 
+template <>
+struct Format<std::pair<VmId, Duration>> {
+  static std::pair<VmId, Duration> Read(ObjectReader& reader) {
+    std::pair<VmId, Duration> silent;
+    silent.first = reader.Name<VmId>("vm");
+    silent.second =
+        reader.Millis("stopped_in_ms", Duration(0), journal::kMaxStoppedIn);
+    return silent;
+  }
+  static Json Write(const std::pair<VmId, Duration>& value) {
+    return {{"vm", value.first.value()},
+            {"stopped_in_ms", value.second.count()}};
+  }
+};
+
+template <>
+struct Format<partition::SilenceRecord> {
+  static partition::SilenceRecord Read(ObjectReader& reader) {
+    partition::SilenceRecord record;
+    record.epoch = Epoch{reader.Int("epoch", 0, journal::kMaxInt)};
+    for (auto& silent : reader.Objects<std::pair<VmId, Duration>>("workers")) {
+      record.stopped_in.insert(std::move(silent));
+    }
+    return record;
+  }
+};
+
 // A consecutive part of a job's tasks. The first piece also holds the job
 // itself; the others follow it in order.
 struct JobPiece {
@@ -184,6 +212,20 @@
   return {};
 }
 
+std::string EncodeSilence(const partition::SilenceRecord& record) {
+  Json workers = Json::array();
+  for (const auto& silent : record.stopped_in) {
+    workers.push_back(codec::Write(std::pair<VmId, Duration>(silent)));
+  }
+  const Json document = {{"epoch", record.epoch.value}, {"workers", workers}};
+  return document.dump();
+}
+
+leaf::result<partition::SilenceRecord> DecodeSilence(std::string_view value) {
+  return codec::Decode<partition::SilenceRecord>(value,
+                                                 {.max_bytes = kMaxValueBytes});
+}
+
 std::string BatchPrefix(const PartitionId& partition) {
   return "journal/" + partition.value() + "/";
 }
@@ -206,4 +248,8 @@
          Padded(through) + "/" + Padded(index);
 }
 
+std::string SilenceKey(const PartitionId& partition) {
+  return "silence/" + partition.value();
+}
+
 }  // namespace azurepass::journal
--- a/azurepass/journal/writer.cc
+++ b/azurepass/journal/writer.cc
@@ -1,5 +1,7 @@
 // The task that translates an owner's requests into requests to the store.
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <functional>
 #include <map>
@@ -137,6 +139,13 @@
   void RemoveOlderChunks();
   void FinishSave(bool ok);
 
+  // --- The silence record
+  void On(const partition::ReadSilence& request);
+  void On(const partition::WriteSilence& request);
+  // Returns the record; empty if there is none, or none that can be read.
+  std::optional<partition::SilenceRecord> TakeSilence(
+      const std::optional<store::Entry>& entry);
+
   const Options options_;
   const PartitionId partition_;
   task::Address<store::Request> store_;
@@ -153,6 +162,7 @@
   std::optional<Batch> last_batch_;  // Of the latest append attempt.
   store::Version manifest_version_ = store::kAbsent;
   int64_t manifest_through_ = 0;  // Of the latest manifest known here.
+  store::Version silence_version_ = store::kAbsent;  // That was seen last.
 
   task::Mailbox<Message> mailbox_;  // Last, so that it is destroyed first.
 };
@@ -490,6 +500,49 @@
   owner_.Send(partition::SnapshotWritten{manifest.epoch, manifest.through, ok});
 }
 
+// ---------------------------------------------------------------------------
+// The silence record
+
+void Writer::Impl::On(const partition::ReadSilence& request) {
+  Get(SilenceKey(partition_),
+      [this, epoch = request.epoch](const store::GetReply& reply) {
+        partition::SilenceRead read{epoch, false, std::nullopt};
+        if (const auto* value = std::get_if<store::Value>(&reply)) {
+          read.ok = true;
+          read.record = TakeSilence(value->entry);
+        }
+        owner_.Send(std::move(read));
+      });
+}
+
+std::optional<partition::SilenceRecord> Writer::Impl::TakeSilence(
+    const std::optional<store::Entry>& entry) {
+  silence_version_ = entry ? entry->version : store::kAbsent;
+  if (!entry) return std::nullopt;
+  auto record = TryDecode<partition::SilenceRecord>(
+      [&] { return DecodeSilence(entry->value); });
+  if (!record) {
+    LOG(WARNING) << "event=silence_record_unreadable partition="
+                 << partition_.value() << " version=" << entry->version;
+  }
+  return record;
+}
+
+void Writer::Impl::On(const partition::WriteSilence& request) {
+  const Epoch epoch = request.record.epoch;
+  Put(SilenceKey(partition_), EncodeSilence(request.record), silence_version_,
+      [this, epoch](const store::WriteReply& reply) {
+        const auto* written = std::get_if<store::Written>(&reply);
+        if (written != nullptr) silence_version_ = written->version;
+        if (const auto* conflict = std::get_if<store::Conflict>(&reply)) {
+          const store::Version before = silence_version_;
+          const auto there = TakeSilence(conflict->current);
+          if (there && there->epoch > epoch) silence_version_ = before;
+        }
+        owner_.Send(partition::SilenceWritten{epoch, written != nullptr});
+      });
+}
+
 // ---------------------------------------------------------------------------
 
 Writer::Writer(task::Loop& loop, Options options, PartitionId partition,
--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -5,6 +5,7 @@
 //   owner.cc            phases, timers, the public class
 //   owner_journal.cc    appends and what follows once they are settled
 //   owner_recovery.cc   sessions, reconciliation with what workers list
+//   owner_silence.cc    workers that do not answer, across owners
 //   owner_requests.cc   requests of callers and their answers
 //   owner_tasks.cc      starts, ends and stops of attempts
 //   owner_workflows.cc  workflows: their requests, the release of their steps
@@ -202,6 +203,19 @@
   void ApplyVmList();
   void CheckpointLeavingTasks(internal::Worker& worker);
 
+  // --- owner_silence.cc
+  void On(const SilenceRead& event);
+  void On(const SilenceWritten& event);
+  void EmitOpenSession(const WorkerSpec& spec);
+  void ShortenLapses(const SilenceRecord& record);
+  std::optional<MonotonicTime> SilentUntil(
+      const internal::Worker& worker) const;
+  SilenceRecord SilentWorkers() const;
+  // Reads or writes the SilenceRecord if that is due.
+  void RecordSilence();
+  void RenewCleared(int64_t appended);
+  std::optional<MonotonicTime> NextSilenceWake() const;
+
   // --- owner_requests.cc
   void On(RequestReceived event);
   void Dispatch(RequestToken token, JobRequest request, MonotonicTime deadline);
@@ -391,6 +405,24 @@
   // The latest unsettled record of each task.
   std::map<TaskId, internal::Sequence> latest_unsettled_;
   std::set<VmId> unproven_;  // Workers whose session is not proven.
+  // Workers whose leases are not renewed. Invariant: each worker in a
+  // SilenceRecord of this owner that a successor may read is among them.
+  std::set<VmId> withheld_;
+  struct Silence {
+    bool read = false;  // The former owner's record.
+    bool busy = false;  // A read or write is under way.
+    MonotonicTime next{};
+    std::set<VmId> inherited;  // Named by the former owner's record.
+    std::set<VmId> writing;    // In the latest record.
+    MonotonicTime writing_since{};
+    std::set<VmId> written;  // In the latest that was certainly written.
+    MonotonicTime written_at{};
+    std::set<VmId> maybe;  // In those that were tried since.
+    // Workers in no record any more, with the number of the batch after whose
+    // append their leases are renewed again.
+    std::map<VmId, int64_t> cleared;
+  };
+  Silence silence_;
   // Acknowledgements that wait for the append of a record, in order.
   struct WaitingAcknowledgement {
     internal::Sequence after;
--- a/azurepass/partition/owner.cc
+++ b/azurepass/partition/owner.cc
@@ -82,6 +82,8 @@
 
 void Owner::Impl::On(ReleaseWanted /*event*/) {
   if (In<Owning>()) {
+    silence_.written_at = {};  // The successor gets a record of now.
+    RecordSilence();
     phase_ = Releasing{};
     return;
   }
@@ -137,6 +139,7 @@
   }
   if (In<Owning>()) PlaceTasks();
   if (In<Owning>()) ScanPermitWaiters();
+  if (In<Opening>() || In<Owning>()) RecordSilence();
   AnswerDue();
   AnswerChanged();
   WriteNext();
@@ -170,6 +173,7 @@
 
 void Owner::Impl::FinishRelease() {
   if (!commit_.idle() || requests_.has_records()) return;
+  if (silence_.read && silence_.busy) return;  // The last record.
   for (RequestToken token : requests_.All()) {
     const internal::WaitingRequest* waiting = requests_.Find(token);
     if (const auto* held =
@@ -404,6 +408,7 @@
   }
   if (!loaded()) return next;
   SetToEarlier(next, workers_.NextWake());
+  if (!In<Releasing>()) SetToEarlier(next, NextSilenceWake());
   if (In<Opening>()) return next;
   SetToEarlier(next, jobs_.NextWake());
   if (!due_.empty()) SetToEarlier(next, due_.begin()->first);
--- a/azurepass/partition/owner_fuzz_test.cc
+++ b/azurepass/partition/owner_fuzz_test.cc
@@ -177,6 +177,54 @@
   CHECK(first_violation(FormerOwner::kStopsSending) == "");
 }
 
+// Two workers are cut off for so long that they are recorded as silent, answer
+// while the store is down, and are cut off again. Then the owner dies.
+std::vector<Command> SilentAroundOutage(uint64_t seed) {
+  constexpr int kLongTask = 90;
+  const int first = static_cast<int>(seed % 4);
+  std::vector<Command> commands;
+  const auto add = [&](CommandKind kind, int a, int b = 1) {
+    commands.push_back({kind, a, b});
+  };
+  const auto both = [&](CommandKind kind) {
+    add(kind, first);
+    add(kind, first + 1);
+  };
+  for (int i = 0; i < 3; ++i) add(CommandKind::kSubmit, kLongTask, i);
+  add(CommandKind::kAdvance, 4);
+  both(CommandKind::kDisconnectWorker);
+  add(CommandKind::kAdvance, 6);
+  add(CommandKind::kStoreDown, 0);
+  both(CommandKind::kReconnectWorker);
+  add(CommandKind::kAdvance, 4);
+  both(CommandKind::kDisconnectWorker);
+  add(CommandKind::kKill, 0);
+  add(CommandKind::kStoreUp, 0);
+  add(CommandKind::kTakeOver, 1);
+  add(CommandKind::kAdvance, 7);
+  add(CommandKind::kAdvance, 7);
+  return commands;
+}
+
+// Guards against a task that runs twice because its worker's lease was renewed
+// after a record had called the worker silent.
+TEST_CASE("the lease of a worker recorded as silent is not renewed") {
+  const auto violation = [](Options::Testing testing, uint64_t seed) {
+    return World(testing, seed, nullptr, /*record_starts_first=*/true)
+        .Run(SilentAroundOutage(seed));
+  };
+  Options::Testing renewing;
+  renewing.renew_silent_workers = true;
+  int found = 0;
+  for (uint64_t seed = 1; seed <= kReplacedRuns; ++seed) {
+    CAPTURE(seed);
+    CHECK(violation({}, seed) == "");
+    if (!violation(renewing, seed).empty()) ++found;
+  }
+  MESSAGE(found << " runs with a violation when it is renewed");
+  CHECK(found > 0);
+}
+
 // Turns off one mechanism at a time: random runs have to find a violation then,
 // and none with all mechanisms on. The former owner keeps sending, because a
 // former owner that stops sending could hide the violation.
--- a/azurepass/partition/owner_journal.cc
+++ b/azurepass/partition/owner_journal.cc
@@ -198,7 +198,8 @@
   // If the batch that was in flight when the write was required was dissolved,
   // the next batch has the same number and carries the required write. That
   // number is below proof_batch, so another write is required.
-  if (!unproven_.empty()) commit_.RequireWrite();
+  RenewCleared(appended);
+  if (!unproven_.empty() || !silence_.cleared.empty()) commit_.RequireWrite();
 }
 
 Sequence Owner::Impl::ApplyAndAppend(Record record) {
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -65,6 +65,7 @@
 void Owner::Impl::BeginOpening() {
   phase_ = Opening{};
   fenced_at_ = now_;
+  silence_ = {};
   live_ = committed_;
   next_job_number_ = live_.next_job_number();
   const MonotonicTime lapses =
@@ -168,7 +169,7 @@
 
 void Owner::Impl::OpenWorker(Worker& worker, Session session) {
   workers_.SetSession(worker, session);
-  Emit(OpenSession{worker.spec, epoch_});
+  EmitOpenSession(worker.spec);
 }
 
 void Owner::Impl::On(WorkerSessionOpened event) {
@@ -192,7 +193,13 @@
   SetAdmission(*worker);
 }
 
+// A worker whose lease is not renewed gets no starts, which would renew it.
 void Owner::Impl::RequireProof(Worker& worker) {
+  if (withheld_.contains(worker.spec.vm)) {
+    worker.proven = false;
+    unproven_.erase(worker.spec.vm);
+    return;
+  }
   worker.proof_batch = commit_.RequireWrite();
   worker.proven = options_.testing.skip_session_proof;
   unproven_.insert(worker.spec.vm);
@@ -440,7 +447,7 @@
     if (attempt.stage == AttemptStage::kOrdered) attempt.reopened = true;
   }
   Emit(CloseSession{worker.spec.vm});
-  Emit(OpenSession{worker.spec, epoch_});
+  EmitOpenSession(worker.spec);
 }
 
 void Owner::Impl::HandleOverdueAttempts() {
@@ -509,7 +516,7 @@
     if (opens && is_new) {
       OpenWorker(worker, SessionOpening{lapses});
     } else if (opens) {
-      Emit(OpenSession{spec, epoch_});
+      EmitOpenSession(spec);
     }
     SetAdmission(worker);
     changed = true;
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -264,6 +264,27 @@
   Epoch epoch;
 };
 
+// Workers that do not answer the owner of `epoch`, with the time after which
+// everything that was ordered there has certainly stopped, counted from when
+// the record was made. That owner renews the lease of none of them before it
+// has written a record without it.
+struct SilenceRecord {
+  Epoch epoch;
+  std::map<VmId, Duration> stopped_in;
+  bool operator==(const SilenceRecord&) const = default;
+};
+// Answers ReadSilence.
+struct SilenceRead {
+  Epoch epoch;
+  bool ok = false;
+  std::optional<SilenceRecord> record;  // Empty: there is none.
+};
+// Answers WriteSilence. If not `ok`, the record may still be written.
+struct SilenceWritten {
+  Epoch epoch;
+  bool ok = false;
+};
+
 // Answers to AppendBatch and ReadBack for batch `number`. Each action is
 // answered exactly once.
 struct Appended {
@@ -384,13 +405,12 @@
 // Time has passed. See Wake.
 struct Tick {};
 
-using Event =
-    std::variant<ClaimWon, ReleaseWanted, ClaimLost, JournalLoaded, LoadFailed,
-                 Appended, AppendFound, AppendUnknown, AppendUnavailable,
-                 SnapshotWritten, ConfigurationChanged, FreshnessChanged,
-                 AllowancesChanged, VmListChanged, PermitsIssued,
-                 WorkerSessionOpened, WorkerReported, WorkerFenced,
-                 WorkerUnreachable, WorkerReplaced, RequestReceived, Tick>;
+using Event = std::variant<
+    ClaimWon, ReleaseWanted, ClaimLost, JournalLoaded, LoadFailed, Appended,
+    AppendFound, AppendUnknown, AppendUnavailable, SnapshotWritten, SilenceRead,
+    SilenceWritten, ConfigurationChanged, FreshnessChanged, AllowancesChanged,
+    VmListChanged, PermitsIssued, WorkerSessionOpened, WorkerReported,
+    WorkerFenced, WorkerUnreachable, WorkerReplaced, RequestReceived, Tick>;
 
 // ---------------------------------------------------------------------------
 // Actions
@@ -415,9 +435,24 @@
   Epoch epoch;
   Snapshot snapshot;
 };
+// Read the partition's SilenceRecord.
+struct ReadSilence {
+  Epoch epoch;
+};
+// Replace the record that was read or written last. At most one of these two
+// is under way.
+struct WriteSilence {
+  SilenceRecord record;
+};
+// While `renews` is false, no message prolongs the worker's lease.
 struct OpenSession {
   WorkerSpec worker;
   Epoch epoch;
+  bool renews = true;
+};
+struct SetRenewal {
+  VmId vm;
+  bool renews = false;
 };
 // Drop orders that were not sent yet, and send the owner no further events of
 // the closed session. Whatever the worker may still carry out appears in the
@@ -488,9 +523,10 @@
 };
 
 using Action =
-    std::variant<LoadJournal, AppendBatch, ReadBack, WriteSnapshot, OpenSession,
-                 CloseSession, SendOrders, AcknowledgeEvents, RequestPermits,
-                 Answer, ReportDemand, Released, Deposed, Wake, LogDecision>;
+    std::variant<LoadJournal, AppendBatch, ReadBack, WriteSnapshot, ReadSilence,
+                 WriteSilence, OpenSession, SetRenewal, CloseSession,
+                 SendOrders, AcknowledgeEvents, RequestPermits, Answer,
+                 ReportDemand, Released, Deposed, Wake, LogDecision>;
 
 // ---------------------------------------------------------------------------
 // The owner
@@ -563,6 +599,7 @@
     bool skip_fencing_append = false;    // Own without a first append.
     bool start_while_not_fresh = false;
     bool refuse_in_flight_as_not_run = false;
+    bool renew_silent_workers = false;   // Those in a SilenceRecord.
     bool drop_long_poll_answer = false;  // A GetJob whose `wait` has passed.
   };
   Testing testing;
--- a/azurepass/partition/testing/fake_worker.cc
+++ b/azurepass/partition/testing/fake_worker.cc
@@ -24,13 +24,11 @@
   if (now >= lease_until_) StopAll();
 }
 
-OpenReply FakeWorker::Open(Epoch epoch, MonotonicTime keep_until,
-                           Duration lease, MonotonicTime now) {
+OpenReply FakeWorker::Open(Epoch epoch, Duration lease, MonotonicTime now) {
   Advance(now);
   if (epoch < highest_epoch_) return Refused{highest_epoch_};
   highest_epoch_ = epoch;
-  if (keep_until <= now) StopAll();
-  lease_until_ = keep_until > now ? keep_until : now + lease;
+  if (running_.empty()) lease_until_ = std::max(lease_until_, now + lease);
   token_ = ++last_token_;
   Opened opened{token_, {}};
   for (const auto& [id, task] : running_) opened.running.push_back(id);
--- a/azurepass/partition/testing/fake_worker.h
+++ b/azurepass/partition/testing/fake_worker.h
@@ -54,10 +54,9 @@
   // all tasks if the lease has lapsed.
   void Advance(MonotonicTime now);
 
-  // Opens a session. Running tasks may run on until `keep_until`. If that time
-  // has passed, they are stopped, and a lease of length `lease` begins.
-  OpenReply Open(Epoch epoch, MonotonicTime keep_until, Duration lease,
-                 MonotonicTime now);
+  // Opens a session. What runs keeps its lease; if nothing does, one of length
+  // `lease` begins.
+  OpenReply Open(Epoch epoch, Duration lease, MonotonicTime now);
   ExchangeReply Exchange(Epoch epoch, int64_t token, MonotonicTime lease_until,
                          const std::vector<Order>& orders, int64_t acknowledged,
                          MonotonicTime now);
--- a/azurepass/partition/testing/world.cc
+++ b/azurepass/partition/testing/world.cc
@@ -457,11 +457,17 @@
             DeliverSoon(
                 index, SnapshotWritten{a.epoch, a.snapshot.through, store_up_});
           },
+          [&](const ReadSilence& a) { ReadSilenceFor(index, a.epoch); },
+          [&](const WriteSilence& a) { WriteSilenceFor(index, a.record); },
+          [&](const SetRenewal& a) {
+            process.sessions[a.vm].renews = a.renews;
+          },
           [&](const OpenSession& a) {
             Session& session = process.sessions[a.worker.vm];
             Reset(session);
             session.wanted = true;
             session.epoch = a.epoch;
+            session.renews = a.renews;
             session.lease_limit = now_ + options_.worker_lease;
             Poll(index, a.worker.vm, session.serial);
           },
--- a/azurepass/partition/testing/world.h
+++ b/azurepass/partition/testing/world.h
@@ -109,6 +109,7 @@
     std::optional<MonotonicTime> failing_since;
     bool unreachable = false;
     bool replaced = false;  // Told.
+    bool renews = true;
     // Orders that the worker has not confirmed, with the time of sending.
     std::vector<std::pair<MonotonicTime, Order>> orders;
     int64_t acknowledged = 0;
@@ -127,6 +128,7 @@
     std::map<VmId, Session> sessions;
     std::vector<RequestToken> open_requests;
     std::optional<Epoch> claimed_epoch;
+    int64_t silence_version = 0;  // That it has seen.
     // Messages sent after this time reach no worker. Set when another process
     // takes its claim.
     std::optional<MonotonicTime> authorized_until;
@@ -173,6 +175,10 @@
   void CreateEntry(const Batch& batch);
   Event AppendResult(const Batch& batch) const;
   void LoadJournalFor(size_t index, Epoch epoch);
+  void ReadSilenceFor(size_t index, Epoch epoch);
+  void WriteSilenceFor(size_t index, const SilenceRecord& record);
+  // Returns false, and changes nothing, unless `expected` is there.
+  bool ReplaceSilence(const SilenceRecord& record, int64_t expected);
 
   // --- Sessions
   void Poll(size_t index, const VmId& vm, int64_t serial);
@@ -218,6 +224,8 @@
   bool lose_worker_replies_ = true;  // Some answers of workers are lost.
   std::map<int64_t, Batch> journal_;
   std::optional<Snapshot> snapshot_;
+  std::optional<SilenceRecord> silence_;
+  int64_t silence_version_ = 0;  // 0: there is none.
 
   std::map<ZoneId, bool> zone_out_;
   Allowances allowances_;
--- a/azurepass/partition/testing/world_platform.cc
+++ b/azurepass/partition/testing/world_platform.cc
@@ -77,6 +77,46 @@
   });
 }
 
+void World::ReadSilenceFor(size_t index, Epoch epoch) {
+  if (!store_up_) {
+    DeliverSoon(index, SilenceRead{epoch, false, std::nullopt});
+    return;
+  }
+  processes_[index].silence_version = silence_version_;
+  DeliverSoon(index, SilenceRead{epoch, true, silence_});
+}
+
+bool World::ReplaceSilence(const SilenceRecord& record, int64_t expected) {
+  if (silence_version_ != expected) return false;
+  silence_ = record;
+  ++silence_version_;
+  return true;
+}
+
+void World::WriteSilenceFor(size_t index, const SilenceRecord& record) {
+  Process& process = processes_[index];
+  const int64_t expected = process.silence_version;
+  const auto later = [this, record, expected](Duration delay) {
+    ScheduleAfter(delay, [=, this] { ReplaceSilence(record, expected); });
+  };
+  const SilenceWritten failed{record.epoch, false};
+  if (!store_up_) return DeliverSoon(index, failed);
+  if (lose_answers_ > 0 || delay_writes_ > 0) {
+    const bool late = lose_answers_ == 0;
+    --(late ? delay_writes_ : lose_answers_);
+    later(late ? kStoreTimeout + RandomLatency(1'500) : RandomLatency(30));
+    return DeliverSoon(index, failed);
+  }
+  if (ReplaceSilence(record, expected)) {
+    process.silence_version = silence_version_;
+    return DeliverSoon(index, SilenceWritten{record.epoch, true});
+  }
+  if (silence_->epoch <= record.epoch) {
+    process.silence_version = silence_version_;
+  }
+  DeliverSoon(index, failed);
+}
+
 Event World::AppendResult(const Batch& batch) const {
   auto there = journal_.find(batch.number);
   if (there == journal_.end()) return Appended{batch.epoch, batch.number};
--- a/azurepass/partition/testing/world_workers.cc
+++ b/azurepass/partition/testing/world_workers.cc
@@ -10,7 +10,9 @@
 //     `lease_limit` is one lease from now. Once the worker has not answered for
 //     a while, `lease_limit` no longer moves, and lease_until of
 //     WorkerUnreachable is `lease_limit` plus the margin.
-//   * Before the first answer, `lease_limit` is one lease after OpenSession.
+//   * Before the first answer, no request prolongs a lease, and `lease_limit`
+//     is one lease after OpenSession.
+//   * While a session does not renew, no request prolongs the lease.
 
 #include <algorithm>
 
@@ -113,8 +115,7 @@
 
 void World::OpenOnWorker(size_t index, FakeWorker& worker, Session& session,
                          bool lost) {
-  OpenReply reply = worker.Open(session.epoch, session.lease_limit,
-                                options_.worker_lease, now_);
+  OpenReply reply = worker.Open(session.epoch, options_.worker_lease, now_);
   const VmId& vm = worker.spec().vm;
   if (lost) {
     OnExchangeFailed(index, vm, session);
@@ -138,10 +139,9 @@
 
 void World::ExchangeWithWorker(size_t index, FakeWorker& worker,
                                Session& session, bool lost) {
-  const MonotonicTime until =
-      session.unreachable ? session.lease_limit : now_ + options_.worker_lease;
-  if (!session.unreachable)
-    session.lease_limit = std::max(session.lease_limit, until);
+  const bool renews = session.renews && !session.unreachable;
+  const MonotonicTime until = renews ? now_ + options_.worker_lease : now_;
+  if (renews) session.lease_limit = std::max(session.lease_limit, until);
   const ExchangeReply reply =
       worker.Exchange(session.epoch, session.token, until, ValidOrders(session),
                       session.acknowledged, now_);
@@ -194,6 +194,7 @@
 void World::OnExchangeSucceeded(Session& session) {
   session.failing_since.reset();
   session.unreachable = false;
+  if (!session.renews) return;
   session.lease_limit =
       std::max(session.lease_limit, now_ + options_.worker_lease);
 }
--- a/azurepass/scheduling/internal/hops.cc
+++ b/azurepass/scheduling/internal/hops.cc
@@ -24,14 +24,12 @@
 
 // In the order of the alternatives of partition::Event.
 constexpr auto kEventNames = std::to_array<std::string_view>(
-    {"claim_won",   "release_wanted", "claim_lost",
-     "loaded",      "load_failed",    "appended",
-     "found",       "append_unknown", "append_failed",
-     "snapshot",    "configuration",  "freshness",
-     "allowances",  "workers",        "permits",
-     "session",     "reported",       "fenced",
-     "unreachable", "replaced",       "request",
-     "tick"});
+    {"claim_won",     "release_wanted", "claim_lost",   "loaded",
+     "load_failed",   "appended",       "found",        "append_unknown",
+     "append_failed", "snapshot",       "silence_read", "silence_written",
+     "configuration", "freshness",      "allowances",   "workers",
+     "permits",       "session",        "reported",     "fenced",
+     "unreachable",   "replaced",       "request",      "tick"});
 static_assert(kEventNames.size() == std::variant_size_v<partition::Event>);
 
 Hop HopOf(const partition::JobRequest& request) {
--- a/azurepass/scheduling/internal/partition_task.cc
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -175,7 +175,7 @@
       inbox.Map<endpoint::Update>([vm, session](endpoint::Update update) {
         return Inbox(FromWorker{vm, session, std::move(update)});
       }),
-      options_.partition.id});
+      options_.partition.id, open.renews});
 }
 
 void PartitionTask::OnWorker(FromWorker& from) {
@@ -288,7 +288,14 @@
           [this](partition::WriteSnapshot& a) {
             writer_->address().Send(std::move(a));
           },
+          [this](partition::ReadSilence& a) { writer_->address().Send(a); },
+          [this](partition::WriteSilence& a) {
+            writer_->address().Send(std::move(a));
+          },
           [this](partition::OpenSession& a) { Open(a); },
+          [this](partition::SetRenewal& a) {
+            peers_.workers.Send(endpoint::SetRenewal{a.vm, a.renews});
+          },
           [this](partition::CloseSession& a) {
             sessions_.erase(a.vm);
             peers_.workers.Send(endpoint::Close{a.vm});
