A successor waits for a former owner's renewals from when they ended

Cause: the margin of 3 s covers evidence of an outage on which a former owner may go on; it was added at each takeover, and both counted from the claim.

Change: the process that claims knows more. A claim that was given back, or its own former one, has no owner that goes on. Otherwise the former owner's member key was seen to go, and evidence of an outage needs this process as a witness: unless it has denied its contact, or started, within the 3 s before, nobody has such evidence. Then the lease counts from the end of the renewals, with 2% for the worker's clock and 1 s to stop. In all other cases it is as before, and never longer.

The random worlds take the end of renewals into account where former owners stop.

--- a/azurepass/configuration/configuration.h
+++ b/azurepass/configuration/configuration.h
@@ -242,6 +242,8 @@
 // Keeper
 
 inline constexpr Duration kMaxAge{3'000};
+// In an outage all members ask all: not each answer makes an update.
+inline constexpr Duration kDenialStep{250};
 
 struct Options {
   MemberId member;                // This process.
@@ -263,7 +265,8 @@
 };
 
 // What subscribers get, first when they subscribe and then on each change of
-// the configuration, the verdict, valid_until or others_cut_until.
+// the configuration, the verdict, valid_until, others_cut_until or
+// contact_denied.
 struct Update {
   std::shared_ptr<const Configuration> configuration;
   Verdict verdict;
@@ -275,6 +278,9 @@
   // See Freshness::OthersCutUntil: before it nobody else can have changed
   // anything in the store.
   std::optional<MonotonicTime> others_cut_until;
+  // When this process last told another that it had no contact with the store,
+  // or up to kDenialStep later.
+  std::optional<MonotonicTime> contact_denied{};
 
   bool MayStart(MonotonicTime now) const {
     return configuration::MayStart(verdict) && now < valid_until;
--- a/azurepass/configuration/keeper.cc
+++ b/azurepass/configuration/keeper.cc
@@ -175,6 +175,9 @@
     pulled.store_contact_age =
         behind ? Duration::max() : freshness_.store_contact_age(now);
     pulled.in_contact = behind || freshness_.in_contact(now);
+    if (!pulled.in_contact && contact_denied_.value_or(now) <= now) {
+      contact_denied_ = now + kDenialStep;
+    }
     asked.responder.Answer(std::move(pulled));
   }
 
@@ -187,9 +190,13 @@
 
   Update MakeUpdate(MonotonicTime now) const {
     Freshness::Decision decision = freshness_.Decide(register_.revision(), now);
-    return {register_.configuration(), std::move(decision.verdict),
-            decision.valid_until,      freshness_.store_contact_age(now),
-            register_.cursor(),        freshness_.OthersCutUntil(now)};
+    return {register_.configuration(),
+            std::move(decision.verdict),
+            decision.valid_until,
+            freshness_.store_contact_age(now),
+            register_.cursor(),
+            freshness_.OthersCutUntil(now),
+            contact_denied_};
   }
 
   // Tells subscribers what is new, and sets the time to look again.
@@ -207,7 +214,8 @@
                       update.verdict.index() == told_.verdict.index() &&
                       (!may_start || update.valid_until == told_.valid_until) &&
                       update.complete_through == told_.complete_through &&
-                      update.others_cut_until == told_.others_cut_until;
+                      update.others_cut_until == told_.others_cut_until &&
+                      update.contact_denied == told_.contact_denied;
     if (same) return;
     LogChange(update);
     told_ = update;
@@ -244,6 +252,7 @@
   int64_t lonely_rounds_ = 0;   // Of asking peers, since the last contact.
   MemberId confirmed_by_;       // In the latest verdict; empty when by none.
   bool content_asked_ = false;  // A call for records is under way.
+  std::optional<MonotonicTime> contact_denied_;  // See Update.
   std::vector<task::Address<Update>> subscribers_;
   Update told_;  // The latest update sent.
   task::Timer peer_timer_;
--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -170,6 +170,9 @@
   void On(const WorkerUnreachable& event);
   void On(const WorkerReplaced& event);
   void BeginOpening();
+  // By when everything that former owners started has stopped on a worker that
+  // does not answer.
+  MonotonicTime FormerLeasesLapse() const;
   void AddRecoveredJob(const JobId& id, const internal::LedgerJob& job);
   // Notes the workers that have permits by the job's former starts.
   void RecoverGranted(const JobId& id, const internal::LedgerJob& job);
@@ -464,6 +467,7 @@
 
   MonotonicTime claimed_at_{};  // On both clocks.
   WallTime claimed_at_wall_{};
+  std::optional<MonotonicTime> renewals_ended_;  // See ClaimWon.
   MonotonicTime fenced_at_{};  // Our first append was settled.
   bool vm_list_is_current_ =
       false;                    // The VM list was requested after fenced_at_.
--- a/azurepass/partition/owner.cc
+++ b/azurepass/partition/owner.cc
@@ -76,6 +76,7 @@
 void Owner::Impl::On(ClaimWon event) {
   claimed_at_ = now_;
   claimed_at_wall_ = event.wall;
+  renewals_ended_ = event.renewals_ended;
   phase_ = Loading{};
   Emit(LoadJournal{epoch_});
 }
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -68,8 +68,7 @@
   silence_ = {};
   live_ = committed_;
   next_job_number_ = live_.next_job_number();
-  const MonotonicTime lapses =
-      now_ + options_.worker_lease + options_.worker_lease_margin;
+  const MonotonicTime lapses = FormerLeasesLapse();
   for (const auto& [vm, spec] : environment_.workers)
     workers_.AddOrUpdate(spec);
   for (auto& [vm, worker] : workers_.workers()) {
@@ -86,6 +85,17 @@
   ApplyVmList();
 }
 
+MonotonicTime Owner::Impl::FormerLeasesLapse() const {
+  // A worker's clock may run slow by one part of this many.
+  constexpr int kClockDrift = 50;
+  const MonotonicTime longest =
+      fenced_at_ + options_.worker_lease + options_.worker_lease_margin;
+  if (!renewals_ended_) return longest;
+  return std::min(longest, *renewals_ended_ + options_.worker_lease +
+                               options_.worker_lease / kClockDrift +
+                               options_.worker_stop_time);
+}
+
 void Owner::Impl::OnWorkflowRecovered(
     const internal::LedgerWorkflow& workflow) {
   const WorkflowSubmitted& submitted = workflow.submitted;
@@ -135,9 +145,7 @@
       // Its tasks are accounted to a worker on which nothing else can be
       // placed.
       cell_.AddWorker(unknown.spec, placement::WorkerAdmission::kClosed);
-      workers_.SetSession(unknown,
-                          SessionOpening{now_ + options_.worker_lease +
-                                         options_.worker_lease_margin});
+      workers_.SetSession(unknown, SessionOpening{FormerLeasesLapse()});
     }
     LiveAttempt attempt({task_id, task.attempt}, task.vm,
                         AttemptStage::kConfirmed);
--- a/azurepass/partition/owner_silence_test.cc
+++ b/azurepass/partition/owner_silence_test.cc
@@ -83,7 +83,8 @@
   } cases[] = {
       {"none", std::nullopt},
       {"another worker", SilenceRecord{Epoch{2}, {{VmId("vm-1"), left}}}},
-      {"an owner before the last one", SilenceRecord{Epoch{1}, {{kSilent, left}}}},
+      {"an owner before the last one",
+       SilenceRecord{Epoch{1}, {{kSilent, left}}}},
       {"a longer time", SilenceRecord{Epoch{2}, {{kSilent, 2 * kLease}}}},
   };
   for (const auto& c : cases) {
@@ -93,6 +94,29 @@
   }
 }
 
+TEST_CASE("a silent worker is waited for since the last renewal at most") {
+  const Duration ago{2'500};
+  Driver d({"vm-0"}, false, SilenceOptions());
+  d.Submit(1, OneTask());
+  d.CompleteAppends();
+  d.Handle(ClaimLost{});
+  d.TakeOver(2, std::nullopt, d.batches, {}, d.now - ago);
+  const auto stopped = [&] {
+    return std::any_of(d.actions.begin(), d.actions.end(),
+                       [](const Action& action) {
+                         const auto* log = std::get_if<LogDecision>(&action);
+                         return log != nullptr && log->kind == "worker_stopped";
+                       });
+  };
+  const Options options = SilenceOptions();
+  d.now += kLease + kLease / 50 + options.worker_stop_time - ago - Duration(1);
+  d.Handle(Tick{});
+  CHECK_FALSE(stopped());
+  d.now += Duration(1);
+  d.Handle(Tick{});
+  CHECK(stopped());
+}
+
 TEST_CASE("an owner records silent workers, and how long they may run") {
   Successor successor(2, std::nullopt);
   Driver& d = successor.d;
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -237,10 +237,12 @@
 // Events
 
 // This process holds the claim as the `epoch`-th owner. Starts recovery. `wall`
-// is the time of the event on the wall clock.
+// is the time of the event on the wall clock. No former owner renews the lease
+// of a worker after `renewals_ended`; empty: not known.
 struct ClaimWon {
   Epoch epoch;
   WallTime wall{};
+  std::optional<MonotonicTime> renewals_ended{};
 };
 // Requests a handover: the owner appends what is pending, answers, and releases
 // the partition.
@@ -542,7 +544,10 @@
   int64_t max_queued_tasks = 50'000;  // Per team.
   // A worker whose lease is not renewed for this time stops its tasks.
   Duration worker_lease{15'000};
+  // Added to a former owner's lease if it is not known when its renewals ended.
   Duration worker_lease_margin{1'000};
+  // A worker that stops its tasks takes no longer.
+  Duration worker_stop_time{1'000};
   Duration start_validity{2'000};         // See SendOrders.
   Duration retention_after_end{600'000};  // How long a final job is kept.
   // How long a submission or cancellation waits for the store before it is
--- a/azurepass/partition/testing/driver.h
+++ b/azurepass/partition/testing/driver.h
@@ -93,10 +93,10 @@
   }
 
   void TakeOver(int64_t epoch, std::optional<Snapshot> snapshot,
-                std::vector<Batch> batches,
-                const std::vector<std::string>& vms) {
+                std::vector<Batch> batches, const std::vector<std::string>& vms,
+                std::optional<MonotonicTime> renewals_ended = {}) {
     epoch_ = Epoch{epoch};
-    Handle(ClaimWon{epoch_});
+    Handle(ClaimWon{epoch_, {}, renewals_ended});
     Handle(JournalLoaded{epoch_, std::move(snapshot), std::move(batches)});
     CompleteAppends();
     for (const std::string& vm : vms) OpenWorkerSession(vm);
--- a/azurepass/partition/testing/world.cc
+++ b/azurepass/partition/testing/world.cc
@@ -346,7 +346,11 @@
   }
   epoch_ = Epoch{epoch_.value + 1};
   process.claimed_epoch = epoch_;
-  Deliver(index, ClaimWon{epoch_, WallTime(now_.time_since_epoch())});
+  ClaimWon won{epoch_, WallTime(now_.time_since_epoch())};
+  if (former_owner_ == FormerOwner::kStopsSending) {
+    won.renewals_ended = now_ + Duration(kMaxInTransitMs);
+  }
+  Deliver(index, won);
   for (const int64_t delay : {100, 500, 2'000}) {
     ScheduleAfter(RandomLatency(delay),
                   [this, index, incarnation = process.incarnation] {
--- a/azurepass/scheduling/internal/partition_task.cc
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -123,7 +123,8 @@
   ProbeLag();
   TellVmList();
   TellConfiguration();
-  Feed(partition::ClaimWon{epoch_, std::chrono::system_clock::now()});
+  Feed(partition::ClaimWon{epoch_, std::chrono::system_clock::now(),
+                           hold.renewals_ended});
 }
 
 void PartitionTask::TellVmList() {
--- a/azurepass/scheduling/internal/partition_task.h
+++ b/azurepass/scheduling/internal/partition_task.h
@@ -35,6 +35,8 @@
 // The claim is ours, as the `epoch`-th owner.
 struct Hold {
   Epoch epoch;
+  // By when the former owner has stopped renewing leases of workers.
+  std::optional<MonotonicTime> renewals_ended{};
 };
 // Hand the partition over.
 struct Release {};
--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -32,6 +32,7 @@
 
 #include "azurepass/logging/logging.h"
 #include "azurepass/scheduling/internal/claim_news.h"
+#include "azurepass/scheduling/internal/former_owner.h"
 #include "azurepass/scheduling/internal/holding.h"
 #include "azurepass/scheduling/internal/partition_task.h"
 #include "azurepass/scheduling/internal/peer_news.h"
@@ -109,6 +110,7 @@
     StatusNotice notice;  // The latest.
     // Of the latest claim.
     MonotonicTime claim_sent{};
+    std::optional<MonotonicTime> renewals_ended;  // See RenewalsEndedBy.
     MonotonicTime claim_taken{};
     std::string claim_text;  // Whom it was taken from, and why.
     ClaimFigures claims;
@@ -348,6 +350,8 @@
     const Epoch epoch{absent ? 1 : claim->second.epoch.value + 1};
     partition.holding = Claiming{epoch};
     partition.claim_sent = Clock::now();
+    partition.renewals_ended = RenewalsEndedBy(view_, id, options_.member,
+                                               Told(), partition.claim_sent);
     partition.claim_text =
         " why=" + why +
         FormerHolderText(view_, id, options_.member, partition.claim_sent);
@@ -355,6 +359,13 @@
                absent ? store::kAbsent : claim->second.version);
   }
 
+  ContactTold Told() const {
+    ContactTold told{started_, std::nullopt,
+                     options_.cell.timing.freshness_max_age};
+    if (configuration_) told.denied = configuration_->contact_denied;
+    return told;
+  }
+
   void WriteClaim(const PartitionId& id, const membership::ClaimRecord& record,
                   store::Version expected) {
     const task::Address<Inbox> inbox = mailbox_.address();
@@ -389,7 +400,8 @@
               << AuthorityText(CurrentAuthority(), partition.claim_taken);
     partition.holding = Held{written.epoch, done->version};
     TellWorkers(written.partition, partition);
-    partition.task->address().Send(Hold{written.epoch});
+    partition.task->address().Send(
+        Hold{written.epoch, partition.renewals_ended});
   }
 
   void LogNotTaken(const ClaimWritten& written, Partition& partition) {
@@ -613,6 +625,7 @@
   task::Loop& loop_;
   const Options options_;
   const Peers peers_;
+  const MonotonicTime started_ = Clock::now();
   std::map<PartitionId, Partition> partitions_;
   membership::View view_;
   std::optional<membership::LeaseFailed> last_failure_;
