--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -411,16 +411,17 @@
   // Workers whose leases are not renewed. Invariant: each worker in a
   // SilenceRecord of this owner that a successor may read is among them.
   std::set<VmId> withheld_;
+  // The SilenceRecord in the store.
   struct Silence {
-    bool read = false;  // The former owner's record.
-    bool busy = false;  // A read or write is under way.
-    MonotonicTime next{};
-    std::set<VmId> inherited;  // Named by the former owner's record.
-    std::set<VmId> writing;    // In the latest record.
-    MonotonicTime writing_since{};
+    bool read = false;           // The former owner's one.
+    bool busy = false;           // A read or write is under way.
+    MonotonicTime not_before{};  // For the next one, after a failure.
+    std::set<VmId> inherited;    // Named by the former owner's record.
+    std::set<VmId> writing;      // In the latest record that was tried.
+    MonotonicTime writing_made_at{};
     std::set<VmId> written;  // In the latest that was certainly written.
     MonotonicTime written_at{};
-    std::set<VmId> maybe;  // In those that were tried since.
+    std::set<VmId> unconfirmed;  // In those that were tried since.
     // Workers in no record any more, with the number of the batch after whose
     // append their leases are renewed again.
     std::map<VmId, int64_t> cleared;
--- a/azurepass/partition/owner_silence.cc
+++ b/azurepass/partition/owner_silence.cc
@@ -55,7 +55,7 @@
 void Owner::Impl::On(const SilenceRead& event) {
   if (event.epoch != epoch_ || !loaded() || silence_.read) return;
   silence_.busy = false;
-  silence_.next = now_ + kRetryDelay;
+  silence_.not_before = now_ + kRetryDelay;
   if (!event.ok) return;
   silence_.read = true;
   if (event.record && event.record->epoch.value + 1 == epoch_.value) {
@@ -111,7 +111,7 @@
 }
 
 void Owner::Impl::RecordSilence() {
-  if (silence_.busy || now_ < silence_.next) return;
+  if (silence_.busy || now_ < silence_.not_before) return;
   if (!silence_.read) {
     silence_.busy = true;
     Emit(ReadSilence{epoch_});
@@ -119,7 +119,8 @@
   }
   SilenceRecord record = SilentWorkers();
   const std::set<VmId> silent = VmsOf(record);
-  const bool changed = silent != silence_.written || !silence_.maybe.empty();
+  const bool changed =
+      silent != silence_.written || !silence_.unconfirmed.empty();
   const bool due =
       !silent.empty() && now_ >= silence_.written_at + kRefreshInterval;
   if (!changed && !due) return;
@@ -132,9 +133,9 @@
         "stopped_in_ms=" + std::to_string(record.stopped_in.at(vm).count()) +
             " tasks=" + std::to_string(workers_.Find(vm)->tasks.size()));
   }
-  silence_.maybe.insert(silent.begin(), silent.end());
+  silence_.unconfirmed.insert(silent.begin(), silent.end());
   silence_.writing = silent;
-  silence_.writing_since = now_;
+  silence_.writing_made_at = now_;
   silence_.busy = true;
   Emit(WriteSilence{std::move(record)});
 }
@@ -143,12 +144,12 @@
   if (event.epoch != epoch_ || !loaded() || !silence_.read) return;
   silence_.busy = false;
   if (!event.ok) {
-    silence_.next = now_ + kRetryDelay;
+    silence_.not_before = now_ + kRetryDelay;
     return;
   }
   silence_.written = std::exchange(silence_.writing, {});
-  silence_.written_at = silence_.writing_since;
-  silence_.maybe.clear();
+  silence_.written_at = silence_.writing_made_at;
+  silence_.unconfirmed.clear();
   for (const VmId& vm : withheld_) {
     if (silence_.written.contains(vm)) continue;
     silence_.cleared.try_emplace(vm, commit_.RequireWrite());
@@ -177,15 +178,15 @@
 
 std::optional<MonotonicTime> Owner::Impl::NextSilenceWake() const {
   if (silence_.busy) return std::nullopt;
-  if (!silence_.read) return silence_.next;
+  if (!silence_.read) return silence_.not_before;
   std::optional<MonotonicTime> next;
   if (!silence_.written.empty()) next = silence_.written_at + kRefreshInterval;
-  if (!silence_.maybe.empty()) next = now_;
+  if (!silence_.unconfirmed.empty()) next = now_;
   const MonotonicTime opened = fenced_at_ + kSilentAfter;
   if (!workers_.AllSessionsSettled() && now_ < opened) {
     next = std::min(next.value_or(opened), opened);
   }
-  if (next) next = std::max(*next, silence_.next);
+  if (next) next = std::max(*next, silence_.not_before);
   return next;
 }
 
