--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -173,6 +173,8 @@
   // By when everything that former owners started has stopped on a worker that
   // does not answer.
   MonotonicTime FormerLeasesLapse() const;
+  // How long a task may run after the last renewal of its worker's lease.
+  Duration LongestRunUnrenewed() const;
   void AddRecoveredJob(const JobId& id, const internal::LedgerJob& job);
   // Notes the workers that have permits by the job's former starts.
   void RecoverGranted(const JobId& id, const internal::LedgerJob& job);
@@ -421,7 +423,8 @@
     MonotonicTime writing_made_at{};
     std::set<VmId> written;  // In the latest that was certainly written.
     MonotonicTime written_at{};
-    std::set<VmId> unconfirmed;  // In those that were tried since.
+    Duration refresh_interval{0};  // From written_at on.
+    std::set<VmId> unconfirmed;    // In those that were tried since.
     // Workers in no record any more, with the number of the batch after whose
     // append their leases are renewed again.
     std::map<VmId, int64_t> cleared;
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -85,15 +85,18 @@
   ApplyVmList();
 }
 
-MonotonicTime Owner::Impl::FormerLeasesLapse() const {
+Duration Owner::Impl::LongestRunUnrenewed() const {
   // A worker's clock may run slow by one part of this many.
   constexpr int kClockDrift = 50;
+  return options_.worker_lease + options_.worker_lease / kClockDrift +
+         options_.worker_stop_time;
+}
+
+MonotonicTime Owner::Impl::FormerLeasesLapse() const {
   const MonotonicTime longest =
       fenced_at_ + options_.worker_lease + options_.worker_lease_margin;
   if (!renewals_ended_) return longest;
-  return std::min(longest, *renewals_ended_ + options_.worker_lease +
-                               options_.worker_lease / kClockDrift +
-                               options_.worker_stop_time);
+  return std::min(longest, *renewals_ended_ + LongestRunUnrenewed());
 }
 
 void Owner::Impl::OnWorkflowRecovered(
--- a/azurepass/partition/owner_silence.cc
+++ b/azurepass/partition/owner_silence.cc
@@ -39,6 +39,8 @@
 constexpr Duration kRefreshInterval{1'000};
 // Most workers open a session within this time of the takeover.
 constexpr Duration kSilentAfter{1'000};
+// By then an answer that came before its worker's renewals stopped is known.
+constexpr Duration kSettleTime{250};
 
 std::set<VmId> VmsOf(const SilenceRecord& record) {
   std::set<VmId> vms;
@@ -55,8 +57,10 @@
 void Owner::Impl::On(const SilenceRead& event) {
   if (event.epoch != epoch_ || !loaded() || silence_.read) return;
   silence_.busy = false;
-  silence_.not_before = now_ + kRetryDelay;
-  if (!event.ok) return;
+  if (!event.ok) {
+    silence_.not_before = now_ + kRetryDelay;
+    return;
+  }
   silence_.read = true;
   if (event.record && event.record->epoch.value + 1 == epoch_.value) {
     ShortenLapses(*event.record);
@@ -121,17 +125,21 @@
   const std::set<VmId> silent = VmsOf(record);
   const bool changed =
       silent != silence_.written || !silence_.unconfirmed.empty();
-  const bool due =
-      !silent.empty() && now_ >= silence_.written_at + kRefreshInterval;
+  const bool due = !silent.empty() &&
+                   now_ >= silence_.written_at + silence_.refresh_interval;
   if (!changed && !due) return;
-  for (const VmId& vm : silent) {
+  silence_.refresh_interval = kRefreshInterval;
+  for (auto& [vm, stopped_in] : record.stopped_in) {
     silence_.cleared.erase(vm);
     if (options_.testing.renew_silent_workers) continue;
     if (!withheld_.insert(vm).second) continue;
     Emit(SetRenewal{vm, false});
     Log("worker_silent", {}, 0, vm,
-        "stopped_in_ms=" + std::to_string(record.stopped_in.at(vm).count()) +
+        "stopped_in_ms=" + std::to_string(stopped_in.count()) +
             " tasks=" + std::to_string(workers_.Find(vm)->tasks.size()));
+    // The worker may just have answered, and been renewed.
+    stopped_in = std::max(stopped_in, LongestRunUnrenewed());
+    silence_.refresh_interval = kSettleTime;
   }
   silence_.unconfirmed.insert(silent.begin(), silent.end());
   silence_.writing = silent;
@@ -180,7 +188,9 @@
   if (silence_.busy) return std::nullopt;
   if (!silence_.read) return silence_.not_before;
   std::optional<MonotonicTime> next;
-  if (!silence_.written.empty()) next = silence_.written_at + kRefreshInterval;
+  if (!silence_.written.empty()) {
+    next = silence_.written_at + silence_.refresh_interval;
+  }
   if (!silence_.unconfirmed.empty()) next = now_;
   const MonotonicTime opened = fenced_at_ + kSilentAfter;
   if (!workers_.AllSessionsSettled() && now_ < opened) {
--- a/azurepass/partition/owner_silence_test.cc
+++ b/azurepass/partition/owner_silence_test.cc
@@ -128,10 +128,34 @@
         SilenceRecord{Epoch{2}, {{kSilent, at_first}}});
   CHECK(d.Last<SetRenewal>().vm == kSilent);
   CHECK_FALSE(d.Last<SetRenewal>().renews);
-  d.Handle(SilenceWritten{Epoch{2}, true});
-  successor.Advance(Duration(1'000));
+  Duration elapsed{0};
+  for (const Duration interval : {Duration(250), Duration(1'000)}) {
+    d.Handle(SilenceWritten{Epoch{2}, true});
+    successor.Advance(interval);
+    elapsed += interval;
+    CHECK(d.Last<WriteSilence>().record.stopped_in.at(kSilent) ==
+          at_first - elapsed);
+  }
+  CHECK(d.Count<WriteSilence>() == 3);
+}
+
+// Guards against a renewal that is sent just before renewals stop: a successor
+// would start the tasks again too early.
+TEST_CASE("the first record of a worker allows for a renewal until then") {
+  Driver d({"vm-0"}, false, SilenceOptions());
+  d.Submit(1, OneTask());
+  d.CompleteAppends();
+  d.Handle(SilenceRead{Epoch{1}, true, std::nullopt});
+  const Duration left{2'000};
+  d.Handle(WorkerUnreachable{kSilent, Epoch{1}, d.now + left, d.now});
+  const Options options = SilenceOptions();
   CHECK(d.Last<WriteSilence>().record.stopped_in.at(kSilent) ==
-        at_first - Duration(1'000));
+        kLease + kLease / 50 + options.worker_stop_time);
+  d.Handle(SilenceWritten{Epoch{1}, true});
+  const Duration settled{250};
+  d.now += settled;
+  d.Handle(Tick{});
+  CHECK(d.Last<WriteSilence>().record.stopped_in.at(kSilent) == left - settled);
 }
 
 // Guards against a lease that is renewed while a successor may still read that
