Placement: learned speeds of workers, and least work first among late jobs

Cause: a step ends with its slowest task, and some workers take twice as long as others, steadily. Under overload, the earliest deadline first starts each late job just before it becomes useless.

Change: two options, off by default. LearnedSpeeds compares the run times of the tasks of one step; urgent jobs and gangs avoid slow workers, low-priority jobs with slack prefer them. LeastWork orders late jobs by the room and time they need.

--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -95,6 +95,7 @@
 
  private:
   void RecordOutcome(TaskRef ref, AttemptOutcome outcome, MonotonicTime now);
+  void LearnSpeed(Job& job, const Task& task, MonotonicTime now);
   void Requeue(TaskRef ref, AttemptOutcome outcome, MonotonicTime now);
   void AdvanceTime(MonotonicTime now) {
     if (now <= state_.now) return;
@@ -138,6 +139,16 @@
   return true;
 }
 
+// The tasks of a gang end together, and those of a perpetual job by chance.
+void Cell::Impl::LearnSpeed(Job& job, const Task& task, MonotonicTime now) {
+  if (task.queued_again || job.is_gang() || job.spec.perpetual) return;
+  const auto run_time = std::chrono::duration_cast<Duration>(now - task.since);
+  for (const internal::SpeedSample& sample :
+       job.run_times.Add(task.worker, run_time)) {
+    state_.fleet.worker(sample.worker).speed.Learn(sample.ratio);
+  }
+}
+
 // Records an attempt's outcome for its worker and its job, and its run time.
 void Cell::Impl::RecordOutcome(TaskRef ref, AttemptOutcome outcome,
                                MonotonicTime now) {
@@ -149,6 +160,7 @@
     state_.run_times.Learn(
         job.team, job.spec,
         std::chrono::duration_cast<Duration>(now - task.since));
+    LearnSpeed(job, task, now);
   }
   // The worker's own outcomes are left out of the peer rate: the failures of a
   // worker that fails fast would soon dominate the rate, and the worker would
@@ -170,6 +182,7 @@
                          MonotonicTime now) {
   Job& job = state_.jobs[ref.job];
   Task& task = job.tasks[ref.task];
+  task.queued_again = true;
   const Options& options = state_.options;
   const bool counts_as_failure =
       outcome == AttemptOutcome::kFailed || outcome == AttemptOutcome::kLost;
@@ -412,6 +425,7 @@
     const bool open =
         state.fleet.IsOpen(worker) && state.fleet.zone(worker.zone).in_service;
     status.open_workers += open ? 1 : 0;
+    status.slow_workers += open && state.fleet.IsSlow(worker) ? 1 : 0;
   }
   status.quarantined_workers = state.fleet.quarantined();
   status.queued_tasks = state.queued;
--- a/azurepass/placement/internal/cell_state.cc
+++ b/azurepass/placement/internal/cell_state.cc
@@ -43,6 +43,7 @@
   job.number = ++last_number_;
   job.accepted = accepted;
   job.start_by = start_by;
+  job.late_order = LateOrderOf(spec);
   if (start_by) lateness_changes_.push({start_by->on_time, index, job.number});
   job.tasks.resize(spec.tasks);
   job.waiting = spec.tasks;
@@ -54,6 +55,21 @@
   return index;
 }
 
+std::optional<int64_t> CellState::LateOrderOf(const JobSpec& spec) const {
+  // Bounds the work, so that it does not reach the next class of lateness.
+  constexpr double kMostWork = 1e15;
+  return std::visit(
+      Visitor{[](const EarliestDeadline&) { return std::optional<int64_t>(); },
+              [&](const LeastWork&) {
+                const double worker_millis =
+                    spec.task.DominantShare(fleet.scale()) * spec.tasks *
+                    static_cast<double>(spec.declared_run_time.count());
+                return std::optional<int64_t>(static_cast<int64_t>(
+                    std::min(worker_millis * 1'000, kMostWork)));
+              }},
+      options.late_order);
+}
+
 void CellState::RemoveJob(Index index) {
   Job& job = jobs[index];
   if (job.waiting + job.delayed + job.committed > 0) return;
--- a/azurepass/placement/internal/cell_state.h
+++ b/azurepass/placement/internal/cell_state.h
@@ -48,7 +48,8 @@
 class CellState {
  public:
   explicit CellState(const Options& options)
-      : options(options), fleet(options.packing, options.quarantine) {}
+      : options(options),
+        fleet(options.packing, options.quarantine, options.speeds) {}
 
   // --- Jobs.
   Index AddJob(const JobId& id, Index team, const JobSpec& spec,
@@ -150,6 +151,9 @@
   // have changed. `first_before` is the order of the first job before the
   // change; empty when the lane had no jobs. Frees the lane when it is empty.
   void Resort(Index lane, std::optional<int64_t> first_before);
+  // Returns the position of such a job among late jobs; empty if its deadline
+  // decides.
+  std::optional<int64_t> LateOrderOf(const JobSpec& spec) const;
   // Adds `tasks` to the job's task counts by zone, rack and worker.
   void CountSpread(Job& job, Index worker, int32_t tasks);
 
--- a/azurepass/placement/internal/constrained_search.cc
+++ b/azurepass/placement/internal/constrained_search.cc
@@ -38,8 +38,15 @@
   return limit <= 0 ? 0 : TimesFits(job.room(), room, limit);
 }
 
-ConstrainedSearch::Cost ConstrainedSearch::CostOf(const Job& job,
-                                                  Index index) const {
+int32_t ConstrainedSearch::SpeedCost(const Job& job, const Worker& worker,
+                                     MonotonicTime now) const {
+  const bool slow = fleet_.IsSlow(worker);
+  if (job.is_urgent() || job.is_gang()) return slow ? 1 : 0;
+  return job.has_slack(now) && !slow ? 1 : 0;
+}
+
+ConstrainedSearch::Cost ConstrainedSearch::CostOf(const Job& job, Index index,
+                                                  MonotonicTime now) const {
   const Worker& worker = fleet_.worker(index);
   if (job.is_service()) {
     // Scavengers on a worker count as one more task of the job in its zone.
@@ -54,7 +61,7 @@
     const auto spare = static_cast<double>(worker.free[Dimension::kMillicores]);
     return {away, 0, 0, -spare / (1 + worker.scavengers), index};
   }
-  return {away, 0, 0, fleet_.KeyOf(index), index};
+  return {away, SpeedCost(job, worker, now), 0, fleet_.KeyOf(index), index};
 }
 
 template <class Visit>
@@ -83,7 +90,7 @@
     ++found.considered;
     const int32_t fits =
         FitsOn(job, index, search_.RoomFor(worker, job, job_index, now));
-    if (fits > 0) candidates.push_back({index, fits, CostOf(job, index)});
+    if (fits > 0) candidates.push_back({index, fits, CostOf(job, index, now)});
   };
   ForEachPermitted(job, now, visit);
   return candidates;
--- a/azurepass/placement/internal/constrained_search.h
+++ b/azurepass/placement/internal/constrained_search.h
@@ -9,6 +9,11 @@
 //     the worker, then the packing's order.
 //   * Gang: the rack with the least room among those that fit all tasks; if
 //     there is none, workers of any rack, in the order of the batch rule.
+//
+// Batch jobs and gangs that need speed avoid slow workers, and low-priority
+// jobs with slack prefer them (LearnedSpeeds); the rack of the job's data comes
+// first.
+//
 //   * Scavenger: the worker with the most free processors per scavenger.
 //     Workers with perpetual tasks are excluded, since a scavenger would
 //     disturb those; perpetual services prefer workers without scavengers.
@@ -57,7 +62,10 @@
                                     const Team& team, MonotonicTime now,
                                     int64_t& steps, SearchResult& found) const;
   bool MayTake(const Job& job, const Worker& worker, const Team& team) const;
-  Cost CostOf(const Job& job, Index worker) const;
+  Cost CostOf(const Job& job, Index worker, MonotonicTime now) const;
+  // Returns 1 for a worker whose speed does not suit the job, else 0.
+  int32_t SpeedCost(const Job& job, const Worker& worker,
+                    MonotonicTime now) const;
   static void PlaceGang(const Fleet& fleet, const Job& job,
                         std::vector<Candidate> candidates, SearchResult& found);
 
--- a/azurepass/placement/internal/fleet.cc
+++ b/azurepass/placement/internal/fleet.cc
@@ -30,6 +30,16 @@
          worker.health.state != HealthState::kQuarantined;
 }
 
+bool Fleet::IsSlow(const Worker& worker) const {
+  return std::visit(
+      Visitor{[](const UniformSpeeds&) { return false; },
+              [&](const LearnedSpeeds& learned) {
+                const std::optional<double> ratio = worker.speed.Median();
+                return ratio.has_value() && *ratio >= learned.slow_factor;
+              }},
+      speeds_);
+}
+
 bool Fleet::MayStartInZone(Index zone) const {
   const Zone& z = zones_[zone];
   return z.in_service && (!z.ramp_until || z.ramp_tokens >= 1);
@@ -104,7 +114,11 @@
   if (index == static_cast<Index>(workers_.size())) workers_.emplace_back();
   Unindex(index);
   Worker& worker = workers_[index];
-  if (worker.known) CountCapacity(worker.zone, worker.capacity, -1);
+  if (worker.known) {
+    CountCapacity(worker.zone, worker.capacity, -1);
+  } else {
+    worker.speed = SpeedEstimate();
+  }
   const Resources used = worker.capacity - worker.free;
   worker.vm = spec.vm;
   worker.zone = InternZone(spec.zone);
--- a/azurepass/placement/internal/fleet.h
+++ b/azurepass/placement/internal/fleet.h
@@ -30,6 +30,7 @@
   bool known = false;    // False after RemoveWorker.
   bool counted = false;  // Included in the open capacity.
   Health health;
+  SpeedEstimate speed;  // Of this life of the worker.
   std::vector<TaskRef> tasks;
   std::vector<std::string> labels;
   // Number of perpetual tasks and of scavengers on the worker.
@@ -57,8 +58,9 @@
 
 class Fleet {
  public:
-  Fleet(const Packing& packing, const Quarantine& quarantine)
-      : packing_(packing), health_policy_(quarantine) {}
+  Fleet(const Packing& packing, const Quarantine& quarantine,
+        const WorkerSpeeds& speeds)
+      : packing_(packing), health_policy_(quarantine), speeds_(speeds) {}
 
   // --- Changes.
   Index Add(const WorkerSpec& spec, WorkerAdmission admission);
@@ -96,6 +98,8 @@
   // Returns true when the worker may be given tasks, apart from its room and
   // the state of its zone.
   bool IsOpen(const Worker& worker) const;
+  // See LearnedSpeeds.
+  bool IsSlow(const Worker& worker) const;
   bool MayStartInZone(Index zone) const;
   // Returns true when the zone is in service but its ramp allows no start now.
   bool IsFillingUp(Index zone) const;
@@ -129,6 +133,7 @@
 
   Packing packing_;
   HealthPolicy health_policy_;
+  WorkerSpeeds speeds_;
   Interner<VmId> vms_;
   Interner<RackId> racks_;
   Interner<ZoneId> zone_ids_;
--- a/azurepass/placement/internal/job.h
+++ b/azurepass/placement/internal/job.h
@@ -11,6 +11,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "azurepass/placement/internal/interner.h"
+#include "azurepass/placement/internal/speed_estimate.h"
 #include "azurepass/placement/placement.h"
 
 namespace azurepass::placement::internal {
@@ -41,6 +42,7 @@
   bool cancelled = false;      // Not to be queued again.
   bool needs_token = false;    // Delayed until there is a retry token.
   bool checkpointing = false;  // Preempted by a checkpoint, not yet by a stop.
+  bool queued_again = false;   // Later attempts may continue an earlier one.
   uint8_t failures = 0;
   uint8_t losses = 0;
   uint8_t overuses = 0;  // Consecutive usage reports above the declared size.
@@ -97,6 +99,8 @@
   MonotonicTime accepted;
   std::optional<StartBy> start_by;
   Lateness lateness = Lateness::kOnTime;
+  // Its position among late jobs, if the work decides it; see LeastWork.
+  std::optional<int64_t> late_order;
   std::vector<Task> tasks;
   int32_t next_unstarted = 0;
   std::vector<int32_t> requeued;  // Waiting tasks that were started before.
@@ -113,6 +117,7 @@
   // `outcomes_by_worker`.
   Outcomes outcomes;
   absl::flat_hash_map<Index, Outcomes> outcomes_by_worker;
+  PeerRunTimes run_times;
   std::optional<LatestStart> latest;
   // See Cell::SetPermitted. Invariant: `permitted` is sorted.
   std::vector<Index> permitted;
@@ -163,6 +168,9 @@
     const MonotonicTime by =
         lateness == Lateness::kOnTime ? start_by->on_time : start_by->late;
     constexpr int64_t kLatenessSpan = int64_t{1} << 56;  // Microseconds.
+    if (lateness == Lateness::kLate && late_order) {
+      return (static_cast<int64_t>(lateness) + 1) * kLatenessSpan + *late_order;
+    }
     return (static_cast<int64_t>(lateness) + 1) * kLatenessSpan +
            std::chrono::duration_cast<std::chrono::microseconds>(
                by.time_since_epoch())
@@ -170,6 +178,12 @@
   }
   // Returns the position among all waiting jobs.
   WaitingRank rank() const { return {RankOf(priority()), order()}; }
+  // Returns whether the job can run at half the usual speed and still be on
+  // time.
+  bool has_slack(MonotonicTime now) const {
+    return priority() == Priority::kLow && lateness == Lateness::kOnTime &&
+           start_by && now + spec.declared_run_time <= start_by->on_time;
+  }
   bool is_expired(MonotonicTime now) const {
     return spec.deadline.has_value() && now >= accepted + *spec.deadline;
   }
--- a/azurepass/placement/placement.h
+++ b/azurepass/placement/placement.h
@@ -87,12 +87,45 @@
 using Quarantine =
     std::variant<WindowedQuarantine, FirstFailureQuarantine, NoQuarantine>;
 
+// LateOrder selects the order of the waiting jobs of a team and priority that
+// can no longer be on time, but are still useful.
+// EarliestDeadline starts the job first that is useful for the shortest time.
+// It serves all jobs if there is room for all of them. Under overload it starts
+// each job just before it becomes useless, so that many end too late.
+struct EarliestDeadline {
+  bool operator==(const EarliestDeadline&) const = default;
+};
+// LeastWork starts the job first that needs the least room for the shortest
+// time, so that as many callers as possible are still served.
+struct LeastWork {
+  bool operator==(const LeastWork&) const = default;
+};
+using LateOrder = std::variant<EarliestDeadline, LeastWork>;
+
+// WorkerSpeeds selects whether workers are taken to run tasks equally fast.
+struct UniformSpeeds {
+  bool operator==(const UniformSpeeds&) const = default;
+};
+// LearnedSpeeds compares the run times of the tasks of one step on different
+// workers. Urgent jobs and gangs avoid slow workers; low-priority jobs with
+// enough slack prefer them. Applies to jobs that not every worker with room may
+// take (see Constraints), since others are found by an index over the room.
+struct LearnedSpeeds {
+  // A worker is slow if its tasks take this many times as long as those of
+  // other workers.
+  double slow_factor = 1.35;
+  bool operator==(const LearnedSpeeds&) const = default;
+};
+using WorkerSpeeds = std::variant<UniformSpeeds, LearnedSpeeds>;
+
 // Limits and parameters of the decisions.
 struct Options {
   uint64_t seed = 1;  // Of the jitter of retry times.
   Packing packing = BestFit{};
   TeamOrder order = FairOrder{};
   Quarantine quarantine = WindowedQuarantine{};
+  LateOrder late_order = EarliestDeadline{};
+  WorkerSpeeds speeds = UniformSpeeds{};
   // Shortest time in which a zone that returned to service is filled with
   // tasks. 0 means that it is filled without delay.
   Duration zone_ramp{10'000};
@@ -300,6 +333,7 @@
   int64_t workers = 0;
   int64_t open_workers = 0;
   int64_t quarantined_workers = 0;
+  int64_t slow_workers = 0;  // See LearnedSpeeds.
   int64_t queued_tasks = 0;
   int64_t committed_tasks = 0;
   Resources capacity;   // Of open workers.
