Partition: refuse submissions that would start too late to be useful

Cause: an owner accepted all that came, so that under overload every job started just before it became useless, and callers learned nothing of it.

Change: internal/overload.h predicts the wait from the backlog of an account and queue and its rate of starts (Little's law). A submission whose wait is longer than it is useful is refused as not run, with the time until a job would be on time again; accounts within their share never are. Off by default. The first permit request of batch work can be bounded (permit_first_workers).

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -10,6 +10,7 @@
 //   owner_tasks.cc      starts, ends and stops of attempts
 //   owner_workflows.cc  workflows: their requests, the release of their steps
 //   owner_permits.cc    permits to start tasks of queues that have a policy
+//   owner_overload.cc   refusals of what can't be served while it is useful
 
 #ifndef AZUREPASS_PARTITION_INTERNAL_OWNER_IMPL_H_
 #define AZUREPASS_PARTITION_INTERNAL_OWNER_IMPL_H_
@@ -30,6 +31,7 @@
 #include "azurepass/partition/internal/group_commit.h"
 #include "azurepass/partition/internal/job_table.h"
 #include "azurepass/partition/internal/ledger.h"
+#include "azurepass/partition/internal/overload.h"
 #include "azurepass/partition/internal/request_table.h"
 #include "azurepass/partition/internal/wait_table.h"
 #include "azurepass/partition/internal/worker_table.h"
@@ -305,6 +307,15 @@
   void ScheduleForgetting(const RequestId& request);
   void ForgetWorkflows();
 
+  // --- owner_overload.cc
+  // A job was added to the cell with these start deadlines.
+  void FollowBacklog(const JobId& id,
+                     const std::optional<placement::StartBy>& by);
+  // Returns whether the team's waiting and running tasks are within its share.
+  bool IsWithinShare(const TeamId& team) const;
+  // Refuses a submission that would start too late to be useful.
+  std::optional<Refusal> RefuseOverload(const SubmitWorkflow& request);
+
   // --- owner_permits.cc
   void On(PermitsIssued event);
   struct WorkerRoom {
@@ -327,6 +338,10 @@
   void ScanPermitWaiters();
   void ReserveAndRequest(const internal::LedgerJob& job, JobPermits& permits,
                          PermitScan& scan);
+  // Returns whether the job's next request is its first one and lists only as
+  // many workers as it needs.
+  bool HasBoundedFirstRequest(const JobSpec& spec,
+                              const JobPermits& permits) const;
   static bool HasNoRoom(const PermitScan& scan, const std::string& label,
                         const Resources& size);
   void EmitPermitRequest(const internal::LedgerJob& job, JobPermits& permits,
@@ -465,6 +480,9 @@
   std::optional<placement::PermitWaiter> permit_scan_start_;
   std::map<JobId, JobPermits> permits_;
 
+  internal::OverloadControl overload_;
+  std::map<QueueId, int64_t> refused_submissions_;  // See Status.
+
   std::set<JobId> changed_;  // Jobs changed since the last answers.
   std::set<TeamId> teams_;   // Teams that the cell knows.
   int64_t next_job_number_ = 1;
--- a/azurepass/partition/owner.cc
+++ b/azurepass/partition/owner.cc
@@ -485,7 +485,9 @@
 bool Owner::Impl::owns() const { return In<Owning>() || In<Releasing>(); }
 
 Status Owner::Impl::status() const {
-  Status status{partition_, epoch_, cell_.Status(), {}, unordered_preempted_};
+  Status status{partition_,           epoch_,
+                cell_.Status(),       {},
+                unordered_preempted_, refused_submissions_};
   for (const TeamId& team : teams_) {
     status.committed.emplace_back(team, cell_.CommittedOf(team));
   }
--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -30,11 +30,19 @@
 // by the time of the answer, so a request lists more workers than the job
 // needs.
 //
+// The first request of other work may be bounded
+// (Options::permit_first_workers). The service takes time for each worker
+// listed, and where several jobs wait for it, the time for workers that the job
+// does not need is at their expense. Such a request lists workers with room for
+// several times the job's tasks, since part of them will be denied, and each
+// job begins with another worker.
+//
 // A new owner has forgotten all answers but those that led to starts. The work
 // of its predecessor waits meanwhile, so the first request for a job that has
 // run before is short: it lists some workers for each task that waits.
 
 #include <algorithm>
+#include <functional>
 #include <tuple>
 #include <utility>
 
@@ -54,6 +62,9 @@
 // task: where the policy allows a third of the workers, one in 400 such
 // requests for one task names none of them.
 constexpr int64_t kRecoveredWorkersPerTask = 15;
+// A bounded first request lists room for this many times the waiting tasks:
+// queues are known whose policy allows three workers in ten.
+constexpr int64_t kListedRoomPerTask = 4;
 // Workers examined in one scan, over all jobs. The first jobs in the start
 // order matter most.
 constexpr int64_t kWorkersPerScan = 2'048;
@@ -130,7 +141,9 @@
     return (spec.task * tasks).FitsIn(allowance + preemptible);
   };
   const bool recovered = !permits.answered && !permits.granted.empty();
+  const bool bounded = HasBoundedFirstRequest(spec, permits);
   int64_t min_listed = may_request ? kMinWorkersPerRequest : 0;
+  if (bounded) min_listed = std::min(min_listed, options_.permit_first_workers);
   if (recovered) min_listed = std::min(min_listed, kRecoveredWorkersPerTask);
   const int64_t tasks = has_no_room || !is_allowed(unit) ? 0 : job.queued;
   int64_t tasks_with_room = 0;  // Denied workers are left out.
@@ -138,10 +151,18 @@
   std::vector<VmId> with_room;
   std::vector<std::pair<WorkerRoom*, int64_t>> taken;
   int64_t taken_tasks = 0;
-  for (WorkerRoom& worker : scan.workers) {
-    const bool full = taken_tasks == tasks || !is_allowed(taken_tasks + 1) ||
-                      (recovered && std::ssize(with_room) >=
-                                        kRecoveredWorkersPerTask * tasks);
+  const size_t workers = scan.workers.size();
+  const size_t first_worker =
+      bounded && workers > 0
+          ? std::hash<std::string>()(job.submitted.job.value()) % workers
+          : 0;
+  for (size_t i = 0; i < workers; ++i) {
+    WorkerRoom& worker = scan.workers[(first_worker + i) % workers];
+    const bool full =
+        taken_tasks == tasks || !is_allowed(taken_tasks + 1) ||
+        (bounded && tasks_with_room >= kListedRoomPerTask * tasks) ||
+        (recovered &&
+         std::ssize(with_room) >= kRecoveredWorkersPerTask * tasks);
     if (tasks == 0 || (full && std::ssize(with_room) >= min_listed)) {
       none_fits = false;  // Not determined.
       break;
@@ -181,6 +202,16 @@
   }
 }
 
+// Urgent requests are cheap, and list all workers. So do those of gangs: a gang
+// starts only once enough permitted workers have room at the same time, and it
+// would need request after request to find them.
+bool Owner::Impl::HasBoundedFirstRequest(const JobSpec& spec,
+                                         const JobPermits& permits) const {
+  return options_.permit_first_workers > 0 && !permits.answered &&
+         permits.granted.empty() && spec.priority != Priority::kUrgent &&
+         !IsAtomicGang(spec);
+}
+
 // Room only shrinks during a scan, so a size that had no room still has none.
 bool Owner::Impl::HasNoRoom(const PermitScan& scan, const std::string& label,
                             const Resources& size) {
@@ -232,7 +263,8 @@
   }
   RequestPermits request{job.submitted.job, {}, *terms};
   const bool recovered = !permits.answered && !permits.granted.empty();
-  if (permits.answered || (recovered && !with_room.empty())) {
+  const bool bounded = recovered || HasBoundedFirstRequest(spec, permits);
+  if (permits.answered || (bounded && !with_room.empty())) {
     request.workers = std::move(with_room);
   } else {
     for (const auto& [vm, worker] : workers_.workers()) {
--- a/azurepass/partition/owner_tasks.cc
+++ b/azurepass/partition/owner_tasks.cc
@@ -74,6 +74,7 @@
   RemoveUnstarted(id.task.job);
   workers_.AddAttempt(LiveAttempt(id, start.vm, AttemptStage::kHeld));
   waits_.OnStart(id.task, now_);
+  overload_.OnStarted(id.task.job, now_);
   if (record_first && !options_.testing.start_without_append) {
     held_starts_[sequence] = id.task;
   } else {
@@ -301,6 +302,7 @@
     ApplyAndAppend(
         TaskRequeued{attempt->id, outcome, from_checkpoint, checkpoint});
     cell_.Release(task, outcome, /*requeue=*/true, now_);
+    overload_.OnRequeued(task.job);
     workers_.RemoveAttempt(task);
     if (waits_.Contains(task)) {
       waits_.OnSetback(task, reason,
--- a/azurepass/partition/owner_workflows.cc
+++ b/azurepass/partition/owner_workflows.cc
@@ -111,6 +111,10 @@
     return;
   }
   if (RefuseWhileStalled(token)) return;
+  if (std::optional<Refusal> refusal = RefuseOverload(r)) {
+    Reply(token, *std::move(refusal));
+    return;
+  }
   WorkflowSubmitted submitted{partition_, r.team, r.request, r.spec,
                               ToWall(now_)};
   const Sequence sequence = last_added_ = commit_.Add(submitted);
@@ -470,7 +474,9 @@
   if (PermitsHaveBegun(*environment_.configuration, spec.queue)) {
     spec.constraints.needs_permit = true;
   }
-  cell_.AddJob(id, job->submitted.team, spec, now_, StartByOf(id));
+  const std::optional<placement::StartBy> start_by = StartByOf(id);
+  cell_.AddJob(id, job->submitted.team, spec, now_, start_by);
+  FollowBacklog(id, start_by);
   for (int32_t index = 0; index < std::ssize(job->tasks); ++index) {
     if (azurepass::IsFinal(job->tasks[index].state)) {
       cell_.CancelTask({id, index});
@@ -517,7 +523,10 @@
   if (workflow == nullptr) return;
   const RequestId request = workflow->submitted.request;
   const LedgerJob* job = live_.Find(id);
-  if (job != nullptr && job->unfinished == 0) permits_.erase(id);
+  if (job != nullptr && job->unfinished == 0) {
+    permits_.erase(id);
+    overload_.Remove(id);
+  }
   if (workflow->failed && !workflow->cancelled) {
     ApplyAndAppend(WorkflowCancelled{request});
     CancelWorkflowTasks(request);
@@ -534,6 +543,7 @@
     const std::vector<TaskId> tasks = UnfinishedTasks(job);
     open.insert(open.end(), tasks.begin(), tasks.end());
     permits_.erase(job);
+    overload_.Remove(job);
   }
   if (!workflow->jobs.empty()) RemoveUnstarted(workflow->jobs.front());
   if (!workflow->cancelled) live_.Apply(WorkflowCancelled{request});
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -561,6 +561,9 @@
   bool refuse_while_stalled = false;
   // How long a request waits for a write whose outcome is unknown.
   Duration unknown_outcome_timeout{60'000};
+  // Refuses submissions at once that would start too late to be useful; see
+  // internal/overload.h. Accounts within their share are never refused.
+  bool refuse_unserviceable = false;
   // Orders every start only after its record is appended, so that the journal
   // names each worker on which a task may run. A new owner then does not wait
   // for workers that do not answer, except for tasks that the journal has
@@ -590,6 +593,10 @@
   Duration permit_denied_retry{3'000};  // After all workers were denied.
   // Interval between two scans of the jobs that may need a permit.
   Duration permit_scan_interval{20};
+  // Workers with room that the first request of a job that is not urgent lists,
+  // or more if its tasks need them. Zero: it lists all workers that could run
+  // the job.
+  int64_t permit_first_workers = 0;
   placement::Options placement;
 
   // Each flag disables one mechanism, so that a test can show that it detects
@@ -617,6 +624,9 @@
   std::vector<std::pair<TeamId, Resources>> committed;
   // Starts that were preempted before they were ordered, since the claim.
   int64_t unordered_preempted = 0;
+  // Submissions refused because they could not be served in time, since the
+  // claim.
+  std::map<QueueId, int64_t> refused_submissions;
 };
 
 class Owner {
--- a/azurepass/scheduling/internal/report.cc
+++ b/azurepass/scheduling/internal/report.cc
@@ -34,6 +34,8 @@
      [](const StatusNotice& n) {
        return Count(n.status.cell.quarantined_workers);
      }},
+    {"azurepass_workers_slow", "workers that are slower than others",
+     [](const StatusNotice& n) { return Count(n.status.cell.slow_workers); }},
     {"azurepass_event_handling_p50_seconds",
      "time an owner takes for an event, median",
      [](const StatusNotice& n) { return Seconds(n.handling_p50); }},
@@ -184,6 +186,15 @@
                  "starts preempted before their worker had them",
                  notice.status.unordered_preempted, PartitionLabel(notice));
   }
+  for (const StatusNotice& notice : partitions) {
+    for (const auto& [queue, count] : notice.status.refused_submissions) {
+      text.Counter("azurepass_submissions_refused_total",
+                   "submissions refused because they would start too late",
+                   count,
+                   PartitionLabel(notice) + "," +
+                       metrics::Label("queue", queue.value()));
+    }
+  }
   AddClaims(claims, text);
   AddTakeovers(partitions, text);
   AddRefusedStarts(partitions, text);
