HTTP server: a budget of bytes for request bodies, and none where none is due

Cause: a crowd whose bodies lack their last bytes took 178 MiB of a VM's 120, and a crowd of short documents of very many fields 229 MiB (crowd_test).

Change: a body draws on a budget before it is read; when too little is left, the one that has stood still for longest is refused as not run. Requests that have no body are refused one before it is read. The number of values of a submitted document is bounded while it is parsed.

--- a/azurepass/codec/codec.cc
+++ b/azurepass/codec/codec.cc
@@ -16,13 +16,15 @@
 }
 
 // Builds a document from the parser's events, which it stops as soon as the
-// nesting passes a bound: before the parser, which recurses for CBOR, follows.
-// The library's own builder with a callback looks through all elements so far
-// at the end of each nested object, which is quadratic for a list of objects;
-// its other one throws for a length that CBOR announces and no list can have.
+// nesting or the number of values passes a bound: before the parser, which
+// recurses for CBOR, follows. The library's own builder with a callback looks
+// through all elements so far at the end of each nested object, which is
+// quadratic for a list of objects; its other one throws for a length that CBOR
+// announces and no list can have.
 class BoundedBuilder : public nlohmann::json_sax<Json> {
  public:
-  explicit BoundedBuilder(int max_depth) : max_depth_(max_depth) {}
+  explicit BoundedBuilder(const ParseLimits& limits)
+      : max_depth_(limits.max_depth), values_left_(limits.max_values) {}
 
   bool null() override { return Add(nullptr); }
   bool boolean(bool value) override { return Add(value); }
@@ -50,7 +52,8 @@
     return false;
   }
 
-  bool exceeded() const { return exceeded_; }
+  bool too_deep() const { return too_deep_; }
+  bool too_many() const { return values_left_ < 0; }
   Json Take() { return std::move(root_); }
 
  private:
@@ -62,12 +65,13 @@
     return parent.back();
   }
   bool Add(Json value) {
+    if (--values_left_ < 0) return false;
     Place(std::move(value));
     return true;
   }
   bool Open(Json empty) {
-    exceeded_ = std::ssize(open_) >= max_depth_;
-    if (exceeded_) return false;
+    too_deep_ = std::ssize(open_) >= max_depth_;
+    if (too_deep_ || --values_left_ < 0) return false;
     open_.push_back(&Place(std::move(empty)));
     return true;
   }
@@ -77,7 +81,8 @@
   }
 
   int max_depth_;
-  bool exceeded_ = false;
+  bool too_deep_ = false;
+  int64_t values_left_;  // Negative once there were too many.
   Json root_;
   std::vector<Json*> open_;  // From the root down.
   std::string key_;          // Of the next element of an object.
@@ -95,6 +100,10 @@
   return "longer than " + std::to_string(limits.max_bytes) + " bytes";
 }
 
+std::string TooManyValues(const ParseLimits& limits) {
+  return "more than " + std::to_string(limits.max_values) + " values";
+}
+
 std::string TooDeep(const ParseLimits& limits) {
   return "nested deeper than " + std::to_string(limits.max_depth) + " levels";
 }
@@ -107,10 +116,11 @@
 
 leaf::result<Json> Parse(std::string_view text, const ParseLimits& limits) {
   if (text.size() > limits.max_bytes) return TooLarge(TooManyBytes(limits));
-  BoundedBuilder builder(limits.max_depth);
+  BoundedBuilder builder(limits);
   const bool whole = Json::sax_parse(text, &builder, Json::input_format_t::json,
                                      /*strict=*/true, limits.allow_comments);
-  if (builder.exceeded()) return TooLarge(TooDeep(limits));
+  if (builder.too_deep()) return TooLarge(TooDeep(limits));
+  if (builder.too_many()) return TooLarge(TooManyValues(limits));
   if (!whole) return Malformed("not a JSON document");
   return builder.Take();
 }
@@ -124,10 +134,11 @@
 leaf::result<Json> ParseCbor(std::string_view bytes,
                              const ParseLimits& limits) {
   if (bytes.size() > limits.max_bytes) return TooLarge(TooManyBytes(limits));
-  BoundedBuilder builder(limits.max_depth);
+  BoundedBuilder builder(limits);
   const bool whole =
       Json::sax_parse(bytes, &builder, Json::input_format_t::cbor);
-  if (builder.exceeded()) return TooLarge(TooDeep(limits));
+  if (builder.too_deep()) return TooLarge(TooDeep(limits));
+  if (builder.too_many()) return TooLarge(TooManyValues(limits));
   if (!whole) return Malformed("not a CBOR document");
   return builder.Take();
 }
--- a/azurepass/codec/codec.h
+++ b/azurepass/codec/codec.h
@@ -61,6 +61,9 @@
 struct ParseLimits {
   size_t max_bytes = size_t{1} << 20;
   int max_depth = 32;
+  // Of values of all kinds. A value takes many times the bytes of its shortest
+  // text, so that the length alone does not bound the memory.
+  int64_t max_values = int64_t{1} << 24;
   bool allow_comments = false;  // // and /* */, as in settings.
 };
 
--- a/azurepass/httpserver/httpserver.cc
+++ b/azurepass/httpserver/httpserver.cc
@@ -31,6 +31,7 @@
 #include <charconv>
 #include <utility>
 
+#include "azurepass/httpserver/internal/body_budget.h"
 #include "azurepass/httpserver/internal/lingering_close.h"
 #include "azurepass/httpserver/internal/read_ahead.h"
 
@@ -52,6 +53,10 @@
 // Connections that are refused, for each line of the log.
 constexpr int kConnectionsPerLine = 100;
 
+// libsoup collects a body in pieces and then copies them together, so that it
+// holds the body twice for a moment.
+constexpr int64_t kCopiesOfBody = 2;
+
 enum class State { kReading, kHandling, kWriting, kRefused };
 
 Method MethodOf(const char* name) {
@@ -195,8 +200,9 @@
     GSocket* socket = nullptr;             // Key of connections_, or null.
     GSocket* second_handle = nullptr;      // In kReading; for a last answer.
     GSource* reset = nullptr;              // In kHandling.
-    gulong disconnected = 0;               // Signal handler of message.
-    bool counted = false;                  // In open_requests_.
+    gulong disconnected = 0;               // Signal handlers of message.
+    gulong got_chunk = 0;
+    bool counted = false;        // In open_requests_.
     bool last = false;           // The connection ends with this answer.
     bool client_closes = false;  // The client keeps no connection.
     bool more_follows = false;   // libsoup may have read a further request.
@@ -252,6 +258,9 @@
   Exchange* Find(SoupServerMessage* message);
   Exchange* Find(ExchangeId id);
   std::optional<Response> Objection(SoupServerMessage* message) const;
+  // Reserves memory for the body that the headers announce; others may have to
+  // give way. Returns a refusal if there is too little.
+  std::optional<Response> ReserveBody(const Exchange& exchange);
 
   task::Loop& loop_;
   const Options options_;
@@ -270,6 +279,7 @@
   std::map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
   std::map<GSocket*, Connection> connections_;  // Sockets held by references.
   std::map<SoupServerMessage*, ExchangeId> ids_;
+  internal::BodyBudget bodies_;
   int64_t last_linger_ = 0;
   std::map<int64_t, std::unique_ptr<internal::LingeringClose>> lingering_;
 };
@@ -282,7 +292,8 @@
       server_(soup_server_new("server-header", "azurepass", nullptr)),
       accept_timer_(loop),
       idle_timer_(loop),
-      kept_timer_(loop) {
+      kept_timer_(loop),
+      bodies_(options_.body_budget_bytes) {
   g_signal_connect_swapped(
       server_, "request-started",
       G_CALLBACK(+[](Impl* self, SoupServerMessage* message, SoupServer*) {
@@ -391,6 +402,15 @@
         self->OnDisconnected(gone);
       }),
       this);
+  exchange->got_chunk = g_signal_connect_swapped(
+      message, "got-chunk",
+      G_CALLBACK(+[](Impl* self, GBytes*, SoupServerMessage* reading) {
+        const Exchange* found = self->Find(reading);
+        if (found != nullptr) {
+          self->bodies_.OnProgress(found->id, BootClock::now());
+        }
+      }),
+      this);
   GSocket* socket = soup_server_message_get_socket(message);
   bool is_new_connection = false;
   if (socket != nullptr) {
@@ -494,16 +514,48 @@
                   "the body is longer than " +
                       std::to_string(options_.max_body_bytes) + " bytes");
   }
+  if (encoding == SOUP_ENCODING_CONTENT_LENGTH && options_.takes_body &&
+      soup_message_headers_get_content_length(headers) > 0 &&
+      !options_.takes_body(
+          MethodOf(soup_server_message_get_method(message)),
+          g_uri_get_path(soup_server_message_get_uri(message)))) {
+    return Refuse(413, RefusalCode::kTooLarge, "this request takes no body");
+  }
   if (open_requests_ >= options_.max_requests) {
     return Unavailable("too many requests at once; ask again");
   }
   return std::nullopt;
 }
 
+std::optional<Response> Server::Impl::ReserveBody(const Exchange& exchange) {
+  SoupMessageHeaders* headers =
+      soup_server_message_get_request_headers(exchange.message);
+  if (soup_message_headers_get_encoding(headers) !=
+      SOUP_ENCODING_CONTENT_LENGTH) {
+    return std::nullopt;
+  }
+  const int64_t bytes =
+      kCopiesOfBody * soup_message_headers_get_content_length(headers);
+  if (bytes == 0) return std::nullopt;
+  while (!bodies_.Fits(bytes)) {
+    const std::optional<ExchangeId> idle = bodies_.LeastRecentlyActive();
+    if (!idle) return Unavailable("too many bytes at once; ask again");
+    LOG_EVERY_N(WARNING, kConnectionsPerLine)
+        << "event=refuse_body reason=budget exchange=" << idle->value
+        << " reserved_bytes=" << bodies_.reserved();
+    bodies_.Release(*idle);
+    RefuseLater(*Find(*idle),
+                Unavailable("too many bytes at once; the body came slowly"));
+  }
+  bodies_.Reserve(exchange.id, bytes, BootClock::now());
+  return std::nullopt;
+}
+
 void Server::Impl::OnHeaders(SoupServerMessage* message) {
   Exchange* exchange = Find(message);
   if (exchange == nullptr) return;
   std::optional<Response> objection = Objection(message);
+  if (!objection) objection = ReserveBody(*exchange);
   if (!objection) return;
   // The rest of the request is unread, so that the connection can't go on.
   RefuseLater(*exchange, *std::move(objection));
@@ -534,6 +586,8 @@
       &request.headers);
   SoupMessageBody* body = soup_server_message_get_request_body(message);
   if (body->data != nullptr) request.body.assign(body->data, body->length);
+  soup_message_body_truncate(body);
+  bodies_.OnRead(exchange->id);
   exchange->client_closes = !KeepsConnection(message);
   if (exchange->socket != nullptr) {
     exchange->more_follows =
@@ -717,6 +771,8 @@
   }
   g_clear_object(&exchange.second_handle);
   g_signal_handler_disconnect(exchange.message, exchange.disconnected);
+  g_signal_handler_disconnect(exchange.message, exchange.got_chunk);
+  bodies_.Release(id);
   if (exchange.counted) --open_requests_;
   ids_.erase(exchange.message);
   GSocket* socket = exchange.socket;
--- a/azurepass/httpserver/httpserver.h
+++ b/azurepass/httpserver/httpserver.h
@@ -11,6 +11,9 @@
 //     body without a Content-Length: 411.
 //   * A request that is not read whole within read_timeout: 408. An answer
 //     that is not taken within write_timeout: the connection is closed.
+//   * Bodies of all requests together over body_budget_bytes: the request whose
+//     body has stood still for longest is refused with 503, or the new one if
+//     none is being read.
 //   * More than max_requests at once: 503. Connections over max_connections
 //     are answered with 503 and closed; over max_excess_connections more, they
 //     are closed at once.
@@ -46,9 +49,16 @@
 
 namespace azurepass::httpserver {
 
+enum class Method { kGet, kPost, kPut, kDelete, kOther };
+
 struct Options {
   std::string address;  // "IP:PORT"; port 0 lets the kernel choose.
   int64_t max_body_bytes = 1 << 20;
+  // Returns whether a request with this method and path may have a body at all;
+  // it is asked before the body is read. If empty, every request may.
+  std::function<bool(Method, const std::string& path)> takes_body{};
+  // Of the bodies that are read or handled at once.
+  int64_t body_budget_bytes = int64_t{1} << 30;
   int64_t max_header_bytes = 16 << 10;
   int64_t max_requests = 4'096;
   int64_t max_connections = 2'048;
@@ -64,8 +74,6 @@
   auto operator<=>(const ExchangeId&) const = default;
 };
 
-enum class Method { kGet, kPost, kPut, kDelete, kOther };
-
 struct Request {
   Method method = Method::kOther;
   std::vector<std::string> path;  // "/v1/jobs/7" is {"v1", "jobs", "7"}.
