Permits under load, bounds on clients: settings and wiring

Cause: urgent requests for permits waited behind long ones of other owners, and requests went again and again to VMs that could not be reached.

Change: a VM's queue takes the cheapest request first and puts none behind a long one; some VMs take short requests only; VMs that do not answer are ejected and probed. Places for connections follow from the VM's descriptors, and a new connection takes that of the one whose request has been awaited for longest.

--- a/azurepass/daemons/node.cc
+++ b/azurepass/daemons/node.cc
@@ -67,9 +67,34 @@
   return options;
 }
 
-permit::Options PermitOptions() {
+httpserver::Options ClientOptions(const settings::NodeSettings& settings) {
+  httpserver::Options options = HttpOptions(settings.process.http_address);
+  options.max_body_bytes = settings.clients.max_body_bytes;
+  options.body_budget_bytes = settings.clients.BodyBudgetBytes();
+  options.max_connections = settings.clients.MaxConnections();
+  return options;
+}
+
+// For addresses at which no request has a body.
+httpserver::Options BodylessOptions(const std::string& address) {
+  httpserver::Options options = HttpOptions(address);
+  options.max_body_bytes = 0;
+  return options;
+}
+
+permit::Options PermitOptions(const settings::PermitSettings& settings) {
   permit::Options options;
   options.seed = RandomNumber();
+  options.short_cost = settings.short_cost;
+  options.reserved_percent = settings.reserved_percent;
+  options.ejection = settings.ejection;
+  return options;
+}
+
+permit::QueueOptions PermitQueueOptions(
+    const settings::PermitSettings& settings) {
+  permit::QueueOptions options;
+  options.short_cost = settings.short_cost;
   return options;
 }
 
@@ -102,6 +127,14 @@
   options.owner.append_timeout = kAppendWait;
   options.owner.unknown_outcome_timeout = kUnknownWait;
   options.owner.completion_wait = kNearEndWait;
+  options.owner.refuse_unserviceable = settings.overload.refuse_unserviceable;
+  if (settings.overload.least_work_first) {
+    options.owner.placement.late_order = placement::LeastWork{};
+  }
+  if (settings.overload.learn_worker_speeds) {
+    options.owner.placement.speeds = placement::LearnedSpeeds{};
+  }
+  options.owner.permit_first_workers = settings.permits.first_workers;
   options.owner.placement.initial_backoff = kFirstBackoff;
   options.owner.placement.max_backoff = kLongestBackoff;
   options.owner.placement.bound_retries = false;
@@ -190,12 +223,13 @@
     : settings_(settings),
       mailbox_(loop, [this](const Message& m) { Handle(m); }),
       shutdown_timer_(loop),
-      readiness_(loop, HttpOptions(settings.ready_address)),
+      readiness_(loop, BodylessOptions(settings.ready_address)),
       platform_store_(loop, PlatformStore(settings)),
       store_(loop, store::HedgeOptions{}, platform_store_.address()),
       worker_calls_(loop),
       permit_calls_(loop, settings.permit_address),
-      permit_queue_(loop, permit_calls_.address()),
+      permit_queue_(loop, PermitQueueOptions(settings.permits),
+                    permit_calls_.address()),
       entry_client_(loop, entry::ClientOptions{}),
       incoming_(loop),
       entry_server_(loop, EntryOptions(settings.process.entry_address),
@@ -209,7 +243,7 @@
       layouts_(loop, LayoutOptions(settings), store_.address()),
       workers_(loop, EndpointOptions(settings.cell), worker_calls_.address()),
       escrow_(loop, escrow::Options{}, store_.address()),
-      permits_(loop, PermitOptions(), permit_queue_.address(),
+      permits_(loop, PermitOptions(settings.permits), permit_queue_.address(),
                entry_client_.address()),
       manager_(loop, SchedulingOptions(settings),
                {store_.address(), workers_.address(), escrow_.address(),
@@ -218,8 +252,7 @@
       registry_(loop, settings.cell.timing.watch_wait, store_.address(),
                 Both(layouts_.address(), manager_.address())),
       dispatcher_(loop, RoutingOptions(settings), entry_client_.address()),
-      front_(loop, HttpOptions(settings.process.http_address),
-             dispatcher_.callers()) {
+      front_(loop, ClientOptions(settings), dispatcher_.callers()) {
   incoming_.Connect(manager_.address());
   keeper_.address().Send(configuration::Subscribe{manager_.address()});
   keeper_.address().Send(configuration::Subscribe{dispatcher_.updates()});
@@ -232,7 +265,7 @@
   agent_.address().Send(membership::Subscribe{dispatcher_.views()});
   if (!settings.metrics_address.empty()) {
     exporter_.emplace(
-        loop, HttpOptions(settings.metrics_address),
+        loop, BodylessOptions(settings.metrics_address),
         std::vector<metrics::Source>{{"scheduling", manager_.address()},
                                      {"routing", dispatcher_.metrics()}});
   }
--- a/azurepass/entry/entry.h
+++ b/azurepass/entry/entry.h
@@ -61,6 +61,9 @@
 struct RelayPermits {
   JobId job;
   std::vector<VmId> workers;
+  // Time that the service takes to decide; 0: not told. Versions before this
+  // field can't read it.
+  Duration cost{0};
 };
 using Request =
     std::variant<partition::SubmitJob, partition::GetJob, partition::CancelJob,
--- a/azurepass/entry/internal/message_formats.cc
+++ b/azurepass/entry/internal/message_formats.cc
@@ -292,12 +292,23 @@
 template <>
 struct Format<Wire<entry::RelayPermits>> {
   static Wire<entry::RelayPermits> Read(ObjectReader& reader) {
-    return {{reader.Name<JobId>("job"), reader.Names<VmId>("workers")}};
+    entry::RelayPermits relay{reader.Name<JobId>("job"),
+                              reader.Names<VmId>("workers"), Duration(0)};
+    relay.cost =
+        reader.Millis("cost_ms", Duration(0), kLongestDecision, relay.cost);
+    return {std::move(relay)};
   }
   static Json Write(const Wire<entry::RelayPermits>& wire) {
-    return {{"job", wire.value.job.value()},
-            {"workers", WriteNames(wire.value.workers)}};
+    Json out = {{"job", wire.value.job.value()},
+                {"workers", WriteNames(wire.value.workers)}};
+    if (wire.value.cost > Duration(0)) {
+      out["cost_ms"] = wire.value.cost.count();
+    }
+    return out;
   }
+
+ private:
+  static constexpr Duration kLongestDecision{std::chrono::hours(1)};
 };
 
 // --- Responses
--- a/azurepass/httpserver/body_budget_test.cc
+++ b/azurepass/httpserver/body_budget_test.cc
@@ -1,9 +1,9 @@
 // Tests which requests may draw on the budget of bytes, and which give way.
 
-#include <doctest/doctest.h>
-
 #include "azurepass/httpserver/internal/body_budget.h"
 
+#include <doctest/doctest.h>
+
 namespace azurepass::httpserver::internal {
 namespace {
 
--- a/azurepass/httpserver/httpserver.cc
+++ b/azurepass/httpserver/httpserver.cc
@@ -255,6 +255,9 @@
   void Forget(ExchangeId id, bool kept = false);
   Response HeadersTooLong() const;
   void RefuseConnection(Exchange& exchange);
+  // Returns the exchange, other than this one, whose request has been awaited
+  // for longest; null if there is none.
+  Exchange* LongestReading(ExchangeId except);
   Exchange* Find(SoupServerMessage* message);
   Exchange* Find(ExchangeId id);
   std::optional<Response> Objection(SoupServerMessage* message) const;
@@ -426,7 +429,9 @@
   Exchange& kept = *(exchanges_[id] = std::move(exchange));
   if (is_new_connection &&
       std::ssize(connections_) > options_.max_connections) {
-    return RefuseConnection(kept);
+    Exchange* idle = LongestReading(kept.id);
+    RefuseConnection(idle != nullptr ? *idle : kept);
+    if (idle == nullptr) return;
   }
   if (refuse_idle_ && is_new_connection) RefuseLater(kept, ShuttingDown());
   if (kept.socket != nullptr && connections_.at(kept.socket).refused) {
@@ -472,6 +477,15 @@
   CheckDrained();
 }
 
+Server::Impl::Exchange* Server::Impl::LongestReading(ExchangeId except) {
+  for (const auto& [id, exchange] : exchanges_) {
+    if (exchange->state == State::kReading && id != except) {
+      return exchange.get();
+    }
+  }
+  return nullptr;
+}
+
 void Server::Impl::RefuseConnection(Exchange& exchange) {
   const int64_t excess = std::ssize(connections_) + std::ssize(lingering_) -
                          options_.max_connections;
@@ -557,6 +571,8 @@
   std::optional<Response> objection = Objection(message);
   if (!objection) objection = ReserveBody(*exchange);
   if (!objection) return;
+  // libsoup would read on what has arrived before it returns.
+  soup_server_message_pause(message);
   // The rest of the request is unread, so that the connection can't go on.
   RefuseLater(*exchange, *std::move(objection));
 }
--- a/azurepass/httpserver/httpserver.h
+++ b/azurepass/httpserver/httpserver.h
@@ -14,9 +14,10 @@
 //   * Bodies of all requests together over body_budget_bytes: the request whose
 //     body has stood still for longest is refused with 503, or the new one if
 //     none is being read.
-//   * More than max_requests at once: 503. Connections over max_connections
-//     are answered with 503 and closed; over max_excess_connections more, they
-//     are closed at once.
+//   * More than max_requests at once: 503. A connection over max_connections
+//     takes the place of the one whose request has been awaited for longest, if
+//     there is one. The one without a place is answered with 503 and closed;
+//     over max_excess_connections more, they are closed at once.
 //   * A request that its owner leaves without an answer for answer_timeout is
 //     refused with the effect "unknown".
 //
--- a/azurepass/partition/owner_overload.cc
+++ b/azurepass/partition/owner_overload.cc
@@ -14,7 +14,6 @@
 
 using internal::LedgerJob;
 using internal::OverloadControl;
-using internal::Stream;
 
 namespace {
 
--- a/azurepass/permit/broker.cc
+++ b/azurepass/permit/broker.cc
@@ -6,15 +6,24 @@
 // request therefore yields to cheaper ones for a time in proportion to its
 // cost, and bounded. Then it is sent next, to the first VM whose backlog, not
 // counting this request, is within the bound.
+//
+// Several brokers share the VMs, and none sees the backlogs that the others
+// cause. A short request that meets another broker's long one waits for all of
+// it. Therefore some VMs, the same ones for all brokers, are reserved for short
+// requests (size-based assignment); short requests use the other VMs only when
+// the reserved ones are full.
 
 #include <glog/logging.h>
 
 #include <algorithm>
 #include <map>
-#include <set>
+#include <optional>
 #include <tuple>
 #include <utility>
+#include <vector>
 
+#include "azurepass/permit/internal/cost_order.h"
+#include "azurepass/permit/internal/outlier_ejection.h"
 #include "azurepass/permit/permit.h"
 
 namespace azurepass::permit {
@@ -23,9 +32,11 @@
 // The key of this VM among the targets; the key of a peer is its address.
 constexpr char kLocal[] = "";
 
-// A request yields to cheaper ones for this multiple of its cost, up to
-// Options::max_yield.
-constexpr int kYieldFactor = 2;
+// Ejections end at the latest after this time, so that a VM that is back is
+// found within seconds.
+constexpr Duration kMaxEjection{4'000};
+
+constexpr int64_t kPercent = 100;
 
 }  // namespace
 
@@ -36,7 +47,9 @@
       : options_(options),
         service_(std::move(service)),
         peers_(std::move(peers)),
+        ejection_(options.ejection, kMaxEjection),
         failed_timer_(loop),
+        ejection_timer_(loop),
         mailbox_(loop, [this](Inbox m) { Handle(std::move(m)); }) {
     targets_[kLocal];
   }
@@ -53,9 +66,12 @@
     // brokers share the VMs and do not see each other's requests, so each
     // broker uses a different order.
     uint64_t order = 0;
+    // Takes short requests only.
+    bool reserved = false;
     // No longer a member; erased once all its requests are answered.
     bool removed = false;
   };
+  using Targets = std::map<std::string, Target>;
   // Never 0, which is the order of this VM.
   uint64_t TieBreakOrderOf(const std::string& name) const {
     return std::hash<std::string>()(name + '/' +
@@ -65,21 +81,11 @@
   struct Completed {
     std::string target;
     Duration cost{0};
+    MonotonicTime sent_at;
     JobId job;
     task::Address<Result> reply_to;
     Result result;
   };
-  // By cost. Requests of equal cost are in an order that differs between
-  // brokers: an owner that is replaced before all of its requests are decided
-  // would otherwise leave out the same steps as its predecessor.
-  using Place = std::tuple<Duration, uint64_t, int64_t>;
-  Place PlaceOf(const Request& request, int64_t serial) const {
-    return {request.cost, TieBreakOrderOf(request.job.value()), serial};
-  }
-  struct WaitingRequest {
-    Request request;
-    MonotonicTime yield_deadline;  // Yields to cheaper requests until then.
-  };
   // Its cost counts in the target's backlog for as long again.
   struct FailedRequest {
     std::string target;
@@ -106,6 +112,7 @@
                     target.removed = false;
                     target.order = TieBreakOrderOf(address);
                   }
+                  ReserveTargets();
                   RemoveIdleTargets();
                 }},
         message);
@@ -116,6 +123,9 @@
       LOG(WARNING) << "event=permits_failed job=" << completed.job.value()
                    << " by=" << completed.target << " reason=\""
                    << failed->message << "\"";
+      if (!failed->answered) Eject(completed);
+    } else {
+      ejection_.OnSuccess(completed.target);
     }
     if (std::holds_alternative<Failed>(completed.result)) {
       failed_.emplace(BootClock::now() + completed.cost,
@@ -127,6 +137,33 @@
     completed.reply_to.Send(std::move(completed.result));
   }
 
+  void Eject(const Completed& failed) {
+    const MonotonicTime now = BootClock::now();
+    const MonotonicTime before = ejection_.EjectedUntil(failed.target);
+    ejection_.OnFailure(failed.target, failed.sent_at, now);
+    const MonotonicTime until = ejection_.EjectedUntil(failed.target);
+    if (until == before) return;
+    LOG(WARNING) << "event=permit_vm_ejected vm=" << failed.target << " for_ms="
+                 << std::chrono::ceil<Duration>(until - now).count();
+  }
+
+  // Reserves the VMs whose addresses have the lowest hashes. The hash does not
+  // depend on the broker, so all brokers reserve the same VMs. The own address
+  // of this VM is not known here, and it is never reserved.
+  void ReserveTargets() {
+    if (options_.short_cost <= Duration(0)) return;
+    std::vector<std::pair<size_t, Target*>> members;
+    for (auto& [address, target] : targets_) {
+      target.reserved = false;
+      if (address == kLocal || target.removed) continue;
+      members.emplace_back(std::hash<std::string>()(address), &target);
+    }
+    std::sort(members.begin(), members.end());
+    const int64_t reserved =
+        std::ssize(members) * options_.reserved_percent / kPercent;
+    for (int64_t i = 0; i < reserved; ++i) members[i].second->reserved = true;
+  }
+
   void Release(const std::string& target, Duration cost) {
     targets_[target].backlog -= cost;
     RemoveIdleTargets();
@@ -150,71 +187,130 @@
   }
 
   void RemoveIdleTargets() {
-    std::erase_if(targets_, [](const auto& item) {
-      return item.second.removed && item.second.backlog <= Duration(0);
+    std::erase_if(targets_, [this](const auto& item) {
+      const bool idle =
+          item.second.removed && item.second.backlog <= Duration(0);
+      if (idle) ejection_.Remove(item.first);
+      return idle;
     });
   }
 
+  bool IsShort(Duration cost) const { return cost <= options_.short_cost; }
+
   void Enqueue(Request request) {
     const int64_t serial = ++last_serial_;
-    const MonotonicTime yield_deadline =
-        BootClock::now() +
-        std::min(kYieldFactor * request.cost, options_.max_yield);
-    by_cost_.insert(PlaceOf(request, serial));
-    by_yield_deadline_.emplace(yield_deadline, serial);
-    waiting_.emplace(serial,
-                     WaitingRequest{std::move(request), yield_deadline});
+    // An owner that is replaced before all of its requests are decided would
+    // leave out the same steps as its predecessor if requests of equal cost
+    // were in the same order for all brokers.
+    (IsShort(request.cost) ? short_ : long_)
+        .Add(serial, request.cost, TieBreakOrderOf(request.job.value()),
+             options_.max_yield, BootClock::now());
+    waiting_.emplace(serial, std::move(request));
   }
 
   // Sends waiting requests while a VM has room for them. While requests wait,
   // others are outstanding or in failed_, and the end of each leads here.
   void SendWaiting() {
-    while (!waiting_.empty()) {
-      const auto least_loaded = std::min_element(
-          targets_.begin(), targets_.end(), [](const auto& a, const auto& b) {
-            return std::tuple(a.second.removed, a.second.backlog,
-                              a.second.order) < std::tuple(b.second.removed,
-                                                           b.second.backlog,
-                                                           b.second.order);
-          });
-      Target& target = least_loaded->second;
-      const auto [yield_deadline, oldest] = *by_yield_deadline_.begin();
-      const bool overdue = yield_deadline <= BootClock::now();
-      const auto& [cost, order, cheapest] = *by_cost_.begin();
-      const bool full = overdue
-                            ? target.backlog > options_.max_backlog
-                            : target.backlog > Duration(0) &&
-                                  target.backlog + cost > options_.max_backlog;
-      if (full) return;
-      Request request = Dequeue(overdue ? oldest : cheapest);
-      target.backlog += request.cost;
-      // Another broker may have sent the VM a request like this one.
-      const Duration timeout = target.backlog + request.cost + options_.slack;
-      SendTo(least_loaded->first, timeout, std::move(request));
+    while (SendNext(short_)) {
+    }
+    while (SendNext(long_)) {
     }
+    RetryAfterEjection();
   }
 
-  Request Dequeue(int64_t serial) {
-    const auto found = waiting_.find(serial);
-    Request request = std::move(found->second.request);
-    by_cost_.erase(PlaceOf(request, serial));
-    by_yield_deadline_.erase({found->second.yield_deadline, serial});
+  // Sends the next request in this order. Returns false if there is none, or if
+  // no VM has room for it.
+  bool SendNext(internal::CostOrder& waiting) {
+    if (waiting.empty()) return false;
+    const MonotonicTime now = BootClock::now();
+    const internal::CostOrder::Head head = waiting.Next(now);
+    const auto found = waiting_.find(head.serial);
+    const Duration cost = found->second.cost;
+    const Targets::iterator chosen = TargetFor(cost, now);
+    if (chosen == targets_.end()) return false;
+    Target& target = chosen->second;
+    const bool full = head.overdue
+                          ? target.backlog > options_.max_backlog
+                          : target.backlog > Duration(0) &&
+                                target.backlog + cost > options_.max_backlog;
+    if (full) return false;
+    Request request = std::move(found->second);
+    waiting.Remove(head.serial);
     waiting_.erase(found);
-    return request;
+    target.backlog += cost;
+    ejection_.OnSent(chosen->first, now);
+    // Another broker may have sent the VM a request like this one.
+    const Duration timeout = target.backlog + cost + options_.slack;
+    SendTo(chosen->first, timeout, std::move(request));
+    return true;
+  }
+
+  // Returns the VM that a request of this cost is sent to.
+  Targets::iterator TargetFor(Duration cost, MonotonicTime now) {
+    if (IsShort(cost)) {
+      const auto reserved = LeastLoaded(
+          now, [](const Target& target) { return target.reserved; });
+      if (reserved != targets_.end() &&
+          reserved->second.backlog + cost <= options_.max_backlog) {
+        return reserved;
+      }
+      return LeastLoaded(now, [](const Target&) { return true; });
+    }
+    const auto found =
+        LeastLoaded(now, [](const Target& target) { return !target.reserved; });
+    // Only reserved VMs are left.
+    if (found == targets_.end()) {
+      return LeastLoaded(now, [](const Target&) { return true; });
+    }
+    return found;
+  }
+
+  template <class Admits>
+  Targets::iterator LeastLoaded(MonotonicTime now, Admits admits) {
+    const auto rank = [](const Target& target) {
+      return std::tuple(target.removed, target.backlog, target.order);
+    };
+    auto least = targets_.end();
+    for (auto it = targets_.begin(); it != targets_.end(); ++it) {
+      if (!admits(it->second) || !ejection_.IsUsable(it->first, now)) continue;
+      if (least == targets_.end() || rank(it->second) < rank(least->second)) {
+        least = it;
+      }
+    }
+    return least;
+  }
+
+  // With all VMs ejected, no answer leads to the next attempt.
+  void RetryAfterEjection() {
+    if (waiting_.empty()) return ejection_timer_.Cancel();
+    std::optional<MonotonicTime> first;
+    const MonotonicTime now = BootClock::now();
+    for (const auto& [name, target] : targets_) {
+      const MonotonicTime until = ejection_.EjectedUntil(name);
+      if (until > now && (!first || until < *first)) first = until;
+    }
+    if (!first) return ejection_timer_.Cancel();
+    ejection_timer_.After(std::chrono::ceil<Duration>(*first - now),
+                          [this] { SendWaiting(); });
   }
 
   void SendTo(const std::string& target, Duration timeout, Request request) {
-    const auto completed = [target, cost = request.cost, job = request.job,
+    const auto completed = [target, cost = request.cost,
+                            sent_at = BootClock::now(), job = request.job,
                             to = request.reply_to](Result result) {
-      return Inbox(Completed{target, cost, job, to, std::move(result)});
+      return Inbox(
+          Completed{target, cost, sent_at, job, to, std::move(result)});
     };
+    const Duration told_cost =
+        options_.short_cost > Duration(0) ? request.cost : Duration(0);
     if (target == kLocal) {
       service_.Send({request.job, std::move(request.workers), timeout,
-                     mailbox_.address().Map<Result>(completed)});
+                     mailbox_.address().Map<Result>(completed), told_cost});
       return;
     }
     peers_.Send({target,
-                 entry::RelayPermits{request.job, std::move(request.workers)},
+                 entry::RelayPermits{request.job, std::move(request.workers),
+                                     told_cost},
                  timeout,
                  mailbox_.address().Map<entry::CallResult>(
                      [completed](entry::CallResult result) {
@@ -231,20 +327,23 @@
       return Issued{std::move(relayed->permits), relayed->validity};
     }
     const auto* refusal = std::get_if<Refusal>(&response);
-    return Failed{refusal != nullptr ? refusal->message : "another answer"};
+    return Failed{refusal != nullptr ? refusal->message : "another answer",
+                  true};
   }
 
   const Options options_;
   const task::Address<ServiceRequest> service_;
   const task::Address<entry::Call> peers_;
-  std::map<std::string, Target> targets_;
-  // Invariant: each waiting request is in both by_cost_ and by_yield_deadline_.
-  std::map<int64_t, WaitingRequest> waiting_;
-  std::set<Place> by_cost_;
-  std::set<std::pair<MonotonicTime, int64_t>> by_yield_deadline_;
+  Targets targets_;
+  internal::OutlierEjection ejection_;
+  // Invariant: each waiting request is in either short_ or long_.
+  std::map<int64_t, Request> waiting_;
+  internal::CostOrder short_;
+  internal::CostOrder long_;
   int64_t last_serial_ = 0;
   std::multimap<MonotonicTime, FailedRequest> failed_;  // By their release.
   task::Timer failed_timer_;
+  task::Timer ejection_timer_;
   task::Mailbox<Inbox> mailbox_;
 };
 
--- a/azurepass/permit/permit.h
+++ b/azurepass/permit/permit.h
@@ -38,6 +38,8 @@
 };
 struct Failed {
   std::string message;
+  // The VM answered, so that it can be reached.
+  bool answered = false;
 };
 using Result = std::variant<Issued, Failed>;
 
@@ -47,6 +49,7 @@
   std::vector<VmId> workers;
   Duration timeout{0};
   task::Address<Result> reply_to;
+  Duration cost{0};  // Time that the service takes to decide; 0: not told.
 };
 
 // The other members that can relay requests to the service; replaces the
@@ -66,6 +69,14 @@
   // Added to the backlog and the request's own cost to get its timeout.
   Duration slack{1'000};
   uint64_t seed = 1;  // Of the order among VMs with equal backlogs.
+  // Requests up to this cost are short. Zero: no request is, no VM is reserved
+  // for short requests, and other VMs are not told the costs (which versions
+  // before this option can't read).
+  Duration short_cost{0};
+  int64_t reserved_percent = 0;  // Of the other VMs, for short requests.
+  // For this time a VM that didn't answer a request is not sent any; each
+  // further failure doubles it. Zero: never.
+  Duration ejection{0};
 };
 
 // A request to the broker. `cost` is the time that the service takes to decide.
@@ -93,12 +104,22 @@
   std::shared_ptr<Impl> impl_;
 };
 
-// The requests of this VM to the service, in order of arrival. At most two are
-// with the service at a time. A request whose timeout passes while it waits is
-// answered with Failed and never sent.
+struct QueueOptions {
+  // Requests up to this cost are short. Requests are in order of their cost, an
+  // expensive one yields to cheaper ones for at most `max_yield`, and none is
+  // with the service behind one that is not short. Zero: requests are in order
+  // of arrival.
+  Duration short_cost{0};
+  Duration max_yield{300};  // Its broker has had it yield before.
+};
+
+// The requests of this VM to the service. At most two are with the service at a
+// time. A request whose timeout passes while it waits is answered with Failed
+// and never sent.
 class Queue {
  public:
-  Queue(task::Loop& loop, task::Address<ServiceRequest> service);
+  Queue(task::Loop& loop, QueueOptions options,
+        task::Address<ServiceRequest> service);
   ~Queue();
   Queue(const Queue&) = delete;
   Queue& operator=(const Queue&) = delete;
--- a/azurepass/placement/overload_order_test.cc
+++ b/azurepass/placement/overload_order_test.cc
@@ -91,17 +91,18 @@
 // Guards against a large job whose time runs out, and that is started before
 // several small ones, which are useless then.
 TEST_CASE("under overload small late jobs start before a large one") {
-  const std::vector<LateJob> jobs = {
-      {seconds(9), seconds(2)}, {seconds(1), seconds(4)},
-      {seconds(1), seconds(4)}, {seconds(1), seconds(4)}};
+  const std::vector<LateJob> jobs = {{seconds(9), seconds(2)},
+                                     {seconds(1), seconds(4)},
+                                     {seconds(1), seconds(4)},
+                                     {seconds(1), seconds(4)}};
   CHECK(ServedBy(LeastWork{}, jobs) == 3);
   CHECK(ServedBy(EarliestDeadline{}, jobs) == 1);
   CHECK(MostServed(jobs) == 3);
 }
 
 // Of the jobs of the best order that are not started here before, at most one
-// begins while a job runs here, since none of them is shorter. So the best order
-// serves at most twice as many.
+// begins while a job runs here, since none of them is shorter. So the best
+// order serves at most twice as many.
 TEST_CASE("least work first serves at least half of what the best order does") {
   std::mt19937 random(20'261'206);
   int64_t least_work = 0;
--- a/azurepass/placement/speed_test.cc
+++ b/azurepass/placement/speed_test.cc
@@ -66,7 +66,9 @@
     REQUIRE(started.size() == kWorkers * kTasksPerWorker);
     std::multimap<milliseconds, TaskId> ends;
     for (const auto& [task, vm] : started) {
-      const int factor = task.index == straggler ? 7 : slow.contains(vm) ? 2 : 1;
+      const int factor = task.index == straggler ? 7
+                         : slow.contains(vm)     ? 2
+                                                 : 1;
       ends.emplace(factor * kRunTime, task);
     }
     const MonotonicTime began = now_;
@@ -109,17 +111,19 @@
   }
   CHECK(learned.cell().Status().slow_workers == 1);
   const int tasks = (kWorkers - 1) * kTasksPerWorker;
-  CHECK_FALSE(
-      WorkersOf(learned.StartJob(Priority::kUrgent, tasks)).contains(VmId("w0")));
-  CHECK(
-      WorkersOf(uniform.StartJob(Priority::kUrgent, tasks)).contains(VmId("w0")));
+  CHECK_FALSE(WorkersOf(learned.StartJob(Priority::kUrgent, tasks))
+                  .contains(VmId("w0")));
+  CHECK(WorkersOf(uniform.StartJob(Priority::kUrgent, tasks))
+            .contains(VmId("w0")));
 }
 
-// Guards against slow workers that stand empty while urgent tasks wait for room.
+// Guards against slow workers that stand empty while urgent tasks wait for
+// room.
 TEST_CASE("urgent tasks use slow workers if no others have room") {
   Fixture f((LearnedSpeeds()));
   for (int i = 0; i < 2; ++i) f.RunStep({VmId("w0")});
-  const auto started = f.StartJob(Priority::kUrgent, kWorkers * kTasksPerWorker);
+  const auto started =
+      f.StartJob(Priority::kUrgent, kWorkers * kTasksPerWorker);
   CHECK(started.size() == kWorkers * kTasksPerWorker);
 }
 
@@ -131,7 +135,8 @@
         std::set<VmId>{VmId("w2")});
   Fixture pressed((LearnedSpeeds()));
   for (int i = 0; i < 2; ++i) pressed.RunStep({VmId("w2")});
-  const StartBy scarce{pressed.now() + kRunTime / 2, pressed.now() + seconds(9)};
+  const StartBy scarce{pressed.now() + kRunTime / 2,
+                       pressed.now() + seconds(9)};
   CHECK_FALSE(WorkersOf(pressed.StartJob(Priority::kLow, 2, scarce))
                   .contains(VmId("w2")));
 }
--- a/azurepass/scheduling/internal/peer_news.cc
+++ b/azurepass/scheduling/internal/peer_news.cc
@@ -2,9 +2,17 @@
 
 #include "azurepass/scheduling/internal/peer_news.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace azurepass::scheduling {
+namespace {
+
+// A relayed request is answered so much before its caller gives up, so that the
+// caller can tell a VM that is busy from one that can't be reached.
+constexpr Duration kRelayReturnTime{50};
+
+}  // namespace
 
 configuration::PeersChanged OutageWitnesses(
     const membership::View& view, const MemberId& self,
@@ -33,8 +41,10 @@
 
 void RelayPermits(const task::Address<permit::ServiceRequest>& service,
                   entry::RelayPermits relay, const entry::Incoming& incoming) {
+  const Duration timeout =
+      std::max(Duration(0), incoming.time_left - kRelayReturnTime);
   service.Send(permit::ServiceRequest{
-      relay.job, std::move(relay.workers), incoming.time_left,
+      relay.job, std::move(relay.workers), timeout,
       task::Address<permit::Result>(
           [responder = incoming.responder](permit::Result answer) {
             if (auto* issued = std::get_if<permit::Issued>(&answer)) {
@@ -44,7 +54,8 @@
             responder.Answer(Refusal{RefusalCode::kUnavailable, Effect::kNotRun,
                                      std::get<permit::Failed>(answer).message,
                                      std::nullopt});
-          })});
+          }),
+      relay.cost});
 }
 
 }  // namespace azurepass::scheduling
--- a/azurepass/settings/settings.cc
+++ b/azurepass/settings/settings.cc
@@ -281,6 +281,65 @@
   static constexpr double kMostProcessors = 1'000;
 };
 
+template <>
+struct Format<settings::PermitSettings> {
+  static settings::PermitSettings Read(ObjectReader& reader) {
+    constexpr int64_t kMostPercent = 50;
+    constexpr int64_t kMostWorkers = 100;
+    settings::PermitSettings permits;
+    permits.short_cost = reader.Millis("short_cost_ms", Duration(0), kLongest,
+                                       permits.short_cost);
+    permits.reserved_percent = reader.Int("reserved_percent", 0, kMostPercent,
+                                          permits.reserved_percent);
+    permits.ejection =
+        reader.Millis("ejection_ms", Duration(0), kLongest, permits.ejection);
+    permits.first_workers =
+        reader.Int("first_workers", 0, kMostWorkers, permits.first_workers);
+    if (permits.reserved_percent > 0 && permits.short_cost == Duration(0)) {
+      reader.Fail(ErrorCode::kOutOfRange, "reserved_percent",
+                  "needs short_cost_ms, or nothing would use these VMs");
+    }
+    return permits;
+  }
+};
+
+template <>
+struct Format<settings::OverloadSettings> {
+  static settings::OverloadSettings Read(ObjectReader& reader) {
+    settings::OverloadSettings overload;
+    overload.refuse_unserviceable = reader.Bool("refuse_unserviceable", false);
+    overload.least_work_first = reader.Bool("least_work_first", false);
+    overload.learn_worker_speeds = reader.Bool("learn_worker_speeds", false);
+    return overload;
+  }
+};
+
+template <>
+struct Format<settings::ClientSettings> {
+  static settings::ClientSettings Read(ObjectReader& reader) {
+    constexpr int64_t kLeastBody = 16'384;
+    constexpr int64_t kMostBody = 1 << 20;
+    constexpr int64_t kLeastMemoryMib = 32;
+    constexpr int64_t kLeastDescriptors = 2'048;
+    constexpr int64_t kMostDescriptors = int64_t{1} << 20;
+    constexpr int64_t kMostMemoryMib = int64_t{1} << 20;
+    settings::ClientSettings clients;
+    clients.max_body_bytes = reader.Int("max_body_bytes", kLeastBody, kMostBody,
+                                        clients.max_body_bytes);
+    clients.vm_memory_mib = reader.Int("vm_memory_mib", kLeastMemoryMib,
+                                       kMostMemoryMib, clients.vm_memory_mib);
+    clients.vm_descriptors =
+        reader.Int("vm_descriptors", kLeastDescriptors, kMostDescriptors,
+                   clients.vm_descriptors);
+    if (clients.BodyBudgetBytes() < 2 * clients.max_body_bytes) {
+      reader.Fail(ErrorCode::kOutOfRange, "max_body_bytes",
+                  "must be at most a sixteenth of vm_memory_mib, or no body of "
+                  "this size can be read");
+    }
+    return clients;
+  }
+};
+
 template <>
 struct Format<settings::NodeSettings> {
   static settings::NodeSettings Read(ObjectReader& reader) {
@@ -293,6 +352,12 @@
         reader.Object<settings::Budgets>("budgets", settings::Budgets{});
     node.ready_address = ReadAddress(reader, "ready_address", true);
     node.permit_address = ReadAddress(reader, "permit_address", false);
+    node.clients = reader.Object<settings::ClientSettings>(
+        "clients", settings::ClientSettings{});
+    node.permits = reader.Object<settings::PermitSettings>(
+        "permits", settings::PermitSettings{});
+    node.overload = reader.Object<settings::OverloadSettings>(
+        "overload", settings::OverloadSettings{});
     node.metrics_address = ReadAddress(reader, "metrics_address", false);
     node.zones = reader.Names<ZoneId>("zones");
     node.termination_grace = reader.Millis("termination_grace_ms", Duration(0),
@@ -336,6 +401,21 @@
 
 }  // namespace
 
+int64_t ClientSettings::BodyBudgetBytes() const {
+  constexpr int64_t kBytesPerMib = int64_t{1} << 20;
+  constexpr int64_t kPartOfMemory = 8;
+  return vm_memory_mib * kBytesPerMib / kPartOfMemory;
+}
+
+int64_t ClientSettings::MaxConnections() const {
+  // 200 for files, three for each of 256 connections that are refused with an
+  // answer, and the rest for connections to others.
+  constexpr int64_t kOtherDescriptors = 1'200;
+  constexpr int64_t kPerConnection = 2;
+  constexpr int64_t kMost = 2'048;
+  return std::min(kMost, (vm_descriptors - kOtherDescriptors) / kPerConnection);
+}
+
 std::string Problem::ToString() const {
   return path.empty() ? file + ": " + problem
                       : file + ": " + path + ": " + problem;
--- a/azurepass/settings/settings.h
+++ b/azurepass/settings/settings.h
@@ -99,13 +99,48 @@
   bool operator==(const ProcessSettings&) const = default;
 };
 
+// How the service that issues permits is used; see permit::Options and
+// partition::Options. The defaults make no distinction and eject nothing.
+struct PermitSettings {
+  Duration short_cost{0};
+  int64_t reserved_percent = 0;
+  Duration ejection{0};
+  int64_t first_workers = 0;
+  bool operator==(const PermitSettings&) const = default;
+};
+
+// What is done where there is too little room; see partition::Options and
+// placement::Options. The defaults do nothing of it.
+struct OverloadSettings {
+  bool refuse_unserviceable = false;
+  bool least_work_first = false;  // Among jobs that are late.
+  bool learn_worker_speeds = false;
+  bool operator==(const OverloadSettings&) const = default;
+};
+
+// Bounds on what clients send to a node. No client that keeps the platform's
+// limits meets the defaults.
+struct ClientSettings {
+  int64_t max_body_bytes = 262'144;
+  int64_t vm_memory_mib = 128;
+  int64_t vm_descriptors = 4'096;
+  // Of all bodies at once: an eighth of the VM's memory.
+  int64_t BodyBudgetBytes() const;
+  // A connection takes two descriptors while a request is read.
+  int64_t MaxConnections() const;
+  bool operator==(const ClientSettings&) const = default;
+};
+
 // A node: one process that serves callers and owns partitions, on a platform
 // where services, queues and workers are found at run time.
 struct NodeSettings {
   ProcessSettings process;
-  CellSettings cell;            // Without partitions.
-  std::string ready_address;    // "IP:PORT" for the balancer's probes.
-  std::string permit_address;   // Of the service that issues permits, or empty.
+  CellSettings cell;           // Without partitions.
+  std::string ready_address;   // "IP:PORT" for the balancer's probes.
+  std::string permit_address;  // Of the service that issues permits, or empty.
+  ClientSettings clients;
+  PermitSettings permits;
+  OverloadSettings overload;
   std::string metrics_address;  // "IP:PORT" for metrics and health, or empty.
   std::vector<ZoneId> zones;    // All availability zones.
   // From the signal to terminate until the platform kills the process.
--- a/azurepass/settings/settings_test.cc
+++ b/azurepass/settings/settings_test.cc
@@ -148,5 +148,69 @@
         "operator_key_sha256");
 }
 
+constexpr char kNode[] = R"({
+  "process": {"member": "front-0", "zone": "plovdiv-a",
+              "entry_address": "127.0.0.1:7180",
+              "http_address": "127.0.0.1:8686"},
+  "ready_address": "127.0.0.1:8689",
+  "store_address": "127.0.0.1:8683",
+  "zones": ["plovdiv-a"],
+  MORE
+})";
+
+std::string NodeWith(const std::string& more) {
+  std::string text = kNode;
+  const std::string place = "  MORE\n";
+  const size_t at = text.find(place);
+  if (more.empty()) {
+    text.erase(text.rfind(',', at), 1);
+    text.erase(text.find(place), place.size());
+    return text;
+  }
+  return text.replace(at, place.size(), more);
+}
+
+// Guards against a node that behaves otherwise than before where its settings
+// do not ask for it.
+TEST_CASE("a node's settings for overload are off unless they are set") {
+  const auto loaded = ParseNode(NodeWith(""), "node.json");
+  REQUIRE(std::holds_alternative<NodeSettings>(loaded));
+  const auto& node = std::get<NodeSettings>(loaded);
+  CHECK(node.permits == PermitSettings{});
+  CHECK(node.permits.short_cost == Duration(0));
+  CHECK(node.permits.ejection == Duration(0));
+  CHECK_FALSE(node.overload.refuse_unserviceable);
+  CHECK_FALSE(node.overload.least_work_first);
+  CHECK_FALSE(node.overload.learn_worker_speeds);
+  CHECK(node.clients.max_body_bytes == 262'144);
+}
+
+TEST_CASE("a bad node is one problem with the field's path") {
+  struct Case {
+    std::string more;
+    std::string path;
+  };
+  const Case cases[] = {
+      {R"("permits": {"reserved_percent": 10})", "permits.reserved_percent"},
+      {R"("permits": {"short_cost_ms": 100, "reserved_percent": 51})",
+       "permits.reserved_percent"},
+      {R"("permits": {"ejection_ms": -1})", "permits.ejection_ms"},
+      {R"("permits": {"first_workers": 101})", "permits.first_workers"},
+      {R"("overload": {"refuse": true})", "overload.refuse"},
+      {R"("overload": {"least_work_first": 1})", "overload.least_work_first"},
+      {R"("clients": {"vm_memory_mib": 16})", "clients.vm_memory_mib"},
+      {R"("clients": {"max_body_bytes": 1048576, "vm_memory_mib": 8})",
+       "clients.vm_memory_mib"},
+      {R"("clients": {"vm_descriptors": 512})", "clients.vm_descriptors"},
+      {R"("clients": {"max_body_bytes": 4194304})", "clients.max_body_bytes"},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(c.more);
+    const auto loaded = ParseNode(NodeWith(c.more), "node.json");
+    REQUIRE(std::holds_alternative<Problem>(loaded));
+    CHECK(std::get<Problem>(loaded).path == c.path);
+  }
+}
+
 }  // namespace
 }  // namespace azurepass::settings
