--- a/azurepass/permit/broker_test.cc
+++ b/azurepass/permit/broker_test.cc
@@ -210,5 +210,125 @@
   CHECK(std::get<Issued>(f.results[0]).validity == Duration(900));
 }
 
+std::vector<std::string> Addresses(int count) {
+  std::vector<std::string> addresses;
+  addresses.reserve(static_cast<size_t>(count));
+  for (int i = 0; i < count; ++i) {
+    addresses.push_back("10.0.0." + std::to_string(i + 2) + ":1");
+  }
+  return addresses;
+}
+
+Options Reserving(uint64_t seed = 1) {
+  Options options;
+  options.short_cost = Duration(100);
+  options.reserved_percent = 25;
+  options.seed = seed;
+  return options;
+}
+
+// The load is one of long requests at twice what the service decides. Guards
+// against short ones that meet a long request of another broker at each VM.
+TEST_CASE(
+    "long requests leave the VMs alone that are reserved for short ones") {
+  std::set<std::string> long_peers;
+  std::set<std::string> short_peers;
+  // Two brokers, as of two owners: neither knows what the other has sent.
+  for (uint64_t seed = 1; seed <= 2; ++seed) {
+    Fixture f(Reserving(seed));
+    f.broker.address().Send(PeersChanged{Addresses(12)});
+    f.Run();
+    for (int i = 0; i < 40; ++i) {
+      f.SendRequest("long-" + std::to_string(i), Duration(1'700));
+    }
+    CHECK(f.relayed.size() == 9);  // One at each VM that is not reserved.
+    for (const entry::Call& call : f.relayed) long_peers.insert(call.peer);
+    f.relayed.clear();
+    for (int i = 0; i < 6; ++i) {
+      f.SendRequest("short-" + std::to_string(i), Duration(40));
+    }
+    REQUIRE(f.relayed.size() == 6);
+    for (const entry::Call& call : f.relayed) {
+      short_peers.insert(call.peer);
+      const auto* relay = std::get_if<entry::RelayPermits>(&call.request);
+      REQUIRE(relay != nullptr);
+      CHECK(relay->cost == Duration(40));
+    }
+  }
+  CHECK(long_peers.size() == 9);
+  CHECK(short_peers.size() == 3);
+  for (const std::string& peer : short_peers) {
+    CHECK_FALSE(long_peers.contains(peer));
+  }
+}
+
+// Guards against short requests that wait for a place at few VMs while others
+// are idle.
+TEST_CASE("a burst of short requests spills over to the other VMs") {
+  Fixture f(Reserving());
+  f.broker.address().Send(PeersChanged{Addresses(12)});
+  f.Run();
+  for (int i = 0; i < 60; ++i) {
+    f.SendRequest("short-" + std::to_string(i), Duration(100));
+  }
+  std::set<std::string> peers;
+  for (const entry::Call& call : f.relayed) peers.insert(call.peer);
+  CHECK(f.relayed.size() + f.local.size() == 60);
+  CHECK(peers.size() == 12);
+}
+
+entry::CallResult NoAnswer() {
+  return entry::Failure{entry::FailureCode::kNoAnswer, "no answer in time"};
+}
+
+// The load is a third of the VMs unreachable. Guards against a VM that fails
+// each request and, having no backlog, is sent the next one.
+TEST_CASE("a VM that does not answer is left out and then probed once") {
+  Options options;
+  options.ejection = Duration(50);
+  options.max_backlog = Duration(100);
+  Fixture f(options);
+  f.broker.address().Send(PeersChanged{Addresses(1)});
+  f.Run();
+  f.SendRequest("local", Duration(90));
+  f.SendRequest("cut", Duration(90));
+  REQUIRE(f.local.size() == 1);
+  REQUIRE(f.relayed.size() == 1);
+  f.relayed[0].reply_to.Send(NoAnswer());
+  f.Run();
+  REQUIRE(f.results.size() == 1);
+  CHECK(std::holds_alternative<Failed>(f.results[0]));
+  f.local[0].reply_to.Send(Issued{});
+  f.Run();
+  f.SendRequest("next", Duration(90));
+  CHECK(f.local.size() == 2);
+  CHECK(f.relayed.size() == 1);
+  // The other VM is full, so that the end of the ejection lets the probe go.
+  f.SendRequest("probe", Duration(90));
+  f.SendRequest("behind", Duration(90));
+  const MonotonicTime give_up = BootClock::now() + Duration(5'000);
+  while (f.relayed.size() < 2 && BootClock::now() < give_up) {
+    g_main_context_iteration(f.loop.context(), TRUE);
+  }
+  CHECK(f.relayed.size() == 2);
+}
+
+// Guards against VMs that are left out because they have much to do.
+TEST_CASE("a VM that answers that it is busy is not left out") {
+  Options options;
+  options.ejection = Duration(60'000);
+  Fixture f(options);
+  f.broker.address().Send(PeersChanged{Addresses(1)});
+  f.Run();
+  f.SendRequest("local", Duration(500));
+  f.SendRequest("busy", Duration(90));
+  REQUIRE(f.relayed.size() == 1);
+  f.relayed[0].reply_to.Send(entry::Response(
+      Refusal{RefusalCode::kUnavailable, Effect::kNotRun, "busy", {}}));
+  f.Run();
+  f.SendRequest("next", Duration(90));
+  CHECK(f.relayed.size() == 2);
+}
+
 }  // namespace
 }  // namespace azurepass::permit
