Log what counts as a failed attempt, leaving workers, and ended renewals

The timeline's hypotheses could not be told apart: no line said how many failures of a gang its owner had counted, when it learned that a worker leaves and with how many tasks, or from when a successor counts the leases of workers that its predecessor renewed.

--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -575,7 +575,11 @@
     if (worker.listed == before) continue;
     if (!before && IsOpen(worker)) RequireProof(worker);
     SetAdmission(worker);
-    if (worker.listed == VmState::kLeaving) CheckpointLeavingTasks(worker);
+    if (worker.listed == VmState::kLeaving) {
+      Log("worker_leaving", {}, 0, vm,
+          "tasks=" + std::to_string(worker.tasks.size()));
+      CheckpointLeavingTasks(worker);
+    }
   }
 }
 
--- a/azurepass/partition/owner_tasks.cc
+++ b/azurepass/partition/owner_tasks.cc
@@ -288,6 +288,11 @@
   const JobSpec& spec = job.submitted.spec;
   const bool counts =
       internal::CountsAsFailure(outcome, spec) && !spec.perpetual;
+  const int32_t failures = counts ? FailuresOf(task) + 1 : 0;
+  const std::string counted =
+      counts ? " failures=" + std::to_string(failures) +
+                   " limit=" + std::to_string(spec.max_attempts)
+             : "";
   if (job.cancelled) {
     Finish(task, TaskState::kCancelled, "cancelled", outcome);
   } else if (jobs_.Expired(task.job, now_)) {
@@ -295,10 +300,11 @@
            outcome);
   } else if (!attempt->fits) {
     Finish(task, TaskState::kFailed, "the worker had no room for it", outcome);
-  } else if (counts && FailuresOf(task) + 1 >= spec.max_attempts) {
-    Finish(task, TaskState::kFailed, "too many attempts: " + reason, outcome);
+  } else if (counts && failures >= spec.max_attempts) {
+    Finish(task, TaskState::kFailed, "too many attempts: " + reason + counted,
+           outcome);
   } else {
-    Log("requeue", task, attempt->id.attempt, attempt->vm, reason);
+    Log("requeue", task, attempt->id.attempt, attempt->vm, reason + counted);
     ApplyAndAppend(
         TaskRequeued{attempt->id, outcome, from_checkpoint, checkpoint});
     cell_.Release(task, outcome, /*requeue=*/true, now_);
--- a/azurepass/scheduling/internal/claim_news.cc
+++ b/azurepass/scheduling/internal/claim_news.cc
@@ -46,6 +46,11 @@
   return text;
 }
 
+std::string RenewalsText(std::optional<MonotonicTime> ended,
+                         MonotonicTime now) {
+  return " renewals_ended_ms=" + AgeText(ended.value_or(MonotonicTime()), now);
+}
+
 std::string_view WhyNotTaken(const store::WriteReply& reply) {
   return std::visit(Visitor{[](const store::Written&) -> std::string_view {
                               return "no_authority";
--- a/azurepass/scheduling/internal/claim_news.h
+++ b/azurepass/scheduling/internal/claim_news.h
@@ -37,6 +37,10 @@
                              const PartitionId& partition, const MemberId& self,
                              MonotonicTime now);
 
+// The field of such a line that tells how long ago renewals by former owners
+// had certainly ended; "none" if that is not known. See RenewalsEndedBy.
+std::string RenewalsText(std::optional<MonotonicTime> ended, MonotonicTime now);
+
 // Why a claim was not taken: "conflict", "no_authority" (it was written, too
 // late) or the store's error.
 std::string_view WhyNotTaken(const store::WriteReply& reply);
--- a/azurepass/scheduling/internal/claim_news_test.cc
+++ b/azurepass/scheduling/internal/claim_news_test.cc
@@ -60,6 +60,11 @@
   }
 }
 
+TEST_CASE("a claim tells how long ago former renewals had ended") {
+  CHECK(RenewalsText(Ago(2'500), kNow) == " renewals_ended_ms=2500");
+  CHECK(RenewalsText(std::nullopt, kNow) == " renewals_ended_ms=none");
+}
+
 TEST_CASE("a claim that was not taken tells why") {
   const membership::ClaimRecord first{kPartition, MemberId("m2"), Epoch{8}};
   struct Case {
--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -354,7 +354,8 @@
                                                Told(), partition.claim_sent);
     partition.claim_text =
         " why=" + why +
-        FormerHolderText(view_, id, options_.member, partition.claim_sent);
+        FormerHolderText(view_, id, options_.member, partition.claim_sent) +
+        RenewalsText(partition.renewals_ended, partition.claim_sent);
     WriteClaim(id, {id, options_.member, epoch},
                absent ? store::kAbsent : claim->second.version);
   }
