A gang that is done covers its tasks that were lost meanwhile

A gang that had ended done could run again in part (TWICE): when the worker of one task was lost before it told of the end, the task was queued; the end that another worker told then covered only the tasks with an attempt, and the queued ones were started as a smaller gang, for ever alone. Found while reading what else is kept by task and belongs to the run. Now the end covers every task of the gang.

owner_gang_test: 'a gang is done when one task is' failed before, with two starts too many.

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -378,6 +378,9 @@
   void OnEnd(const TaskId& task, const WorkerEvent& event);
   void Finish(const TaskId& task, TaskState state, std::string reason,
               placement::AttemptOutcome outcome);
+  // Ends the atomic gang once one of its tasks succeeded.
+  void FinishGang(const JobId& job);
+  void FinishQueued(const TaskId& task, TaskState state, std::string reason);
   void Requeue(const TaskId& task, placement::AttemptOutcome outcome,
                bool from_checkpoint, const std::string& reason,
                const std::string& checkpoint = {});
--- a/azurepass/partition/owner_gang_test.cc
+++ b/azurepass/partition/owner_gang_test.cc
@@ -195,6 +195,33 @@
   CHECK(d.State() == WorkflowState::kFailed);
 }
 
+// Guards against a second run of what is done (TWICE): a worker is lost just
+// after the gang on it and on another one ended, and only the other one tells.
+TEST_CASE("a gang is done when one task is, also for tasks that were lost") {
+  for (const bool has_next_step : {false, true}) {
+    CAPTURE(has_next_step);
+    Driver d({"vm-0", "vm-1"});
+    WorkflowSpec spec = Gang(2);
+    spec.steps[0].job.task[Dimension::kMillicores] = 4'000;  // Two a worker.
+    if (has_next_step) spec.steps.push_back(MakeStep(1, {0}));
+    d.Submit(1, spec);
+    d.CompleteAppends();
+    const auto starts = d.Starts();
+    REQUIRE(starts.size() == kWidth);
+    d.Handle(WorkerReplaced{VmId("vm-1"), Epoch{1}});
+    d.CompleteAppends();
+    for (const auto& [vm, start] : starts) {
+      if (vm != VmId("vm-0")) continue;
+      d.Report("vm-0", 1, start.attempt, WorkerEventKind::kSucceeded);
+      break;
+    }
+    d.CompleteAppends();
+    CHECK(d.Starts().size() == kWidth + (has_next_step ? 1 : 0));
+    CHECK(d.State() == (has_next_step ? WorkflowState::kRunning
+                                      : WorkflowState::kCompleted));
+  }
+}
+
 // Guards against a count that a change of owner gets wrong in the middle of a
 // run (LOST, or runs beyond the limit).
 TEST_CASE(
--- a/azurepass/partition/owner_tasks.cc
+++ b/azurepass/partition/owner_tasks.cc
@@ -215,17 +215,13 @@
 void Owner::Impl::OnEnd(const TaskId& task, const WorkerEvent& event) {
   const LedgerJob& job = *live_.Find(task.job);
   const JobSpec& spec = job.submitted.spec;
-  const std::vector<TaskId> members = OtherMembers(task);
   if (event.kind == WorkerEventKind::kSucceeded && !spec.perpetual) {
     Finish(task, TaskState::kSucceeded, event.detail,
            AttemptOutcome::kSucceeded);
-    for (const TaskId& member : members) {
-      Finish(member, TaskState::kSucceeded, "succeeded with its gang",
-             AttemptOutcome::kSucceeded);
-    }
+    if (IsAtomicGang(spec)) FinishGang(task.job);
     return;
   }
-  StopTasks(members);
+  StopTasks(OtherMembers(task));
   const bool failed = event.kind == WorkerEventKind::kFailed;
   const AttemptOutcome outcome =
       failed ? AttemptOutcome::kFailed : AttemptOutcome::kStopped;
@@ -256,6 +252,28 @@
   OnStepTaskEnded(task.job, state);
 }
 
+// The success of one task is that of the whole attempt. A task of it may be
+// queued by then, because its worker was lost before it could report the end.
+void Owner::Impl::FinishGang(const JobId& job) {
+  const std::string reason = "succeeded with its gang";
+  for (const TaskId& task : UnfinishedTasks(job)) {
+    if (workers_.FindAttempt(task) != nullptr) {
+      Finish(task, TaskState::kSucceeded, reason, AttemptOutcome::kSucceeded);
+    } else {
+      FinishQueued(task, TaskState::kSucceeded, reason);
+      OnStepTaskEnded(job, TaskState::kSucceeded);
+    }
+  }
+}
+
+void Owner::Impl::FinishQueued(const TaskId& task, TaskState state,
+                               std::string reason) {
+  cell_.CancelTask(task);
+  ApplyAndAppend(TaskEnded{task, state, std::move(reason)});
+  waits_.Drop(task);
+  OnTaskChanged(task);
+}
+
 std::vector<TaskId> Owner::Impl::OtherMembers(const TaskId& task) const {
   const LedgerJob& job = *live_.Find(task.job);
   std::vector<TaskId> members;
@@ -371,11 +389,8 @@
     }
     for (int32_t index = 0; index < std::ssize(job->tasks); ++index) {
       if (job->tasks[index].state != TaskState::kQueued) continue;
-      const TaskId task{id, index};
-      cell_.CancelTask(task);
-      ApplyAndAppend(TaskEnded{task, TaskState::kExpired,
-                               "not started before its deadline"});
-      OnTaskChanged(task);
+      FinishQueued({id, index}, TaskState::kExpired,
+                   "not started before its deadline");
     }
   }
 }
