Perpetual tasks leave a worker that has said that it will end

The users' record has a task that is to last and runs nowhere for 9.56 s: its worker had announced 9 s before that it would leave, and the task stayed until the worker was gone. Then the worker is only silent, its lease of 6 s with drift and stop time (7.12 s) has to lapse, and what is left of the 9 s that callers allow goes to permits and room.

Cause: a departure that is announced was handled as a silent loss. Now the owner stops such a task when it learns of the departure, and starts it elsewhere as soon as the end is listed; a new owner does so when it takes over. Other tasks stay and finish there if they can, as before.

owner_workflows_test: both new cases failed without the change.

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -208,7 +208,7 @@
   void OpenWorker(internal::Worker& worker, internal::Session session);
   void SetAdmission(const internal::Worker& worker);
   void ApplyVmList();
-  void CheckpointLeavingTasks(internal::Worker& worker);
+  void StopLeavingTasks(internal::Worker& worker);
 
   // --- owner_silence.cc
   void On(const SilenceRead& event);
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -577,20 +577,24 @@
     if (worker.listed == VmState::kLeaving) {
       Log("worker_leaving", {}, 0, vm,
           "tasks=" + std::to_string(worker.tasks.size()));
-      CheckpointLeavingTasks(worker);
+      StopLeavingTasks(worker);
     }
   }
 }
 
-// Checkpoints the tasks that can continue elsewhere while the VM still exists.
-void Owner::Impl::CheckpointLeavingTasks(Worker& worker) {
-  if (!options_.checkpoint_leaving) return;
+// Stops the tasks that can continue elsewhere while the VM still exists. A
+// perpetual task has nothing to finish there: it would end with the VM, without
+// a report, and start again only once its lease has lapsed.
+void Owner::Impl::StopLeavingTasks(Worker& worker) {
   for (const TaskId& task : std::set<TaskId>(worker.tasks)) {
     const internal::LedgerJob* job = live_.Find(task.job);
+    if (job == nullptr) continue;
+    const JobSpec& spec = job->submitted.spec;
+    if (!options_.checkpoint_leaving && !spec.perpetual) continue;
     LiveAttempt& attempt = *workers_.FindAttempt(task);
     if (attempt.stage == AttemptStage::kHeld) {
       WithdrawStart(task, "the VM is leaving");
-    } else if (job != nullptr && job->submitted.spec.repeatable) {
+    } else if (spec.repeatable && !attempt.stopping) {
       OrderStop(attempt, StopKind::kCheckpoint);
     }
   }
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -295,6 +295,19 @@
   CHECK(d.State() == WorkflowState::kCompleted);
 }
 
+int StopsOrdered(const Driver& d) {
+  int stops = 0;
+  for (const Action& action : d.actions) {
+    const auto* sent = std::get_if<SendOrders>(&action);
+    if (sent == nullptr) continue;
+    stops += static_cast<int>(std::count_if(
+        sent->orders.begin(), sent->orders.end(), [](const Order& order) {
+          return std::holds_alternative<StopTask>(order);
+        }));
+  }
+  return stops;
+}
+
 TEST_CASE("a perpetual task is started again however it ends") {
   Driver d;
   WorkflowSpec spec;
@@ -317,6 +330,80 @@
   CHECK(d.State() == WorkflowState::kRunning);
 }
 
+// Guards against perpetual tasks that run on until a leaving VM ends, and then
+// wait for its lease to lapse (LOST).
+TEST_CASE("perpetual tasks leave a VM that has said that it will end") {
+  for (const bool perpetual : {true, false}) {
+    CAPTURE(perpetual);
+    Options options = PlatformOptions();
+    options.checkpoint_leaving = false;
+    Driver d({"vm-0"}, false, options);
+    WorkflowSpec spec;
+    spec.queue = kQueue;
+    spec.steps = {MakeStep(2)};
+    spec.steps[0].job.perpetual = perpetual;
+    if (perpetual) spec.steps[0].job.policy = ServicePolicy{};
+    d.Submit(1, spec);
+    d.CompleteAppends();
+    const auto starts = d.Starts();
+    REQUIRE(starts.size() == 2);
+    VmListChanged list;
+    for (const char* vm : {"vm-0", "vm-1"}) {
+      list.vms[VmId(vm)] = VmState::kLive;
+      list.workers[VmId(vm)] = MakeWorker(vm);
+    }
+    list.vms[VmId("vm-0")] = VmState::kLeaving;
+    d.Handle(list);
+    d.Handle(list);  // No second order.
+    d.OpenWorkerSession("vm-1");
+    d.CompleteAppends();
+    CHECK(StopsOrdered(d) == (perpetual ? 2 : 0));
+    if (!perpetual) continue;
+    for (int64_t i = 0; i < 2; ++i) {
+      d.Report("vm-0", i + 1, starts[i].second.attempt,
+               WorkerEventKind::kStopped);
+      d.CompleteAppends();
+    }
+    const auto again = d.Starts();
+    REQUIRE(again.size() == 4);
+    CHECK(again[2].first == VmId("vm-1"));
+    CHECK(again[3].first == VmId("vm-1"));
+  }
+}
+
+// Guards against the same where the VM said so to the former owner.
+TEST_CASE("a new owner stops perpetual tasks on a leaving VM") {
+  Options options = PlatformOptions();
+  options.checkpoint_leaving = false;
+  Driver d({"vm-0"}, false, options);
+  WorkflowSpec spec;
+  spec.queue = kQueue;
+  spec.steps = {MakeStep(1)};
+  spec.steps[0].job.perpetual = true;
+  spec.steps[0].job.policy = ServicePolicy{};
+  d.Submit(1, spec);
+  d.CompleteAppends();
+  const AttemptId first = d.Starts().at(0).second.attempt;
+  d.Handle(ClaimLost{});
+  VmListChanged list;
+  for (const char* vm : {"vm-0", "vm-1"}) {
+    list.vms[VmId(vm)] = VmState::kLive;
+    list.workers[VmId(vm)] = MakeWorker(vm);
+  }
+  list.vms[VmId("vm-0")] = VmState::kLeaving;
+  d.Handle(list);
+  d.actions.clear();
+  d.TakeOver(2, std::nullopt, d.batches, {});
+  d.OpenWorkerSession("vm-0", {first});
+  d.OpenWorkerSession("vm-1");
+  d.CompleteAppends();
+  CHECK(StopsOrdered(d) > 0);
+  d.Report("vm-0", 1, first, WorkerEventKind::kStopped);
+  d.CompleteAppends();
+  REQUIRE(d.Starts().size() == 1);
+  CHECK(d.Starts()[0].first == VmId("vm-1"));
+}
+
 // Returns part `part` of two of a step of five perpetual tasks.
 WorkflowSpec HalfOfPerpetualStep(int32_t part) {
   WorkflowSpec spec;
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -588,8 +588,8 @@
   // accounting has no room for it on the worker, or if the worker is no longer
   // listed. Otherwise it is stopped and fails.
   bool keep_running_attempts = false;
-  // If true, tasks on a leaving VM are checkpointed at once; otherwise they
-  // continue to run.
+  // If true, tasks on a leaving VM are checkpointed at once; otherwise only
+  // perpetual ones are, and the others continue to run.
   bool checkpoint_leaving = true;
   // A permit is not used during the last part of its validity, because the
   // start still has to reach the worker.
