A member that restarts counts former leases from its own start

That start had ended before this process began, so the leases run from then at the latest.

former_owner_test: two of the ten cases failed without the change.

--- a/azurepass/scheduling/internal/former_owner.cc
+++ b/azurepass/scheduling/internal/former_owner.cc
@@ -9,6 +9,7 @@
 std::optional<MonotonicTime> RenewalsEndedBy(const membership::View& view,
                                              const PartitionId& partition,
                                              const MemberId& self,
+                                             std::optional<Epoch> first_tried,
                                              const ContactTold& told,
                                              MonotonicTime now) {
   const auto found = view.claims.find(partition);
@@ -18,8 +19,10 @@
   if (claim.member.empty()) {
     return claim.since == MonotonicTime() ? now : claim.since;
   }
-  // Of this process, or of one that ended before it started.
-  if (claim.member == self) return now;
+  if (claim.member == self) {
+    const bool former_start = !first_tried || claim.epoch < *first_tried;
+    return former_start ? told.started : now;
+  }
   const MonotonicTime gone = claim.departure ? claim.departure->at : now;
   const MonotonicTime last_witness =
       std::max(told.started, told.denied.value_or(told.started));
--- a/azurepass/scheduling/internal/former_owner.h
+++ b/azurepass/scheduling/internal/former_owner.h
@@ -19,13 +19,18 @@
 };
 
 // By when the former owner has certainly stopped renewing leases of workers, if
-// `self` claims the partition at `now`. That is when its member key was seen to
-// be gone, or when evidence of an outage of the store for all ended, which this
-// process has to be a witness of. Empty while there may be such evidence: it
-// can be renewed. Once it has ended, that owner does not go on in its epoch.
+// `self` claims the partition at `now`. `first_tried` is the first epoch in
+// which this process has tried to claim it.
+//
+// A former start of this member had ended when this process started. Another
+// member had stopped when its member key was seen to be gone, or when evidence
+// of an outage of the store for all ended, which this process has to be a
+// witness of. Empty while there may be such evidence: it can be renewed. Once
+// it has ended, that owner does not go on in its epoch.
 std::optional<MonotonicTime> RenewalsEndedBy(const membership::View& view,
                                              const PartitionId& partition,
                                              const MemberId& self,
+                                             std::optional<Epoch> first_tried,
                                              const ContactTold& told,
                                              MonotonicTime now);
 
--- a/azurepass/scheduling/internal/former_owner_test.cc
+++ b/azurepass/scheduling/internal/former_owner_test.cc
@@ -20,7 +20,8 @@
 }
 
 // Guards against tasks on a silent worker that wait for the age of evidence
-// which the former owner cannot have had (LOST).
+// which the former owner cannot have had, or from a claim of a process that
+// replaced the former owner before (LOST).
 TEST_CASE("a former owner's renewals end with its key, but for an outage") {
   const membership::Departure departure{Ago(2'500), false};
   const ContactTold calm{Ago(60'000), std::nullopt, kEvidenceAge};
@@ -29,10 +30,15 @@
     std::optional<membership::Claim> claim;
     ContactTold told;
     std::optional<MonotonicTime> ended;
+    std::optional<Epoch> first_tried{};
   } cases[] = {
       {"never claimed", std::nullopt, calm, kNow},
       {"given back", ClaimOf(""), calm, Ago(900)},
-      {"claimed by this member", ClaimOf("me"), calm, kNow},
+      {"claimed by this process", ClaimOf("me"), calm, kNow, Epoch{7}},
+      {"claimed again by this process", ClaimOf("me"), calm, kNow, Epoch{5}},
+      {"claimed by a former start", ClaimOf("me"), calm, Ago(60'000)},
+      {"claimed by a former start, and tried in vain since", ClaimOf("me"),
+       calm, Ago(60'000), Epoch{8}},
       {"its key was seen to go", ClaimOf("m2", departure), calm, Ago(2'500)},
       {"its key was never seen", ClaimOf("m2"), calm, kNow},
       {"this process has just started",
@@ -56,7 +62,8 @@
     CAPTURE(c.name);
     membership::View view;
     if (c.claim) view.claims[kPartition] = *c.claim;
-    CHECK(RenewalsEndedBy(view, kPartition, kSelf, c.told, kNow) == c.ended);
+    CHECK(RenewalsEndedBy(view, kPartition, kSelf, c.first_tried, c.told,
+                          kNow) == c.ended);
   }
 }
 
--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -107,7 +107,8 @@
     std::unique_ptr<PartitionTask> task;
     ServiceId service;
     Holding holding;
-    StatusNotice notice;  // The latest.
+    StatusNotice notice;               // The latest.
+    std::optional<Epoch> first_tried;  // See RenewalsEndedBy.
     // Of the latest claim.
     MonotonicTime claim_sent{};
     std::optional<MonotonicTime> renewals_ended;  // See RenewalsEndedBy.
@@ -350,8 +351,10 @@
     const Epoch epoch{absent ? 1 : claim->second.epoch.value + 1};
     partition.holding = Claiming{epoch};
     partition.claim_sent = Clock::now();
-    partition.renewals_ended = RenewalsEndedBy(view_, id, options_.member,
-                                               Told(), partition.claim_sent);
+    partition.renewals_ended =
+        RenewalsEndedBy(view_, id, options_.member, partition.first_tried,
+                        Told(), partition.claim_sent);
+    partition.first_tried = partition.first_tried.value_or(epoch);
     partition.claim_text =
         " why=" + why +
         FormerHolderText(view_, id, options_.member, partition.claim_sent) +
