Permits of perpetual tasks are requested before the tasks may restart

A perpetual task on a silent worker starts again once the worker's lease has lapsed, 7.12 s after its last answer. A new owner knows fewer permitted workers and needs more requests.

Now tasks on workers whose lease lapses within 0.8 s, and those that were told to stop on a leaving worker, count as waiting in the scan for permits, with the room that they will need. Only perpetual tasks: for others a request that turns out to be needless costs the service more than the wait costs callers.

owner_workflows_test: 'permits of perpetual tasks are there' failed without the change, with no second request before the lapse.

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -343,8 +343,12 @@
   struct JobPermits;
   // Requests permits for jobs that have room but cannot start without them.
   void ScanPermitWaiters();
-  void ReserveAndRequest(const internal::LedgerJob& job, JobPermits& permits,
-                         PermitScan& scan);
+  // Returns how many perpetual tasks of each job with permits will be queued
+  // again soon.
+  std::map<JobId, int32_t> RestartingTasks() const;
+  // `waiting` tasks of the job wait, or will soon.
+  void ReserveAndRequest(const internal::LedgerJob& job, int32_t waiting,
+                         JobPermits& permits, PermitScan& scan);
   // Returns whether the job's next request is its first one and lists only as
   // many workers as it needs.
   bool HasBoundedFirstRequest(const JobSpec& spec,
--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -37,6 +37,10 @@
 // several times the job's tasks, since part of them will be denied, and each
 // job begins with another worker.
 //
+// Perpetual tasks whose end is near are counted as waiting already: those that
+// were stopped on a leaving worker, and those on a worker whose lease lapses
+// soon. Their permits are then there when the tasks may start again.
+//
 // A new owner has forgotten all answers but those that led to starts. The work
 // of its predecessor waits meanwhile, so the first request for a job that has
 // run before is short: it lists some workers for each task that waits.
@@ -65,6 +69,10 @@
 // A bounded first request lists room for this many times the waiting tasks:
 // queues are known whose policy allows three workers in ten.
 constexpr int64_t kListedRoomPerTask = 4;
+// Permits for tasks on a silent worker are requested this long before its lease
+// has lapsed: an answer takes some hundred milliseconds, and is valid for one
+// or two seconds.
+constexpr Duration kRestartLead{800};
 // Workers examined in one scan, over all jobs. The first jobs in the start
 // order matter most.
 constexpr int64_t kWorkersPerScan = 2'048;
@@ -88,15 +96,25 @@
           {&worker.spec, worker.spec.capacity - cell_.CommittedOn(vm)});
     }
   }
+  const std::map<JobId, int32_t> restarting = RestartingTasks();
   const auto visit = [&](const JobId& id) {
     const auto permits = permits_.find(id);
     const LedgerJob* job = live_.Find(id);
     if (permits != permits_.end() && job != nullptr && job->queued > 0) {
-      ReserveAndRequest(*job, permits->second, scan);
+      const auto more = restarting.find(id);
+      ReserveAndRequest(
+          *job, job->queued + (more == restarting.end() ? 0 : more->second),
+          permits->second, scan);
     }
     return scan.budget > 0;
   };
   scan.budget = kWorkersPerScan / 2;
+  // The cell knows of no task of theirs that waits.
+  for (const auto& [id, tasks] : restarting) {
+    const LedgerJob& job = *live_.Find(id);
+    if (job.queued > 0 || scan.budget <= 0) continue;
+    ReserveAndRequest(job, tasks, permits_.at(id), scan);
+  }
   const auto rest = cell_.VisitPermitWaiters({}, visit);
   if (!rest) {
     permit_scan_start_.reset();
@@ -107,11 +125,34 @@
       std::max(permit_scan_start_.value_or(*rest), *rest), visit);
 }
 
+std::map<JobId, int32_t> Owner::Impl::RestartingTasks() const {
+  std::map<JobId, int32_t> restarting;
+  for (const auto& [vm, worker] : workers_.workers()) {
+    const std::optional<MonotonicTime> silent_until = SilentUntil(worker);
+    const bool lapses = silent_until && *silent_until <= now_ + kRestartLead;
+    const bool stops =
+        worker.listed == VmState::kLeaving &&
+        std::holds_alternative<internal::SessionOpen>(worker.session);
+    if (!lapses && !stops) continue;
+    for (const TaskId& task : worker.tasks) {
+      const LedgerJob& job = *live_.Find(task.job);
+      if (!job.submitted.spec.perpetual || job.cancelled ||
+          !permits_.contains(task.job)) {
+        continue;
+      }
+      if (lapses || workers_.FindAttempt(task)->stopping) {
+        ++restarting[task.job];
+      }
+    }
+  }
+  return restarting;
+}
+
 // Reserves room for the job, and requests permits if the job has no valid ones.
 // An atomic gang reserves room and allowance for all of its tasks or for none,
 // so that what it cannot use is left to the jobs behind it.
-void Owner::Impl::ReserveAndRequest(const LedgerJob& job, JobPermits& permits,
-                                    PermitScan& scan) {
+void Owner::Impl::ReserveAndRequest(const LedgerJob& job, int32_t waiting,
+                                    JobPermits& permits, PermitScan& scan) {
   const JobSpec& spec = job.submitted.spec;
   Resources size = spec.task;
   if (spec.scavenger) size[Dimension::kMillicores] = 0;
@@ -122,7 +163,7 @@
           .try_emplace(job.submitted.team,
                        cell_.AllowanceLeftOf(job.submitted.team))
           .first->second;
-  const int64_t unit = IsAtomicGang(spec) ? job.queued : 1;
+  const int64_t unit = IsAtomicGang(spec) ? waiting : 1;
   const bool may_request = !permits.request_in_flight &&
                            permits.next_request <= now_ &&
                            permits.valid_until <= now_;
@@ -140,7 +181,7 @@
   int64_t min_listed = may_request ? kMinWorkersPerRequest : 0;
   if (bounded) min_listed = std::min(min_listed, options_.permit_first_workers);
   if (recovered) min_listed = std::min(min_listed, kRecoveredWorkersPerTask);
-  const int64_t tasks = has_no_room || !is_allowed(unit) ? 0 : job.queued;
+  const int64_t tasks = has_no_room || !is_allowed(unit) ? 0 : waiting;
   int64_t tasks_with_room = 0;  // Denied workers are left out.
   bool none_fits = true;
   std::vector<VmId> with_room;
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -918,6 +918,66 @@
   }
 }
 
+// Guards against perpetual tasks that wait for the permit service once their
+// worker's lease has lapsed, or once they have been stopped on a leaving worker
+// (LOST).
+TEST_CASE("permits of perpetual tasks are there when the tasks may restart") {
+  for (const bool leaving : {true, false}) {
+    CAPTURE(leaving);
+    Driver d({"vm-0"}, true);
+    WorkflowSpec spec = WorkflowWithPermits(1, ServicePolicy{});
+    spec.steps[0].job.perpetual = true;
+    const JobId job = MakeJobId(kPartition, {kRequest, 0, 0});
+    const auto grant = [&] {
+      const std::vector<VmId> asked = d.Last<RequestPermits>().workers;
+      std::vector<Permit> permits;
+      for (const VmId& vm : asked) permits.push_back({vm, "t"});
+      d.Handle(PermitsIssued{job, asked, permits, d.now + kPermitValidity});
+      d.CompleteAppends();
+    };
+    d.Submit(1, spec);
+    d.CompleteAppends();
+    REQUIRE(d.Count<RequestPermits>() == 1);
+    grant();
+    REQUIRE(d.Starts().size() == 1);
+    const AttemptId first = d.Starts()[0].second.attempt;
+    d.Report("vm-0", 0, first, WorkerEventKind::kStarted);
+    VmListChanged list;
+    for (const char* vm : {"vm-0", "vm-1"}) {
+      list.vms[VmId(vm)] = VmState::kLive;
+      list.workers[VmId(vm)] = MakeWorker(vm);
+    }
+    if (leaving) list.vms[VmId("vm-0")] = VmState::kLeaving;
+    d.now += seconds(10);  // The first permits have expired.
+    d.Handle(list);
+    d.OpenWorkerSession("vm-1");
+    d.CompleteAppends();
+    const MonotonicTime lapses = d.now + seconds(7);
+    if (!leaving) {
+      d.Handle(WorkerUnreachable{VmId("vm-0"), Epoch{1}, lapses, d.now});
+      d.now = lapses - seconds(2);
+      d.Handle(Tick{});
+      CHECK(d.Count<RequestPermits>() == 1);  // Such permits would expire.
+      d.now = lapses - Duration(500);
+    }
+    d.now += Duration(50);
+    d.Handle(Tick{});
+    REQUIRE(d.Count<RequestPermits>() == 2);
+    CHECK(d.Last<RequestPermits>().workers == std::vector<VmId>{VmId("vm-1")});
+    grant();
+    CHECK(d.Starts().size() == 1);
+    if (leaving) {
+      d.Report("vm-0", 1, first, WorkerEventKind::kStopped);
+    } else {
+      d.now = lapses;
+      d.Handle(Tick{});
+    }
+    d.CompleteAppends();
+    REQUIRE(d.Starts().size() == 2);
+    CHECK(d.Starts()[1].first == VmId("vm-1"));
+  }
+}
+
 std::vector<std::string> ManyVms() {
   std::vector<std::string> vms;
   vms.reserve(64);
