The loss of a worker may end jobs whose starts are withdrawn with it

Found by the review of this issue's fixes, by a trial that ended in SIGSEGV: a lost task that counts fails its job, which withdraws a start of the same job on the same worker that is not yet recorded, and the loop over the worker's tasks then used that attempt. On the platform losses don't count, so that it is not known to have happened there. The loop over the tasks of a leaving worker had the same form.

owner_gang_test: 'a job that fails as its worker is lost' crashed before (the reviewer's trial), and passes.

--- a/azurepass/partition/owner_gang_test.cc
+++ b/azurepass/partition/owner_gang_test.cc
@@ -172,8 +172,27 @@
   CHECK(d.State() == WorkflowState::kFailed);
 }
 
-// Guards against the same after a takeover: the former owner recorded the
-// failure, and not the cancellation that follows from it.
+// Guards against a crash: the loss of one task of a worker fails the job, and
+// that withdraws a start of the same job, on the same worker, which is not yet
+// recorded.
+TEST_CASE("a job that fails as its worker is lost withdraws its held starts") {
+  Driver d;
+  WorkflowSpec spec = TwoStepWorkflow();
+  spec.steps = {MakeStep(1), MakeStep(1)};
+  spec.steps[0].job.max_attempts = 1;    // A loss counts.
+  spec.steps[1].job.repeatable = false;  // Held until it is recorded.
+  d.Submit(1, spec);
+  d.CompleteAppend();
+  d.Handle(Tick{});
+  REQUIRE(d.Starts().size() == 1);
+  d.Handle(WorkerReplaced{VmId("vm-0"), Epoch{1}});
+  d.CompleteAppends();
+  CHECK(d.State() == WorkflowState::kFailed);
+  CHECK(d.Starts().size() == 1);
+}
+
+// Guards against starts of a job that has failed, after a takeover: the former
+// owner recorded the failure, and not the cancellation that follows from it.
 TEST_CASE("a new owner starts nothing of a job that has failed") {
   Driver d;
   WorkflowSpec spec = TwoStepWorkflow();
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -484,7 +484,10 @@
 
 void Owner::Impl::HandleLostWorker(Worker& worker, const std::string& reason) {
   for (const TaskId& task : std::set<TaskId>(worker.tasks)) {
-    if (workers_.FindAttempt(task)->stage == AttemptStage::kHeld) {
+    const LiveAttempt* attempt = workers_.FindAttempt(task);
+    // The end of another task may have ended the job.
+    if (attempt == nullptr) continue;
+    if (attempt->stage == AttemptStage::kHeld) {
       WithdrawStart(task, reason);
     } else {
       HandleLostAttempt(task, reason);
@@ -587,15 +590,15 @@
 // a report, and start again only once its lease has lapsed.
 void Owner::Impl::StopLeavingTasks(Worker& worker) {
   for (const TaskId& task : std::set<TaskId>(worker.tasks)) {
-    const internal::LedgerJob* job = live_.Find(task.job);
-    if (job == nullptr) continue;
-    const JobSpec& spec = job->submitted.spec;
+    LiveAttempt* attempt = workers_.FindAttempt(task);
+    // The end of another task may have ended the job.
+    if (attempt == nullptr) continue;
+    const JobSpec& spec = live_.Find(task.job)->submitted.spec;
     if (!options_.checkpoint_leaving && !spec.perpetual) continue;
-    LiveAttempt& attempt = *workers_.FindAttempt(task);
-    if (attempt.stage == AttemptStage::kHeld) {
+    if (attempt->stage == AttemptStage::kHeld) {
       WithdrawStart(task, "the VM is leaving");
-    } else if (spec.repeatable && !attempt.stopping) {
-      OrderStop(attempt, StopKind::kCheckpoint);
+    } else if (spec.repeatable && !attempt->stopping) {
+      OrderStop(*attempt, StopKind::kCheckpoint);
     }
   }
 }
