A new owner stops adopted perpetual tasks on a leaving worker

Found by the review: a perpetual task whose start the former owner had not recorded is adopted when its worker's session opens, after the list of workers was looked at, and so it stayed on a worker that had announced its end. Now leaving workers are looked at again once their tasks are known.

owner_workflows_test: the case without a recorded start failed in the reviewer's trial, with no stop ordered, and passes.

--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -199,6 +199,7 @@
   } else {
     AdoptListed(event.vm, event.running);
     ReconcileWorker(*worker, event.running);
+    if (worker->listed == VmState::kLeaving) StopLeavingTasks(*worker);
   }
   SetAdmission(*worker);
 }
@@ -224,6 +225,7 @@
   for (auto& [vm, worker] : workers_.workers()) {
     if (IsOpen(worker)) {
       ReconcileWorker(worker, std::exchange(worker.running, {}));
+      if (worker.listed == VmState::kLeaving) StopLeavingTasks(worker);
     } else if (!std::holds_alternative<SessionOpening>(worker.session)) {
       HandleLostWorker(worker, "worker gone at the takeover");
     }
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -371,37 +371,48 @@
   }
 }
 
-// Guards against the same where the VM said so to the former owner.
+// Guards against the same where the VM said so to the former owner, which may
+// have ended before the start was recorded.
 TEST_CASE("a new owner stops perpetual tasks on a leaving VM") {
-  Options options = PlatformOptions();
-  options.checkpoint_leaving = false;
-  Driver d({"vm-0"}, false, options);
-  WorkflowSpec spec;
-  spec.queue = kQueue;
-  spec.steps = {MakeStep(1)};
-  spec.steps[0].job.perpetual = true;
-  spec.steps[0].job.policy = ServicePolicy{};
-  d.Submit(1, spec);
-  d.CompleteAppends();
-  const AttemptId first = d.Starts().at(0).second.attempt;
-  d.Handle(ClaimLost{});
-  VmListChanged list;
-  for (const char* vm : {"vm-0", "vm-1"}) {
-    list.vms[VmId(vm)] = VmState::kLive;
-    list.workers[VmId(vm)] = MakeWorker(vm);
+  for (const bool start_recorded : {true, false}) {
+    CAPTURE(start_recorded);
+    Options options = PlatformOptions();
+    options.checkpoint_leaving = false;
+    options.keep_running_attempts = true;
+    Driver d({"vm-0"}, false, options);
+    WorkflowSpec spec;
+    spec.queue = kQueue;
+    spec.steps = {MakeStep(1)};
+    spec.steps[0].job.perpetual = true;
+    spec.steps[0].job.policy = ServicePolicy{};
+    d.Submit(1, spec);
+    d.CompleteAppends();
+    const AttemptId first = d.Starts().at(0).second.attempt;
+    std::vector<Batch> batches = d.batches;
+    for (Batch& batch : batches) {
+      std::erase_if(batch.records, [&](const Record& record) {
+        return !start_recorded && std::holds_alternative<TaskStarted>(record);
+      });
+    }
+    d.Handle(ClaimLost{});
+    VmListChanged list;
+    for (const char* vm : {"vm-0", "vm-1"}) {
+      list.vms[VmId(vm)] = VmState::kLive;
+      list.workers[VmId(vm)] = MakeWorker(vm);
+    }
+    list.vms[VmId("vm-0")] = VmState::kLeaving;
+    d.Handle(list);
+    d.actions.clear();
+    d.TakeOver(2, std::nullopt, batches, {});
+    d.OpenWorkerSession("vm-0", {first});
+    d.OpenWorkerSession("vm-1");
+    d.CompleteAppends();
+    CHECK(StopsOrdered(d) > 0);
+    d.Report("vm-0", 1, first, WorkerEventKind::kStopped);
+    d.CompleteAppends();
+    REQUIRE(d.Starts().size() == 1);
+    CHECK(d.Starts()[0].first == VmId("vm-1"));
   }
-  list.vms[VmId("vm-0")] = VmState::kLeaving;
-  d.Handle(list);
-  d.actions.clear();
-  d.TakeOver(2, std::nullopt, d.batches, {});
-  d.OpenWorkerSession("vm-0", {first});
-  d.OpenWorkerSession("vm-1");
-  d.CompleteAppends();
-  CHECK(StopsOrdered(d) > 0);
-  d.Report("vm-0", 1, first, WorkerEventKind::kStopped);
-  d.CompleteAppends();
-  REQUIRE(d.Starts().size() == 1);
-  CHECK(d.Starts()[0].first == VmId("vm-1"));
 }
 
 // Returns part `part` of two of a step of five perpetual tasks.
