A new owner applies the ends of earlier steps first

While the store takes no records, a step may fail and succeed (1025, 1026) and the next one start and fail (1025). A successor sorted by number alone took the second step's end first, before that step was known to be ready, found no place for it and ended the job as failed with attempts left.

owner_workflows_test: 'a new owner applies ends of earlier steps first' failed without the change (the job was shown as failed).

--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -60,6 +60,12 @@
          std::holds_alternative<SessionLapsed>(worker.session);
 }
 
+// Returns the position of the step in its workflow, and the attempt's number.
+std::pair<int32_t, int32_t> OrderOf(const AttemptId& attempt) {
+  const std::optional<StepId> step = StepOf(attempt.task.job);
+  return {step ? step->step : 0, attempt.attempt};
+}
+
 }  // namespace
 
 void Owner::Impl::BeginOpening() {
@@ -267,9 +273,11 @@
 
 // Workers report to a new owner the ends that the former one did not append,
 // for example because the store was down; the starts before them may be missing
-// as well. They are handled in the order of the attempts' numbers across all
-// workers, because a task may have failed on one worker, been started again,
-// and succeeded on another, and each failure counts.
+// as well. Those of one step are handled in the order of the attempts' numbers
+// across all workers, because a task may have failed on one worker, been
+// started again, and succeeded on another, and each failure counts. Those of
+// earlier steps come first, because a step starts after those that it depends
+// on; numbers of different tasks tell nothing about their order.
 void Owner::Impl::HandleBufferedEvents() {
   std::vector<std::pair<Worker*, WorkerEvent>> events;
   for (auto& [vm, worker] : workers_.workers()) {
@@ -277,10 +285,10 @@
       events.emplace_back(&worker, event);
     }
   }
-  std::stable_sort(events.begin(), events.end(),
-                   [](const auto& a, const auto& b) {
-                     return a.second.attempt.attempt < b.second.attempt.attempt;
-                   });
+  std::stable_sort(
+      events.begin(), events.end(), [](const auto& a, const auto& b) {
+        return OrderOf(a.second.attempt) < OrderOf(b.second.attempt);
+      });
   for (const auto& [worker, event] : events) {
     AdoptEnded(worker->spec.vm, event);
     HandleWorkerEvent(*worker, event);
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -1207,6 +1207,42 @@
   }
 }
 
+// Guards against a job that fails with attempts left (LOST): a second step's
+// first attempt has a lower number than the first step's last one. Load: the
+// store is down from the submission on.
+TEST_CASE("a new owner applies ends of earlier steps first") {
+  Options options = PlatformOptions();
+  options.keep_running_attempts = true;
+  Driver d({"vm-0"}, false, options);
+  WorkflowSpec spec = TwoStepWorkflow();
+  spec.steps = {MakeStep(1), MakeStep(1, {0})};
+  d.Submit(1, spec);
+  d.CompleteAppends();
+  const std::vector<Batch> batches = d.batches;
+  std::vector<WorkerEvent> ends;
+  for (const auto kind : {WorkerEventKind::kFailed, WorkerEventKind::kSucceeded,
+                          WorkerEventKind::kFailed}) {
+    WorkerEvent end;
+    end.number = std::ssize(ends) + 1;
+    end.attempt = d.Starts().back().second.attempt;
+    end.kind = kind;
+    ends.push_back(end);
+    const size_t starts = d.Starts().size();
+    d.Handle(WorkerReported{VmId("vm-0"), Epoch{1}, {end}, {}});
+    for (int i = 0; i < 60 && d.Starts().size() == starts; ++i) {
+      d.now += seconds(1);
+      d.Handle(Tick{});
+    }
+  }
+  REQUIRE(ends[2].attempt.attempt < ends[1].attempt.attempt);
+  d.Handle(ClaimLost{});
+  d.TakeOver(2, std::nullopt, batches, {});
+  d.Handle(WorkerReported{VmId("vm-0"), Epoch{2}, ends, {}});
+  d.OpenWorkerSession("vm-0");
+  d.CompleteAppends();
+  CHECK(d.State() == WorkflowState::kRunning);
+}
+
 // Allowances are computed from each owner's last report, and a report replaces
 // the one before.
 TEST_CASE("a demand report holds all teams, not only those that changed") {
