A new owner completes a gang of which one task succeeded

The successor started the others again as a smaller gang (TWICE), for ever alone. Now it ends them before it places anything.

owner_gang_test: 'a new owner completes a gang' failed without the change (no next step, the gang's other tasks were waiting).

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -181,6 +181,8 @@
   // Notes the workers that have permits by the job's former starts.
   void RecoverGranted(const JobId& id, const internal::LedgerJob& job);
   void FinishOpening();
+  // Ends the tasks of gangs that have succeeded in part.
+  void CompleteGangs();
   void AdoptListed(const VmId& vm, const std::vector<AttemptId>& running);
   // Applies the descriptions of workers that are new or have changed.
   void ApplyWorkerSpecs();
--- a/azurepass/partition/owner_gang_test.cc
+++ b/azurepass/partition/owner_gang_test.cc
@@ -241,6 +241,36 @@
   }
 }
 
+// Guards against the same after a takeover (TWICE): the journal has the ends of
+// some of the gang's tasks only.
+TEST_CASE("a new owner completes a gang of which one task succeeded") {
+  Driver d({"vm-0", "vm-1"});
+  WorkflowSpec spec = Gang(2);
+  spec.steps.push_back(MakeStep(1, {0}));
+  d.Submit(1, spec);
+  d.CompleteAppends();
+  const auto starts = d.Starts();
+  REQUIRE(starts.size() == kWidth);
+  std::vector<Batch> batches = d.batches;
+  Batch last = batches.back();
+  ++last.number;
+  last.records = {
+      TaskRequeued{starts[0].second.attempt},
+      TaskEnded{starts[1].second.attempt.task, TaskState::kSucceeded, "done"}};
+  batches.push_back(last);
+  d.Handle(ClaimLost{});
+  d.actions.clear();
+  d.TakeOver(2, std::nullopt, batches, {"vm-0", "vm-1"});
+  REQUIRE(d.Starts().size() == 1);  // The next step.
+  CHECK(StepOf(d.Starts()[0].second.attempt.task.job)->step == 1);
+  d.Report("vm-0", 1, d.Starts()[0].second.attempt,
+           WorkerEventKind::kSucceeded);
+  d.Report("vm-1", 1, d.Starts()[0].second.attempt,
+           WorkerEventKind::kSucceeded);
+  d.CompleteAppends();
+  CHECK(d.State() == WorkflowState::kCompleted);
+}
+
 // Guards against a count that a change of owner gets wrong in the middle of a
 // run (LOST, or runs beyond the limit).
 TEST_CASE(
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -74,6 +74,7 @@
   silence_ = {};
   live_ = committed_;
   next_job_number_ = live_.next_job_number();
+  CompleteGangs();
   const MonotonicTime lapses = FormerLeasesLapse();
   for (const auto& [vm, spec] : environment_.workers)
     workers_.AddOrUpdate(spec);
@@ -91,6 +92,27 @@
   ApplyVmList();
 }
 
+// The former owner may have died between the records of the ends of one gang's
+// tasks, or may be of a version that recorded only some.
+void Owner::Impl::CompleteGangs() {
+  std::vector<TaskId> done;
+  for (const auto& [id, job] : live_.jobs()) {
+    const JobSpec& spec = job.submitted.spec;
+    const bool ended = IsAtomicGang(spec) && !spec.perpetual &&
+                       std::any_of(job.tasks.begin(), job.tasks.end(),
+                                   [](const TaskSnapshot& task) {
+                                     return task.state == TaskState::kSucceeded;
+                                   });
+    if (!ended) continue;
+    const std::vector<TaskId> open = UnfinishedTasks(id);
+    done.insert(done.end(), open.begin(), open.end());
+  }
+  for (const TaskId& task : done) {
+    ApplyAndAppend(
+        TaskEnded{task, TaskState::kSucceeded, "succeeded with its gang"});
+  }
+}
+
 Duration Owner::Impl::LongestRunUnrenewed() const {
   // A worker's clock may run slow by one part of this many.
   constexpr int kClockDrift = 50;
