Retries of a gang are counted by run

Found by the review: the budget of retries counted a failure, and took a token, for each task of a gang that failed. Same class as the count of attempts: kept by task, and it belongs to the run. Now a gang has one failure and one token a run. The node on the platform has no budget of retries, so callers there did not see it.

owner_gang_test: 'retries of gangs are counted by run' holds the eight gangs to 2 s.

--- a/azurepass/partition/owner_gang_test.cc
+++ b/azurepass/partition/owner_gang_test.cc
@@ -271,6 +271,37 @@
   CHECK(d.State() == WorkflowState::kCompleted);
 }
 
+// Guards against gangs that wait for the retry budget because it counts each of
+// their tasks: 192 tasks of 8 gangs fail, and the bucket holds 100 tokens.
+TEST_CASE("retries of gangs are counted by run") {
+  constexpr int kGangs = 8;
+  constexpr int kTasks = 24;
+  std::vector<std::string> vms;
+  for (int i = 0; i < kTasks; ++i) vms.push_back("vm-" + std::to_string(i));
+  Driver d(vms);
+  WorkflowSpec spec = Gang(9);
+  spec.steps[0].job.tasks = kTasks;
+  for (int i = 0; i < kGangs; ++i) {
+    d.Submit(1 + i, spec, kTeam,
+             RequestId("5c0e7a21d94b36f" + std::to_string(i)));
+    d.CompleteAppends();
+  }
+  const auto starts = d.Starts();
+  REQUIRE(starts.size() == kGangs * kTasks);
+  int64_t number = 0;
+  for (const auto& [vm, start] : starts) {
+    d.Report(vm.value(), ++number, start.attempt, WorkerEventKind::kFailed);
+  }
+  d.CompleteAppends();
+  // As soon as if one task of each had failed.
+  for (int i = 0; i < 20; ++i) {
+    d.now += Duration(100);
+    d.Handle(Tick{});
+    d.CompleteAppends();
+  }
+  CHECK(d.Starts().size() == 2 * kGangs * kTasks);
+}
+
 // Guards against a count that a change of owner gets wrong in the middle of a
 // run (LOST, or runs beyond the limit).
 TEST_CASE(
--- a/azurepass/placement/cell.cc
+++ b/azurepass/placement/cell.cc
@@ -175,6 +175,10 @@
   }
   job.outcomes.Count(failed);
   here.Count(failed);
+  if (failed && job.is_atomic() && job.failed_attempt_start != task.since) {
+    ++job.failed_attempts;
+    job.failed_attempt_start = task.since;
+  }
   state_.fleet.RecordOutcome(task.worker, evidence, now);
 }
 
--- a/azurepass/placement/internal/cell_state.cc
+++ b/azurepass/placement/internal/cell_state.cc
@@ -240,7 +240,10 @@
     delays_.pop();
     Task* task = Delayed(due);
     if (task == nullptr) continue;
-    if (options.bound_retries && RetryBudget::AppliesTo(jobs[due.ref.job])) {
+    const Job& job = jobs[due.ref.job];
+    // The last of a gang's tasks to be delayed takes the token for all.
+    const bool takes_token = !job.is_atomic() || job.delayed == 1;
+    if (options.bound_retries && takes_token && RetryBudget::AppliesTo(job)) {
       task->needs_token = true;
       token_waiters_.push_back(due);
     } else {
--- a/azurepass/placement/internal/job.h
+++ b/azurepass/placement/internal/job.h
@@ -117,6 +117,10 @@
   // `outcomes_by_worker`.
   Outcomes outcomes;
   absl::flat_hash_map<Index, Outcomes> outcomes_by_worker;
+  // Of an atomic gang: its failed attempts, each counted once, and the start of
+  // the latest.
+  int32_t failed_attempts = 0;
+  MonotonicTime failed_attempt_start{};
   PeerRunTimes run_times;
   std::optional<LatestStart> latest;
   // See Cell::SetPermitted. Invariant: `permitted` is sorted.
--- a/azurepass/placement/internal/retry_budget.h
+++ b/azurepass/placement/internal/retry_budget.h
@@ -2,9 +2,10 @@
 // that fail on every worker cannot fill the fleet with retries. This is a token
 // bucket: each first start adds kTokensPerStart, time adds kTokensPerSecond so
 // that a cell with few starts still retries, and each retry of a job that is
-// subject to the budget takes one token. Exempt are jobs with few failures,
-// jobs that succeed at least as often as they fail, and perpetual jobs, of
-// which there are no more than there is room for.
+// subject to the budget takes one token, that of an atomic gang as a whole.
+// Exempt are jobs with few failures, jobs that succeed at least as often as
+// they fail, and perpetual jobs, of which there are no more than there is room
+// for.
 
 #ifndef AZUREPASS_PLACEMENT_INTERNAL_RETRY_BUDGET_H_
 #define AZUREPASS_PLACEMENT_INTERNAL_RETRY_BUDGET_H_
@@ -24,8 +25,10 @@
 
   // Returns whether the job's retries take tokens.
   static bool AppliesTo(const Job& job) {
-    return !job.spec.perpetual && job.outcomes.failures > kFreeFailures &&
-           job.outcomes.failures > job.outcomes.successes;
+    const int32_t failures =
+        job.is_atomic() ? job.failed_attempts : job.outcomes.failures;
+    return !job.spec.perpetual && failures > kFreeFailures &&
+           failures > job.outcomes.successes;
   }
 
   // Takes one token. Returns false when there is none at `now`.
