--- a/azurepass/partition/internal/ledger.cc
+++ b/azurepass/partition/internal/ledger.cc
@@ -26,7 +26,8 @@
 }
 
 // All tasks of a gang have the same attempt, and its number rises from one to
-// the next.
+// the next. A failure that is learned only after a later attempt has counted
+// does not count any more.
 bool IsCounted(const LedgerJob& gang, int32_t attempt) {
   return attempt <= gang.failed_attempt;
 }
@@ -83,11 +84,11 @@
          !std::holds_alternative<ServicePolicy>(spec.policy);
 }
 
-int32_t FailuresWith(const LedgerJob& job, const AttemptId& failed) {
+int32_t FailuresWith(const LedgerJob& job, const AttemptId& last) {
   if (!IsAtomicGang(job.submitted.spec)) {
-    return job.tasks[failed.task.index].failures + 1;
+    return job.tasks[last.task.index].failures + 1;
   }
-  int32_t failures = IsCounted(job, failed.attempt) ? 0 : 1;
+  int32_t failures = IsCounted(job, last.attempt) ? 0 : 1;
   for (const TaskSnapshot& task : job.tasks) failures += task.failures;
   return failures;
 }
--- a/azurepass/partition/internal/ledger.h
+++ b/azurepass/partition/internal/ledger.h
@@ -68,11 +68,12 @@
   bool operator==(const TeamQueue&) const = default;
 };
 
-// Returns true if an attempt with this outcome counts towards kMaxAttempts.
+// Returns true if an attempt with this outcome counts towards the job's
+// max_attempts.
 bool CountsAsFailure(placement::AttemptOutcome outcome, const JobSpec& spec);
 // Returns how many attempts of the task, or of its whole atomic gang, count as
-// failed once `failed` does.
-int32_t FailuresWith(const LedgerJob& job, const AttemptId& failed);
+// failed once the attempt `last` has failed, too.
+int32_t FailuresWith(const LedgerJob& job, const AttemptId& last);
 
 class Ledger {
  public:
--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -305,11 +305,11 @@
   // Updates the workflow after one of its tasks reached a final state.
   void OnStepTaskEnded(const JobId& job, TaskState state);
   // Applies a cancellation that was appended.
-  void CancelWorkflowTasks(const RequestId& request);
+  void ApplyCancellation(const RequestId& request);
   // Records the cancellation of a workflow that has failed.
-  void CancelFailed(const RequestId& request);
+  void CancelFailedWorkflow(const RequestId& request);
   // Ends the tasks `open` of a cancelled workflow in the cell and on workers.
-  void EndTasks(const RequestId& request, const std::vector<TaskId>& open);
+  void EndOpenTasks(const RequestId& request, const std::vector<TaskId>& open);
   std::vector<TaskId> UnfinishedTasks(
       const internal::LedgerWorkflow& workflow) const;
   void RemoveUnstarted(const JobId& job);
--- a/azurepass/partition/owner_journal.cc
+++ b/azurepass/partition/owner_journal.cc
@@ -177,7 +177,7 @@
                        AnswerSubmitted(r.request);
                      },
                      [&](const WorkflowCancelled& r) {
-                       CancelWorkflowTasks(r.request);
+                       ApplyCancellation(r.request);
                        AnswerRecord(sequence);
                      },
                      [](const auto&) {}},
--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -135,7 +135,7 @@
         std::holds_alternative<internal::SessionOpen>(worker.session);
     if (!lapses && !stops) continue;
     for (const TaskId& task : worker.tasks) {
-      const LedgerJob& job = *live_.Find(task.job);
+      const LedgerJob& job = *live_.Find(task.job);  // It has an attempt.
       if (!job.submitted.spec.perpetual || job.cancelled ||
           !permits_.contains(task.job)) {
         continue;
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -140,7 +140,7 @@
   // The former owner may have died after recording the failure but before
   // recording the cancellation that follows from it.
   if (workflow.failed && !workflow.cancelled) {
-    CancelFailed(submitted.request);
+    CancelFailedWorkflow(submitted.request);
   }
 }
 
--- a/azurepass/partition/owner_tasks.cc
+++ b/azurepass/partition/owner_tasks.cc
@@ -252,8 +252,8 @@
   OnStepTaskEnded(task.job, state);
 }
 
-// The success of one task is that of the whole attempt. A task of it may be
-// queued by then, because its worker was lost before it could report the end.
+// The success of one task is that of the whole gang. Some tasks may be queued
+// by then, because their worker was lost before it could report the end.
 void Owner::Impl::FinishGang(const JobId& job) {
   const std::string reason = "succeeded with its gang";
   for (const TaskId& task : UnfinishedTasks(job)) {
--- a/azurepass/partition/owner_workflows.cc
+++ b/azurepass/partition/owner_workflows.cc
@@ -527,7 +527,7 @@
     permits_.erase(id);
     overload_.Remove(id);
   }
-  if (workflow->failed && !workflow->cancelled) CancelFailed(request);
+  if (workflow->failed && !workflow->cancelled) CancelFailedWorkflow(request);
   if (state == TaskState::kSucceeded) ReleaseSteps(request);
   ScheduleForgetting(request);
 }
@@ -544,23 +544,23 @@
 
 // The ledger ends queued tasks with the record, and the cell has to be told of
 // those, too: it would place them.
-void Owner::Impl::CancelFailed(const RequestId& request) {
+void Owner::Impl::CancelFailedWorkflow(const RequestId& request) {
   const std::vector<TaskId> open =
       UnfinishedTasks(*live_.FindWorkflow(request));
   ApplyAndAppend(WorkflowCancelled{request});
-  EndTasks(request, open);
+  EndOpenTasks(request, open);
 }
 
-void Owner::Impl::CancelWorkflowTasks(const RequestId& request) {
+void Owner::Impl::ApplyCancellation(const RequestId& request) {
   const LedgerWorkflow* workflow = live_.FindWorkflow(request);
   if (workflow == nullptr) return;
   const std::vector<TaskId> open = UnfinishedTasks(*workflow);
   if (!workflow->cancelled) live_.Apply(WorkflowCancelled{request});
-  EndTasks(request, open);
+  EndOpenTasks(request, open);
 }
 
-void Owner::Impl::EndTasks(const RequestId& request,
-                           const std::vector<TaskId>& open) {
+void Owner::Impl::EndOpenTasks(const RequestId& request,
+                               const std::vector<TaskId>& open) {
   const LedgerWorkflow& workflow = *live_.FindWorkflow(request);
   for (const JobId& job : workflow.jobs) {
     permits_.erase(job);
--- a/azurepass/scheduling/internal/former_owner.cc
+++ b/azurepass/scheduling/internal/former_owner.cc
@@ -21,6 +21,7 @@
   }
   if (claim.member == self) {
     const bool former_start = !first_tried || claim.epoch < *first_tried;
+    // This process may have renewed leases until now.
     return former_start ? told.started : now;
   }
   const MonotonicTime gone = claim.departure ? claim.departure->at : now;
