--- a/azurepass/partition/owner_gang_test.cc
+++ b/azurepass/partition/owner_gang_test.cc
@@ -83,6 +83,7 @@
   void TakeOver(std::optional<Snapshot> snapshot, std::vector<Batch> batches,
                 const std::vector<int32_t>& running) {
     std::vector<AttemptId> attempts;
+    attempts.reserve(running.size());
     for (const int32_t index : running) attempts.push_back(AttemptOf(index));
     events_ = 0;
     d.Handle(ClaimLost{});
@@ -277,6 +278,7 @@
   constexpr int kGangs = 8;
   constexpr int kTasks = 24;
   std::vector<std::string> vms;
+  vms.reserve(kTasks);
   for (int i = 0; i < kTasks; ++i) vms.push_back("vm-" + std::to_string(i));
   Driver d(vms);
   WorkflowSpec spec = Gang(9);
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -942,6 +942,7 @@
     const auto grant = [&] {
       const std::vector<VmId> asked = d.Last<RequestPermits>().workers;
       std::vector<Permit> permits;
+      permits.reserve(asked.size());
       for (const VmId& vm : asked) permits.push_back({vm, "t"});
       d.Handle(PermitsIssued{job, asked, permits, d.now + kPermitValidity});
       d.CompleteAppends();
