--- a/review/7/case.cc
+++ b/review/7/case.cpp
@@ -1,7 +1,7 @@
 // Case 7. The node that holds a partition gets SIGTERM while the store is away;
 // a worker that was cut off comes back before the node has handed over.
 
-#include "stand.h"
+#include "stand.hpp"
 
 using namespace stand;
 
@@ -14,7 +14,10 @@
 Json JobOf() {
   return {{"spec", "ms=1000"},
           {"steps",
-           {{{"count", 24}, {"cpu", 4'000}, {"memMb", 256}, {"estimateMs", 1'000}}}}};
+           {{{"count", 24},
+             {"cpu", 4'000},
+             {"memMb", 256},
+             {"estimateMs", 1'000}}}}};
 }
 
 }  // namespace
@@ -58,7 +61,9 @@
   while (cell.worker(0).RunsNow() == 0 && NowMs() < patience) SleepMs(2);
   SleepMs(50);
   const int64_t begin = NowMs();
-  const auto at = [&](int64_t ms) { SleepMs(std::max<int64_t>(0, begin + ms - NowMs())); };
+  const auto at = [&](int64_t ms) {
+    SleepMs(std::max<int64_t>(0, begin + ms - NowMs()));
+  };
   if (Trouble()) {
     cell.worker(0).SetCut(true);
     cell.record().Line("worker " + cell.worker(0).id() + " is cut off");
--- a/review/8/case.cc
+++ b/review/8/case.cpp
@@ -1,22 +1,23 @@
 // Case 8. Two customers choose the same id for a job of theirs while the store
 // is slow. The second one's POST is answered as if its job had been accepted.
 
-#include "stand.h"
+#include "stand.hpp"
 
 using namespace stand;
 
 namespace {
 
-constexpr int64_t kSlowMs = 268;   // 4 ms x 67.
+constexpr int64_t kSlowMs = 268;  // 4 ms x 67.
 constexpr int64_t kSlowForMs = 5'000;
 constexpr int64_t kApartMs = 100;  // From the first POST to the second one.
 constexpr int kPairs = 12;
 constexpr int64_t kFinishMs = 14'000;
 
 Json JobOf(const std::string& tenant) {
-  return {{"spec", "ms=100 of " + tenant},
-          {"steps",
-           {{{"count", 2}, {"cpu", 500}, {"memMb", 256}, {"estimateMs", 100}}}}};
+  return {
+      {"spec", "ms=100 of " + tenant},
+      {"steps",
+       {{{"count", 2}, {"cpu", 500}, {"memMb", 256}, {"estimateMs", 100}}}}};
 }
 
 }  // namespace
@@ -88,10 +89,10 @@
       const Answer answer = cell.Send(static_cast<int>(job.first), "GET", route,
                                       plan.tenants[job.first], job.second, "");
       last[job] = answer.status;
-      const std::string state = answer.status != 200
-                                    ? ""
-                                    : Json::parse(answer.body, nullptr, false)
-                                          .value("state", "");
+      const std::string state =
+          answer.status != 200
+              ? ""
+              : Json::parse(answer.body, nullptr, false).value("state", "");
       if (state == "completed") open.erase(job);
     }
     SleepMs(200);
@@ -105,5 +106,6 @@
                      std::to_string(refused.size()) + " rejected, " +
                      std::to_string(open.size()) +
                      " accepted and never completed";
-  cell.Exit(open.empty() ? 0 : 1, (open.empty() ? "held: " : "broken: ") + text);
+  cell.Exit(open.empty() ? 0 : 1,
+            (open.empty() ? "held: " : "broken: ") + text);
 }
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/{6,7,8,9,10}/case.cc; do
+for source in review/{6,7,8,9,10}/case.cpp; do
   [ -e "$source" ] || continue
   number=$(basename "$(dirname "$source")")
   g++ -std=c++20 -O1 -Wall -Wextra -Ireview/stand-2 "$source" \
--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.hpp
@@ -4,8 +4,8 @@
 //
 // Blocking sockets, one thread a connection. Not for use outside review/.
 
-#ifndef REVIEW_STAND_2_STAND_H_
-#define REVIEW_STAND_2_STAND_H_
+#ifndef REVIEW_STAND_2_STAND_HPP_
+#define REVIEW_STAND_2_STAND_HPP_
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -376,7 +376,8 @@
   using Judge = std::function<Fate(const Json& transaction)>;
 
   explicit Store(Record& record)
-      : record_(record), server_([this](const Request& r) { return Handle(r); }) {}
+      : record_(record),
+        server_([this](const Request& r) { return Handle(r); }) {}
 
   bool Listen() {
     const bool open = server_.Listen();
@@ -560,7 +561,8 @@
     const std::string prefix = r.query.at("prefix");
     const int64_t after = atoll(r.query.at("after").c_str());
     const int64_t until =
-        NowMs() + std::min<int64_t>(30'000, atoll(r.query.at("waitMs").c_str()));
+        NowMs() +
+        std::min<int64_t>(30'000, atoll(r.query.at("waitMs").c_str()));
     while (true) {
       if (down_) return std::nullopt;
       if (!history_.empty() && history_.front().revision > after + 1) {
@@ -736,8 +738,8 @@
     {
       std::lock_guard<std::mutex> lock(mutex_);
       for (const auto& [task, run] : running_) {
-        runs_.Add({NowMs(), options_.id, task, run.run, "crashed",
-                   options_.kind});
+        runs_.Add(
+            {NowMs(), options_.id, task, run.run, "crashed", options_.kind});
       }
       running_.clear();
       up_ = false;
@@ -876,8 +878,7 @@
       const int64_t lasts =
           at == std::string::npos ? 100 : atoll(spec.c_str() + at + 3);
       running_[task] = {number, lasts == 0 ? 0 : NowMs() + lasts};
-      runs_.Add(
-          {NowMs(), options_.id, task, number, "start", options_.kind});
+      runs_.Add({NowMs(), options_.id, task, number, "start", options_.kind});
       return Reply(200, Json::object());
     }
     if (r.path == "/-/run-stop") {
@@ -918,7 +919,8 @@
       if (ended.size() == 500) break;
       ended.push_back({end.number, end.task, end.run, end.how, ""});
     }
-    return Reply(200, {{"born", born_}, {"running", running}, {"ended", ended}});
+    return Reply(200,
+                 {{"born", born_}, {"running", running}, {"ended", ended}});
   }
 
   WorkerOptions options_;
@@ -1126,8 +1128,8 @@
                              {"steps", {{{"count", 1}, {"cpu", 100}}}}})
                          .status == 200;
         }
-        done = accepted && StateOf(0, route, plan_.tenants[0], id) ==
-                               "completed";
+        done =
+            accepted && StateOf(0, route, plan_.tenants[0], id) == "completed";
         if (!done) SleepMs(100);
       }
       if (!done) return false;
@@ -1184,13 +1186,12 @@
   Answer Send(int node, const std::string& method, const Route& route,
               const Tenant& tenant, const std::string& id,
               const std::string& body) {
-    const Answer answer =
-        Call(nodes_[static_cast<size_t>(node)]->front(), method,
-             route.prefix + id,
-             {{"Host", kHost},
-              {"X-Api-Key", tenant.key},
-              {"Deadline-Remaining", "3000"}},
-             body, 3'500);
+    const Answer answer = Call(nodes_[static_cast<size_t>(node)]->front(),
+                               method, route.prefix + id,
+                               {{"Host", kHost},
+                                {"X-Api-Key", tenant.key},
+                                {"Deadline-Remaining", "3000"}},
+                               body, 3'500);
     if (method != "GET") {
       record_.Line("client: " + method + " " + route.prefix + id + " at " +
                    nodes_[static_cast<size_t>(node)]->name() + " -> " +
@@ -1268,8 +1269,8 @@
     for (const Json& id : body.value("workers", Json::array())) {
       granted.push_back({id, "ticket"});
     }
-    return Response{
-        200, Json{{"granted", granted}, {"validityMs", 2000}}.dump()};
+    return Response{200,
+                    Json{{"granted", granted}, {"validityMs", 2000}}.dump()};
   }
 
   const std::string root_;
@@ -1291,4 +1292,4 @@
 
 }  // namespace stand
 
-#endif  // REVIEW_STAND_2_STAND_H_
+#endif  // REVIEW_STAND_2_STAND_HPP_
