Owner: compare a submission under way with its account as a recorded one

Cause: AnswerRepeated compared the account of workflows in the ledger, and took any submission under the id of one that was still being recorded for its repetition. It was then answered with the success of the other account's record.

Change: FindSubmitted returns the submission, recorded or being recorded. Submissions, further parts, FindWorkflow, GetWorkflow and CancelWorkflow compare the account there, and another account's request is refused at once, with the code that it gets once the workflow is recorded.

"a get waits for the submission that is being recorded" expected another team's get to wait, too, before it is refused; it now expects the same refusal at once, and one answer before the append instead of none.

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -273,11 +273,13 @@
                       const RequestId& request, MonotonicTime deadline);
   std::optional<Refusal> RefuseWorkflow(const SubmitWorkflow& request) const;
   std::optional<Refusal> RefuseQueue(const SubmitWorkflow& request) const;
-  // Returns the workflow, or answers the request with a refusal and returns
-  // null.
-  const internal::LedgerWorkflow* FindOrRefuse(RequestToken token,
-                                               const TeamId& team,
-                                               const RequestId& request);
+  // Returns the submission of the workflow, recorded or being recorded; null if
+  // there is none.
+  const WorkflowSubmitted* FindSubmitted(const RequestId& request) const;
+  // Refuses a request about a workflow that does not exist or that belongs to
+  // another team. Returns false if the request may be served.
+  bool RefuseInaccessible(RequestToken token, const TeamId& team,
+                          const RequestId& request);
   WorkflowView ViewWorkflow(const RequestId& request) const;
   // Adds a record of the cancellation, or waits for the one that is under way.
   void RecordCancellation(RequestToken token, const RequestId& request,
--- a/azurepass/partition/internal/request_table.cc
+++ b/azurepass/partition/internal/request_table.cc
@@ -141,6 +141,11 @@
   return found == records_.end() ? nullptr : &found->second;
 }
 
+const PendingRecord* RequestTable::FindRecord(Sequence sequence) const {
+  auto found = records_.find(sequence);
+  return found == records_.end() ? nullptr : &found->second;
+}
+
 std::optional<PendingRecord> RequestTable::TakeRecord(Sequence sequence) {
   auto found = records_.find(sequence);
   if (found == records_.end()) return std::nullopt;
--- a/azurepass/partition/internal/request_table.h
+++ b/azurepass/partition/internal/request_table.h
@@ -89,6 +89,7 @@
   // --- Records that are not settled
   void AddRecord(Sequence sequence, Record record);
   PendingRecord* FindRecord(Sequence sequence);
+  const PendingRecord* FindRecord(Sequence sequence) const;
   std::optional<PendingRecord> TakeRecord(Sequence sequence);
   std::optional<Sequence> FindSubmission(const TeamId& team,
                                          const RequestId& request) const;
--- a/azurepass/partition/owner_workflows.cc
+++ b/azurepass/partition/owner_workflows.cc
@@ -122,21 +122,32 @@
   WaitForAppend(token, sequence, deadline);
 }
 
+// A submission that is being recorded may be acknowledged at any moment, so
+// whatever depends on the workflow's team depends on it, too.
+const WorkflowSubmitted* Owner::Impl::FindSubmitted(
+    const RequestId& request) const {
+  if (const LedgerWorkflow* workflow = live_.FindWorkflow(request)) {
+    return &workflow->submitted;
+  }
+  const auto sequence = requests_.FindWorkflowSubmission(request);
+  if (!sequence) return nullptr;
+  return &std::get<WorkflowSubmitted>(requests_.FindRecord(*sequence)->record);
+}
+
 bool Owner::Impl::AnswerRepeated(RequestToken token, const TeamId& team,
                                  const RequestId& request,
                                  MonotonicTime deadline) {
-  if (const LedgerWorkflow* workflow = live_.FindWorkflow(request)) {
-    if (workflow->submitted.team == team) {
-      Reply(token, ViewWorkflow(request));
-    } else {
-      Refuse(token, RefusalCode::kRequestConflict, Effect::kNotRun,
-             "The request id was used by another team.");
-    }
-    return true;
+  const WorkflowSubmitted* submitted = FindSubmitted(request);
+  if (submitted == nullptr) return false;
+  if (submitted->team != team) {
+    Refuse(token, RefusalCode::kRequestConflict, Effect::kNotRun,
+           "The request id was used by another team.");
+  } else if (live_.FindWorkflow(request) != nullptr) {
+    Reply(token, ViewWorkflow(request));
+  } else {
+    WaitForAppend(token, *requests_.FindWorkflowSubmission(request), deadline);
   }
-  const auto sequence = requests_.FindWorkflowSubmission(request);
-  if (sequence) WaitForAppend(token, *sequence, deadline);
-  return sequence.has_value();
+  return true;
 }
 
 // "Gone" lets the sender submit the workflow elsewhere. From then on no
@@ -207,21 +218,20 @@
   return std::nullopt;
 }
 
-const LedgerWorkflow* Owner::Impl::FindOrRefuse(RequestToken token,
-                                                const TeamId& team,
-                                                const RequestId& request) {
-  const LedgerWorkflow* found = live_.FindWorkflow(request);
-  if (found == nullptr) {
+bool Owner::Impl::RefuseInaccessible(RequestToken token, const TeamId& team,
+                                     const RequestId& request) {
+  const WorkflowSubmitted* submitted = FindSubmitted(request);
+  if (submitted == nullptr) {
     Refuse(token, RefusalCode::kGone, Effect::kNotRun,
            "There is no such workflow, or it ended long ago.");
-    return nullptr;
+    return true;
   }
-  if (!team.empty() && found->submitted.team != team) {
+  if (!team.empty() && submitted->team != team) {
     Refuse(token, RefusalCode::kForbidden, Effect::kNotRun,
            "The workflow belongs to another team.");
-    return nullptr;
+    return true;
   }
-  return found;
+  return false;
 }
 
 // Callers often ask just when the last task has ended, before its worker has
@@ -229,14 +239,13 @@
 // answered as soon as the end is appended.
 void Owner::Impl::DispatchTo(RequestToken token, const GetWorkflow& r,
                              MonotonicTime deadline) {
-  if (live_.FindWorkflow(r.request) == nullptr &&
-      requests_.FindWorkflowSubmission(r.request)) {
+  if (RefuseInaccessible(token, r.team, r.request)) return;
+  const LedgerWorkflow* workflow = live_.FindWorkflow(r.request);
+  if (workflow == nullptr) {
     requests_.Add(token, {internal::UntilSubmitted{r.request, r}, deadline},
                   deadline);
     return;
   }
-  const LedgerWorkflow* workflow = FindOrRefuse(token, r.team, r.request);
-  if (workflow == nullptr) return;
   const bool waits = options_.completion_wait > Duration(0) &&
                      !In<Releasing>() && IsNearEnd(*workflow);
   if (!waits) {
@@ -276,21 +285,12 @@
 // behind it, so that it takes effect whenever the submission does.
 void Owner::Impl::DispatchTo(RequestToken token, const CancelWorkflow& r,
                              MonotonicTime deadline) {
-  const auto submission = requests_.FindWorkflowSubmission(r.request);
-  if (submission && live_.FindWorkflow(r.request) == nullptr) {
-    const auto& submitted =
-        std::get<WorkflowSubmitted>(requests_.FindRecord(*submission)->record);
-    if (!r.team.empty() && submitted.team != r.team) {
-      Refuse(token, RefusalCode::kForbidden, Effect::kNotRun,
-             "The workflow belongs to another team.");
-      return;
-    }
+  if (FindSubmitted(r.request) == nullptr) RememberCancelled(r.team, r.request);
+  if (RefuseInaccessible(token, r.team, r.request)) return;
+  const LedgerWorkflow* workflow = live_.FindWorkflow(r.request);
+  if (workflow == nullptr) {
     return RecordCancellation(token, r.request, deadline);
   }
-  if (live_.FindWorkflow(r.request) == nullptr)
-    RememberCancelled(r.team, r.request);
-  const LedgerWorkflow* workflow = FindOrRefuse(token, r.team, r.request);
-  if (workflow == nullptr) return;
   const bool over = internal::IsFinal(ViewWorkflow(r.request).state);
   if (workflow->cancelled || over) {
     Reply(token, ViewWorkflow(r.request));
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -171,11 +171,80 @@
   Driver d;
   d.Submit(1, TwoStepWorkflow());
   Ask(d, 2, GetWorkflow{kPartition, kTeam, kRequest});
-  Ask(d, 3, GetWorkflow{kPartition, TeamId("other"), kRequest});
   CHECK(d.Count<Answer>() == 0);
+  Ask(d, 3, GetWorkflow{kPartition, TeamId("other"), kRequest});
+  CHECK(std::get<Refusal>(ResponseTo(d, 3)).code == RefusalCode::kForbidden);
+  CHECK(d.Count<Answer>() == 1);
   d.CompleteAppends();
   CHECK(std::holds_alternative<WorkflowView>(ResponseTo(d, 2)));
-  CHECK(std::get<Refusal>(ResponseTo(d, 3)).code == RefusalCode::kForbidden);
+}
+
+// Guards against a job that is acknowledged with the record of another account
+// that used the same id, and then never runs.
+TEST_CASE("a request is compared with a submission as with a workflow") {
+  const TeamId other("other");
+  WorkflowSpec part = TwoStepWorkflow();
+  part.steps = {MakeStep(2)};
+  part.steps[0].job.share = {1, 2};
+  const struct {
+    std::string name;
+    JobRequest request;
+    RefusalCode code;
+  } kRequests[] = {
+      {"submission",
+       SubmitWorkflow{kPartition, other, kRequest, TwoStepWorkflow(), {}},
+       RefusalCode::kRequestConflict},
+      {"submission of a further part",
+       SubmitWorkflow{kPartition, other, kRequest, part, {}},
+       RefusalCode::kRequestConflict},
+      {"find", FindWorkflow{kPartition, other, kRequest, {}},
+       RefusalCode::kRequestConflict},
+      {"get", GetWorkflow{kPartition, other, kRequest},
+       RefusalCode::kForbidden},
+      {"cancellation", CancelWorkflow{kPartition, other, kRequest},
+       RefusalCode::kForbidden},
+  };
+  for (const bool recorded : {false, true}) {
+    for (const auto& c : kRequests) {
+      CAPTURE(c.name);
+      CAPTURE(recorded);
+      Driver d;
+      d.Submit(1, TwoStepWorkflow());
+      if (recorded) d.CompleteAppends();
+      Ask(d, 2, c.request);
+      const auto refusal = std::get<Refusal>(ResponseTo(d, 2));
+      CHECK(refusal.code == c.code);
+      CHECK(refusal.effect == Effect::kNotRun);
+      d.CompleteAppends();
+      CHECK(std::holds_alternative<WorkflowView>(ResponseTo(d, 1)));
+      CHECK(d.Starts().size() == 2);
+    }
+  }
+}
+
+TEST_CASE("an id is free for another team once its submission is withdrawn") {
+  const TeamId other("other");
+  Options options = PlatformOptions();
+  options.append_timeout = Duration(1'000);
+  options.refuse_while_stalled = false;
+  Driver d({"vm-0"}, /*permits=*/false, options);
+  auto configuration = std::make_shared<Configuration>();
+  configuration->queues[kQueue].queue = kQueue;
+  for (const TeamId& team : {kTeam, other}) {
+    configuration->contracts[team].team = team;
+  }
+  d.Handle(ConfigurationChanged{configuration});
+  d.Submit(1, TwoStepWorkflow());
+  d.FailAppend();
+  d.Submit(2, TwoStepWorkflow(), other);
+  CHECK(std::get<Refusal>(ResponseTo(d, 2)).code ==
+        RefusalCode::kRequestConflict);
+  d.now += Duration(1'000);
+  d.Handle(Tick{});
+  CHECK(std::get<Refusal>(ResponseTo(d, 1)).effect == Effect::kNotRun);
+  d.Submit(3, TwoStepWorkflow(), other);
+  d.CompleteAppends();
+  CHECK(std::get<WorkflowView>(ResponseTo(d, 3)).team == other);
 }
 
 // Guards against a job that runs after its cancellation was acknowledged,
