Owner: conclude nothing from workers' lists while handing over

Cause: an owner that hands over dropped the ends that workers report, so that its release comes to an end, but went on with what presumes that ends are taken note of: attempts that a list lacks, loss timers and overdue orders. It recorded such attempts as lost. To its successor the ends were those of former attempts.

Change: Releasing takes note of neither ends nor lists, and nothing becomes overdue in it. Stops ordered before are ordered again for what is listed. A lapse of the lease or a replacement counts, unless the worker has reported an end or a list meanwhile (Worker::unheard). Deadlines, due steps, forgetting and leaving workers are left to the successor, too: they only add records to wait for.

--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -49,7 +49,9 @@
 struct Fencing {};  // Until our first append is settled.
 struct Opening {};  // Until each worker's session is settled.
 struct Owning {};
-struct Releasing {};  // Starts and accepts nothing; appends the rest.
+// Starts and accepts nothing, and takes no note of what workers tell; appends
+// the rest.
+struct Releasing {};
 using Phase = std::variant<Idle, Loading, Fencing, Opening, Owning, Releasing>;
 
 // Inputs from outside the partition, kept from one ownership to the next.
@@ -193,6 +195,8 @@
   void RemoveUnlistedWorkers();
   void ReconcileWorker(internal::Worker& worker,
                        const std::vector<AttemptId>& running);
+  // Orders the stops of these attempts again that were ordered before.
+  void StopAgain(const std::vector<AttemptId>& running);
   // Lets an attempt that its worker does not list count as lost in a while.
   void SetLossTimer(internal::LiveAttempt& attempt);
   // The worker has reported all ends that it kept.
--- a/azurepass/partition/internal/worker_table.h
+++ b/azurepass/partition/internal/worker_table.h
@@ -100,6 +100,10 @@
   std::set<AttemptId> draining;
   // The worker keeps ends that it has not reported yet.
   bool more_events = false;
+  // The worker has reported ends or listed its attempts, and the owner, which
+  // hands over, took no note of that. Invariant: then no attempt here counts as
+  // lost any more, because its end may be among those that were reported.
+  bool unheard = false;
   // What the worker listed and reported, until recovery is complete.
   std::vector<AttemptId> running;
   std::vector<WorkerEvent> buffered_events;
--- a/azurepass/partition/owner.cc
+++ b/azurepass/partition/owner.cc
@@ -165,6 +165,7 @@
   HandleLapsedSessions();
   if (In<Opening>()) return;
   HandleOverdueAttempts();
+  if (In<Releasing>()) return;  // The rest is left to the successor.
   RemoveUnlistedWorkers();
   ExpireJobs();
   ForgetJobs();
@@ -410,11 +411,10 @@
   if (!loaded()) return next;
   SetToEarlier(next, workers_.NextWake());
   if (!In<Releasing>()) SetToEarlier(next, NextSilenceWake());
-  if (In<Opening>()) return next;
+  if (!In<Owning>()) return next;
   SetToEarlier(next, jobs_.NextWake());
   if (!due_.empty()) SetToEarlier(next, due_.begin()->first);
   if (!forgetting_.empty()) SetToEarlier(next, forgetting_.begin()->first);
-  if (!In<Owning>()) return next;
   if (!permits_.empty()) SetToEarlier(next, std::max(next_permit_scan_, now_));
   const bool starts = environment_.may_start && MayRecordStarts();
   if (starts && placement_due_) SetToEarlier(next, now_);
--- a/azurepass/partition/owner_recovery.cc
+++ b/azurepass/partition/owner_recovery.cc
@@ -21,6 +21,14 @@
 // A worker is settled when it opened a session at our epoch, which voids all
 // orders of former owners; when its lease has lapsed since the takeover; or
 // when the VM list does not contain it.
+//
+// Handover. An owner that hands over takes note of no reports, which would add
+// records that the release has to wait for. The workers keep the ends and
+// report them to the successor. Whatever is concluded from a worker's list
+// rests on the ends that it reports as well, so lists are not taken note of
+// either, and no attempt becomes overdue. An attempt still counts as lost if
+// its worker's lease lapses or the worker is replaced, unless the worker has
+// reported an end or listed its attempts meanwhile (Worker::unheard).
 
 #include <algorithm>
 #include <iterator>
@@ -215,6 +223,11 @@
   if (event.epoch != epoch_ || !loaded() || worker == nullptr) return;
   workers_.SetSession(*worker, SessionOpen{});
   worker->draining.clear();
+  if (In<Releasing>()) {
+    worker->unheard = true;
+    StopAgain(event.running);
+    return;
+  }
   worker->more_events = event.more_events;
   RequireProof(*worker);
   if (In<Opening>()) {
@@ -361,6 +374,15 @@
   }
 }
 
+// A stop that was ordered before may have been lost with the former session.
+void Owner::Impl::StopAgain(const std::vector<AttemptId>& running) {
+  for (const AttemptId& id : running) {
+    LiveAttempt* attempt = workers_.FindAttempt(id.task);
+    if (attempt == nullptr || attempt->id != id || !attempt->stopping) continue;
+    OrderStop(*attempt, *attempt->stopping);
+  }
+}
+
 void Owner::Impl::SetLossTimer(LiveAttempt& attempt) {
   const bool under_way =
       attempt.stage == AttemptStage::kOrdered && !attempt.reopened;
@@ -387,9 +409,13 @@
 void Owner::Impl::On(WorkerReported event) {
   Worker* worker = workers_.Find(event.vm);
   if (event.epoch != epoch_ || !loaded() || worker == nullptr) return;
-  // The worker keeps the events and reports them to the next owner. Handling
-  // them here would add records that the release has to wait for.
-  if (In<Releasing>()) return;
+  if (In<Releasing>()) {
+    worker->unheard |= std::any_of(event.events.begin(), event.events.end(),
+                                   [](const WorkerEvent& e) {
+                                     return e.kind != WorkerEventKind::kStarted;
+                                   });
+    return;
+  }
   if (In<Opening>()) {
     worker->more_events = event.more_events;
     for (WorkerEvent& e : event.events) {
@@ -497,8 +523,8 @@
     LiveAttempt* attempt = workers_.FindAttempt(task);
     if (attempt == nullptr) continue;
     Worker* worker = workers_.Find(attempt->vm);
-    if (!IsOpen(*worker)) {
-      // The lapse of the session decides.
+    if (In<Releasing>() || !IsOpen(*worker)) {
+      // The successor, or the lapse of the session, decides.
       workers_.SetLostAt(*attempt, std::nullopt);
     } else if (attempt->stage == AttemptStage::kOrdered && !attempt->reopened) {
       workers_.SetLostAt(*attempt, std::nullopt);
@@ -515,6 +541,7 @@
 }
 
 void Owner::Impl::HandleLostWorker(Worker& worker, const std::string& reason) {
+  if (worker.unheard) return;
   for (const TaskId& task : std::set<TaskId>(worker.tasks)) {
     const LiveAttempt* attempt = workers_.FindAttempt(task);
     // The end of another task may have ended the job.
@@ -621,6 +648,7 @@
 // perpetual task has nothing to finish there: it would end with the VM, without
 // a report, and start again only once its lease has lapsed.
 void Owner::Impl::StopLeavingTasks(Worker& worker) {
+  if (In<Releasing>()) return;  // Nothing would start them again meanwhile.
   for (const TaskId& task : std::set<TaskId>(worker.tasks)) {
     LiveAttempt* attempt = workers_.FindAttempt(task);
     // The end of another task may have ended the job.
--- a/azurepass/partition/owner_workflows_test.cc
+++ b/azurepass/partition/owner_workflows_test.cc
@@ -190,7 +190,7 @@
     std::string name;
     JobRequest request;
     RefusalCode code;
-  } kRequests[] = {
+  } requests[] = {
       {"submission",
        SubmitWorkflow{kPartition, other, kRequest, TwoStepWorkflow(), {}},
        RefusalCode::kRequestConflict},
@@ -205,7 +205,7 @@
        RefusalCode::kForbidden},
   };
   for (const bool recorded : {false, true}) {
-    for (const auto& c : kRequests) {
+    for (const auto& c : requests) {
       CAPTURE(c.name);
       CAPTURE(recorded);
       Driver d;
--- a/azurepass/partition/testing/driver.h
+++ b/azurepass/partition/testing/driver.h
@@ -95,13 +95,19 @@
   void TakeOver(int64_t epoch, std::optional<Snapshot> snapshot,
                 std::vector<Batch> batches, const std::vector<std::string>& vms,
                 std::optional<MonotonicTime> renewals_ended = {}) {
-    epoch_ = Epoch{epoch};
-    Handle(ClaimWon{epoch_, {}, renewals_ended});
-    Handle(JournalLoaded{epoch_, std::move(snapshot), std::move(batches)});
+    Claim(epoch, renewals_ended);
+    Load(std::move(snapshot), std::move(batches));
     CompleteAppends();
     for (const std::string& vm : vms) OpenWorkerSession(vm);
     CompleteAppends();
   }
+  void Claim(int64_t epoch, std::optional<MonotonicTime> renewals_ended = {}) {
+    epoch_ = Epoch{epoch};
+    Handle(ClaimWon{epoch_, {}, renewals_ended});
+  }
+  void Load(std::optional<Snapshot> snapshot, std::vector<Batch> batches) {
+    Handle(JournalLoaded{epoch_, std::move(snapshot), std::move(batches)});
+  }
   void OpenWorkerSession(const std::string& vm,
                          std::vector<AttemptId> running = {}) {
     Handle(WorkerSessionOpened{VmId(vm), epoch_, std::move(running)});
@@ -116,6 +122,7 @@
     }
   }
   Status status() const { return owner_.status(); }
+  Epoch epoch() const { return epoch_; }
   // Answers appends as successful until none is pending.
   void CompleteAppends() {
     while (pending_append_ > 0) {
