Permits: interrupted lasting tasks first, and fewer requests while they fail

Cause: under hard load, most of all after a takeover, the request of a lasting step waits behind those of all other work. Brokers send more together than the service decides in time, it decides them for nobody, and each comes again after 100 ms.

Change: an owner scans jobs with interrupted lasting tasks first and marks their requests, which the broker sends before others, on half of the VMs at a time. It asks before a lease lapses for as long as the dearest request takes. A failed request is repeated after a doubled delay with jitter; what nobody waits for is withdrawn. A broker halves its backlog at a VM at which requests fail (BacklogLimit).

--- a/azurepass/daemons/node.cc
+++ b/azurepass/daemons/node.cc
@@ -267,7 +267,8 @@
     exporter_.emplace(
         loop, BodylessOptions(settings.metrics_address),
         std::vector<metrics::Source>{{"scheduling", manager_.address()},
-                                     {"routing", dispatcher_.metrics()}});
+                                     {"routing", dispatcher_.metrics()},
+                                     {"permits", permits_.address()}});
   }
 }
 
--- a/azurepass/partition/internal/owner_impl.h
+++ b/azurepass/partition/internal/owner_impl.h
@@ -354,9 +354,20 @@
   // Returns how many perpetual tasks of each job with permits will be queued
   // again soon.
   std::map<JobId, int32_t> RestartingTasks() const;
+  // Returns how long before the restart of a task its permit is requested.
+  Duration RestartLeadOf(const JobSpec& spec) const;
+  // Requests permits for jobs with perpetual tasks that have run, or will have
+  // run, and wait. Returns these jobs.
+  std::set<JobId> ScanRestarts(PermitScan& scan);
+  // Permits of the job are not needed any more.
+  void DropPermits(const JobId& job);
+  // Withdraws all permit requests under way, because this owner ends.
+  void WithdrawRequests();
+  // Returns the delay of the job's next request after one that failed.
+  Duration PermitBackoff(const JobId& job, const JobPermits& permits) const;
   // `waiting` tasks of the job wait, or will soon.
   void ReserveAndRequest(const internal::LedgerJob& job, int32_t waiting,
-                         JobPermits& permits, PermitScan& scan);
+                         JobPermits& permits, PermitScan& scan, bool restart);
   // Returns whether the job's next request is its first one and lists only as
   // many workers as it needs.
   bool HasBoundedFirstRequest(const JobSpec& spec,
@@ -364,7 +375,7 @@
   static bool HasNoRoom(const PermitScan& scan, const std::string& label,
                         const Resources& size);
   void EmitPermitRequest(const internal::LedgerJob& job, JobPermits& permits,
-                         std::vector<VmId> with_room);
+                         std::vector<VmId> with_room, bool restart);
   static int64_t RemainingOnWorker(const internal::LedgerJob& job,
                                    const VmId& vm);
   bool MayEverRun(const JobSpec& spec, const WorkerSpec& worker) const;
@@ -490,6 +501,7 @@
     std::set<VmId> granted;
     bool answered = false;  // A request was answered.
     bool request_in_flight = false;
+    int failures = 0;              // Of requests, since the latest answer.
     MonotonicTime asked_at{};      // Of the latest request.
     MonotonicTime answered_at{};   // Of the latest answer, also a failure.
     MonotonicTime next_request{};  // Earliest time of the next request.
@@ -498,6 +510,10 @@
   // The job at which the second half of the next scan begins.
   std::optional<placement::PermitWaiter> permit_scan_start_;
   std::map<JobId, JobPermits> permits_;
+  // Perpetual jobs with permits of which tasks that have run are queued. Jobs
+  // without such tasks stay here until the next scan.
+  std::set<JobId> interrupted_;
+  JobId restart_scan_start_;  // At which the next scan of restarts begins.
 
   internal::OverloadControl overload_;
   std::map<QueueId, int64_t> refused_submissions_;  // See Status.
--- a/azurepass/partition/owner.cc
+++ b/azurepass/partition/owner.cc
@@ -190,6 +190,7 @@
   for (const auto& [vm, worker] : workers_.workers()) {
     if (worker.configured) Emit(CloseSession{vm});
   }
+  WithdrawRequests();
   Emit(Released{});
   phase_ = Idle{};
 }
@@ -208,6 +209,7 @@
   for (const auto& [vm, worker] : workers_.workers()) {
     if (worker.configured) Emit(CloseSession{vm});
   }
+  WithdrawRequests();
   Emit(Deposed{reason});
   orders_.clear();
   phase_ = Idle{};
--- a/azurepass/partition/owner_permits.cc
+++ b/azurepass/partition/owner_permits.cc
@@ -41,6 +41,14 @@
 // were stopped on a leaving worker, and those on a worker whose lease lapses
 // soon. Their permits are then there when the tasks may start again.
 //
+// A perpetual task that has lost its run is missed by its users, and other work
+// was never there. So jobs with such tasks are scanned first, each scan begins
+// with another one of them, and their requests go before those of other jobs.
+//
+// A request that fails is repeated after a delay that doubles with each failure
+// in a row: failures come when the service or the way to it is overloaded, and
+// requests at a constant rate would keep it so.
+//
 // A new owner has forgotten all answers but those that led to starts. The work
 // of its predecessor waits meanwhile, so the first request for a job that has
 // run before is short: it lists some workers for each task that waits.
@@ -69,10 +77,19 @@
 // A bounded first request lists room for this many times the waiting tasks:
 // queues are known whose policy allows three workers in ten.
 constexpr int64_t kListedRoomPerTask = 4;
-// Permits for tasks on a silent worker are requested this long before its lease
-// has lapsed: an answer takes some hundred milliseconds, and is valid for one
-// or two seconds.
+// Permits for tasks on a silent worker are requested at least this long before
+// its lease has lapsed: an answer takes some hundred milliseconds, and is valid
+// for one or two seconds.
 constexpr Duration kRestartLead{800};
+// An answer that comes as early as possible is still valid for this long after
+// the lapse.
+constexpr Duration kValidAfterLapse{500};
+constexpr Duration kLongestRestartLead{3'000};
+// Longest delay of a request after failures. Urgent work is useful for a second
+// or two, and lasting tasks are missed after a few seconds.
+constexpr Duration kMaxPermitBackoff{1'600};
+constexpr Duration kMaxUrgentBackoff{400};
+constexpr int kMaxDoublings = 16;
 // Workers examined in one scan, over all jobs. The first jobs in the start
 // order matter most.
 constexpr int64_t kWorkersPerScan = 2'048;
@@ -96,25 +113,17 @@
           {&worker.spec, worker.spec.capacity - cell_.CommittedOn(vm)});
     }
   }
-  const std::map<JobId, int32_t> restarting = RestartingTasks();
+  const std::set<JobId> restarts = ScanRestarts(scan);
   const auto visit = [&](const JobId& id) {
     const auto permits = permits_.find(id);
     const LedgerJob* job = live_.Find(id);
-    if (permits != permits_.end() && job != nullptr && job->queued > 0) {
-      const auto more = restarting.find(id);
-      ReserveAndRequest(
-          *job, job->queued + (more == restarting.end() ? 0 : more->second),
-          permits->second, scan);
+    if (permits != permits_.end() && job != nullptr && job->queued > 0 &&
+        !restarts.contains(id)) {
+      ReserveAndRequest(*job, job->queued, permits->second, scan, false);
     }
     return scan.budget > 0;
   };
   scan.budget = kWorkersPerScan / 2;
-  // The cell knows of no task of theirs that waits.
-  for (const auto& [id, tasks] : restarting) {
-    const LedgerJob& job = *live_.Find(id);
-    if (job.queued > 0 || scan.budget <= 0) continue;
-    ReserveAndRequest(job, tasks, permits_.at(id), scan);
-  }
   const auto rest = cell_.VisitPermitWaiters({}, visit);
   if (!rest) {
     permit_scan_start_.reset();
@@ -125,22 +134,65 @@
       std::max(permit_scan_start_.value_or(*rest), *rest), visit);
 }
 
+std::set<JobId> Owner::Impl::ScanRestarts(PermitScan& scan) {
+  std::erase_if(interrupted_, [this](const JobId& id) {
+    const LedgerJob* job = live_.Find(id);
+    return job == nullptr || job->queued == 0 || !permits_.contains(id);
+  });
+  // With the tasks that the cell does not know as waiting yet.
+  std::map<JobId, int32_t> restarting = RestartingTasks();
+  for (const JobId& id : interrupted_) restarting.try_emplace(id, 0);
+  scan.budget = kWorkersPerScan / 2;
+  std::set<JobId> scanned;
+  const auto first = restarting.lower_bound(restart_scan_start_);
+  auto next = first;
+  for (size_t i = 0; i < restarting.size() && scan.budget > 0; ++i, ++next) {
+    if (next == restarting.end()) next = restarting.begin();
+    const auto& [id, tasks] = *next;
+    const LedgerJob& job = *live_.Find(id);
+    ReserveAndRequest(job, job.queued + tasks, permits_.at(id), scan, true);
+    scanned.insert(id);
+  }
+  const bool all = scanned.size() == restarting.size();
+  restart_scan_start_ = all || next == restarting.end() ? JobId() : next->first;
+  return scanned;
+}
+
+// The request may name as many workers as a request can, or a few.
+Duration Owner::Impl::RestartLeadOf(const JobSpec& spec) const {
+  const std::optional<PermitTerms> terms =
+      FindPermitTerms(*environment_.configuration, spec.queue);
+  if (!terms) return kRestartLead;
+  const auto cost_of = [&](int64_t workers) {
+    return terms->per_call +
+           std::chrono::ceil<Duration>(terms->per_worker * workers);
+  };
+  const Duration longest = cost_of(kRecoveredWorkersPerTask) + terms->validity -
+                           options_.permit_margin - kValidAfterLapse;
+  const Duration lead = std::min(cost_of(kMaxWorkersPerRequest), longest);
+  return std::clamp(lead, kRestartLead, kLongestRestartLead);
+}
+
 std::map<JobId, int32_t> Owner::Impl::RestartingTasks() const {
   std::map<JobId, int32_t> restarting;
   for (const auto& [vm, worker] : workers_.workers()) {
     const std::optional<MonotonicTime> silent_until = SilentUntil(worker);
-    const bool lapses = silent_until && *silent_until <= now_ + kRestartLead;
     const bool stops =
         worker.listed == VmState::kLeaving &&
         std::holds_alternative<internal::SessionOpen>(worker.session);
-    if (!lapses && !stops) continue;
+    const bool may_lapse =
+        silent_until && *silent_until <= now_ + kLongestRestartLead;
+    if (!may_lapse && !stops) continue;
     for (const TaskId& task : worker.tasks) {
       const LedgerJob& job = *live_.Find(task.job);  // It has an attempt.
       if (!job.submitted.spec.perpetual || job.cancelled ||
           !permits_.contains(task.job)) {
         continue;
       }
-      if (lapses || workers_.FindAttempt(task)->stopping) {
+      const bool lapses =
+          may_lapse &&
+          *silent_until <= now_ + RestartLeadOf(job.submitted.spec);
+      if (lapses || (stops && workers_.FindAttempt(task)->stopping)) {
         ++restarting[task.job];
       }
     }
@@ -152,7 +204,8 @@
 // An atomic gang reserves room and allowance for all of its tasks or for none,
 // so that what it cannot use is left to the jobs behind it.
 void Owner::Impl::ReserveAndRequest(const LedgerJob& job, int32_t waiting,
-                                    JobPermits& permits, PermitScan& scan) {
+                                    JobPermits& permits, PermitScan& scan,
+                                    bool restart) {
   const JobSpec& spec = job.submitted.spec;
   Resources size = spec.task;
   if (spec.scavenger) size[Dimension::kMillicores] = 0;
@@ -234,7 +287,7 @@
   // room.
   const bool first = !permits.answered && spec.priority == Priority::kUrgent;
   if (may_request && (first || tasks_with_room >= unit)) {
-    EmitPermitRequest(job, permits, std::move(with_room));
+    EmitPermitRequest(job, permits, std::move(with_room), restart);
   }
 }
 
@@ -289,7 +342,7 @@
 }
 
 void Owner::Impl::EmitPermitRequest(const LedgerJob& job, JobPermits& permits,
-                                    std::vector<VmId> with_room) {
+                                    std::vector<VmId> with_room, bool restart) {
   const JobSpec& spec = job.submitted.spec;
   const std::optional<PermitTerms> terms =
       FindPermitTerms(*environment_.configuration, spec.queue);
@@ -297,7 +350,7 @@
     permits.next_request = now_ + options_.permit_retry;
     return;
   }
-  RequestPermits request{job.submitted.job, {}, *terms};
+  RequestPermits request{job.submitted.job, {}, *terms, restart};
   const bool recovered = !permits.answered && !permits.granted.empty();
   const bool bounded = recovered || HasBoundedFirstRequest(spec, permits);
   if (permits.answered || (bounded && !with_room.empty())) {
@@ -325,9 +378,11 @@
   permits.request_in_flight = false;
   permits.answered_at = now_;
   if (!event.permits) {
-    permits.next_request = now_ + options_.permit_retry;
+    ++permits.failures;
+    permits.next_request = now_ + PermitBackoff(event.job, permits);
     return;
   }
+  permits.failures = 0;
   permits.answered = true;
   permits.permits.clear();
   std::vector<VmId> workers;
@@ -357,6 +412,38 @@
   placement_due_ = true;
 }
 
+// Between half and the whole of the doubled delay; jobs whose requests failed
+// together come back spread over the other half.
+Duration Owner::Impl::PermitBackoff(const JobId& job,
+                                    const JobPermits& permits) const {
+  const LedgerJob* waiting = live_.Find(job);
+  const bool urgent = waiting != nullptr &&
+                      (waiting->submitted.spec.perpetual ||
+                       waiting->submitted.spec.priority == Priority::kUrgent);
+  const Duration longest = urgent ? kMaxUrgentBackoff : kMaxPermitBackoff;
+  const int doublings = std::min(permits.failures - 1, kMaxDoublings);
+  const Duration whole =
+      std::min(options_.permit_retry * (1 << doublings), longest);
+  const auto half = whole.count() / 2;
+  const size_t hash = std::hash<std::string>()(
+      job.value() + '/' + std::to_string(permits.failures));
+  return Duration(half + static_cast<int64_t>(hash % (half + 1)));
+}
+
+void Owner::Impl::WithdrawRequests() {
+  for (const auto& [job, permits] : permits_) {
+    if (permits.request_in_flight) Emit(WithdrawPermits{job});
+  }
+}
+
+void Owner::Impl::DropPermits(const JobId& job) {
+  const auto found = permits_.find(job);
+  if (found == permits_.end()) return;
+  if (found->second.request_in_flight) Emit(WithdrawPermits{job});
+  permits_.erase(found);
+  interrupted_.erase(job);
+}
+
 std::string Owner::Impl::PermitFor(const JobId& job, const VmId& vm) const {
   auto found = permits_.find(job);
   if (found == permits_.end()) return "";
--- a/azurepass/partition/owner_phases_test.cc
+++ b/azurepass/partition/owner_phases_test.cc
@@ -210,9 +210,7 @@
        {{kOpening, {"requeued", "expired"}}, {kOwning, {"opens", "expired"}}}},
       {"a list names a start of the former owner",
        {},
-       [](Scenario& s) {
-         s.d.OpenWorkerSession(s.vm, {Next(s.attempt)});
-       },
+       [](Scenario& s) { s.d.OpenWorkerSession(s.vm, {Next(s.attempt)}); },
        {{kOwning, {"requeued", "started"}}}},
       {"a list names an attempt that the ledger has not",
        {},
@@ -271,8 +269,7 @@
        [](Scenario& s) {
          VmListChanged list;
          for (const std::string& vm : {s.vm, s.idle_vm}) {
-           list.vms[VmId(vm)] =
-               vm == s.vm ? VmState::kLeaving : VmState::kLive;
+           list.vms[VmId(vm)] = vm == s.vm ? VmState::kLeaving : VmState::kLive;
            list.workers[VmId(vm)] = MakeWorker(vm);
          }
          s.d.Handle(list);
--- a/azurepass/partition/owner_tasks.cc
+++ b/azurepass/partition/owner_tasks.cc
@@ -319,6 +319,9 @@
     cell_.Release(task, outcome, /*requeue=*/true, now_);
     overload_.OnRequeued(task.job);
     workers_.RemoveAttempt(task);
+    if (spec.perpetual && permits_.contains(task.job)) {
+      interrupted_.insert(task.job);
+    }
     if (waits_.Contains(task)) {
       waits_.OnSetback(task, reason,
                        WaitCauseOf(task).value_or(internal::WaitCause::kOther),
--- a/azurepass/partition/owner_workflows.cc
+++ b/azurepass/partition/owner_workflows.cc
@@ -483,6 +483,13 @@
     }
   }
   if (spec.constraints.needs_permit) permits_[id];
+  const bool interrupted = std::any_of(
+      job->tasks.begin(), job->tasks.end(), [](const TaskSnapshot& task) {
+        return task.attempts > 0 && task.state == TaskState::kQueued;
+      });
+  if (spec.constraints.needs_permit && spec.perpetual && interrupted) {
+    interrupted_.insert(id);
+  }
   for (int32_t index = 0; index < std::ssize(job->tasks); ++index) {
     if (index > 0 && !spec.perpetual) break;  // The first stands for all.
     if (job->tasks[index].state != TaskState::kQueued) continue;
@@ -524,7 +531,7 @@
   const RequestId request = workflow->submitted.request;
   const LedgerJob* job = live_.Find(id);
   if (job != nullptr && job->unfinished == 0) {
-    permits_.erase(id);
+    DropPermits(id);
     overload_.Remove(id);
   }
   if (workflow->failed && !workflow->cancelled) CancelFailedWorkflow(request);
@@ -563,7 +570,7 @@
                                const std::vector<TaskId>& open) {
   const LedgerWorkflow& workflow = *live_.FindWorkflow(request);
   for (const JobId& job : workflow.jobs) {
-    permits_.erase(job);
+    DropPermits(job);
     overload_.Remove(job);
   }
   if (!workflow.jobs.empty()) RemoveUnstarted(workflow.jobs.front());
--- a/azurepass/partition/partition.h
+++ b/azurepass/partition/partition.h
@@ -488,6 +488,12 @@
   JobId job;
   std::vector<VmId> workers;
   PermitTerms terms;
+  bool restart = false;  // Perpetual tasks that have run wait for it.
+};
+// Nobody waits for the permits of this job any more. The request is answered
+// all the same.
+struct WithdrawPermits {
+  JobId job;
 };
 struct Answer {
   RequestToken token;
@@ -532,8 +538,8 @@
 using Action =
     std::variant<LoadJournal, AppendBatch, ReadBack, WriteSnapshot, ReadSilence,
                  WriteSilence, OpenSession, SetRenewal, CloseSession,
-                 SendOrders, AcknowledgeEvents, RequestPermits, Answer,
-                 ReportDemand, Released, Deposed, Wake, LogDecision>;
+                 SendOrders, AcknowledgeEvents, RequestPermits, WithdrawPermits,
+                 Answer, ReportDemand, Released, Deposed, Wake, LogDecision>;
 
 // ---------------------------------------------------------------------------
 // The owner
--- a/azurepass/partition/testing/world.cc
+++ b/azurepass/partition/testing/world.cc
@@ -496,6 +496,7 @@
           },
           // The sessions of this simulation acknowledge events themselves.
           [&](const AcknowledgeEvents&) {}, [&](const RequestPermits&) {},
+          [&](const WithdrawPermits&) {},
           [&](const Answer& a) {
             std::erase(process.open_requests, a.token);
             oracle_.OnAnswer(a.token, a.response,
--- a/azurepass/permit/broker.cc
+++ b/azurepass/permit/broker.cc
@@ -7,11 +7,17 @@
 // cost, and bounded. Then it is sent next, to the first VM whose backlog, not
 // counting this request, is within the bound.
 //
+// Requests for tasks that were interrupted go before all others, in the order
+// of their arrival. They may cost a second each, so no more of them are
+// outstanding at a time than half of the VMs, and other work goes on at the
+// rest.
+//
 // Several brokers share the VMs, and none sees the backlogs that the others
-// cause. A short request that meets another broker's long one waits for all of
-// it. Therefore some VMs, the same ones for all brokers, are reserved for short
-// requests (size-based assignment); short requests use the other VMs only when
-// the reserved ones are full.
+// cause. Failures show them: internal/backlog_limit.h. A short request that
+// meets another broker's long one waits for all of it. Therefore some VMs, the
+// same ones for all brokers, are reserved for short requests (size-based
+// assignment); short requests use the other VMs only when the reserved ones are
+// full.
 
 #include <glog/logging.h>
 
@@ -22,6 +28,7 @@
 #include <utility>
 #include <vector>
 
+#include "azurepass/permit/internal/backlog_limit.h"
 #include "azurepass/permit/internal/cost_order.h"
 #include "azurepass/permit/internal/outlier_ejection.h"
 #include "azurepass/permit/permit.h"
@@ -51,7 +58,7 @@
         failed_timer_(loop),
         ejection_timer_(loop),
         mailbox_(loop, [this](Inbox m) { Handle(std::move(m)); }) {
-    targets_[kLocal];
+    targets_.try_emplace(kLocal, options_.max_backlog);
   }
 
   task::Address<Message> address() const { return mailbox_.address(); }
@@ -61,7 +68,10 @@
   // costs of the requests that were sent there and are neither answered nor
   // released from failed_.
   struct Target {
+    explicit Target(Duration max_backlog) : limit(max_backlog) {}
+
     Duration backlog{0};
+    internal::BacklogLimit limit;  // Of `backlog`.
     // Breaks ties between equal backlogs; the lowest comes first. Several
     // brokers share the VMs and do not see each other's requests, so each
     // broker uses a different order.
@@ -81,6 +91,7 @@
   struct Completed {
     std::string target;
     Duration cost{0};
+    bool restart = false;
     MonotonicTime sent_at;
     JobId job;
     task::Address<Result> reply_to;
@@ -103,12 +114,16 @@
   void OnMessage(Message message) {
     std::visit(
         Visitor{[this](Request& request) { Enqueue(std::move(request)); },
+                [this](const Withdraw& withdraw) { OnWithdraw(withdraw); },
+                [this](const metrics::Scrape& scrape) { Report(scrape); },
                 [this](const PeersChanged& changed) {
                   for (auto& [address, target] : targets_) {
                     target.removed = address != kLocal;
                   }
                   for (const std::string& address : changed.addresses) {
-                    Target& target = targets_[address];
+                    Target& target =
+                        targets_.try_emplace(address, options_.max_backlog)
+                            .first->second;
                     target.removed = false;
                     target.order = TieBreakOrderOf(address);
                   }
@@ -119,6 +134,16 @@
   }
 
   void OnCompleted(Completed& completed) {
+    --outstanding_;
+    if (completed.restart) --outstanding_restarts_;
+    const bool has_failed = std::holds_alternative<Failed>(completed.result);
+    ++(has_failed ? counts_.failed : counts_.issued);
+    const auto target = targets_.find(completed.target);
+    if (target != targets_.end() && has_failed) {
+      target->second.limit.OnFailure(completed.sent_at, BootClock::now());
+    } else if (target != targets_.end()) {
+      target->second.limit.OnSuccess();
+    }
     if (const auto* failed = std::get_if<Failed>(&completed.result)) {
       LOG(WARNING) << "event=permits_failed job=" << completed.job.value()
                    << " by=" << completed.target << " reason=\""
@@ -127,7 +152,7 @@
     } else {
       ejection_.OnSuccess(completed.target);
     }
-    if (std::holds_alternative<Failed>(completed.result)) {
+    if (has_failed) {
       failed_.emplace(BootClock::now() + completed.cost,
                       FailedRequest{completed.target, completed.cost});
       ReleaseFailed();
@@ -165,7 +190,9 @@
   }
 
   void Release(const std::string& target, Duration cost) {
-    targets_[target].backlog -= cost;
+    // A VM that left may be erased by now if its requests cost nothing.
+    const auto found = targets_.find(target);
+    if (found != targets_.end()) found->second.backlog -= cost;
     RemoveIdleTargets();
   }
 
@@ -199,6 +226,12 @@
 
   void Enqueue(Request request) {
     const int64_t serial = ++last_serial_;
+    ++counts_.taken;
+    if (request.restart) {
+      restarts_.Add(serial, Duration(0), 0, Duration(0), BootClock::now());
+      waiting_.emplace(serial, std::move(request));
+      return;
+    }
     // An owner that is replaced before all of its requests are decided would
     // leave out the same steps as its predecessor if requests of equal cost
     // were in the same order for all brokers.
@@ -208,9 +241,54 @@
     waiting_.emplace(serial, std::move(request));
   }
 
+  void OnWithdraw(const Withdraw& withdraw) {
+    for (auto it = waiting_.begin(); it != waiting_.end();) {
+      if (it->second.job != withdraw.job) {
+        ++it;
+        continue;
+      }
+      for (internal::CostOrder* order : {&restarts_, &short_, &long_}) {
+        order->Remove(it->first);
+      }
+      it->second.reply_to.Send(Failed{"withdrawn"});
+      it = waiting_.erase(it);
+      ++counts_.withdrawn;
+    }
+  }
+
+  void Report(const metrics::Scrape& scrape) const {
+    metrics::Text text;
+    text.Counter("azurepass_permit_requests_total",
+                 "Requests taken from owners.", counts_.taken);
+    text.Counter("azurepass_permit_issued_total", "Requests decided.",
+                 counts_.issued);
+    text.Counter("azurepass_permit_failed_total", "Requests without an answer.",
+                 counts_.failed);
+    text.Counter("azurepass_permit_withdrawn_total",
+                 "Requests withdrawn before they were sent.",
+                 counts_.withdrawn);
+    text.Gauge("azurepass_permit_outstanding", "Requests sent, not answered.",
+               static_cast<double>(outstanding_));
+    text.Gauge("azurepass_permit_outstanding_restarts",
+               "Those of them that interrupted tasks wait for.",
+               static_cast<double>(outstanding_restarts_));
+    text.Gauge("azurepass_permit_waiting", "Requests not sent yet.",
+               static_cast<double>(waiting_.size()));
+    Duration limits{0};
+    for (const auto& [name, target] : targets_)
+      limits += target.limit.current();
+    text.Gauge("azurepass_permit_backlog_limit_seconds",
+               "Decision time that may be outstanding, over all VMs.",
+               std::chrono::duration<double>(limits).count());
+    scrape.reply_to.Send({text.Take(), std::nullopt});
+  }
+
   // Sends waiting requests while a VM has room for them. While requests wait,
   // others are outstanding or in failed_, and the end of each leads here.
   void SendWaiting() {
+    const auto most_restarts = (std::ssize(targets_) + 1) / 2;
+    while (outstanding_restarts_ < most_restarts && SendNext(restarts_)) {
+    }
     while (SendNext(short_)) {
     }
     while (SendNext(long_)) {
@@ -229,15 +307,17 @@
     const Targets::iterator chosen = TargetFor(cost, now);
     if (chosen == targets_.end()) return false;
     Target& target = chosen->second;
-    const bool full = head.overdue
-                          ? target.backlog > options_.max_backlog
-                          : target.backlog > Duration(0) &&
-                                target.backlog + cost > options_.max_backlog;
+    const Duration limit = target.limit.current();
+    const bool full = head.overdue ? target.backlog > limit
+                                   : target.backlog > Duration(0) &&
+                                         target.backlog + cost > limit;
     if (full) return false;
     Request request = std::move(found->second);
     waiting.Remove(head.serial);
     waiting_.erase(found);
     target.backlog += cost;
+    ++outstanding_;
+    if (request.restart) ++outstanding_restarts_;
     ejection_.OnSent(chosen->first, now);
     // Another broker may have sent the VM a request like this one.
     const Duration timeout = target.backlog + cost + options_.slack;
@@ -296,10 +376,11 @@
 
   void SendTo(const std::string& target, Duration timeout, Request request) {
     const auto completed = [target, cost = request.cost,
+                            restart = request.restart,
                             sent_at = BootClock::now(), job = request.job,
                             to = request.reply_to](Result result) {
-      return Inbox(
-          Completed{target, cost, sent_at, job, to, std::move(result)});
+      return Inbox(Completed{target, cost, restart, sent_at, job, to,
+                             std::move(result)});
     };
     const Duration told_cost =
         options_.short_cost > Duration(0) ? request.cost : Duration(0);
@@ -336,12 +417,23 @@
   const task::Address<entry::Call> peers_;
   Targets targets_;
   internal::OutlierEjection ejection_;
-  // Invariant: each waiting request is in either short_ or long_.
+  // Invariant: each waiting request is in one of restarts_, short_ and long_.
   std::map<int64_t, Request> waiting_;
+  internal::CostOrder restarts_;  // In the order of arrival.
   internal::CostOrder short_;
   internal::CostOrder long_;
   int64_t last_serial_ = 0;
   std::multimap<MonotonicTime, FailedRequest> failed_;  // By their release.
+  // Sent and not completed; restarts among them.
+  int64_t outstanding_ = 0;
+  int64_t outstanding_restarts_ = 0;
+  struct Counts {
+    int64_t taken = 0;
+    int64_t issued = 0;
+    int64_t failed = 0;
+    int64_t withdrawn = 0;  // Before they were sent.
+  };
+  Counts counts_;
   task::Timer failed_timer_;
   task::Timer ejection_timer_;
   task::Mailbox<Inbox> mailbox_;
--- a/azurepass/permit/broker_test.cc
+++ b/azurepass/permit/broker_test.cc
@@ -32,11 +32,15 @@
     while (g_main_context_iteration(loop.context(), FALSE)) {
     }
   }
-  void SendRequest(const std::string& job, Duration cost) {
-    broker.address().Send(Request{
-        JobId(job), {VmId("vm")}, cost, task::Address<Result>([this](Result r) {
-          results.push_back(std::move(r));
-        })});
+  void SendRequest(const std::string& job, Duration cost,
+                   bool restart = false) {
+    broker.address().Send(Request{JobId(job),
+                                  {VmId("vm")},
+                                  cost,
+                                  task::Address<Result>([this](Result r) {
+                                    results.push_back(std::move(r));
+                                  }),
+                                  restart});
     Run();
   }
 };
@@ -95,6 +99,84 @@
   CHECK(std::holds_alternative<Failed>(f.results[1]));
 }
 
+// Guards against lasting tasks that have lost their run and whose requests,
+// the most expensive ones, wait behind those of all other work (LOST).
+TEST_CASE("requests for interrupted tasks go first, on half of the VMs") {
+  Fixture f;
+  f.broker.address().Send(
+      PeersChanged{{"10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1"}});
+  f.Run();
+  for (int i = 0; i < 4; ++i) f.SendRequest("first", Duration(600));
+  REQUIRE(f.local.size() + f.relayed.size() == 4);
+  for (int i = 0; i < 8; ++i) f.SendRequest("cheap", Duration(400));
+  for (int i = 0; i < 3; ++i) f.SendRequest("restart", Duration(1'000), true);
+  for (size_t i = 0; i < 3; ++i) {
+    f.relayed[i].reply_to.Send(
+        entry::Response(entry::PermitsRelayed{{}, Duration(2'000)}));
+  }
+  f.local[0].reply_to.Send(Issued{});
+  f.Run();
+  int restarts = 0;
+  for (size_t i = 3; i < f.relayed.size(); ++i) {
+    restarts +=
+        std::get<entry::RelayPermits>(f.relayed[i].request).job.value() ==
+        "restart";
+  }
+  for (size_t i = 1; i < f.local.size(); ++i) {
+    restarts += f.local[i].job.value() == "restart";
+  }
+  CHECK(restarts == 2);
+  CHECK(f.local.size() + f.relayed.size() == 8);
+}
+
+// Guards against requests that keep an overloaded service busy with decisions
+// that nobody waits for any more.
+TEST_CASE("a VM at which requests fail is sent fewer at a time") {
+  Options options;
+  options.max_backlog = Duration(100);
+  Fixture f(options);
+  for (int i = 0; i < 20; ++i) f.SendRequest("j", Duration(20));
+  CHECK(f.local.size() == 5);
+  for (size_t i = 0; i < 5; ++i) f.local[i].reply_to.Send(Failed{"timeout"});
+  f.Run();
+  // The failed ones count for as long again, and failures of requests that were
+  // sent before the first of them lower the limit no further.
+  const MonotonicTime give_up = BootClock::now() + Duration(1'000);
+  while (f.local.size() < 7 && BootClock::now() < give_up) f.Run();
+  CHECK(f.local.size() == 7);
+}
+
+TEST_CASE("a withdrawn request is answered, and not sent") {
+  Fixture f;
+  f.SendRequest("sent", Duration(600));
+  f.SendRequest("waiting", Duration(600));
+  for (const char* job : {"sent", "waiting"}) {
+    f.broker.address().Send(Withdraw{JobId(job)});
+  }
+  f.Run();
+  REQUIRE(f.results.size() == 1);
+  CHECK(std::get<Failed>(f.results[0]).message == "withdrawn");
+  f.local[0].reply_to.Send(Issued{});
+  f.Run();
+  CHECK(f.local.size() == 1);
+  CHECK(f.results.size() == 2);
+}
+
+TEST_CASE("the broker tells its counts") {
+  Fixture f;
+  f.SendRequest("sent", Duration(600));
+  f.SendRequest("restart", Duration(600), true);
+  f.SendRequest("waiting", Duration(600));
+  std::string text;
+  f.broker.address().Send(metrics::Scrape{task::Address<metrics::Report>(
+      [&](metrics::Report report) { text = std::move(report.text); })});
+  f.Run();
+  CAPTURE(text);
+  CHECK(text.find("azurepass_permit_requests_total 3") != std::string::npos);
+  CHECK(text.find("azurepass_permit_outstanding 2") != std::string::npos);
+  CHECK(text.find("azurepass_permit_waiting 1") != std::string::npos);
+}
+
 // Guards against starvation of expensive requests by a steady stream of cheap
 // ones, beside which no VM ever has an empty backlog. Lasting work, whose
 // requests are the most expensive, never got a permit and did not run again
--- a/azurepass/permit/permit.h
+++ b/azurepass/permit/permit.h
@@ -6,7 +6,7 @@
 // but those of several VMs concurrently. A Broker therefore spreads the
 // requests of the partitions that this process owns over all VMs of the cell.
 // At each VM it has no more requests outstanding than are decided within
-// max_backlog.
+// max_backlog, and fewer while requests fail there.
 //
 // A Queue keeps the requests that come to one VM, from its own Broker and from
 // others, until the service can take them.
@@ -27,6 +27,7 @@
 
 #include "azurepass/core/core.h"
 #include "azurepass/entry/entry.h"
+#include "azurepass/metrics/metrics.h"
 #include "azurepass/partition/partition.h"
 #include "azurepass/task/task.h"
 
@@ -85,8 +86,15 @@
   std::vector<VmId> workers;
   Duration cost{0};
   task::Address<Result> reply_to;
+  // Tasks that were interrupted wait for it: it goes before others.
+  bool restart = false;
 };
-using Message = std::variant<Request, PeersChanged>;
+// Nobody waits for the job's permits any more. A request that was not sent is
+// answered as failed.
+struct Withdraw {
+  JobId job;
+};
+using Message = std::variant<Request, Withdraw, PeersChanged, metrics::Scrape>;
 
 class Broker {
  public:
--- a/azurepass/scheduling/internal/partition_task.cc
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -153,7 +153,8 @@
           issued.permits = std::move(granted->permits);
         }
         return Inbox(ForOwner{epoch, std::move(issued)});
-      })});
+      }),
+      ask.restart});
 }
 
 void PartitionTask::OnJob(JobReceived& job) {
@@ -308,6 +309,9 @@
             peers_.workers.Send(endpoint::Acknowledge{a.vm, a.number, a.life});
           },
           [this](partition::RequestPermits& a) { RequestPermits(a); },
+          [this](const partition::WithdrawPermits& a) {
+            peers_.permits.Send(permit::Withdraw{a.job});
+          },
           [this](partition::Answer& a) { Answer(a); },
           [this](partition::ReportDemand& a) {
             demands_ = std::move(a.demands);
