Claims tell who else could have claimed, takeovers their processor time

After an outage of the store the users saw one VM of 0.12 processors after another claim the same partition and lose it within seconds. Neither the claim's line nor the takeover's could tell a claim by the first member back from one among all members, nor an owner without processor time from one without the store.

A claim's line has the claimer's processors, the members it knew and how many of them are larger; a takeover's line has the processor time spent since the claim.

--- a/azurepass/membership/agent.cc
+++ b/azurepass/membership/agent.cc
@@ -602,6 +602,7 @@
       Member& shown = view.members[member];
       shown.record = listed.record;
       shown.suspected = IsSuspected(member, listed.since, now);
+      shown.since = listed.since;
       const entry::MemberNews* news = table_.Find(member);
       if (news != nullptr) shown.news = *news;
     }
--- a/azurepass/membership/membership.h
+++ b/azurepass/membership/membership.h
@@ -188,6 +188,7 @@
   MemberRecord record;
   bool suspected = false;  // Not heard of for SuspicionAfter().
   std::optional<entry::MemberNews> news;
+  MonotonicTime since{};  // When its member key was first seen here.
 };
 
 // A member key's end, as it was seen here.
--- a/azurepass/scheduling/internal/claim_news.cc
+++ b/azurepass/scheduling/internal/claim_news.cc
@@ -46,6 +46,27 @@
   return text;
 }
 
+std::string CandidatesText(const membership::View& view, const MemberId& self,
+                           Duration settled, MonotonicTime now) {
+  const auto found = view.members.find(self);
+  const int64_t processors =
+      found == view.members.end() ? 0 : found->second.record.millicores;
+  int64_t larger = 0;
+  int64_t larger_settled = 0;
+  for (const auto& [id, member] : view.members) {
+    const membership::MemberRecord& record = member.record;
+    const bool candidate =
+        record.role == membership::Role::kScheduler && !record.leaving;
+    if (!candidate || record.millicores <= processors) continue;
+    ++larger;
+    if (now - member.since >= settled) ++larger_settled;
+  }
+  return " processors=" + std::to_string(processors) +
+         " members=" + std::to_string(view.members.size()) +
+         " larger=" + std::to_string(larger) +
+         " larger_settled=" + std::to_string(larger_settled);
+}
+
 std::string RenewalsText(std::optional<MonotonicTime> ended,
                          MonotonicTime now) {
   return " renewals_ended_ms=" + AgeText(ended.value_or(MonotonicTime()), now);
--- a/azurepass/scheduling/internal/claim_news.h
+++ b/azurepass/scheduling/internal/claim_news.h
@@ -37,6 +37,12 @@
                              const PartitionId& partition, const MemberId& self,
                              MonotonicTime now);
 
+// Fields that tell which members could have claimed instead: this one's
+// processors in thousandths, all members, and those with more processors, of
+// which `larger_settled` have been seen for at least `settled`.
+std::string CandidatesText(const membership::View& view, const MemberId& self,
+                           Duration settled, MonotonicTime now);
+
 // The field of such a line that tells how long ago renewals by former owners
 // had certainly ended; "none" if that is not known. See RenewalsEndedBy.
 std::string RenewalsText(std::optional<MonotonicTime> ended, MonotonicTime now);
--- a/azurepass/scheduling/internal/claim_news_test.cc
+++ b/azurepass/scheduling/internal/claim_news_test.cc
@@ -30,6 +30,31 @@
   return {MemberId(member), address, Epoch{7}, 3, {}, Ago(900), departure};
 }
 
+// Without it the log does not tell a claim by the only member that was back
+// from one that larger members left to a small one.
+TEST_CASE("a claim's line tells which members could have claimed instead") {
+  const auto member = [](const char* id, int64_t millicores, int since_ms,
+                         bool leaving = false) {
+    membership::Member member;
+    member.record.member = MemberId(id);
+    member.record.millicores = millicores;
+    member.record.leaving = leaving;
+    member.since = Ago(since_ms);
+    return member;
+  };
+  membership::View view;
+  CHECK(CandidatesText(view, kSelf, Duration(500), kNow) ==
+        " processors=0 members=0 larger=0 larger_settled=0");
+  for (const membership::Member& m :
+       {member("me", 120, 900), member("alike", 120, 900),
+        member("young", 500, 499), member("settled", 500, 500),
+        member("leaving", 500, 900, true)}) {
+    view.members[m.record.member] = m;
+  }
+  CHECK(CandidatesText(view, kSelf, Duration(500), kNow) ==
+        " processors=120 members=5 larger=2 larger_settled=1");
+}
+
 TEST_CASE("a claim's line tells what became of the former holder") {
   struct Case {
     membership::View view;
--- a/azurepass/scheduling/internal/partition_task.cc
+++ b/azurepass/scheduling/internal/partition_task.cc
@@ -110,6 +110,7 @@
   told_freshness_ = {};
   obeyed_grant_ = 0;
   takeovers_.Begin(Clock::now());
+  takeover_processor_ = ThreadProcessorTime();
   const task::Address<Inbox> inbox = mailbox_.address();
   const Epoch epoch = epoch_;
   writer_ = std::make_unique<journal::Writer>(
@@ -445,8 +446,11 @@
 
 void PartitionTask::LogTakeover(const std::string& text) const {
   if (text.empty()) return;
+  const auto processor = std::chrono::duration_cast<Duration>(
+      ThreadProcessorTime() - takeover_processor_);
   LOG(INFO) << "event=takeover partition=" << options_.partition.id.value()
-            << " epoch=" << epoch_.value << " " << text;
+            << " epoch=" << epoch_.value
+            << " processor_ms=" << processor.count() << " " << text;
 }
 
 }  // namespace azurepass::scheduling
--- a/azurepass/scheduling/internal/partition_task.h
+++ b/azurepass/scheduling/internal/partition_task.h
@@ -175,6 +175,8 @@
   metrics::Histogram handling_;
   HopMeter hops_;
   TakeoverMeter takeovers_;
+  // Of this thread, when the partition was claimed.
+  std::chrono::nanoseconds takeover_processor_{0};
   RefusedStarts refused_starts_;
 
   // Requests not yet answered. A token is never used twice.
--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -358,6 +358,9 @@
     partition.claim_text =
         " why=" + why +
         FormerHolderText(view_, id, options_.member, partition.claim_sent) +
+        CandidatesText(view_, options_.member,
+                       options_.cell.timing.member_lease,
+                       partition.claim_sent) +
         RenewalsText(partition.renewals_ended, partition.claim_sent);
     WriteClaim(id, {id, options_.member, epoch},
                absent ? store::kAbsent : claim->second.version);
