Holders hand partitions over to members with far more room

What callers saw: after an outage of the store the same small VM owned a partition in two epochs in a row, answered no request within 800 ms and denied the partition in between (LOST).

Cause: a holder keeps what it holds while it lives, whatever its load; and after it has lost its lease it claims at once what it held, an epoch higher.

Now a holder releases a partition, one at a time, when another member would have less than a third of its load with it: with an orderly handover if it holds it, and by giving the claim back if it has lost it. Only while every partition has an owner that is there, and only to members that have been listed for a lease and are heard of.

Tests: claims_test and manager_test; without this change the first fails (the small member holds all three partitions), and the second has no claim to look at: the field is new.

--- a/azurepass/membership/agent.cc
+++ b/azurepass/membership/agent.cc
@@ -640,6 +640,27 @@
                       candidates.self, candidates.others);
   }
 
+  // Only while every partition has an owner that is there: a handover that
+  // fails beside others would leave work undone for longer.
+  std::optional<PartitionId> Relocate() const {
+    if (!options_.keep_holders || self_.leaving || left_) return std::nullopt;
+    const std::map<PartitionId, MemberId> held = Held();
+    const bool calm = std::all_of(
+        partitions_.begin(), partitions_.end(), [&](const auto& partition) {
+          const auto found = held.find(partition);
+          return found != held.end() &&
+                 content_.members().contains(found->second);
+        });
+    if (!calm) return std::nullopt;
+    const MonotonicTime now = Now();
+    Processors members = Schedulers(/*settled=*/true);
+    std::erase_if(members, [&](const auto& item) {
+      return IsSuspected(item.first, content_.members().at(item.first).since,
+                         now);
+    });
+    return PartitionToRelocate(self_.member, members, held);
+  }
+
   View MakeView() const {
     const MonotonicTime now = Now();
     View view;
@@ -664,6 +685,7 @@
       }
     }
     view.wanted = Wanted();
+    view.relocate = Relocate();
     // Without the key others may already claim what this member holds.
     if (key_written_) {
       view.lease = lease_;
--- a/azurepass/membership/membership.h
+++ b/azurepass/membership/membership.h
@@ -183,6 +183,13 @@
     std::vector<PartitionId> partitions, const Processors& members,
     const std::map<PartitionId, MemberId>& held = {});
 
+// The partition that `holder` should hand over, since one of `members` has far
+// more room for it; empty if there is none. One at a time: the next is decided
+// on with the load that is left.
+std::optional<PartitionId> PartitionToRelocate(
+    const MemberId& holder, const Processors& members,
+    const std::map<PartitionId, MemberId>& held);
+
 // Bounded news of n members come round in a time that grows with n. The silence
 // that raises suspicion: `base` up to kSuspicionMembers, in proportion above.
 inline constexpr int64_t kSuspicionMembers = 8;
@@ -241,7 +248,10 @@
   std::map<MemberId, Member> members;  // With a member key; this one included.
   std::map<PartitionId, Claim> claims;
   std::vector<PartitionId> wanted;  // Partitions this member should hold.
-  bool lease_ok = false;            // The lease stands as far as is known.
+  // That this member holds and should hand over, so that a member with far more
+  // room takes it up.
+  std::optional<PartitionId> relocate{};
+  bool lease_ok = false;  // The lease stands as far as is known.
   // Counted from the send of the last renewal that succeeded: before it the
   // store cannot have dropped the lease.
   MonotonicTime lease_valid_until;
--- a/azurepass/membership/membership_test.cc
+++ b/azurepass/membership/membership_test.cc
@@ -338,5 +338,34 @@
   }
 }
 
+// Guards against partitions that stay with a VM which has several times the
+// load that another one would have.
+TEST_CASE("a partition moves to a member with far more room, one at a time") {
+  const Processors members = {
+      {Member_(0), 120}, {Member_(1), 120}, {Member_(2), 500}};
+  const auto held = [](std::vector<int64_t> holders) {
+    std::map<PartitionId, MemberId> map;
+    for (size_t i = 0; i < holders.size(); ++i) {
+      map[PartitionId("p" + std::to_string(i))] = Member_(holders[i]);
+    }
+    return map;
+  };
+  const struct {
+    std::map<PartitionId, MemberId> held;
+    int64_t holder;
+    std::string moved;
+  } cases[] = {{held({0}), 0, "p0"},       {held({2, 0}), 0, ""},
+               {held({0, 0}), 0, "p0"},    {held({0, 1}), 1, "p1"},
+               {held({2, 2, 2}), 2, ""},   {held({2, 0, 0, 0}), 0, "p1"},
+               {held({0, 0, 0}), 1, ""},   {held({2, 0, 0}), 0, "p1"},
+               {held({7, 2, 2, 0}), 0, ""}};
+  for (const auto& c : cases) {
+    const auto moved = PartitionToRelocate(Member_(c.holder), members, c.held);
+    CHECK(moved.value_or(PartitionId()).value() == c.moved);
+  }
+  const Processors alike = {{Member_(0), 500}, {Member_(1), 500}};
+  CHECK_FALSE(PartitionToRelocate(Member_(0), alike, held({0, 0, 0})));
+}
+
 }  // namespace
 }  // namespace azurepass::membership
--- a/azurepass/scheduling/claims_test.cc
+++ b/azurepass/scheduling/claims_test.cc
@@ -278,5 +278,22 @@
   CHECK(cell.Epochs() == 2 * epochs);
 }
 
+// A small VM kept partitions with several times the load that each of the
+// large ones would have had (LOST).
+TEST_CASE("a small member hands its partitions over to a large one") {
+  constexpr int64_t kTenth = membership::kWholeProcessor / 10;
+  Cell cell;
+  cell.Start(0, kTenth);
+  Cell::Await([&] { return cell.Holders() == kFirst; });
+  cell.Start(1);
+  Pass(5 * kLease);
+  CHECK(cell.Holders() == std::set<MemberId>{Cell::IdOf(1)});
+  cell.Start(2, kTenth);
+  cell.Start(3);
+  const int64_t epochs = cell.Epochs();
+  Pass(3 * kLease);
+  CHECK(cell.Epochs() == epochs);
+}
+
 }  // namespace
 }  // namespace azurepass::scheduling
--- a/azurepass/scheduling/manager.cc
+++ b/azurepass/scheduling/manager.cc
@@ -113,7 +113,8 @@
     MonotonicTime claim_sent{};
     std::optional<MonotonicTime> renewals_ended;  // See RenewalsEndedBy.
     MonotonicTime claim_taken{};
-    std::string claim_text;  // Whom it was taken from, and why.
+    MonotonicTime given_back{};  // The latest, without having been held.
+    std::string claim_text;      // Whom it was taken from, and why.
     ClaimFigures claims;
   };
 
@@ -315,10 +316,13 @@
         Visitor{
             [&](const NotHeld&) {
               const bool may = view_.lease_ok && HasAuthority();
-              if (may && !shutdown_ &&
-                  ((wanted &&
-                    IsClaimable(view_, id, options_.member, Clock::now())) ||
-                   IsOfFormerStart(view_, id, options_.member))) {
+              if (may && view_.relocate == id &&
+                  IsOfFormerStart(view_, id, options_.member)) {
+                GiveBack(id, partition);
+              } else if (may && !shutdown_ &&
+                         ((wanted && IsClaimable(view_, id, options_.member,
+                                                 Clock::now())) ||
+                          IsOfFormerStart(view_, id, options_.member))) {
                 Claim(id, partition, wanted ? "assigned" : "to_give_back");
               }
             },
@@ -328,7 +332,8 @@
                 LogTakenOver(id, partition);
                 partition.task->address().Send(Lose{});
                 partition.holding = NotHeld{};
-              } else if (!wanted && (shutdown_ || !options_.sticky)) {
+              } else if (view_.relocate == id ||
+                         (!wanted && (shutdown_ || !options_.sticky))) {
                 partition.task->address().Send(Release{});
                 partition.holding = HandingOver{held.epoch, held.version};
               }
@@ -366,6 +371,21 @@
                absent ? store::kAbsent : claim->second.version);
   }
 
+  // Leaves the claim of a former start to a member with more room. What the
+  // former start had open is closed: it has ended or lost its authority.
+  void GiveBack(const PartitionId& id, Partition& partition) {
+    const MonotonicTime now = Clock::now();
+    if (now - partition.given_back < kClaimInterval) return;
+    partition.given_back = now;
+    const membership::Claim& claim = view_.claims.at(id);
+    ++partition.claims.handed_over;
+    LOG(INFO) << "handover partition=" << id.value()
+              << " epoch=" << claim.epoch.value
+              << " member=" << options_.member.value()
+              << " why=relocated held_ms=0";
+    WriteClaim(id, {id, MemberId(), claim.epoch}, claim.version);
+  }
+
   ContactTold Told() const {
     ContactTold told{started_, std::nullopt,
                      options_.cell.timing.freshness_max_age};
@@ -448,6 +468,11 @@
     FinishShutdown();
   }
 
+  std::string_view WhyHandedOver() const {
+    if (shutdown_) return "shutdown";
+    return options_.sticky ? "relocated" : "not_wanted";
+  }
+
   void OnHandedOver(const HandedOver& notice) {
     Partition& partition = partitions_.at(notice.partition);
     const auto* handing = std::get_if<HandingOver>(&partition.holding);
@@ -456,8 +481,7 @@
       LOG(INFO) << "handover partition=" << notice.partition.value()
                 << " epoch=" << notice.epoch.value
                 << " member=" << options_.member.value()
-                << " why=" << (shutdown_ ? "shutdown" : "not_wanted")
-                << " held_ms="
+                << " why=" << WhyHandedOver() << " held_ms="
                 << MillisSince(partition.claim_taken, Clock::now());
       WriteClaim(notice.partition, {notice.partition, MemberId(), notice.epoch},
                  handing->version);
--- a/azurepass/scheduling/manager_test.cc
+++ b/azurepass/scheduling/manager_test.cc
@@ -56,11 +56,13 @@
   ~OneMember() { loop_.Stop(); }
 
   // Tells of the partition's claim as the store has it.
-  void TellView(const std::string& lease, MonotonicTime valid_until) {
+  void TellView(const std::string& lease, MonotonicTime valid_until,
+                std::optional<PartitionId> relocate = {}) {
     membership::View view;
     view.known = true;
     view.members[kSelf].record.member = kSelf;
     view.wanted = {kPartition};
+    view.relocate = std::move(relocate);
     if (const auto entry = ReadClaim()) {
       const auto claim = membership::DecodeClaim(entry->value);
       REQUIRE(claim.has_value());
@@ -73,6 +75,13 @@
     manager_->address().Send(view);
   }
 
+  // Of the claim; empty if nobody has it.
+  MemberId Holder() {
+    const auto entry = ReadClaim();
+    if (!entry) return {};
+    return membership::DecodeClaim(entry->value).value().member;
+  }
+
   int64_t ClaimedEpoch() {
     const auto entry = ReadClaim();
     if (!entry) return 0;
@@ -143,5 +152,21 @@
   member.AwaitEpoch(2);
 }
 
+// A small VM that had lost its lease claimed what it had held at once, and
+// lost it again, epoch after epoch (LOST).
+TEST_CASE("a lost claim that another member has far more room for is left") {
+  OneMember member;
+  member.TellView("lease-1", BootClock::now() + kLease);
+  member.AwaitEpoch(1);
+  OneMember::Pass(2 * kLease);
+  member.TellView("lease-2", BootClock::now() + testing::kLong, kPartition);
+  const MonotonicTime limit = BootClock::now() + testing::kLong;
+  while (!member.Holder().value().empty()) {
+    REQUIRE(BootClock::now() < limit);
+    OneMember::Pass(Duration(10));
+  }
+  CHECK(member.ClaimedEpoch() == 1);
+}
+
 }  // namespace
 }  // namespace azurepass::scheduling
