A claim's age is known again

The time at which a claim was first seen was written into the field beside it, when the claim becomes free, by an initializer that goes by position. Claims of all ages looked as if never seen: claim_age_ms was none in every log line, and who took up a claim that had been given back counted the former owner's last renewals from its own claim on, not from when the claim was given back, so that lapsed tasks of silent workers waited for longer.

Test: membership_agent_test failed before.

--- a/azurepass/membership/agent.cc
+++ b/azurepass/membership/agent.cc
@@ -160,7 +160,11 @@
     if (held.version > entry.version) return;
     const MonotonicTime since =
         held.version == entry.version ? held.since : now;
-    held = {claim->member, "", claim->epoch, entry.version, since, {}};
+    held = Claim();
+    held.member = claim->member;
+    held.epoch = claim->epoch;
+    held.version = entry.version;
+    held.since = since;
   }
 
   bool known_ = false;
--- a/azurepass/membership/agent_test.cc
+++ b/azurepass/membership/agent_test.cc
@@ -286,6 +286,7 @@
 TEST_CASE("claims are shown with their holder, as long as it is there") {
   Cluster cluster(2);
   for (int64_t i = 0; i < 2; ++i) cluster.AwaitMembers(i, 2, 2);
+  const MonotonicTime before = BootClock::now();
   const ClaimRecord claim{PartitionId("p0"), MemberId("m0"), Epoch{3}};
   cluster.store().Port(9).Send(store::Put{
       StoreKey(claim.partition), Encode(claim), store::kAbsent, "", {}});
@@ -296,6 +297,9 @@
   CHECK(held.claims.at(claim.partition).address == "10.0.0.0:1");
   CHECK(held.claims.at(claim.partition).version > 0);
   CHECK_FALSE(held.claims.at(claim.partition).departure);
+  // Guards against a claim of unknown age: its next owner would count former
+  // owners' last renewals from its own claim on.
+  CHECK(held.claims.at(claim.partition).since >= before);
   CHECK(held.claims.at(claim.partition).since <= BootClock::now());
   cluster.agent(0).address().Send(Leave{});
   const View gone = cluster.Await(1, [&](const View& view) {
