A member without a lease knows that it was in trouble

What callers saw: after an outage of the store of 9 s, partitions changed owners again and again; lasting tasks that had lapsed were not started again (LOST).

Cause: a member that had trouble with the store gives the holders whose keys it then finds missing a lease to return. Only failed renewals counted as trouble. A member that has been paused for a lease gives its own lease up and asks for another one; failed grants did not count. So after an outage of more than some 7 s nobody was in trouble: the first member back found the other keys missing, took their holders for dead and claimed everything from living owners within milliseconds.

Now every failed request for a lease counts, and so does a new lease.

Test: claims_test, which failed before.

--- a/azurepass/membership/agent.cc
+++ b/azurepass/membership/agent.cc
@@ -267,6 +267,7 @@
     if (!needed) return store_.Send(store::RevokeLease{granted->lease});
     lease_ = granted->lease;
     backoff_ = options_.min_backoff;
+    departures_.OnTrouble(Now());
     LogLease("granted", answered.sent);
     OnLeaseStands(answered.sent);
     RenewAt(answered.sent + Jittered(options_.lease_ttl / 3));
@@ -337,7 +338,6 @@
       return OnLeaseLost(*error, answered.sent);
     }
     OnLeaseFailed("not_renewed", {*error, answered.sent, Now()});
-    departures_.OnTrouble(Now());
     // A later one is under way.
     if (answered.sent != renewal_sent_) return;
     RetryLeaseWork([this] { Renew(); });
@@ -383,6 +383,7 @@
 
   void OnLeaseFailed(std::string_view outcome, const LeaseFailed& failed) {
     ++failures_;
+    departures_.OnTrouble(Now());
     LogLease(outcome, failed.sent, &failed.error);
     for (const auto& subscriber : failure_subscribers_) {
       subscriber.Send(failed);
--- a/azurepass/membership/membership.h
+++ b/azurepass/membership/membership.h
@@ -129,7 +129,8 @@
  public:
   explicit Departures(Duration lease_ttl) : lease_ttl_(lease_ttl) {}
 
-  // This member started, lost its lease or had a renewal fail.
+  // This member started, lost its lease or got one, or any request for one or
+  // for its renewal failed.
   void OnTrouble(MonotonicTime now) { trouble_at_ = now; }
   void OnGone(const MemberId& member, MonotonicTime now);
   void OnBack(const MemberId& member) { gone_.erase(member); }
--- a/azurepass/membership/room.cc
+++ b/azurepass/membership/room.cc
@@ -1,6 +1,6 @@
-// Choices between members of different sizes: who leaves a claim to another, and
-// who hands a partition over. A small VM that owns what it has no processor time
-// for loses its lease, and the partition has no owner while it does.
+// Choices between members of different sizes: who leaves a claim to another,
+// and who hands a partition over. A small VM that owns what it has no processor
+// time for loses its lease, and the partition has no owner while it does.
 
 #include <algorithm>
 
@@ -26,8 +26,7 @@
   for (const Candidate& other : others) {
     if (!HasFarMoreRoom(other, self)) continue;
     if (other.present) {
-      until =
-          std::max(until, other.since + lease_ttl + lease_ttl / kNoticed);
+      until = std::max(until, other.since + lease_ttl + lease_ttl / kNoticed);
     } else if (may_return && other.since + lease_ttl >= gone_at) {
       until = std::max(until, free_at + lease_ttl / kReturn);
     }
--- a/azurepass/scheduling/claims_test.cc
+++ b/azurepass/scheduling/claims_test.cc
@@ -145,6 +145,7 @@
     Options options;
     options.member = IdOf(index);
     options.sticky = true;
+    options.cell.timing.member_lease = kLease;
     options.nonce = static_cast<uint64_t>(index) + 1;
     for (const PartitionId& id : Partitions()) {
       options.cell.partitions.push_back({id, ServiceId("s"), {}});
@@ -199,6 +200,22 @@
   CHECK(cell.Holders() == kFirst);
 }
 
+// Members that had given up their leases, since the outage lasted longer than a
+// pause, took the holders' missing keys for their ends, and the first one back
+// claimed all partitions at once (LOST).
+TEST_CASE("an outage of the store that outlasts a pause moves no partition") {
+  Cell cell;
+  StartAll(cell);
+  for (int64_t i = 0; i < kMembers; ++i) cell.SetOutage(i, true);
+  Pass(5 * kLease);
+  for (int64_t i = kMembers - 1; i >= 0; --i) {
+    cell.SetOutage(i, false);
+    Cell::Await([&] { return cell.Members() == kMembers - i; });
+  }
+  Pass(2 * kLease);
+  CHECK(cell.Holders() == kFirst);
+}
+
 // The first member that was started again claimed what belonged to others,
 // which were back a moment later (LOST).
 TEST_CASE("a restart of all members moves no partition") {
