--- a/azurepass/membership/agent.cc
+++ b/azurepass/membership/agent.cc
@@ -610,8 +610,8 @@
     return held;
   }
 
-  // What this member has, and what others had or have to take partitions up
-  // with.
+  // This member and the others that could take partitions up; also those that
+  // are gone and may return.
   struct Candidates {
     Candidate self;
     std::vector<Candidate> others;
@@ -635,7 +635,7 @@
     return candidates;
   }
 
-  // Also tells when a claim of a member that is gone becomes free here.
+  // When this member may claim what `holder` has, which is gone.
   MonotonicTime FreeAt(const MemberId& holder,
                        const Candidates& candidates) const {
     const MonotonicTime free_at = departures_.FreeAt(holder);
@@ -645,19 +645,20 @@
                       candidates.self, candidates.others);
   }
 
-  // Members of which nothing speaks against their taking something up, listed
-  // for `since` at least; this one in any case.
-  Processors Reliable(Duration since) const {
+  // Members that have been listed for so long and are heard of; this one in any
+  // case.
+  Processors Reliable(Duration listed) const {
     const MonotonicTime now = Now();
     Processors members = Schedulers(/*settled=*/true);
     std::erase_if(members, [&](const auto& item) {
       if (item.first == self_.member) return false;
       const MonotonicTime seen = content_.members().at(item.first).since;
-      return now - seen < since || IsSuspected(item.first, seen, now);
+      return now - seen < listed || IsSuspected(item.first, seen, now);
     });
     return members;
   }
 
+  // Without a lease that is certain, claims may have changed unseen.
   bool MayMove() const {
     return options_.keep_holders && !self_.leaving && !left_ && key_written_ &&
            failures_ == 0 && Now() < lease_valid_until_;
--- a/azurepass/membership/room.cc
+++ b/azurepass/membership/room.cc
@@ -7,12 +7,12 @@
 #include "azurepass/membership/membership.h"
 
 namespace azurepass::membership {
-
 namespace {
 
-// A claim that is free costs nothing to leave to another.
+// Least ratio of loads at which a claim is left to another member, which costs
+// little as nobody owns the partition.
 constexpr int64_t kTimesToYield = 2;
-// A handover costs callers and workers a moment.
+// The same for a handover, which costs callers and workers a moment.
 constexpr int64_t kTimesToRelocate = 3;
 
 using Candidates = std::map<MemberId, Candidate>;
